--- /dev/null
+++ b/apps/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/components/settings/processsettings.hpp
@@ -0,0 +1,89 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_SETTINGS_PROCESSSETTINGS_HPP
+#define SAMPHIRESAIL_COMPONENTS_SETTINGS_PROCESSSETTINGS_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "components/ids/ids.hpp"
+
+namespace samphiresail::settings {
+
+/// IP address and port; port 0 lets the system choose.
+struct SocketAddress
+{
+  std::string mHost{ "127.0.0.1" };
+  std::uint16_t mPort{ 0 };
+};
+
+/// Certificate and key files of a TLS listener; empty for plain HTTP.
+struct TlsSettings
+{
+  std::string mCertificateFile;
+  std::string mKeyFile;
+};
+
+/// CURVE keys in Z85 text for the connections between processes; empty for none. All
+/// processes of a deployment share one key pair.
+struct CurveSettings
+{
+  std::string mPublicKey;
+  std::string mSecretKey;
+};
+
+/// Settings that both roles have.
+struct CommonSettings
+{
+  ids::ProcessId mName;
+  ids::VmId mVm;
+  ids::AvailabilityZoneId mAvailabilityZone;
+  /// Where other processes of the system connect; the address is announced as written.
+  SocketAddress mPeer;
+  /// Where metrics are served; port 0 serves none.
+  SocketAddress mMetrics;
+  /// Base URL of the platform's key-value service.
+  std::string mStoreUrl;
+  std::string mLogLevel{ "info" };
+  CurveSettings mCurve;
+  std::chrono::milliseconds mStoreTimeout{ 1000 };
+  /// Longest time that a planned stop waits for work in flight.
+  std::chrono::milliseconds mStopTimeout{ 60000 };
+  std::uint32_t mTimelineEvents{ 20000 };
+};
+
+struct EntrySettings
+{
+  CommonSettings mCommon;
+  /// Where callers connect.
+  SocketAddress mHttp;
+  TlsSettings mTls;
+  /// Base URL of the platform's list of VMs.
+  std::string mVmListUrl;
+  std::uint32_t mHttpThreads{ 128 };
+  std::uint32_t mMaxBodyBytes{ 1U << 20 };
+  /// Age of the evidence about the store above which the entry serves nothing that needs a
+  /// key or a limit.
+  std::chrono::milliseconds mInTouch{ 2500 };
+  std::chrono::milliseconds mPollInterval{ 500 };
+  /// Longest time that a request waits for rate credit.
+  std::chrono::milliseconds mCreditWait{ 250 };
+  std::chrono::milliseconds mGrantLife{ 2000 };
+  /// Silence on a connection with work in flight after which it is opened anew.
+  std::chrono::milliseconds mSilence{ 1500 };
+};
+
+struct AgentSettings
+{
+  CommonSettings mCommon;
+  ids::EndpointId mEndpoint;
+  ids::PoolId mPool;
+  /// Base URL of the engine or service beside the agent.
+  std::string mBackendUrl;
+  /// Age above which a ticket that the agent issued is refused.
+  std::chrono::milliseconds mTicketLife{ 2000 };
+  std::chrono::milliseconds mProgressInterval{ 400 };
+};
+
+}
+
+#endif
