--- a/components/settings/processsettings.hpp
+++ b/components/settings/processsettings.hpp
@@ -61,8 +61,8 @@
   std::string mVmListUrl;
   std::uint32_t mHttpThreads{ 128 };
   std::uint32_t mMaxBodyBytes{ 1U << 20 };
-  /// Age of the evidence about the store above which the entry serves nothing that needs a
-  /// key or a limit.
+  /// Age of the evidence about the store above which the entry serves nothing that needs
+  /// a key or a limit.
   std::chrono::milliseconds mInTouch{ 2500 };
   std::chrono::milliseconds mPollInterval{ 500 };
   /// Longest time that a request waits for rate credit.
