--- /dev/null
+++ b/components/findings/findings.cpp
@@ -0,0 +1,40 @@
+#include "components/findings/findings.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "components/findings/findingserror.hpp"
+
+namespace samphiresail::findings {
+
+std::string Describe(const Finding& aFinding)
+{
+  const Place& place = aFinding.mPlace;
+  return place.mFile + ":" + std::to_string(place.mLine) + ":" +
+         std::to_string(place.mColumn) + ": " + aFinding.mText;
+}
+
+Findings::Findings(std::string aFile)
+  : mFile(std::move(aFile))
+{
+}
+
+void Findings::Add(int aLine, int aColumn, std::string aText)
+{
+  mFindings.push_back({ { mFile, aLine, aColumn }, std::move(aText) });
+}
+
+void Findings::ThrowIfAny() const
+{
+  if (mFindings.empty()) {
+    return;
+  }
+  std::vector<Finding> sorted = mFindings;
+  std::ranges::stable_sort(sorted, {}, [](const Finding& aFinding) {
+    return std::tuple(aFinding.mPlace.mLine, aFinding.mPlace.mColumn);
+  });
+  throw FindingsError(std::move(sorted));
+}
+
+}
--- /dev/null
+++ b/components/findings/findings.hpp
@@ -0,0 +1,47 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_FINDINGS_FINDINGS_HPP
+#define SAMPHIRESAIL_COMPONENTS_FINDINGS_FINDINGS_HPP
+
+#include <string>
+#include <vector>
+
+namespace samphiresail::findings {
+
+/// Place in a file; line and column count from 1.
+struct Place
+{
+  std::string mFile;
+  int mLine{ 1 };
+  int mColumn{ 1 };
+};
+
+/// Fault of a file with its place.
+struct Finding
+{
+  Place mPlace;
+  std::string mText;
+};
+
+/// Returns the finding as `file:line:column: text`.
+std::string Describe(const Finding& aFinding);
+
+/// Collects the faults of one file, so that all are reported together.
+class Findings
+{
+public:
+  explicit Findings(std::string aFile);
+
+  void Add(int aLine, int aColumn, std::string aText);
+  bool Empty() const { return mFindings.empty(); }
+  const std::vector<Finding>& All() const { return mFindings; }
+
+  /// Throws FindingsError with all findings, ordered by place, if there are any.
+  void ThrowIfAny() const;
+
+private:
+  std::string mFile;
+  std::vector<Finding> mFindings;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/findings/findingserror.cpp
@@ -0,0 +1,32 @@
+#include "components/findings/findingserror.hpp"
+
+#include <numeric>
+#include <string>
+#include <utility>
+
+namespace samphiresail::findings {
+
+namespace {
+
+std::string DescribeAll(const std::vector<Finding>& aFindings)
+{
+  return std::accumulate(aFindings.begin(),
+                         aFindings.end(),
+                         std::string(),
+                         [](std::string aText, const Finding& aFinding) {
+                           if (!aText.empty()) {
+                             aText += '\n';
+                           }
+                           return aText + Describe(aFinding);
+                         });
+}
+
+}
+
+FindingsError::FindingsError(std::vector<Finding> aFindings)
+  : std::runtime_error(DescribeAll(aFindings))
+  , mFindings(std::move(aFindings))
+{
+}
+
+}
--- a/components/settings/processsettings.hpp
+++ b/components/settings/processsettings.hpp
@@ -6,16 +6,10 @@
 #include <string>
 
 #include "components/ids/ids.hpp"
+#include "components/settings/socketaddress.hpp"
 
 namespace samphiresail::settings {
 
-/// IP address and port; port 0 lets the system choose.
-struct SocketAddress
-{
-  std::string mHost{ "127.0.0.1" };
-  std::uint16_t mPort{ 0 };
-};
-
 /// Certificate and key files of a TLS listener; empty for plain HTTP.
 struct TlsSettings
 {
