--- a/components/catalogue/catalogue.hpp
+++ b/components/catalogue/catalogue.hpp
@@ -30,6 +30,8 @@
   std::string mRegion;
   /// True while operators have taken the availability zone out.
   bool mOut{ false };
+  /// Loads of models that may run at once at the endpoints of the availability zone.
+  std::uint32_t mLoadsAtOnce{ 1 };
 };
 
 struct ClientAccount
@@ -94,6 +96,7 @@
 struct ServiceCall
 {
   std::string mMethod;
+  /// Path below the route; a trailing `*` stands for any rest.
   std::string mPath;
   /// False if the call must run at most once.
   bool mRepeatable{ true };
--- a/components/catalogue/configurationcodec.cpp
+++ b/components/catalogue/configurationcodec.cpp
@@ -27,11 +27,9 @@
 
 Json Write(const AvailabilityZone& aZone)
 {
-  return { { "name", aZone.mName.Str() },
-           { "owner", aZone.mOwner },
-           { "class", aZone.mClass },
-           { "region", aZone.mRegion },
-           { "out", aZone.mOut } };
+  return { { "name", aZone.mName.Str() }, { "owner", aZone.mOwner },
+           { "class", aZone.mClass },     { "region", aZone.mRegion },
+           { "out", aZone.mOut },         { "loads_at_once", aZone.mLoadsAtOnce } };
 }
 
 void Read(const Json& aJson, AvailabilityZone& aZone)
@@ -41,6 +39,7 @@
   aZone.mClass = aJson.at("class");
   aZone.mRegion = aJson.at("region");
   aZone.mOut = aJson.at("out");
+  aZone.mLoadsAtOnce = aJson.at("loads_at_once");
 }
 
 Json Write(const ClientAccount& aAccount)
--- /dev/null
+++ b/components/catalogue/referencecheck.cpp
@@ -0,0 +1,119 @@
+#include "components/catalogue/referencecheck.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace samphiresail::catalogue {
+
+namespace {
+
+template<typename Entry>
+void CheckUniqueNames(std::vector<Declared<Entry>>& aEntries)
+{
+  std::set<std::string> seen;
+  for (Declared<Entry>& it : aEntries) {
+    const std::string& name = it.mEntry.mName.Str();
+    if (!name.empty() && !seen.insert(name).second) {
+      it.mReader.Report("name", "name '" + name + "' stands twice");
+    }
+  }
+}
+
+template<typename Entry, typename Id>
+const Entry* Find(const std::vector<Declared<Entry>>& aEntries, const Id& aName)
+{
+  const auto it = std::ranges::find(
+    aEntries, aName, [](const Declared<Entry>& aItem) { return aItem.mEntry.mName; });
+  return it == aEntries.end() ? nullptr : &it->mEntry;
+}
+
+/// Returns the pool that an entry names, if it exists and is of the kind.
+template<typename Entry>
+const EndpointPool* CheckPool(const DeclaredCatalogue& aCatalogue,
+                              Declared<Entry>& aItem,
+                              PoolKind aKind)
+{
+  const ids::PoolId& name = aItem.mEntry.mPool;
+  if (name.Empty()) {
+    return nullptr;
+  }
+  const EndpointPool* pool = Find(aCatalogue.mPools, name);
+  if (pool == nullptr) {
+    aItem.mReader.Report("pool", "pool '" + name.Str() + "' is not declared");
+  } else if (pool->mKind != aKind) {
+    aItem.mReader.Report("pool",
+                         "pool '" + name.Str() + "' must be of kind " +
+                           (aKind == PoolKind::Engine ? "engine" : "service"));
+  }
+  return pool;
+}
+
+units::Bytes CheckBase(const DeclaredCatalogue& aCatalogue, Declared<Model>& aAdapter)
+{
+  const Model& adapter = aAdapter.mEntry;
+  const Model* base = Find(aCatalogue.mModels, adapter.mBase);
+  const std::string text = "base '" + adapter.mBase.Str() + "' ";
+  if (base == nullptr) {
+    aAdapter.mReader.Report("base", text + "is not declared");
+    return {};
+  }
+  if (!base->mBase.Empty()) {
+    aAdapter.mReader.Report("base", text + "is an adapter itself");
+  }
+  if (base->mPool != adapter.mPool) {
+    aAdapter.mReader.Report("base", text + "is in pool '" + base->mPool.Str() + "'");
+  }
+  return base->mMemory;
+}
+
+void CheckModels(DeclaredCatalogue& aCatalogue)
+{
+  for (Declared<Model>& it : aCatalogue.mModels) {
+    const EndpointPool* pool = CheckPool(aCatalogue, it, PoolKind::Engine);
+    units::Bytes memory = it.mEntry.mMemory;
+    if (!it.mEntry.mBase.Empty()) {
+      memory += CheckBase(aCatalogue, it);
+    }
+    if (pool != nullptr && pool->mKind == PoolKind::Engine && memory > pool->mMemory) {
+      it.mReader.Report("limits",
+                        "needs more memory than an endpoint of pool '" +
+                          pool->mName.Str() + "' has");
+    }
+  }
+}
+
+bool Hides(const std::string& aRoute, const std::string& aOther)
+{
+  return aOther == aRoute || aOther.starts_with(aRoute + "/");
+}
+
+void CheckServices(DeclaredCatalogue& aCatalogue)
+{
+  std::vector<std::string> routes;
+  for (Declared<Service>& it : aCatalogue.mServices) {
+    CheckPool(aCatalogue, it, PoolKind::Service);
+    const std::string& route = it.mEntry.mRoute;
+    const auto clash = std::ranges::find_if(routes, [&](const std::string& aOther) {
+      return Hides(route, aOther) || Hides(aOther, route);
+    });
+    if (clash != routes.end() && !route.empty()) {
+      it.mReader.Report("route", "route '" + route + "' overlaps '" + *clash + "'");
+    }
+    routes.push_back(route);
+  }
+}
+
+}
+
+void CheckReferences(DeclaredCatalogue& aCatalogue)
+{
+  CheckUniqueNames(aCatalogue.mAvailabilityZones);
+  CheckUniqueNames(aCatalogue.mClientAccounts);
+  CheckUniqueNames(aCatalogue.mModels);
+  CheckUniqueNames(aCatalogue.mPools);
+  CheckUniqueNames(aCatalogue.mServices);
+  CheckModels(aCatalogue);
+  CheckServices(aCatalogue);
+}
+
+}
