--- /dev/null
+++ b/components/admission/classqueue.hpp
@@ -0,0 +1,69 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_ADMISSION_CLASSQUEUE_HPP
+#define SAMPHIRESAIL_COMPONENTS_ADMISSION_CLASSQUEUE_HPP
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "components/admission/queueitem.hpp"
+
+namespace samphiresail::admission {
+
+/// Items of one class. Client accounts share by weight through start-time fair queueing
+/// over the token cost; within an account the earliest deadline goes first.
+class ClassQueue
+{
+public:
+  void Push(QueueItem aItem);
+
+  /// Removes and returns the first item in fair order that the filter lets start.
+  std::optional<QueueItem> Pop(const ItemFilter& aFilter);
+
+  /// Removes the attempt, which must be the account's with the given deadline.
+  bool Remove(const ids::ClientAccountId& aAccount,
+              timing::Instant aDeadline,
+              const ids::AttemptId& aAttempt);
+
+  /// Moves all items whose deadline has passed to aExpired.
+  void DropExpired(timing::Instant aNow, std::vector<DroppedItem>& aExpired);
+
+  /// Removes the latest item of the account with the most backlog for its weight, if that
+  /// backlog exceeds what the given account would have with one item more.
+  std::optional<QueueItem> Displace(const ids::ClientAccountId& aAccount,
+                                    std::uint32_t aWeight);
+
+  /// Removes the latest item of the account with the most backlog for its weight.
+  std::optional<QueueItem> DisplaceAny();
+
+  /// Returns the token cost of the item that is first in fair order; infinite if empty.
+  double NextCost() const;
+
+  std::size_t Size() const { return mSize; }
+  bool Empty() const { return mSize == 0; }
+
+private:
+  using Items = std::multimap<timing::Instant, QueueItem>;
+
+  struct Flow
+  {
+    Items mItems;
+    double mWeight{ 1.0 };
+    /// Virtual time at which the account's next item starts.
+    double mStart{ 0.0 };
+  };
+  using Flows = std::map<ids::ClientAccountId, Flow>;
+
+  std::optional<QueueItem> PopFrom(Flow& aFlow, const ItemFilter& aFilter);
+  Flows::iterator MostBacklogged();
+  QueueItem TakeLatest(Flow& aFlow);
+  void ForgetIdleFlows();
+
+  Flows mFlows;
+  double mVirtualTime{ 0.0 };
+  std::size_t mSize{ 0 };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/admission/fairqueue.cpp
@@ -0,0 +1,136 @@
+#include "components/admission/fairqueue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "components/admission/admissionqueue.hpp"
+
+namespace samphiresail::admission {
+
+static_assert(AdmissionQueue<FairQueue>);
+
+FairQueue::FairQueue(const FairQueueOptions& aOptions)
+  : mCapacity(aOptions.mCapacity)
+  , mFloors{ 0.0,
+             aOptions.mStreamedFloor,
+             aOptions.mShortFloor,
+             aOptions.mIrreversibleFloor,
+             aOptions.mBatchFloor }
+{
+}
+
+PushResult FairQueue::Push(QueueItem aItem, timing::Instant aNow)
+{
+  if (aItem.mDeadline <= aNow) {
+    return PushResult::Expired;
+  }
+  if (mIndex.contains(aItem.mAttempt)) {
+    return PushResult::Duplicate;
+  }
+  if (mIndex.size() >= mCapacity) {
+    DropExpired(aNow);
+  }
+  if (mIndex.size() >= mCapacity && !MakeRoom(aItem)) {
+    return PushResult::Full;
+  }
+  const auto place = static_cast<std::size_t>(aItem.mClass);
+  mIndex.emplace(aItem.mAttempt, Position{ place, aItem.mAccount, aItem.mDeadline });
+  mClasses.at(place).Push(std::move(aItem));
+  return PushResult::Accepted;
+}
+
+bool FairQueue::MakeRoom(const QueueItem& aItem)
+{
+  const auto own = static_cast<std::size_t>(aItem.mClass);
+  for (std::size_t lower = kClasses - 1; lower > own; --lower) {
+    if (auto item = mClasses.at(lower).DisplaceAny()) {
+      Displaced(std::move(*item));
+      return true;
+    }
+  }
+  if (auto item = mClasses.at(own).Displace(aItem.mAccount, aItem.mWeight)) {
+    Displaced(std::move(*item));
+    return true;
+  }
+  return false;
+}
+
+void FairQueue::Displaced(QueueItem aItem)
+{
+  mIndex.erase(aItem.mAttempt);
+  mDropped.push_back({ std::move(aItem), DropCause::Displaced });
+}
+
+std::optional<QueueItem> FairQueue::Pop(timing::Instant aNow, const ItemFilter& aFilter)
+{
+  DropExpired(aNow);
+  for (std::size_t it = 1; it < kClasses; ++it) {
+    if (mOwed.at(it) >= mClasses.at(it).NextCost()) {
+      if (auto item = PopClass(it, aFilter)) {
+        return item;
+      }
+    }
+  }
+  for (std::size_t it = 0; it < kClasses; ++it) {
+    if (auto item = PopClass(it, aFilter)) {
+      return item;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<QueueItem> FairQueue::PopClass(std::size_t aClass,
+                                             const ItemFilter& aFilter)
+{
+  auto item = mClasses.at(aClass).Pop(aFilter);
+  if (item) {
+    mIndex.erase(item->mAttempt);
+    Account(aClass, static_cast<double>(std::max<std::int64_t>(item->mCost.Count(), 1)));
+  }
+  return item;
+}
+
+void FairQueue::Account(std::size_t aServed, double aCost)
+{
+  for (std::size_t it = 1; it < kClasses; ++it) {
+    if (mClasses.at(it).Empty()) {
+      mOwed.at(it) = 0.0;
+      continue;
+    }
+    mOwed.at(it) += aCost * mFloors.at(it);
+    if (it == aServed) {
+      mOwed.at(it) = std::max(mOwed.at(it) - aCost, 0.0);
+    }
+  }
+}
+
+bool FairQueue::Remove(const ids::AttemptId& aAttempt)
+{
+  const auto it = mIndex.find(aAttempt);
+  if (it == mIndex.end()) {
+    return false;
+  }
+  const Position& position = it->second;
+  mClasses.at(position.mClass).Remove(position.mAccount, position.mDeadline, aAttempt);
+  mIndex.erase(it);
+  return true;
+}
+
+std::vector<DroppedItem> FairQueue::TakeDropped(timing::Instant aNow)
+{
+  DropExpired(aNow);
+  return std::exchange(mDropped, {});
+}
+
+void FairQueue::DropExpired(timing::Instant aNow)
+{
+  const std::size_t before = mDropped.size();
+  for (ClassQueue& queue : mClasses) {
+    queue.DropExpired(aNow, mDropped);
+  }
+  std::for_each(mDropped.begin() + static_cast<std::ptrdiff_t>(before),
+                mDropped.end(),
+                [&](const DroppedItem& aItem) { mIndex.erase(aItem.mItem.mAttempt); });
+}
+
+}
--- /dev/null
+++ b/components/admission/fifoqueue.hpp
@@ -0,0 +1,35 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_ADMISSION_FIFOQUEUE_HPP
+#define SAMPHIRESAIL_COMPONENTS_ADMISSION_FIFOQUEUE_HPP
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "components/admission/queueitem.hpp"
+
+namespace samphiresail::admission {
+
+/// Baseline: serves in the order of arrival, blind to class, deadline order and account.
+class FifoQueue
+{
+public:
+  explicit FifoQueue(std::size_t aCapacity);
+
+  PushResult Push(QueueItem aItem, timing::Instant aNow);
+  std::optional<QueueItem> Pop(timing::Instant aNow, const ItemFilter& aFilter);
+  bool Remove(const ids::AttemptId& aAttempt);
+  std::vector<DroppedItem> TakeDropped(timing::Instant aNow);
+  std::size_t Size() const { return mItems.size(); }
+
+private:
+  void DropExpired(timing::Instant aNow);
+
+  std::size_t mCapacity;
+  std::deque<QueueItem> mItems;
+  std::vector<DroppedItem> mDropped;
+};
+
+}
+
+#endif
