--- /dev/null
+++ b/components/routing/baselinerouters.cpp
@@ -0,0 +1,49 @@
+#include "components/routing/baselinerouters.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace samphiresail::routing {
+
+namespace {
+
+/// Takes the first endpoint from aStart on, cyclically, that takes new work.
+RouteResult ChooseFrom(const EndpointTable& aTable,
+                       const RouteRequest& aRequest,
+                       timing::Instant aNow,
+                       std::uint64_t aStart)
+{
+  return aTable.Read([&](const EndpointTable::View& aView) -> RouteResult {
+    const auto& rows = aView.Rows(aRequest.mRequirement);
+    for (std::size_t it = 0; it < rows.size(); ++it) {
+      const std::uint32_t row = rows[(aStart + it) % rows.size()];
+      if (aView.Evaluate(row, aRequest.mRequirement, aNow)) {
+        return aView.Description(row);
+      }
+    }
+    return ExplainNoRoute(aView, aRequest.mRequirement, aNow);
+  });
+}
+
+}
+
+RouteResult RoundRobinRouter::Choose(const EndpointTable& aTable,
+                                     const RouteRequest& aRequest,
+                                     timing::Instant aNow,
+                                     std::mt19937_64& /*aGenerator*/)
+{
+  return ChooseFrom(aTable, aRequest, aNow, mNext.fetch_add(1));
+}
+
+RouteResult RandomRouter::Choose(const EndpointTable& aTable,
+                                 const RouteRequest& aRequest,
+                                 timing::Instant aNow,
+                                 std::mt19937_64& aGenerator)
+{
+  return ChooseFrom(aTable, aRequest, aNow, aGenerator());
+}
+
+static_assert(Router<RoundRobinRouter>);
+static_assert(Router<RandomRouter>);
+
+}
