Add stand-ins for the platform and for back ends

The path needs a store, engines, a plain service, the list of VMs and a balancer to run against, each of which fails on demand.

Each stand-in is a program of its own on the loopback address. The store speaks the JSON gateway of etcd v3; the engine speaks the OpenAI-style interface and derives every answer from the prompt, so that a test can check the whole answer and a resumed one. The engine and the service keep journals of their executions and record an overcommit, a cold overload and a caller's key instead of preventing them. The forwarder makes a connection go silent without closing it.

Ruled out: a ready-made store, which the machines of the tests need not have and which cannot lose an answer after taking effect on demand.

Checked by hand with curl: compare-and-swap, lease expiry, lost answer, stream with usage, resume, stale fencing number, overcommit, cut stream.

--- /dev/null
+++ b/apps/standins/common/httpprogram.hpp
@@ -0,0 +1,51 @@
+#ifndef SAMPHIRESAIL_APPS_STANDINS_COMMON_HTTPPROGRAM_HPP
+#define SAMPHIRESAIL_APPS_STANDINS_COMMON_HTTPPROGRAM_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace samphiresail::standins {
+
+/// HTTP server on the loopback address that runs until SIGTERM or SIGINT.
+class HttpProgram
+{
+public:
+  /// Blocks the stop signals in all threads; construct it before any thread is started.
+  /// Port 0 lets the system choose. Each open connection holds one of the threads.
+  HttpProgram(std::uint16_t aPort, std::size_t aThreads);
+
+  httplib::Server& Server() { return mServer; }
+
+  /// Binds the port and returns it. Throws std::runtime_error if it is taken.
+  std::uint16_t Bind();
+
+  /// Prints "ready", the port and the extra text as one line and serves until a stop
+  /// signal. Ends the process with status 0.
+  [[noreturn]] void Run(const std::string& aExtra = {});
+
+private:
+  httplib::Server mServer;
+  std::uint16_t mPort;
+};
+
+/// Cuts the connection on which a request came, so that its answer is lost.
+void DropConnection(const httplib::Request& aRequest);
+
+/// Sets a JSON body.
+void Answer(httplib::Response& aResponse, const nlohmann::json& aBody, int aStatus = 200);
+
+/// Registers a POST handler for a JSON body; a body that cannot be read or that has wrong
+/// types is answered with status 400.
+void PostJson(
+  httplib::Server& aServer,
+  const std::string& aPattern,
+  std::function<void(const httplib::Request&, const nlohmann::json&, httplib::Response&)>
+    aHandler);
+
+}
+
+#endif
