--- a/components/catalogue/catalogue.hpp
+++ b/components/catalogue/catalogue.hpp
@@ -152,6 +152,9 @@
   units::Version mVersion;
   Catalogue mCatalogue;
   std::vector<IssuedKey> mKeys;
+  /// Identifiers of the latest edits, oldest first. An operator whose answer was lost
+  /// looks here whether the edit took effect, also after others wrote.
+  std::vector<std::string> mRecentEdits;
 };
 
 }
--- a/components/catalogue/configurationcodec.cpp
+++ b/components/catalogue/configurationcodec.cpp
@@ -217,6 +217,7 @@
       { { "loads_per_second", catalogue.mWeightStore.mLoadsPerSecond },
         { "loads_at_once", catalogue.mWeightStore.mLoadsAtOnce } } },
     { "keys", WriteAll(aConfiguration.mKeys) },
+    { "recent_edits", aConfiguration.mRecentEdits },
   };
   return document.dump();
 }
@@ -238,6 +239,7 @@
     catalogue.mWeightStore.mLoadsPerSecond = weightStore.at("loads_per_second");
     catalogue.mWeightStore.mLoadsAtOnce = weightStore.at("loads_at_once");
     configuration.mKeys = ReadAll<IssuedKey>(document.at("keys"));
+    document.at("recent_edits").get_to(configuration.mRecentEdits);
     return configuration;
   } catch (const Json::exception& error) {
     throw ConfigurationError(std::string("configuration record: ") + error.what());
