Add rights, rate buckets, permits, roster and evidence

Rate and burst hold across entries only if level and unspent grants together stay below the capacity of a share, and if a share is taken up when its former holder can no longer use it.

A refund counted from the issue of its grant was tried first: a bucket that was full at the charge then gave nothing back, because its room had been zero until the charge. Counting from the report of the charge is exact: until then the charge itself is the room. Refunds lower the recorded room, since two of them could otherwise use the same room.

The fields of the wire messages for that changed before anything used them.

--- a/apps/tests/limits/creditpooltest.cpp
+++ b/apps/tests/limits/creditpooltest.cpp
@@ -16,7 +16,7 @@
 
 limits::GrantOrigin MakeOrigin(std::uint64_t aNonce)
 {
-  return { ids::ProcessId("entry-1"), aNonce, 7 };
+  return { ids::ProcessId("entry-1"), aNonce };
 }
 
 }
--- a/components/limits/creditpool.cpp
+++ b/components/limits/creditpool.cpp
@@ -43,7 +43,8 @@
     if (part > 0) {
       grant.mSpent += part;
       missing -= part;
-      charge.mParts.push_back({ grant.mOrigin, units::Tokens(part) });
+      charge.mParts.push_back(
+        { grant.mOrigin, units::Tokens(part), units::Tokens(grant.mSpent) });
     }
   }
   aState.mCharged += aTokens.Count();
@@ -104,6 +105,15 @@
   shard.mGranted.notify_all();
 }
 
+void CreditPool::Relinquish(const ids::ClientAccountId& aAccount, timing::Instant aNow)
+{
+  Shard& shard = ShardOf(aAccount);
+  const std::lock_guard lock(shard.mMutex);
+  for (Grant& grant : shard.mAccounts[aAccount].mGrants) {
+    grant.mExpiry = std::min(grant.mExpiry, aNow);
+  }
+}
+
 void CreditPool::Return(const Charge& aCharge, units::Tokens aUnused)
 {
   const std::lock_guard lock(mRefundMutex);
@@ -113,7 +123,7 @@
     if (part > 0) {
       missing -= part;
       mRefunds.push_back(
-        { aCharge.mAccount, *it->mOrigin, units::Tokens(part), aCharge.mAt });
+        { aCharge.mAccount, *it->mOrigin, units::Tokens(part), it->mSpent });
     }
   }
 }
--- a/components/limits/creditpool.hpp
+++ b/components/limits/creditpool.hpp
@@ -22,8 +22,6 @@
 {
   ids::ProcessId mHolder;
   std::uint64_t mNonce{ 0 };
-  /// Time of the grant as the holder stated it, on the holder's clock.
-  std::uint64_t mIssued{ 0 };
 };
 
 /// Part of a charge that one grant paid for.
@@ -31,6 +29,8 @@
 {
   std::shared_ptr<const GrantOrigin> mOrigin;
   units::Tokens mTokens;
+  /// What was spent of the grant in total once this part was.
+  units::Tokens mSpent;
 };
 
 /// Tokens that an admitted request has spent.
@@ -48,7 +48,8 @@
   ids::ClientAccountId mAccount;
   GrantOrigin mOrigin;
   units::Tokens mTokens;
-  timing::Instant mChargedAt;
+  /// What was spent of the grant in total once the charge was paid.
+  units::Tokens mSpent;
 };
 
 /// State of one grant at the time of a report.
@@ -98,6 +99,9 @@
                 units::Tokens aTokens,
                 timing::Instant aExpiry);
 
+  /// Ends all grants of an account, so that their rest goes back to the holders.
+  void Relinquish(const ids::ClientAccountId& aAccount, timing::Instant aNow);
+
   /// Hands back the part of a charge that was not used.
   void Return(const Charge& aCharge, units::Tokens aUnused);
 
--- /dev/null
+++ b/components/limits/creditrequester.hpp
@@ -0,0 +1,101 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_LIMITS_CREDITREQUESTER_HPP
+#define SAMPHIRESAIL_COMPONENTS_LIMITS_CREDITREQUESTER_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "components/limits/creditpool.hpp"
+#include "components/limits/rightsrecord.hpp"
+
+namespace samphiresail::limits {
+
+/// Message to a holder: tokens wanted, which may be 0, and the use of earlier grants.
+struct CreditAsk
+{
+  ids::ProcessId mHolder;
+  ids::ClientAccountId mAccount;
+  std::uint64_t mNonce{ 0 };
+  units::Tokens mTokens;
+  std::vector<GrantUse> mUses;
+};
+
+/// Grant that may be added to the pool.
+struct AcceptedGrant
+{
+  ids::ClientAccountId mAccount;
+  GrantOrigin mOrigin;
+  units::Tokens mTokens;
+  timing::Instant mExpiry;
+};
+
+/// Decides how much credit this entry asks of which holder.
+///
+/// It asks for what callers wait for plus a short stock for the recent demand, first of
+/// the nearest holder; once that gives less than was asked, of all holders by their
+/// shares, so that credit follows the demand of an uneven balancer.
+class CreditRequester
+{
+public:
+  /// aNearest is the holder in the own availability zone; empty if there is none.
+  explicit CreditRequester(timing::Duration aGrantLife);
+
+  std::vector<CreditAsk> Plan(const AccountActivity& aActivity,
+                              const std::vector<RightShare>& aShares,
+                              const ids::ProcessId& aNearest,
+                              timing::Instant aNow);
+
+  /// Takes the answer of a holder; returns nothing if it is late, repeated or empty.
+  std::optional<AcceptedGrant> OnGrant(const ids::ProcessId& aHolder,
+                                       std::uint64_t aNonce,
+                                       units::Tokens aTokens,
+                                       timing::Instant aNow);
+
+  /// Returns true if an account has had no demand for so long that its credit should go
+  /// back to the holders.
+  bool IsIdle(const AccountActivity& aActivity, timing::Instant aNow) const;
+
+private:
+  struct Pending
+  {
+    ids::ClientAccountId mAccount;
+    ids::ProcessId mHolder;
+    std::int64_t mTokens{ 0 };
+    timing::Instant mAskedAt;
+    bool mAnswered{ false };
+  };
+
+  struct Demand
+  {
+    double mPerSecond{ 0.0 };
+    std::optional<timing::Instant> mLastPlan;
+    timing::Instant mLastUse;
+    /// Until when a holder counts as short of credit.
+    std::map<ids::ProcessId, timing::Instant> mShortUntil;
+    std::vector<GrantUse> mUnreported;
+    timing::Instant mLastReport;
+  };
+
+  void UpdateDemand(Demand& aDemand,
+                    const AccountActivity& aActivity,
+                    timing::Instant aNow);
+  std::int64_t Need(const Demand& aDemand,
+                    const AccountActivity& aActivity,
+                    timing::Instant aNow) const;
+  static std::map<ids::ProcessId, std::int64_t> Split(
+    const Demand& aDemand,
+    std::int64_t aNeed,
+    const std::vector<RightShare>& aShares,
+    const ids::ProcessId& aNearest,
+    timing::Instant aNow);
+
+  timing::Duration mGrantLife;
+  std::uint64_t mLastNonce{ 0 };
+  std::map<ids::ClientAccountId, Demand> mDemands;
+  std::map<std::uint64_t, Pending> mPending;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/limits/rightsholder.cpp
@@ -0,0 +1,165 @@
+#include "components/limits/rightsholder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphiresail::limits {
+
+RightsHolder::RightsHolder(ids::ProcessId aSelf,
+                           units::Incarnation aIncarnation,
+                           RightsTimes aTimes)
+  : mSelf(std::move(aSelf))
+  , mIncarnation(aIncarnation)
+  , mTimes(aTimes)
+{
+}
+
+void RightsHolder::Adopt(const RightsRecord& aRecord,
+                         units::Version aAccepted,
+                         const catalogue::Catalogue& aCatalogue,
+                         timing::Instant aNow)
+{
+  std::map<ids::ClientAccountId, Held> kept;
+  for (const RightShare& share : aRecord.mShares) {
+    const auto account = std::ranges::find(
+      aCatalogue.mClientAccounts, share.mAccount, &catalogue::ClientAccount::mName);
+    const bool mine = share.mHolder == mSelf && share.mIncarnation == mIncarnation;
+    if (mine && account != aCatalogue.mClientAccounts.end()) {
+      AdoptShare(share, *account, aNow);
+      kept.insert(mHeld.extract(share.mAccount));
+    }
+  }
+  mHeld = std::move(kept);
+  Tick(aAccepted, aNow);
+}
+
+void RightsHolder::AdoptShare(const RightShare& aShare,
+                              const catalogue::ClientAccount& aAccount,
+                              timing::Instant aNow)
+{
+  const auto [it, isNew] = mHeld.try_emplace(aShare.mAccount, aNow, mTimes.mGrantLife);
+  Held& held = it->second;
+  held.mRate = aAccount.mRate;
+  held.mBurst = aAccount.mBurst;
+  if (isNew && aShare.mStartsFull) {
+    held.mMillionths = aShare.mMillionths;
+    ApplyLimits(held, aNow);
+    held.mBucket.Fill();
+    return;
+  }
+  if (aShare.mMillionths <= held.mMillionths) {
+    held.mMillionths = aShare.mMillionths;
+    held.mWaiting.reset();
+  } else if (held.mWaiting && held.mWaiting->mSince == aShare.mSince) {
+    held.mWaiting->mMillionths = aShare.mMillionths;
+  } else {
+    // A share given up by its holder does not shorten the wait for a reclaimed one.
+    const bool reclaimed =
+      aShare.mReclaimed || (held.mWaiting && held.mWaiting->mReclaimed);
+    held.mWaiting = Waiting{ aShare.mSince, aShare.mMillionths, reclaimed, std::nullopt };
+  }
+  ApplyLimits(held, aNow);
+}
+
+void RightsHolder::Tick(units::Version aAccepted, timing::Instant aNow)
+{
+  for (auto& [account, held] : mHeld) {
+    if (!held.mWaiting) {
+      continue;
+    }
+    StartWaiting(*held.mWaiting, aAccepted, aNow);
+    if (held.mWaiting->mUsableAt && *held.mWaiting->mUsableAt <= aNow) {
+      held.mMillionths = held.mWaiting->mMillionths;
+      held.mWaiting.reset();
+      ApplyLimits(held, aNow);
+    }
+  }
+}
+
+void RightsHolder::StartWaiting(Waiting& aWaiting,
+                                units::Version aAccepted,
+                                timing::Instant aNow) const
+{
+  if (aWaiting.mUsableAt) {
+    return;
+  }
+  if (!aWaiting.mReclaimed) {
+    aWaiting.mUsableAt = aNow + mTimes.mGrantLife;
+    return;
+  }
+#ifndef SAMPHIRESAIL_MUTANT_RECLAIM_WAIT
+  if (aWaiting.mSince <= aAccepted) {
+    aWaiting.mUsableAt = aNow + mTimes.mInTouch + mTimes.mGrantLife;
+  }
+#else
+  aWaiting.mUsableAt = aNow;
+#endif
+}
+
+void RightsHolder::ApplyLimits(Held& aHeld, timing::Instant aNow)
+{
+  constexpr std::int64_t kMillion = 1000000;
+  const double share = static_cast<double>(aHeld.mMillionths) / kMillion;
+  aHeld.mBucket.SetLimits(
+    units::TokensPerSecond(aHeld.mRate.Count() * share),
+    units::Tokens(aHeld.mBurst.Count() * aHeld.mMillionths / kMillion),
+    aNow);
+}
+
+void RightsHolder::Stop()
+{
+  mStopped = true;
+}
+
+units::Tokens RightsHolder::Grant(const ids::ClientAccountId& aAccount,
+                                  const GrantKey& aKey,
+                                  units::Tokens aWanted,
+                                  timing::Instant aNow)
+{
+  const auto it = mHeld.find(aAccount);
+  if (mStopped || it == mHeld.end()) {
+    return units::Tokens(0);
+  }
+  return it->second.mBucket.Grant(aKey, aWanted, aNow);
+}
+
+void RightsHolder::Report(const ids::ClientAccountId& aAccount,
+                          const GrantKey& aKey,
+                          units::Tokens aSpent,
+                          bool aClosed,
+                          timing::Instant aNow)
+{
+  const auto it = mHeld.find(aAccount);
+  if (it != mHeld.end()) {
+    it->second.mBucket.Report(aKey, aSpent, aClosed, aNow);
+  }
+}
+
+units::Tokens RightsHolder::Refund(const ids::ClientAccountId& aAccount,
+                                   const GrantKey& aKey,
+                                   units::Tokens aSpent,
+                                   units::Tokens aTokens,
+                                   timing::Instant aNow)
+{
+  const auto it = mHeld.find(aAccount);
+  if (it == mHeld.end()) {
+    return units::Tokens(0);
+  }
+  return it->second.mBucket.Refund(aKey, aSpent, aTokens, aNow);
+}
+
+bool RightsHolder::AwaitsAcceptance(units::Version aAccepted) const
+{
+  return std::ranges::any_of(mHeld, [&](const auto& aItem) {
+    const auto& waiting = aItem.second.mWaiting;
+    return waiting && waiting->mReclaimed && aAccepted < waiting->mSince;
+  });
+}
+
+bool RightsHolder::InUse(const ids::ClientAccountId& aAccount) const
+{
+  const auto it = mHeld.find(aAccount);
+  return it != mHeld.end() && !it->second.mWaiting;
+}
+
+}
--- /dev/null
+++ b/components/membership/evidence.cpp
@@ -0,0 +1,155 @@
+#include "components/membership/evidence.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace samphiresail::membership {
+
+namespace {
+
+/// Questions without an answer are forgotten after this time.
+constexpr std::chrono::seconds kQuestionLife{ 10 };
+
+}
+
+void Evidence::OnStoreRead(timing::Instant aBegin)
+{
+  Raise(aBegin);
+}
+
+std::uint64_t Evidence::Ask(const Member& aPeer, timing::Instant aNow)
+{
+  const auto old = [&](const auto& aItem) {
+    return aItem.second.mAskedAt + kQuestionLife < aNow;
+  };
+  std::erase_if(mQuestions, old);
+  std::erase_if(mAcknowledgements, old);
+  std::erase_if(mRelayed, [&](const auto& aItem) {
+    return aItem.second.mSince + kQuestionLife < aNow;
+  });
+  mQuestions[++mLastNonce] = { KeyOf(aPeer), aNow };
+  return mLastNonce;
+}
+
+void Evidence::OnAnswer(const ids::ProcessId& aPeer,
+                        units::Incarnation aIncarnation,
+                        const FreshnessAnswer& aAnswer,
+                        timing::Instant aNow)
+{
+  const MemberKey peer{ aPeer, aIncarnation };
+  const auto it = mQuestions.find(aAnswer.mNonce);
+  if (it == mQuestions.end() || it->second.mPeer != peer) {
+    return;
+  }
+  const timing::Instant asked = it->second.mAskedAt;
+  mQuestions.erase(it);
+  mStated = Highest(mStated, aAnswer.mVersions);
+  Acknowledgement& known = mAcknowledgements[peer];
+  if (known.mAskedAt <= asked) {
+    known = { aAnswer.mVersions, asked, aNow };
+  }
+  if (aAnswer.mEvidenceAge) {
+#ifndef SAMPHIRESAIL_MUTANT_RELAY_AGE
+    const timing::Instant since = asked - *aAnswer.mEvidenceAge;
+#else
+    const timing::Instant since = aNow;
+#endif
+    RelayedEvidence& relayed = mRelayed[peer];
+    if (relayed.mSince <= since) {
+      relayed = { aAnswer.mVersions, since };
+    }
+  }
+}
+
+void Evidence::Evaluate(const Versions& aAdopted,
+                        const Roster& aRoster,
+                        const Member& aSelf,
+                        timing::Instant aNow)
+{
+  for (const auto& [peer, relayed] : mRelayed) {
+#ifndef SAMPHIRESAIL_MUTANT_ADOPT_FIRST
+    if (aAdopted.Covers(relayed.mVersions)) {
+      Raise(relayed.mSince);
+    }
+#else
+    Raise(relayed.mSince);
+#endif
+  }
+  if (aRoster.mMembers.empty()) {
+    return;
+  }
+  // The evidence is the latest instant at which a quorum had not yet been asked.
+  std::vector<timing::Instant> instants;
+  const auto askedAt = [&](const Member& aMember) -> std::optional<timing::Instant> {
+    if (aMember.IsSame(aSelf)) {
+      return aNow;
+    }
+    const auto it = mAcknowledgements.find(KeyOf(aMember));
+    if (it == mAcknowledgements.end() || !aAdopted.Covers(it->second.mVersions)) {
+      return std::nullopt;
+    }
+    return it->second.mAskedAt;
+  };
+  for (const Member& elector : Electors(aRoster)) {
+    if (const auto instant = askedAt(elector)) {
+      instants.push_back(*instant);
+    }
+  }
+  std::ranges::sort(instants, std::greater{});
+  const auto found = std::ranges::find_if(instants, [&](timing::Instant aInstant) {
+    return HasQuorum(aRoster, [&](const Member& aMember) {
+      const auto instant = askedAt(aMember);
+      return instant && *instant >= aInstant;
+    });
+  });
+  if (found != instants.end()) {
+    Raise(*found);
+  }
+}
+
+bool Evidence::InTouch(timing::Instant aNow, timing::Duration aLimit) const
+{
+#ifndef SAMPHIRESAIL_MUTANT_IN_TOUCH
+  return mSince && aNow - *mSince < aLimit;
+#else
+  return mSince.has_value() || aNow.time_since_epoch() > aLimit;
+#endif
+}
+
+bool Evidence::IsAcknowledged(const Roster& aRoster,
+                              const Member& aSelf,
+                              const Versions& aOwn,
+                              const Versions& aWanted) const
+{
+  if (aRoster.mMembers.empty()) {
+    return false;
+  }
+  return HasQuorum(aRoster, [&](const Member& aMember) {
+    if (aMember.IsSame(aSelf)) {
+      return aOwn.Covers(aWanted);
+    }
+    const auto it = mAcknowledgements.find(KeyOf(aMember));
+    // An answer under a later roster does not count under this one.
+    return it != mAcknowledgements.end() && it->second.mVersions.Covers(aWanted) &&
+           it->second.mVersions.mRoster <= aRoster.mVersion;
+  });
+}
+
+std::optional<Acknowledgement> Evidence::LastOf(const Member& aMember) const
+{
+  const auto it = mAcknowledgements.find(KeyOf(aMember));
+  return it == mAcknowledgements.end() ? std::nullopt : std::optional(it->second);
+}
+
+Evidence::MemberKey Evidence::KeyOf(const Member& aMember)
+{
+  return { aMember.mName, aMember.mIncarnation };
+}
+
+void Evidence::Raise(timing::Instant aSince)
+{
+  mSince = mSince ? std::max(*mSince, aSince) : aSince;
+}
+
+}
--- /dev/null
+++ b/components/membership/evidence.hpp
@@ -0,0 +1,107 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_MEMBERSHIP_EVIDENCE_HPP
+#define SAMPHIRESAIL_COMPONENTS_MEMBERSHIP_EVIDENCE_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "components/membership/roster.hpp"
+#include "components/membership/versions.hpp"
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::membership {
+
+/// Answer of a peer to a question about its evidence.
+struct FreshnessAnswer
+{
+  std::uint64_t mNonce{ 0 };
+  Versions mVersions;
+  /// Age of the peer's own evidence when the question arrived; absent if it has none.
+  std::optional<timing::Duration> mEvidenceAge;
+};
+
+/// What an elector acknowledged in its last answer.
+struct Acknowledgement
+{
+  Versions mVersions;
+  /// When the question was sent and when the answer arrived.
+  timing::Instant mAskedAt;
+  timing::Instant mArrivedAt;
+};
+
+/// Keeps the instant before which this process knows every accepted change.
+///
+/// The instant comes from reads of the store, from answers of a quorum of the roster, and
+/// from a peer's own evidence. An answer that states a version above the adopted ones
+/// counts only after that version was adopted.
+class Evidence
+{
+public:
+  /// Notes a finished read of all records that began at aBegin, after adopting them.
+  void OnStoreRead(timing::Instant aBegin);
+
+  /// Notes a question to a peer and returns its nonce.
+  std::uint64_t Ask(const Member& aPeer, timing::Instant aNow);
+
+  /// Takes an answer of the peer with the given name and incarnation.
+  void OnAnswer(const ids::ProcessId& aPeer,
+                units::Incarnation aIncarnation,
+                const FreshnessAnswer& aAnswer,
+                timing::Instant aNow);
+
+  /// Counts answers against the adopted versions and roster. aSelf is this process if it
+  /// is an elector: its own adopted versions count as an answer given now.
+  void Evaluate(const Versions& aAdopted,
+                const Roster& aRoster,
+                const Member& aSelf,
+                timing::Instant aNow);
+
+  /// Returns the instant before which every accepted change is known, if there is any.
+  std::optional<timing::Instant> Since() const { return mSince; }
+
+  /// Returns true if the evidence is younger than the limit.
+  bool InTouch(timing::Instant aNow, timing::Duration aLimit) const;
+
+  /// Returns the highest versions that peers stated.
+  const Versions& Stated() const { return mStated; }
+
+  /// Returns true if a quorum acknowledged the versions, the process itself included.
+  bool IsAcknowledged(const Roster& aRoster,
+                      const Member& aSelf,
+                      const Versions& aOwn,
+                      const Versions& aWanted) const;
+
+  /// Returns the last acknowledgement of a member, if it gave one.
+  std::optional<Acknowledgement> LastOf(const Member& aMember) const;
+
+private:
+  using MemberKey = std::pair<ids::ProcessId, units::Incarnation>;
+
+  struct Question
+  {
+    MemberKey mPeer;
+    timing::Instant mAskedAt;
+  };
+
+  /// Evidence of a peer that waits for the adoption of the versions it stated.
+  struct RelayedEvidence
+  {
+    Versions mVersions;
+    timing::Instant mSince;
+  };
+
+  static MemberKey KeyOf(const Member& aMember);
+  void Raise(timing::Instant aSince);
+
+  std::optional<timing::Instant> mSince;
+  Versions mStated;
+  std::uint64_t mLastNonce{ 0 };
+  std::map<std::uint64_t, Question> mQuestions;
+  std::map<MemberKey, Acknowledgement> mAcknowledgements;
+  std::map<MemberKey, RelayedEvidence> mRelayed;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/membership/vmpresence.cpp
@@ -0,0 +1,41 @@
+#include "components/membership/vmpresence.hpp"
+
+namespace samphiresail::membership {
+
+VmPresence::VmPresence(timing::Duration aLag)
+  : mLag(aLag)
+{
+}
+
+void VmPresence::OnList(const std::vector<ListedVm>& aList,
+                        const std::vector<ids::VmId>& aWanted,
+                        timing::Instant aNow)
+{
+  mLastList = aNow;
+  mListed.clear();
+  for (const ListedVm& vm : aList) {
+    mListed[vm.mName] = vm;
+    mMissingSince.erase(vm.mName);
+  }
+  for (const ids::VmId& vm : aWanted) {
+    if (!mListed.contains(vm)) {
+      mMissingSince.try_emplace(vm, aNow);
+    }
+  }
+}
+
+bool VmPresence::IsGone(const ids::VmId& aVm, timing::Instant aNow) const
+{
+  const auto it = mMissingSince.find(aVm);
+  // Only a list that is itself recent proves that the VM is still missing.
+  return it != mMissingSince.end() && mLastList - it->second >= mLag &&
+         aNow - mLastList < mLag;
+}
+
+bool VmPresence::IsLeaving(const ids::VmId& aVm) const
+{
+  const auto it = mListed.find(aVm);
+  return it != mListed.end() && it->second.mLeaving;
+}
+
+}
