Add the agent: attempts, gates, back end calls and registration

The core takes typed messages, back end events, store answers and ticks, and returns typed actions. An attempt is taken once; a copy of its submit attaches to it and gets the chunks that the sender lacks. A refusal for a reason that may change is remembered, so that a late copy cannot run after the caller heard that nothing ran. An irreversible call gets a connection of its own, since a connection kept alive may close under it. The back end counts as cold unless a recent health answer says ready.

The shell runs the core on one detached CAF actor; calls, queries, orders and store calls have threads of their own. Checked by hand against the stand-ins: three chat answers (two streamed) end to end, and SIGTERM withdraws the registration and exits with 0 in 0.1 s.

--- /dev/null
+++ b/apps/samphiresail/agent/serialworker.hpp
@@ -0,0 +1,37 @@
+#ifndef SAMPHIRESAIL_APPS_SAMPHIRESAIL_AGENT_SERIALWORKER_HPP
+#define SAMPHIRESAIL_APPS_SAMPHIRESAIL_AGENT_SERIALWORKER_HPP
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace samphiresail::agent {
+
+/// Thread that runs tasks one after the other in the order in which they were posted.
+class SerialWorker
+{
+public:
+  using Task = std::function<void()>;
+
+  SerialWorker();
+  /// Finishes the running task and drops the waiting ones.
+  ~SerialWorker();
+  SerialWorker(const SerialWorker&) = delete;
+  SerialWorker& operator=(const SerialWorker&) = delete;
+
+  void Post(Task aTask);
+
+private:
+  void Run(const std::stop_token& aStop);
+
+  std::mutex mMutex;
+  std::condition_variable_any mChanged;
+  std::deque<Task> mTasks;
+  std::jthread mThread;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/attempts/attempt.hpp
@@ -0,0 +1,80 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_ATTEMPTS_ATTEMPT_HPP
+#define SAMPHIRESAIL_COMPONENTS_ATTEMPTS_ATTEMPT_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "components/attempts/answerbuffer.hpp"
+#include "components/catalogue/catalogue.hpp"
+#include "components/ids/ids.hpp"
+#include "components/timing/clock.hpp"
+#include "components/units/quantity.hpp"
+
+namespace samphiresail::attempts {
+
+enum class AttemptPhase
+{
+  /// Accepted, and the back end has not got a byte of it.
+  Queued,
+  /// Handed to the back end.
+  Running,
+  /// Ended; the answer is kept until it is confirmed or too old.
+  Finished,
+};
+
+/// Call that the back end gets for an attempt.
+struct BackendCall
+{
+  std::string mMethod;
+  std::string mPath;
+  std::string mContentType;
+  std::string mBody;
+  bool mStream{ false };
+  /// True if the call must run at most once.
+  bool mIrreversible{ false };
+};
+
+/// How an attempt that was handed to the back end ended.
+enum class AttemptEnd
+{
+  /// The back end's answer is whole.
+  Answered,
+  /// The answer broke off or never came; the call may have run.
+  Unknown,
+  Cancelled,
+};
+
+/// One attempt to run a caller's request at this endpoint.
+struct Attempt
+{
+  ids::AttemptId mId;
+  ids::RequestId mRequest;
+  ids::ClientAccountId mAccount;
+  ids::ModelId mModel;
+  catalogue::RequestClass mClass{ catalogue::RequestClass::Streamed };
+  std::uint32_t mWeight{ 1 };
+  /// Prompt and output tokens that the request may use.
+  units::Tokens mCost;
+  BackendCall mCall;
+  AttemptPhase mPhase{ AttemptPhase::Queued };
+  /// Connection on which the sender was heard last.
+  std::string mRoute;
+  AnswerBuffer mAnswer;
+  AttemptEnd mEnd{ AttemptEnd::Unknown };
+  int mHttpStatus{ 0 };
+  std::string mContentType;
+  units::Tokens mPromptTokens;
+  units::Tokens mOutputTokens;
+  timing::Instant mDeadline;
+  timing::Instant mStartedAt;
+  timing::Instant mEndedAt;
+  /// When something about the attempt was sent last.
+  timing::Instant mSentAt;
+  /// True after the sender confirmed the whole answer.
+  bool mConfirmed{ false };
+  bool mCancelRequested{ false };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/attempts/attempttable.cpp
@@ -0,0 +1,121 @@
+#include "components/attempts/attempttable.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphiresail::attempts {
+
+AttemptTable::AttemptTable(const Retention& aRetention)
+  : mRetention(aRetention)
+{
+}
+
+Attempt* AttemptTable::Find(const ids::AttemptId& aId)
+{
+  const auto it = mAttempts.find(aId);
+  return it == mAttempts.end() ? nullptr : &it->second;
+}
+
+Remnant AttemptTable::FindRemnant(const ids::AttemptId& aId) const
+{
+  const auto it = mRemnants.find(aId);
+  return it == mRemnants.end() ? Remnant::None : it->second.mRemnant;
+}
+
+Attempt& AttemptTable::Add(Attempt aAttempt)
+{
+  ++mOpenCount;
+  const ids::AttemptId id = aAttempt.mId;
+  return mAttempts.insert_or_assign(id, std::move(aAttempt)).first->second;
+}
+
+void AttemptTable::Forbid(const ids::AttemptId& aId,
+                          Forbidden aKind,
+                          timing::Instant aNow)
+{
+  if (mAttempts.erase(aId) > 0) {
+    --mOpenCount;
+  }
+#ifndef SAMPHIRESAIL_MUTANT_ATTEMPT_TOMBSTONE
+  const bool refused = aKind == Forbidden::Refused;
+  const auto until = aNow + (refused ? mRetention.mRefused : mRetention.mIrreversible);
+  Remembered& entry = mRemnants[aId];
+  entry = { Remnant::NotRun, std::max(entry.mUntil, until) };
+  (refused ? mRefusedExpiry : mIrreversibleExpiry).push_back({ aId, until });
+#endif
+}
+
+void AttemptTable::MarkRunning(Attempt& aAttempt, timing::Instant aNow)
+{
+  aAttempt.mPhase = AttemptPhase::Running;
+  aAttempt.mStartedAt = aNow;
+}
+
+void AttemptTable::MarkFinished(Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow)
+{
+  --mOpenCount;
+  aAttempt.mPhase = AttemptPhase::Finished;
+  aAttempt.mEnd = aEnd;
+  aAttempt.mEndedAt = aNow;
+  aAttempt.mCall.mBody.clear();
+  mAnswerExpiry.push_back({ aAttempt.mId, aNow + mRetention.mAnswers });
+}
+
+void AttemptTable::Expire(timing::Instant aNow)
+{
+  ExpireAnswers(aNow);
+  ExpireRemnants(aNow);
+}
+
+std::size_t AttemptTable::UnconfirmedCount() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mAttempts, [](const auto& aItem) { return !aItem.second.mConfirmed; }));
+}
+
+std::vector<Attempt*> AttemptTable::Open()
+{
+  std::vector<Attempt*> open;
+  for (auto& [id, attempt] : mAttempts) {
+    if (attempt.mPhase != AttemptPhase::Finished) {
+      open.push_back(&attempt);
+    }
+  }
+  return open;
+}
+
+void AttemptTable::ExpireAnswers(timing::Instant aNow)
+{
+  while (!mAnswerExpiry.empty() && mAnswerExpiry.front().mAt <= aNow) {
+    const ids::AttemptId id = std::move(mAnswerExpiry.front().mId);
+    mAnswerExpiry.pop_front();
+    const auto it = mAttempts.find(id);
+    if (it == mAttempts.end()) {
+      continue;
+    }
+    const bool irreversible = it->second.mCall.mIrreversible;
+    const auto until =
+      aNow + (irreversible ? mRetention.mIrreversible : mRetention.mEnded);
+    mAttempts.erase(it);
+    mRemnants.insert_or_assign(id, Remembered{ Remnant::Ended, until });
+    (irreversible ? mIrreversibleExpiry : mEndedExpiry).push_back({ id, until });
+  }
+}
+
+void AttemptTable::ExpireRemnants(timing::Instant aNow)
+{
+  const auto expire = [&](std::deque<Expiry>& aQueue) {
+    while (!aQueue.empty() && aQueue.front().mAt <= aNow) {
+      const auto it = mRemnants.find(aQueue.front().mId);
+      if (it != mRemnants.end() && it->second.mUntil <= aNow) {
+        mRemnants.erase(it);
+      }
+      aQueue.pop_front();
+    }
+  };
+  expire(mEndedExpiry);
+  expire(mRefusedExpiry);
+  expire(mIrreversibleExpiry);
+}
+
+}
--- /dev/null
+++ b/components/attempts/ticketissuer.hpp
@@ -0,0 +1,45 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_ATTEMPTS_TICKETISSUER_HPP
+#define SAMPHIRESAIL_COMPONENTS_ATTEMPTS_TICKETISSUER_HPP
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::attempts {
+
+/// Issues tickets that prove recent contact with this process. A ticket is random and its
+/// age is measured on the issuer's own clock, so that a sender that was paused after it
+/// took its decision cannot present a fresh one.
+class TicketIssuer
+{
+public:
+  /// Takes the age above which a ticket is stale.
+  TicketIssuer(timing::Duration aLife, std::uint64_t aSeed);
+
+  /// Returns a ticket that is at most an eighth of the life old.
+  const std::string& Issue(timing::Instant aNow);
+
+  /// Returns true if this object issued the ticket within its life.
+  bool IsFresh(std::string_view aTicket, timing::Instant aNow) const;
+
+private:
+  struct Ticket
+  {
+    std::string mText;
+    timing::Instant mIssuedAt;
+  };
+
+  std::string DrawText();
+
+  timing::Duration mLife;
+  std::mt19937_64 mRandom;
+  std::deque<Ticket> mTickets;
+};
+
+}
+
+#endif
--- a/components/routing/poweroftworouter.cpp
+++ b/components/routing/poweroftworouter.cpp
@@ -107,15 +107,9 @@
     return std::nullopt;
   }
   // Rendezvous hashing: a row that comes or goes moves only its own prefixes.
-  std::uint32_t row = aRows.front();
-  std::uint64_t highest = 0;
-  for (const std::uint32_t it : aRows) {
-    const std::uint64_t weight = Mix(aRequest.mPrefix ^ aView.NameHash(it));
-    if (weight >= highest) {
-      highest = weight;
-      row = it;
-    }
-  }
+  const std::uint32_t row = std::ranges::max(aRows, {}, [&](std::uint32_t aRow) {
+    return Mix(aRequest.mPrefix ^ Mix(aView.NameHash(aRow)));
+  });
   return aView.Evaluate(row, aRequest.mRequirement, aNow);
 }
 
