--- /dev/null
+++ b/apps/samphiresail/entry/control/rightskeeper.cpp
@@ -0,0 +1,127 @@
+#include "apps/samphiresail/entry/control/rightskeeper.hpp"
+
+#include <algorithm>
+
+#include "components/store/storekeys.hpp"
+
+namespace samphiresail::entry {
+
+using limits::HolderCandidate;
+using limits::RightsRecord;
+
+namespace {
+
+constexpr std::chrono::seconds kWriteTimeout{ 5 };
+/// A stop does not wait longer for a store that is down.
+constexpr std::chrono::seconds kHandOverTimeout{ 5 };
+
+}
+
+RightsKeeper::RightsKeeper(ControlState& aState,
+                           Outbox& aOutbox,
+                           const limits::RightsHolder& aHolder)
+  : mState(aState)
+  , mOutbox(aOutbox)
+  , mHolder(aHolder)
+{
+}
+
+void RightsKeeper::Tick(timing::Instant aNow)
+{
+  NoteAccepted(aNow);
+  if (mWriteBegan && aNow - *mWriteBegan >= kWriteTimeout) {
+    mWriteBegan.reset();
+  }
+  if (mWriteBegan || !mState.mLastStoreRead || *mState.mLastStoreRead < mWriteEnded ||
+      !mState.InTouch(aNow) || !mState.mRightsRecord.InStore()) {
+    return;
+  }
+  const std::optional<RightsRecord> next = mHandOverBegan ? NextAtStop(aNow) : Next(aNow);
+  if (!next) {
+    return;
+  }
+  mWriteBegan = aNow;
+  const store::TransactionRequest write{
+    { { store::kRightsKey, mState.mRightsRecord.mStoreRevision } },
+    { store::PutOperation{ store::kRightsKey, limits::EncodeRights(*next), 0 } }
+  };
+  mOutbox.Call(StorePurpose::WriteRights, write, aNow);
+}
+
+std::optional<RightsRecord> RightsKeeper::Next(timing::Instant aNow) const
+{
+  if (!mState.mConfiguration || !mState.IsPlanner(aNow)) {
+    return std::nullopt;
+  }
+  return limits::PlanRights(
+    mState.mRights, mState.mConfiguration->mCatalogue, Candidates(aNow), mSettled);
+}
+
+std::optional<RightsRecord> RightsKeeper::NextAtStop(timing::Instant aNow) const
+{
+  const membership::Member& self = mState.Self();
+  return limits::PlanHandOver(
+    mState.mRights,
+    { self.mName, self.mIncarnation, self.mAvailabilityZone },
+    Candidates(aNow),
+    [&](const ids::ClientAccountId& aAccount) { return mHolder.InUse(aAccount); });
+}
+
+std::vector<HolderCandidate> RightsKeeper::Candidates(timing::Instant aNow) const
+{
+  std::vector<HolderCandidate> candidates;
+  for (const auto& [name, entry] : mState.mEntries) {
+    if (mState.IsLive(entry, aNow) && !mState.mVms.IsLeaving(entry.mVm)) {
+      candidates.push_back({ name, entry.mIncarnation, entry.mAvailabilityZone });
+    }
+  }
+  return candidates;
+}
+
+void RightsKeeper::NoteAccepted(timing::Instant aNow)
+{
+  const units::Version current = mState.mRightsRecord.mVersion;
+  if (mAccepted < current &&
+      mState.mEvidence.IsAcknowledged(
+        mState.mRoster, mState.Self(), mState.Versions(), { {}, {}, current })) {
+    mAccepted = current;
+    mAcceptedAt = aNow;
+  }
+  const limits::RightsTimes& times = mState.mSettings.mTimes;
+  if (mSettled < mAccepted &&
+      aNow - mAcceptedAt >= times.mInTouch + 2 * times.mGrantLife) {
+    mSettled = mAccepted;
+  }
+}
+
+bool RightsKeeper::WantsAnswers() const
+{
+  return mAccepted < mState.mRightsRecord.mVersion;
+}
+
+void RightsKeeper::BeginHandOver(timing::Instant aNow)
+{
+  mHandOverBegan = aNow;
+}
+
+bool RightsKeeper::IsHandOverDone(timing::Instant aNow) const
+{
+  if (!mHandOverBegan) {
+    return false;
+  }
+  if (aNow - *mHandOverBegan >= kHandOverTimeout) {
+    return true;
+  }
+  return !mWriteBegan && mState.mRightsRecord.InStore() && mState.InTouch(aNow) &&
+         !NextAtStop(aNow);
+}
+
+void RightsKeeper::OnReply(const PendingCall& aCall, timing::Instant aNow)
+{
+  if (mWriteBegan == aCall.mBegin) {
+    mWriteBegan.reset();
+    mWriteEnded = aNow;
+  }
+}
+
+}
--- a/components/limits/creditrequester.cpp
+++ b/components/limits/creditrequester.cpp
@@ -33,6 +33,7 @@
 std::vector<CreditAsk> CreditRequester::Plan(const AccountActivity& aActivity,
                                              const std::vector<RightShare>& aShares,
                                              const ids::ProcessId& aNearest,
+                                             bool aFlush,
                                              timing::Instant aNow)
 {
   std::erase_if(mPending, [&](const auto& aItem) {
@@ -47,7 +48,7 @@
   for (const auto& [holder, tokens] : wanted) {
     holders.insert(holder);
   }
-  if (aNow - demand.mLastReport >= kReportInterval) {
+  if (aFlush || aNow - demand.mLastReport >= kReportInterval) {
     demand.mLastReport = aNow;
     for (const GrantUse& use : demand.mUnreported) {
       holders.insert(use.mOrigin.mHolder);
--- a/components/limits/creditrequester.hpp
+++ b/components/limits/creditrequester.hpp
@@ -38,12 +38,14 @@
 class CreditRequester
 {
 public:
-  /// aNearest is the holder in the own availability zone; empty if there is none.
   explicit CreditRequester(timing::Duration aGrantLife);
 
+  /// Returns the messages to send for one account. aNearest is the holder in the own
+  /// availability zone, empty if there is none; aFlush reports the use of grants at once.
   std::vector<CreditAsk> Plan(const AccountActivity& aActivity,
                               const std::vector<RightShare>& aShares,
                               const ids::ProcessId& aNearest,
+                              bool aFlush,
                               timing::Instant aNow);
 
   /// Takes the answer of a holder; returns nothing if it is late, repeated or empty.
