--- a/apps/samphiresail/operator/operatorcommands.cpp
+++ b/apps/samphiresail/operator/operatorcommands.cpp
@@ -2,12 +2,21 @@
 
 #include <CLI/CLI.hpp>
 
+#include "apps/samphiresail/operator/cataloguecommands.hpp"
+#include "apps/samphiresail/operator/curvekeyscommand.hpp"
+#include "apps/samphiresail/operator/keycommands.hpp"
+#include "apps/samphiresail/operator/statuscommand.hpp"
+#include "apps/samphiresail/operator/zonecommands.hpp"
+
 namespace samphiresail::operators {
 
 void AddOperatorCommands(CLI::App& aApp, int& aStatus)
 {
-  static_cast<void>(aApp);
-  static_cast<void>(aStatus);
+  AddCatalogueCommands(aApp, aStatus);
+  AddKeyCommands(aApp, aStatus);
+  AddZoneCommands(aApp, aStatus);
+  AddStatusCommand(aApp, aStatus);
+  AddCurveKeysCommand(aApp, aStatus);
 }
 
 }
--- a/components/credentials/key.cpp
+++ b/components/credentials/key.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kKeyBytes = 32;
 constexpr std::size_t kNameBytes = 4;
+constexpr std::size_t kTokenBytes = 16;
 
 std::string ToHex(std::span<const unsigned char> aBytes)
 {
@@ -48,6 +49,11 @@
   return aAccount.Str() + "-" + RandomHex<kNameBytes>();
 }
 
+std::string GenerateToken()
+{
+  return RandomHex<kTokenBytes>();
+}
+
 ids::KeyHash HashKey(std::string_view aKey)
 {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/components/credentials/key.hpp
+++ b/components/credentials/key.hpp
@@ -18,6 +18,9 @@
 /// Draws a public name for a key of the account, by which operators withdraw it.
 std::string GenerateKeyName(const ids::ClientAccountId& aAccount);
 
+/// Draws 128 random bits in hexadecimal, for identifiers that must be unique.
+std::string GenerateToken();
+
 /// Returns the digest under which a key is stored. A key has full entropy, so that a
 /// plain digest does not give it away.
 ids::KeyHash HashKey(std::string_view aKey);
