--- a/components/routing/endpointtable.cpp
+++ b/components/routing/endpointtable.cpp
@@ -69,12 +69,13 @@
     index = static_cast<std::uint32_t>(unused - mRows.begin());
     if (unused == mRows.end()) {
       mRows.emplace_back();
+      mNameHashes.push_back(0);
     }
+    mNameHashes.at(index) = std::hash<ids::EndpointId>{}(aDescription.mName);
     mIndex.emplace(aDescription.mName, index);
   }
   Row fresh;
   fresh.mDescription = aDescription;
-  fresh.mNameHash = std::hash<ids::EndpointId>{}(aDescription.mName);
   fresh.mUsed = true;
   fresh.mOwn = own;
   fresh.mZoneOut = mZonesOut.contains(aDescription.mAvailabilityZone);
@@ -285,11 +286,6 @@
          aNow >= row.mUnreachableUntil;
 }
 
-std::uint64_t EndpointTable::View::NameHash(std::uint32_t aRow) const
-{
-  return mTable.mRows[aRow].mNameHash;
-}
-
 const EndpointDescription& EndpointTable::View::Description(std::uint32_t aRow) const
 {
   return mTable.mRows[aRow].mDescription;
--- a/components/routing/endpointtable.hpp
+++ b/components/routing/endpointtable.hpp
@@ -135,7 +135,7 @@
     const EndpointDescription& Description(std::uint32_t aRow) const;
 
     /// Hash of the endpoint's name, the same in every entry.
-    std::uint64_t NameHash(std::uint32_t aRow) const;
+    std::uint64_t NameHash(std::uint32_t aRow) const { return mTable.mNameHashes[aRow]; }
 
   private:
     const EndpointTable& mTable;
@@ -155,7 +155,6 @@
   struct Row
   {
     EndpointDescription mDescription;
-    std::uint64_t mNameHash{ 0 };
     EndpointLoad mLoad;
     timing::Instant mReportedAt{};
     timing::Instant mUnreachableUntil{};
@@ -173,6 +172,8 @@
 
   mutable std::shared_mutex mMutex;
   std::vector<Row> mRows;
+  /// Hash of each row's name, apart from the rows because a choice may read all of them.
+  std::vector<std::uint64_t> mNameHashes;
   std::unordered_map<ids::EndpointId, std::uint32_t> mIndex;
   std::unordered_map<ids::ModelId, std::vector<std::uint32_t>> mHolders;
   std::unordered_map<ids::PoolId, std::vector<std::uint32_t>> mPools;
--- a/components/routing/poweroftworouter.cpp
+++ b/components/routing/poweroftworouter.cpp
@@ -107,9 +107,15 @@
     return std::nullopt;
   }
   // Rendezvous hashing: a row that comes or goes moves only its own prefixes.
-  const std::uint32_t row = std::ranges::max(aRows, {}, [&](std::uint32_t aRow) {
-    return Mix(aRequest.mPrefix ^ Mix(aView.NameHash(aRow)));
-  });
+  std::uint32_t row = aRows.front();
+  std::uint64_t highest = 0;
+  for (const std::uint32_t it : aRows) {
+    const std::uint64_t weight = Mix(aRequest.mPrefix ^ aView.NameHash(it));
+    if (weight >= highest) {
+      highest = weight;
+      row = it;
+    }
+  }
   return aView.Evaluate(row, aRequest.mRequirement, aNow);
 }
 
