--- a/apps/samphiresail/agent/agentactions.hpp
+++ b/apps/samphiresail/agent/agentactions.hpp
@@ -71,7 +71,7 @@
   timing::Instant mAskedAt;
 };
 
-/// Answer to QueryResidents.
+/// Answer to QueryResidentModels.
 struct ResidentAnswer
 {
   /// False if the engine gave no list.
@@ -80,23 +80,11 @@
   timing::Instant mAskedAt;
 };
 
-enum class OrderOutcome
-{
-  /// The engine carried out the order.
-  Confirmed,
-  /// The engine refused the order and did nothing.
-  Refused,
-  /// No connection came up; the engine got no byte.
-  NotSent,
-  /// No answer; the order may still take effect.
-  Unknown,
-};
-
 /// Answer to OrderBackend.
 struct OrderAnswer
 {
   units::FencingNumber mFencing;
-  OrderOutcome mOutcome{ OrderOutcome::Unknown };
+  ledger::OrderOutcome mOutcome{ ledger::OrderOutcome::Unknown };
 };
 
 using BackendEvent =
@@ -129,7 +117,7 @@
 struct QueryHealth
 {};
 
-struct QueryResidents
+struct QueryResidentModels
 {};
 
 /// Orders the engine to load or unload a model.
@@ -161,7 +149,7 @@
                             StartBackend,
                             CancelBackend,
                             QueryHealth,
-                            QueryResidents,
+                            QueryResidentModels,
                             OrderBackend,
                             CallStore,
                             RecordEvent,
--- a/apps/samphiresail/agent/agentshell.cpp
+++ b/apps/samphiresail/agent/agentshell.cpp
@@ -162,7 +162,7 @@
   void Perform(StartBackend& aItem) { mCalls.Start(std::move(aItem)); }
   void Perform(const CancelBackend& aItem) { mCalls.Cancel(aItem.mAttempt); }
   void Perform(const QueryHealth&) { mControl.QueryHealth(); }
-  void Perform(const QueryResidents&) { mControl.QueryResidents(); }
+  void Perform(const QueryResidentModels&) { mControl.QueryResidents(); }
   void Perform(const OrderBackend& aItem) { mControl.Send(aItem.mOrder); }
   void Perform(CallStore& aItem)
   {
--- a/apps/samphiresail/agent/backendcontrol.cpp
+++ b/apps/samphiresail/agent/backendcontrol.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using Json = nlohmann::json;
+using ledger::OrderOutcome;
 
 constexpr std::chrono::milliseconds kQueryTimeout{ 800 };
 /// Longest time that an engine takes to carry out an order.
--- a/apps/samphiresail/agent/registration.cpp
+++ b/apps/samphiresail/agent/registration.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void Registration::Tick(timing::Instant aNow, StoreCallId& aLastCall, Actions& aActions)
+void Registration::Tick(timing::Instant aNow, Outbox& aOutbox)
 {
   if (mCall != 0 || mWithdrawn || aNow < mNextTry) {
     return;
@@ -44,8 +44,7 @@
   if (mRegistered && !mLeaving) {
     return;
   }
-  mCall = ++aLastCall;
-  aActions.push_back(CallStore{ mCall, mLeaving ? MakeDelete() : MakePut() });
+  mCall = aOutbox.Call(mLeaving ? MakeDelete() : MakePut());
 }
 
 void Registration::OnStore(const StoreAnswer& aAnswer, timing::Instant aNow)
--- a/apps/samphiresail/agent/registration.hpp
+++ b/apps/samphiresail/agent/registration.hpp
@@ -5,6 +5,7 @@
 
 #include "apps/samphiresail/agent/agentactions.hpp"
 #include "apps/samphiresail/agent/agentconfig.hpp"
+#include "apps/samphiresail/agent/outbox.hpp"
 #include "components/timing/clock.hpp"
 
 namespace samphiresail::agent {
@@ -17,7 +18,7 @@
   explicit Registration(const AgentConfig& aConfig);
 
   /// Starts a store call if one is due.
-  void Tick(timing::Instant aNow, StoreCallId& aLastCall, Actions& aActions);
+  void Tick(timing::Instant aNow, Outbox& aOutbox);
 
   /// Takes the answer to one of its own calls; ignores all others.
   void OnStore(const StoreAnswer& aAnswer, timing::Instant aNow);
--- a/components/ledger/order.hpp
+++ b/components/ledger/order.hpp
@@ -23,6 +23,18 @@
   units::Bytes mMemory;
 };
 
+enum class OrderOutcome
+{
+  /// The engine carried out the order.
+  Confirmed,
+  /// The engine refused the order; a repeated copy of it may still take effect.
+  Refused,
+  /// No connection came up; the engine got no byte.
+  NotSent,
+  /// No answer; the order may still take effect.
+  Unknown,
+};
+
 }
 
 #endif
