--- a/apps/samphiresail/operator/acceptance.cpp
+++ b/apps/samphiresail/operator/acceptance.cpp
@@ -29,19 +29,21 @@
 
 }
 
-Acknowledgements CountAcknowledgements(const wire::RosterRecord& aRoster,
+Acknowledgements CountAcknowledgements(const membership::Roster& aRoster,
                                        const FleetClient::Answers& aAnswers,
                                        units::Version aVersion)
 {
-  const auto holds = [&](const wire::RosterMember& aMember) {
-    const auto it = aAnswers.find(aMember.address());
+  const auto holds = [&](const membership::Member& aMember) {
+    const auto it = aAnswers.find(aMember.mAddress);
     return it != aAnswers.end() && it->second.has_freshness_reply() &&
-           it->second.sender_incarnation() == aMember.incarnation() &&
+           it->second.sender_incarnation() == aMember.mIncarnation.Count() &&
            it->second.freshness_reply().configuration_version() >= aVersion.Count();
   };
-  return { .mMembers = static_cast<std::size_t>(aRoster.members_size()),
-           .mHolding =
-             static_cast<std::size_t>(std::ranges::count_if(aRoster.members(), holds)) };
+  const std::vector<membership::Member> electors = membership::Electors(aRoster);
+  return { .mElectors = electors.size(),
+           .mHolding = static_cast<std::size_t>(std::ranges::count_if(electors, holds)),
+           .mAccepted =
+             !aRoster.mMembers.empty() && membership::HasQuorum(aRoster, holds) };
 }
 
 AcceptanceResult AwaitAcceptance(store::EtcdStore& aStore,
@@ -56,13 +58,13 @@
   while (true) {
     const std::optional<FleetDirectory> fleet = ReadFleetDirectory(aStore, aStoreTimeout);
     if (fleet) {
-      result.mNoEntries = fleet->mEntries.empty() && fleet->mRoster.members().empty();
+      result.mNoEntries = fleet->mEntries.empty() && fleet->mRoster.mMembers.empty();
       const FleetClient::Answers answers =
-        client.Ask(fleet->RosterAddresses(), AskFreshness, kAnswerTimeout);
+        client.Ask(fleet->ElectorAddresses(), AskFreshness, kAnswerTimeout);
       result.mLast = CountAcknowledgements(fleet->mRoster, answers, aVersion);
     }
     result.mElapsed = Since(begin);
-    result.mAccepted = result.mNoEntries || result.mLast.Accepted();
+    result.mAccepted = result.mNoEntries || result.mLast.mAccepted;
     if (result.mAccepted || result.mElapsed >= aTimeout) {
       return result;
     }
--- a/apps/samphiresail/operator/configurationsession.cpp
+++ b/apps/samphiresail/operator/configurationsession.cpp
@@ -87,7 +87,7 @@
   }
   std::ostream& out = result.mAccepted ? std::cout : std::cerr;
   out << (result.mAccepted ? "accepted: " : "written, not yet accepted: ")
-      << result.mLast.mHolding << " of " << result.mLast.mMembers
+      << result.mLast.mHolding << " of " << result.mLast.mElectors
       << " members of the roster hold version " << aVersion.Count() << " after "
       << result.mElapsed.count() << " ms\n";
   return result.mAccepted ? Success : WrittenNotAccepted;
--- a/apps/samphiresail/operator/fleetdirectory.cpp
+++ b/apps/samphiresail/operator/fleetdirectory.cpp
@@ -58,9 +58,13 @@
   return Addresses(mAgents);
 }
 
-std::vector<transport::PeerAddress> FleetDirectory::RosterAddresses() const
+std::vector<transport::PeerAddress> FleetDirectory::ElectorAddresses() const
 {
-  return Addresses(mRoster.members());
+  std::vector<transport::PeerAddress> addresses;
+  std::ranges::transform(membership::Electors(mRoster),
+                         std::back_inserter(addresses),
+                         &membership::Member::mAddress);
+  return addresses;
 }
 
 std::optional<FleetDirectory> ReadFleetDirectory(store::EtcdStore& aStore,
@@ -76,7 +80,8 @@
   FleetDirectory directory{ .mEntries = std::move(*entries),
                             .mAgents = std::move(*agents) };
   if (!roster.mRecords.empty()) {
-    directory.mRoster.ParseFromString(roster.mRecords.front().mValue);
+    directory.mRoster = membership::DecodeRoster(roster.mRecords.front().mValue)
+                          .value_or(membership::Roster());
   }
   return directory;
 }
--- a/apps/samphiresail/operator/fleetdirectory.hpp
+++ b/apps/samphiresail/operator/fleetdirectory.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "components/membership/roster.hpp"
 #include "components/store/etcdstore.hpp"
 #include "components/transport/peerclient.hpp"
 #include "components/wire/generated/samphiresail.pb.h"
@@ -14,13 +15,14 @@
 /// Processes that are registered in the store.
 struct FleetDirectory
 {
-  wire::RosterRecord mRoster;
+  membership::Roster mRoster;
   std::vector<wire::EntryRecord> mEntries;
   std::vector<wire::AgentRecord> mAgents;
 
   std::vector<transport::PeerAddress> EntryAddresses() const;
   std::vector<transport::PeerAddress> AgentAddresses() const;
-  std::vector<transport::PeerAddress> RosterAddresses() const;
+  /// Addresses of the entries that a quorum may need.
+  std::vector<transport::PeerAddress> ElectorAddresses() const;
 };
 
 /// Reads the registered processes; nothing if the store does not answer. A record that
--- a/apps/samphiresail/operator/operatorcommands.cpp
+++ b/apps/samphiresail/operator/operatorcommands.cpp
@@ -6,6 +6,7 @@
 #include "apps/samphiresail/operator/curvekeyscommand.hpp"
 #include "apps/samphiresail/operator/keycommands.hpp"
 #include "apps/samphiresail/operator/statuscommand.hpp"
+#include "apps/samphiresail/operator/timelinecommand.hpp"
 #include "apps/samphiresail/operator/zonecommands.hpp"
 
 namespace samphiresail::operators {
@@ -16,6 +17,7 @@
   AddKeyCommands(aApp, aStatus);
   AddZoneCommands(aApp, aStatus);
   AddStatusCommand(aApp, aStatus);
+  AddTimelineCommand(aApp, aStatus);
   AddCurveKeysCommand(aApp, aStatus);
 }
 
--- a/apps/samphiresail/operator/statuscommand.cpp
+++ b/apps/samphiresail/operator/statuscommand.cpp
@@ -58,8 +58,8 @@
 {
   std::cout << "configuration version " << aConfiguration.mVersion.Count() << ", "
             << aConfiguration.mKeys.size() << " keys; roster version "
-            << aFleet.mRoster.version() << " with " << aFleet.mRoster.members_size()
-            << " members\n";
+            << aFleet.mRoster.mVersion.Count() << " with "
+            << aFleet.mRoster.mMembers.size() << " members\n";
   for (const catalogue::AvailabilityZone& zone :
        aConfiguration.mCatalogue.mAvailabilityZones) {
     std::cout << "availability zone " << zone.mName.Str() << ": "
