Add the entry's traffic path

An entry had no way to serve a caller.

Ruled out: a queue in the entry, since only the agent sees all use of its endpoint.

Not measured yet.

--- /dev/null
+++ b/apps/samphiresail/entry/admissioncharge.cpp
@@ -0,0 +1,72 @@
+#include "apps/samphiresail/entry/admissioncharge.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
+
+#include "apps/samphiresail/entry/apierror.hpp"
+
+namespace samphiresail::entry {
+
+namespace {
+
+/// Time in which the account's rate refills the cost.
+std::chrono::milliseconds RefillTime(units::Tokens aCost, units::TokensPerSecond aRate)
+{
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  const double rate = std::max(aRate.Count(), 1.0);
+  const double wait = static_cast<double>(aCost.Count()) / rate * kMillisecondsPerSecond;
+  return std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(wait)));
+}
+
+}
+
+AdmissionCharge::AdmissionCharge(EntryContext& aContext,
+                                 const CallerRequest& aRequest,
+                                 const RoutingSnapshot& aSnapshot)
+  : mContext(aContext)
+{
+  if (aRequest.mOpen) {
+    return;
+  }
+  const catalogue::ClientAccount& account = *aSnapshot.FindAccount(aRequest.mAccount);
+  const units::Tokens cost = aRequest.Cost();
+  if (cost > account.mBurst) {
+    throw ApiError(ApiErrorType::ExceedsBurst,
+                   "the request may use " + std::to_string(cost.Count()) +
+                     " tokens, more than the account's burst of " +
+                     std::to_string(account.mBurst.Count()) +
+                     "; ask for fewer output tokens");
+  }
+  mCharge = mContext.mCredit.TryCharge(aRequest.mAccount, cost, mContext.mClock.Now());
+  if (!mCharge) {
+    mCharge = mContext.mCredit.WaitForCredit(
+      aRequest.mAccount, cost, mContext.mClock, mContext.mSettings.mCreditWait);
+  }
+  if (!mCharge) {
+    throw ApiError(ApiErrorType::RateLimited,
+                   "the account's rate of " +
+                     std::to_string(std::llround(account.mRate.Count())) +
+                     " tokens per second is used up")
+      .WithRetryAfter(RefillTime(cost, account.mRate));
+  }
+}
+
+void AdmissionCharge::SettleUnused()
+{
+  SettleUsed(units::Tokens(0));
+}
+
+void AdmissionCharge::SettleUsed(units::Tokens aUsed)
+{
+  if (!mCharge) {
+    return;
+  }
+  if (aUsed < mCharge->mTokens) {
+    mContext.mCredit.Return(*mCharge, mCharge->mTokens - aUsed);
+  }
+  mCharge.reset();
+}
+
+}
