--- a/apps/samphiresail/entry/control/freshness.cpp
+++ b/apps/samphiresail/entry/control/freshness.cpp
@@ -76,6 +76,13 @@
       std::chrono::ceil<std::chrono::microseconds>(age).count()));
   }
   mOutbox.Reply(aMessage.mRoute, std::move(envelope));
+  if (const auto peer = FindPeer(aMessage)) {
+    const wire::Envelope& question = aMessage.mEnvelope;
+    FetchMissing(*peer,
+                 { units::Version(question.configuration_version()),
+                   units::Version(question.roster_version()),
+                   {} });
+  }
 }
 
 void Freshness::OnAnswer(const PeerMessage& aMessage, timing::Instant aNow)
--- a/apps/samphiresail/entry/control/rosterkeeper.cpp
+++ b/apps/samphiresail/entry/control/rosterkeeper.cpp
@@ -74,10 +74,11 @@
 #endif
   });
   // What an elector stated, and what the store held after it did, is what may have been
-  // accepted before; the new majority must hold all of it.
+  // accepted before; the new majority must hold all of it. A member that has ended never
+  // answers under this roster, so it cannot stand in the place of one that holds it.
   return previous && own.Covers(mState.mEvidence.Stated()) &&
          HasMajority(roster.mMembers, [&](const Member& aMember) {
-           return HasAcknowledged(aMember, own);
+           return mState.HasEnded(aMember, aNow) || HasAcknowledged(aMember, own);
          });
 }
 
--- a/components/membership/evidence.cpp
+++ b/components/membership/evidence.cpp
@@ -47,7 +47,8 @@
   mStated = Highest(mStated, aAnswer.mVersions);
   Acknowledgement& known = mAcknowledgements[peer];
   if (known.mAskedAt <= asked) {
-    known = { aAnswer.mVersions, asked, aNow };
+    const bool repeated = known.mVersions == aAnswer.mVersions;
+    known = { aAnswer.mVersions, asked, repeated ? known.mArrivedAt : aNow };
   }
   if (aAnswer.mEvidenceAge) {
 #ifndef SAMPHIRESAIL_MUTANT_RELAY_AGE
@@ -86,7 +87,10 @@
       return aNow;
     }
     const auto it = mAcknowledgements.find(KeyOf(aMember));
-    if (it == mAcknowledgements.end() || !aAdopted.Covers(it->second.mVersions)) {
+    // An answer under an earlier roster may come from a member that was counted as ended
+    // when this roster was accepted.
+    if (it == mAcknowledgements.end() || !aAdopted.Covers(it->second.mVersions) ||
+        it->second.mVersions.mRoster != aRoster.mVersion) {
       return std::nullopt;
     }
     return it->second.mAskedAt;
--- a/components/membership/evidence.hpp
+++ b/components/membership/evidence.hpp
@@ -25,7 +25,8 @@
 struct Acknowledgement
 {
   Versions mVersions;
-  /// When the question was sent and when the answer arrived.
+  /// When the last question was sent, and when the first answer with these versions
+  /// arrived.
   timing::Instant mAskedAt;
   timing::Instant mArrivedAt;
 };
