--- a/apps/standins/engine/api.cpp
+++ b/apps/standins/engine/api.cpp
@@ -200,7 +200,7 @@
               });
   aServer.Get("/health",
               [&aEngine](const httplib::Request&, httplib::Response& aResponse) {
-                aResponse.set_content(aEngine.Cold() ? "cold" : "ready", "text/plain");
+                Answer(aResponse, { { "state", aEngine.Cold() ? "cold" : "ready" } });
               });
   aServer.Get("/metrics",
               [&aEngine](const httplib::Request&, httplib::Response& aResponse) {
--- a/apps/standins/service/main.cpp
+++ b/apps/standins/service/main.cpp
@@ -116,7 +116,7 @@
                 standins::Answer(aResponse, aService.Journal());
               });
   aServer.Get("/health", [](const httplib::Request&, httplib::Response& aResponse) {
-    aResponse.set_content("ready", "text/plain");
+    standins::Answer(aResponse, { { "state", "ready" } });
   });
   standins::PostJson(aServer,
                      "/faults",
--- a/apps/tests/settings/settingsloadertest.cpp
+++ b/apps/tests/settings/settingsloadertest.cpp
@@ -86,3 +86,17 @@
   CHECK(FindingsOf(kCommon + "http: 127.0.0.1:1\nname: p2\n").at(0) ==
         "e.yml:7:1: settings: key 'name' stands twice");
 }
+
+TEST_CASE("text on which the YAML parser finds documents without end is refused")
+{
+  const auto found = FindingsOf(GENERATE(",", ",,\n", "a: 1\n---\nb: 2\n"));
+  REQUIRE(found.size() == 1);
+  CHECK(found.front() == "e.yml:1:1: the file must hold exactly one document");
+}
+
+TEST_CASE("text that is not UTF-8 is refused with its line")
+{
+  CHECK(FindingsOf("name: p1\nvm: \xf0\nhttp: '\xc3\x28'\n") ==
+        std::vector<std::string>{ "e.yml:2:1: the line is not valid UTF-8",
+                                  "e.yml:3:1: the line is not valid UTF-8" });
+}
