Keep an account in excess from pushing out others and add trials

Ruled out: greater floors for the lower classes (they help every account's lower classes, those of the account in excess most). Change: AccountShares follows what each account got for its weight over all classes; an account far ahead of one that waits comes after it in all classes but batch. Adds the trials of routing, queue and credit with an injected clock.

--- /dev/null
+++ b/apps/load/trials/trialcommands.cpp
@@ -0,0 +1,236 @@
+#include "apps/load/trials/trialcommands.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <numeric>
+
+#include <CLI/CLI.hpp>
+
+#include "apps/load/trials/credittrial.hpp"
+#include "apps/load/trials/queuetrial.hpp"
+#include "apps/load/trials/routetrial.hpp"
+#include "components/catalogue/configurationcodec.hpp"
+
+namespace samphiresail::load {
+
+namespace {
+
+struct SeedRange
+{
+  std::uint64_t mFirst{ 1 };
+  std::uint64_t mCount{ 5 };
+};
+
+void PrintCredit(const SeedRange& aSeeds, CreditTrialOptions aOptions, const char* aName)
+{
+  CreditTrialResult total;
+  for (std::uint64_t it = 0; it < aSeeds.mCount; ++it) {
+    aOptions.mSeed = aSeeds.mFirst + it;
+    const auto result = RunCreditTrial(aOptions);
+    total.mRequests += result.mRequests;
+    total.mInside += result.mInside;
+    total.mWrongful += result.mWrongful;
+    total.mMessages += result.mMessages;
+    total.mTokens += result.mTokens;
+    total.mInsideTokens += result.mInsideTokens;
+    total.mMeanWaitMs += result.mMeanWaitMs / static_cast<double>(aSeeds.mCount);
+    total.mPeakBurst = std::max(total.mPeakBurst, result.mPeakBurst);
+  }
+  const double wrongful =
+    100.0 * static_cast<double>(total.mWrongful) / static_cast<double>(total.mInside);
+  const double seconds = static_cast<double>(aSeeds.mCount) * aOptions.mSeconds;
+  std::printf(
+    "%-28s entries %2zu demand %.2f requests %6zu inside %6zu wrongful %5zu = "
+    "%.3f %% tokens of ideal %.3f peak burst %.2f mean wait %.2f ms messages/s %.0f\n",
+    aName,
+    aOptions.mEntries,
+    aOptions.mDemand,
+    total.mRequests,
+    total.mInside,
+    total.mWrongful,
+    wrongful,
+    static_cast<double>(total.mTokens) / static_cast<double>(total.mInsideTokens),
+    total.mPeakBurst,
+    total.mMeanWaitMs,
+    static_cast<double>(total.mMessages) / seconds);
+}
+
+void RunCredit(const SeedRange& aSeeds)
+{
+  struct Case
+  {
+    const char* mName;
+    Spread mSpread;
+    CreditPolicy mPolicy;
+  };
+  constexpr std::array kCases{
+    Case{ "grants, even", Spread::Even, CreditPolicy::Grants },
+    Case{ "static split, even", Spread::Even, CreditPolicy::StaticSplit },
+    Case{ "grants, one entry", Spread::One, CreditPolicy::Grants },
+    Case{ "static split, one entry", Spread::One, CreditPolicy::StaticSplit },
+    Case{ "grants, wandering", Spread::Wandering, CreditPolicy::Grants },
+    Case{ "static split, wandering", Spread::Wandering, CreditPolicy::StaticSplit },
+  };
+  for (const std::size_t entries : { 3U, 6U }) {
+    for (const double demand : { 0.6, 0.8, 5.0 }) {
+      for (const Case& it : kCases) {
+        CreditTrialOptions options;
+        options.mEntries = entries;
+        options.mDemand = demand;
+        options.mSpread = it.mSpread;
+        options.mPolicy = it.mPolicy;
+        options.mSeconds = demand > 1.0 ? 20 : 120;
+        PrintCredit(aSeeds, options, it.mName);
+      }
+    }
+  }
+}
+
+void Merge(QueueTrialResult& aTotal, const QueueTrialResult& aResult)
+{
+  const auto add = [](auto& aInto, const auto& aFrom) {
+    for (const auto& [key, attained] : aFrom) {
+      aInto[key].mRequests += attained.mRequests;
+      aInto[key].mInTime += attained.mInTime;
+    }
+  };
+  add(aTotal.mByClass, aResult.mByClass);
+  add(aTotal.mByAccount, aResult.mByAccount);
+}
+
+void PrintQueue(const SeedRange& aSeeds, QueueTrialOptions aOptions, const char* aName)
+{
+  QueueTrialResult total;
+  for (std::uint64_t it = 0; it < aSeeds.mCount; ++it) {
+    aOptions.mSeed = aSeeds.mFirst + it;
+    Merge(total, RunQueueTrial(aOptions));
+  }
+  std::printf("%-8s load %.2f excess %.0f batch %.2f |",
+              aName,
+              aOptions.mLoad,
+              aOptions.mExcess,
+              aOptions.mBatch);
+  for (const auto& [requestClass, attained] : total.mByClass) {
+    std::printf(" %s %.2f%%",
+                std::string(catalogue::ClassName(requestClass)).c_str(),
+                100.0 * attained.Share());
+  }
+  double worst = 1.0;
+  double sum = 0.0;
+  for (const auto& [account, attained] : total.mByAccount) {
+    if (account != "federation") {
+      worst = std::min(worst, attained.Share());
+      sum += attained.Share();
+    }
+  }
+  std::printf(" | worst club %.2f%% mean club %.2f%% federation %.2f%%\n",
+              100.0 * worst,
+              100.0 * sum / static_cast<double>(total.mByAccount.size() - 1),
+              100.0 * total.mByAccount["federation"].Share());
+}
+
+void RunQueue(const SeedRange& aSeeds)
+{
+  for (const double load : { 0.6, 0.8, 0.9 }) {
+    for (const double excess : { 1.0, 5.0 }) {
+      QueueTrialOptions options;
+      options.mLoad = load;
+      options.mExcess = excess;
+      options.mPolicy = QueuePolicy::Fair;
+      PrintQueue(aSeeds, options, "fair");
+      options.mPolicy = QueuePolicy::FirstInFirstOut;
+      PrintQueue(aSeeds, options, "fifo");
+    }
+  }
+}
+
+void PrintRoute(const SeedRange& aSeeds, RouteTrialOptions aOptions, const char* aName)
+{
+  RouteTrialResult total;
+  const auto count = static_cast<double>(aSeeds.mCount);
+  for (std::uint64_t it = 0; it < aSeeds.mCount; ++it) {
+    aOptions.mSeed = aSeeds.mFirst + it;
+    const auto result = RunRouteTrial(aOptions);
+    total.mRequests += result.mRequests;
+    total.mMedianWaitMs += result.mMedianWaitMs / count;
+    total.mP99WaitMs += result.mP99WaitMs / count;
+    total.mInTime += result.mInTime / count;
+    total.mPrefixHits += result.mPrefixHits / count;
+  }
+  std::printf("%-12s entries %3zu endpoints %3zu slow %2zu prefixes %4zu load %.2f | "
+              "requests %7zu wait p50 %.1f ms p99 %.1f ms in time %.2f%% prefix hits "
+              "%.1f%%\n",
+              aName,
+              aOptions.mEntries,
+              aOptions.mEndpoints,
+              aOptions.mSlow,
+              aOptions.mPrefixes,
+              aOptions.mLoad,
+              total.mRequests,
+              total.mMedianWaitMs,
+              total.mP99WaitMs,
+              100.0 * total.mInTime,
+              100.0 * total.mPrefixHits);
+}
+
+void RunRoute(const SeedRange& aSeeds)
+{
+  struct Case
+  {
+    std::size_t mEntries;
+    std::size_t mEndpoints;
+    std::size_t mSlow;
+    std::size_t mPrefixes;
+  };
+  constexpr std::array kCases{ Case{ 3, 10, 0, 0 },
+                               Case{ 3, 10, 1, 0 },
+                               Case{ 3, 10, 1, 100 },
+                               Case{ 30, 10, 1, 0 },
+                               Case{ 30, 60, 6, 500 } };
+  for (const Case& it : kCases) {
+    for (const double load : { 0.8, 0.9 }) {
+      RouteTrialOptions options;
+      options.mEntries = it.mEntries;
+      options.mEndpoints = it.mEndpoints;
+      options.mSlow = it.mSlow;
+      options.mPrefixes = it.mPrefixes;
+      options.mLoad = load;
+      options.mSeconds = it.mEndpoints > 10 ? 30 : 120;
+      PrintRoute(aSeeds, options, "power-of-two");
+      options.mPolicy = RoutePolicy::RoundRobin;
+      PrintRoute(aSeeds, options, "round-robin");
+      options.mPolicy = RoutePolicy::Random;
+      PrintRoute(aSeeds, options, "random");
+    }
+  }
+}
+
+void AddTrial(CLI::App& aTrial,
+              const char* aName,
+              const char* aDescription,
+              void (*aRun)(const SeedRange&),
+              const std::shared_ptr<SeedRange>& aSeeds)
+{
+  auto* command = aTrial.add_subcommand(aName, aDescription);
+  command->add_option("--seed", aSeeds->mFirst, "First seed");
+  command->add_option("--seeds", aSeeds->mCount, "Number of seeds");
+  command->callback([aRun, aSeeds] { aRun(*aSeeds); });
+}
+
+}
+
+void AddTrialCommands(CLI::App& aApp)
+{
+  auto* trial =
+    aApp.add_subcommand("trial", "Runs decision cores with an injected clock");
+  trial->require_subcommand(1);
+  const auto seeds = std::make_shared<SeedRange>();
+  AddTrial(
+    *trial, "credit", "Wrongful refusals against a static split", RunCredit, seeds);
+  AddTrial(*trial, "queue", "Fair queue against first in first out", RunQueue, seeds);
+  AddTrial(*trial, "route", "Two choices against the baselines", RunRoute, seeds);
+}
+
+}
--- a/apps/tests/admission/fairqueuetest.cpp
+++ b/apps/tests/admission/fairqueuetest.cpp
@@ -220,3 +220,20 @@
   CHECK(admission::BatchFits({ 5, 5, 8 }));
   CHECK_FALSE(admission::BatchFits({ 6, 1, 8 }));
 }
+
+TEST_CASE("an account beyond its share cannot push out the lower classes of the others")
+{
+  FairQueue queue({ .mCapacity = 200 });
+  int next = 0;
+  int served = 0;
+  for (int it = 0; it < 400; ++it) {
+    while (queue.Size() < 50) {
+      queue.Push(Item("u" + std::to_string(next++), RequestClass::Urgent, "large"), kNow);
+    }
+    if (it % 4 == 0) {
+      queue.Push(Item("s" + std::to_string(it), RequestClass::Short, "small"), kNow);
+    }
+    served += queue.Pop(kNow, {})->mAccount.Str() == "small" ? 1 : 0;
+  }
+  CHECK(served > 80);
+}
--- a/components/admission/fairqueue.cpp
+++ b/components/admission/fairqueue.cpp
@@ -35,6 +35,9 @@
   }
   const auto place = static_cast<std::size_t>(aItem.mClass);
   mIndex.emplace(aItem.mAttempt, Position{ place, aItem.mAccount, aItem.mDeadline });
+  if (aItem.mClass != catalogue::RequestClass::Batch) {
+    mShares.Arrived(aItem.mAccount, aItem.mWeight);
+  }
   mClasses.at(place).Push(std::move(aItem));
   return PushResult::Accepted;
 }
@@ -57,10 +60,18 @@
 
 void FairQueue::Displaced(QueueItem aItem)
 {
-  mIndex.erase(aItem.mAttempt);
+  Forget(aItem);
   mDropped.push_back({ std::move(aItem), DropCause::Displaced });
 }
 
+void FairQueue::Forget(const QueueItem& aItem)
+{
+  mIndex.erase(aItem.mAttempt);
+  if (aItem.mClass != catalogue::RequestClass::Batch) {
+    mShares.Left(aItem.mAccount);
+  }
+}
+
 std::optional<QueueItem> FairQueue::Pop(timing::Instant aNow, const ItemFilter& aFilter)
 {
   DropExpired(aNow);
@@ -71,6 +82,9 @@
       }
     }
   }
+  if (auto item = PopInShare(aFilter)) {
+    return item;
+  }
   for (std::size_t it = 0; it < kClasses; ++it) {
     if (auto item = PopClass(it, aFilter)) {
       return item;
@@ -79,13 +93,30 @@
   return std::nullopt;
 }
 
+std::optional<QueueItem> FairQueue::PopInShare(const ItemFilter& aFilter)
+{
+  const ItemFilter inShare = [&](const QueueItem& aItem) {
+    return mShares.InShare(aItem.mAccount) && (!aFilter || aFilter(aItem));
+  };
+  for (std::size_t it = 0; it + 1 < kClasses; ++it) {
+    if (auto item = PopClass(it, inShare)) {
+      return item;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<QueueItem> FairQueue::PopClass(std::size_t aClass,
                                              const ItemFilter& aFilter)
 {
   auto item = mClasses.at(aClass).Pop(aFilter);
   if (item) {
     mIndex.erase(item->mAttempt);
-    Account(aClass, static_cast<double>(std::max<std::int64_t>(item->mCost.Count(), 1)));
+    const auto cost = static_cast<double>(std::max<std::int64_t>(item->mCost.Count(), 1));
+    if (item->mClass != catalogue::RequestClass::Batch) {
+      mShares.Served(item->mAccount, cost);
+    }
+    Account(aClass, cost);
   }
   return item;
 }
@@ -112,6 +143,9 @@
   }
   const Position& position = it->second;
   mClasses.at(position.mClass).Remove(position.mAccount, position.mDeadline, aAttempt);
+  if (position.mClass != static_cast<std::size_t>(catalogue::RequestClass::Batch)) {
+    mShares.Left(position.mAccount);
+  }
   mIndex.erase(it);
   return true;
 }
@@ -130,7 +164,7 @@
   }
   std::for_each(mDropped.begin() + static_cast<std::ptrdiff_t>(before),
                 mDropped.end(),
-                [&](const DroppedItem& aItem) { mIndex.erase(aItem.mItem.mAttempt); });
+                [&](const DroppedItem& aItem) { Forget(aItem.mItem); });
 }
 
 }
--- a/components/admission/fairqueue.hpp
+++ b/components/admission/fairqueue.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "components/admission/accountshares.hpp"
 #include "components/admission/classqueue.hpp"
 #include "components/admission/queueitem.hpp"
 
@@ -24,10 +25,11 @@
 };
 
 /// Serves the class first, then weighted fair shares between client accounts, then the
-/// deadline. Each class has a floor, so that batch runs in the slack and is never
-/// starved. A full queue gives way: to a higher class from the lowest one, and within a
-/// class from the account with the most backlog, so that one account cannot crowd out the
-/// others.
+/// deadline. An account that got much more than its share of the endpoint while others
+/// wait comes after them in all classes but batch. Each class has a floor, so that batch
+/// runs in the slack and is never starved. A full queue gives way: to a higher class from
+/// the lowest one, and within a class from the account with the most backlog, so that one
+/// account cannot crowd out the others.
 class FairQueue
 {
 public:
@@ -53,10 +55,13 @@
   void Displaced(QueueItem aItem);
   void DropExpired(timing::Instant aNow);
   std::optional<QueueItem> PopClass(std::size_t aClass, const ItemFilter& aFilter);
+  std::optional<QueueItem> PopInShare(const ItemFilter& aFilter);
+  void Forget(const QueueItem& aItem);
   void Account(std::size_t aServed, double aCost);
 
   std::size_t mCapacity;
   std::array<ClassQueue, kClasses> mClasses;
+  AccountShares mShares;
   std::array<double, kClasses> mFloors;
   /// Token cost that each class is owed by its floor.
   std::array<double, kClasses> mOwed{};
