--- a/apps/standins/engine/api.cpp
+++ b/apps/standins/engine/api.cpp
@@ -140,6 +140,7 @@
                 const json& aBody)
 {
   Order order{ .mAction = aAction, .mModel = aBody.at(aField).get<std::string>() };
+  order.mMemory = aBody.value("memory_bytes", order.mMemory);
   if (aHttp.has_header(kFencingHeader)) {
     order.mFencing =
       std::strtoull(aHttp.get_header_value(kFencingHeader).c_str(), nullptr, 10);
--- a/apps/standins/engine/engine.cpp
+++ b/apps/standins/engine/engine.cpp
@@ -46,10 +46,13 @@
 {
 }
 
-std::int64_t Engine::MemoryOf(const std::string& aModel) const
+std::int64_t Engine::MemoryOf(const Order& aOrder) const
 {
-  const auto it = mOptions.mMemoryOf.find(aModel);
-  return it == mOptions.mMemoryOf.end() ? mOptions.mModelMemory : it->second;
+  if (const auto it = mOptions.mMemoryOf.find(aOrder.mModel);
+      it != mOptions.mMemoryOf.end()) {
+    return it->second;
+  }
+  return aOrder.mMemory > 0 ? aOrder.mMemory : mOptions.mModelMemory;
 }
 
 Admission Engine::Begin(JournalEntry& aEntry)
@@ -159,7 +162,7 @@
       NoteOrderLocked(aOrder, "present");
       return OrderOutcome::Done;
     }
-    const auto bytes = MemoryOf(aOrder.mModel);
+    const auto bytes = MemoryOf(aOrder);
     mOccupied[aOrder.mModel] = bytes;
     mMemoryUsed += bytes;
     mMemoryPeak = std::max(mMemoryPeak, mMemoryUsed);
--- a/apps/standins/engine/engine.hpp
+++ b/apps/standins/engine/engine.hpp
@@ -73,6 +73,8 @@
   OrderAction mAction{ OrderAction::Load };
   std::string mModel;
   std::optional<std::uint64_t> mFencing;
+  /// Size that the order names; used if the options name none.
+  std::int64_t mMemory{ 0 };
 };
 
 enum class OrderOutcome
@@ -137,7 +139,7 @@
   std::string Metrics() const;
 
 private:
-  std::int64_t MemoryOf(const std::string& aModel) const;
+  std::int64_t MemoryOf(const Order& aOrder) const;
   bool ColdLocked() const;
   void GoColdLocked(std::chrono::milliseconds aDuration);
   bool AcceptFencingLocked(const Order& aOrder);
