Plan which endpoints keep which models and which loads begin

Cause: every model has to stay reachable while endpoints die and availability zones leave, and copies should follow demand without needless moves.

--- /dev/null
+++ b/apps/tests/placement/reachabletest.cpp
@@ -0,0 +1,24 @@
+#include <catch2/catch.hpp>
+
+#include "apps/tests/placement/fleetharness.hpp"
+
+using namespace samphiresail;
+
+TEST_CASE("reachable: every model is held again after faults and no kept copy is evicted",
+          "[must-hold]")
+{
+  constexpr std::uint32_t kSeeds = 100;
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    tests::FleetHarness fleet(seed);
+    fleet.RunWithFaults(150);
+    fleet.Recover(60);
+    REQUIRE(fleet.Violations() == std::vector<std::string>());
+    REQUIRE(fleet.Unreachable() == std::vector<ids::ModelId>());
+
+    // A fleet without faults comes to rest.
+    const int loads = fleet.Loads();
+    fleet.Recover(30);
+    REQUIRE(fleet.Loads() == loads);
+  }
+}
--- /dev/null
+++ b/components/placement/demandplanner.hpp
@@ -0,0 +1,30 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_PLACEMENT_DEMANDPLANNER_HPP
+#define SAMPHIRESAIL_COMPONENTS_PLACEMENT_DEMANDPLANNER_HPP
+
+#include "components/placement/copyplanner.hpp"
+#include "components/placement/keeperplanner.hpp"
+#include "components/placement/planner.hpp"
+
+namespace samphiresail::placement {
+
+/// Plans keepers for reachability and further copies by demand.
+class DemandPlanner
+{
+public:
+  explicit DemandPlanner(CopyLimits aLimits = {})
+    : mCopies(aLimits)
+  {
+  }
+
+  PlacementPlan Plan(const PlacementView& aView, timing::Instant aNow);
+
+private:
+  KeeperPlanner mKeepers;
+  CopyPlanner mCopies;
+};
+
+static_assert(Planner<DemandPlanner>);
+
+}
+
+#endif
--- /dev/null
+++ b/components/placement/keeperplanner.hpp
@@ -0,0 +1,39 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_PLACEMENT_KEEPERPLANNER_HPP
+#define SAMPHIRESAIL_COMPONENTS_PLACEMENT_KEEPERPLANNER_HPP
+
+#include <map>
+#include <vector>
+
+#include "components/placement/keptmemory.hpp"
+#include "components/placement/placementview.hpp"
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::placement {
+
+/// Keeper table with the models that found no place in it.
+struct KeeperChoice
+{
+  KeeperTable mKeepers;
+  std::vector<ids::ModelId> mUnplaced;
+};
+
+/// Chooses keepers: each model gets one before any gets a second, in different
+/// availability zones where there is room. Keepers that serve stay where they are. One
+/// that leaves stays in the table until enough others hold the model; one whose agent is
+/// missing is replaced after a grace period, at once if it was the last.
+class KeeperPlanner
+{
+public:
+  KeeperChoice Choose(const PlacementView& aView, timing::Instant aNow);
+
+private:
+  void NoteAbsence(const PlacementView& aView, timing::Instant aNow);
+  bool IsAbsentBriefly(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
+
+  /// When the agent of a keeper was first missing.
+  std::map<ids::EndpointId, timing::Instant> mAbsentSince;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/placement/keptmemory.hpp
@@ -0,0 +1,37 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_PLACEMENT_KEPTMEMORY_HPP
+#define SAMPHIRESAIL_COMPONENTS_PLACEMENT_KEPTMEMORY_HPP
+
+#include <map>
+#include <set>
+
+#include "components/placement/placementview.hpp"
+
+namespace samphiresail::placement {
+
+/// Memory of each endpoint that the models it keeps take up, the base models of kept
+/// adapters included.
+class KeptMemory
+{
+public:
+  KeptMemory(const PlacementView& aView, const KeeperTable& aKeepers);
+
+  void Add(const EndpointRow& aEndpoint, const catalogue::Model& aModel);
+  void Remove(const EndpointRow& aEndpoint, const catalogue::Model& aModel);
+
+  /// Memory that the endpoint's kept models take up.
+  units::Bytes Used(const EndpointRow& aEndpoint) const;
+
+  /// True if the endpoint can keep the model besides what it keeps now.
+  bool Fits(const EndpointRow& aEndpoint, const catalogue::Model& aModel) const;
+
+private:
+  units::Bytes Sum(const std::set<ids::ModelId>& aModels) const;
+  std::set<ids::ModelId> WithBases(const std::set<ids::ModelId>& aModels) const;
+
+  const PlacementView& mView;
+  std::map<ids::EndpointId, std::set<ids::ModelId>> mKept;
+};
+
+}
+
+#endif
--- a/components/timeline/mergedtimeline.cpp
+++ b/components/timeline/mergedtimeline.cpp
@@ -57,8 +57,7 @@
       });
   }
   std::ranges::sort(events, Before);
-  const auto rest = std::ranges::unique(events, Same);
-  events.erase(rest.begin(), rest.end());
+  events.erase(std::unique(events.begin(), events.end(), Same), events.end());
   return events;
 }
 
