Show the agent in the time line, log lines, metrics and the status command

The agent wrote plain debug text and answered neither the status nor the time line command. Its events now go to the recorder with the stamps of the messages, notable ones to JSON lines, and the tables to gauges; it answers both commands.

--- a/apps/samphiresail/agent/agentshell.cpp
+++ b/apps/samphiresail/agent/agentshell.cpp
@@ -6,11 +6,11 @@
 #include <variant>
 
 #include <caf/all.hpp>
-#include <spdlog/spdlog.h>
 
 #include "apps/samphiresail/agent/agentcore.hpp"
 #include "apps/samphiresail/agent/backendcalls.hpp"
 #include "apps/samphiresail/agent/backendcontrol.hpp"
+#include "apps/samphiresail/agent/observer.hpp"
 #include "apps/samphiresail/agent/serialworker.hpp"
 #include "components/store/etcdstore.hpp"
 #include "components/transport/peerserver.hpp"
@@ -82,6 +82,8 @@
 public:
   Carrier(const settings::AgentSettings& aSettings, const timing::Clock& aClock)
     : mClock(aClock)
+    , mConfig(MakeConfig(aSettings))
+    , mObserver(mConfig, aSettings.mCommon, aClock)
     , mStoreTimeout(aSettings.mCommon.mStoreTimeout)
     , mSystem(ConfigureActors(mActorConfig))
     , mStore(aSettings.mCommon.mStoreUrl)
@@ -91,18 +93,19 @@
       Post(std::move(aEvent));
     })
   {
-    AgentConfig config = MakeConfig(aSettings);
     const auto onEnvelope = [this](const Route& aRoute, wire::Envelope aEnvelope) {
       Post(EnvelopeArrived{ aRoute, std::move(aEnvelope) });
     };
     const std::lock_guard lock(mReady);
     mServer.emplace(aSettings.mCommon.mPeer, aSettings.mCommon.mCurve, onEnvelope);
     const settings::SocketAddress address = mServer->Address();
-    config.mAddress = address.mHost + ":" + std::to_string(address.mPort);
-    mCore.emplace(config, mClock.Now());
+    mConfig.mAddress = address.mHost + ":" + std::to_string(address.mPort);
+    mCore.emplace(mConfig, mClock.Now());
     mActor = mSystem.spawn<caf::detached>(
       [this](caf::event_based_actor* aSelf) { return Behave(aSelf); });
-    spdlog::info("agent of {} listens on {}", config.mEndpoint.Str(), config.mAddress);
+    mObserver.Log().Info(
+      "listening",
+      { { "endpoint", mConfig.mEndpoint.Str() }, { "address", mConfig.mAddress } });
   }
 
   ~Carrier()
@@ -138,16 +141,46 @@
 
   void Handle(EnvelopeArrived& aItem)
   {
-    Perform(mCore->OnEnvelope(aItem.mRoute, std::move(aItem.mEnvelope), mClock.Now()));
+    mObserver.Timeline().Observe(aItem.mEnvelope.stamp());
+    const timing::Instant now = mClock.Now();
+    if (aItem.mEnvelope.has_timeline_request()) {
+      wire::Envelope reply;
+      *reply.mutable_timeline_reply() =
+        mObserver.Timeline().Answer(aItem.mEnvelope.timeline_request());
+      reply.mutable_timeline_reply()->set_nonce(
+        aItem.mEnvelope.timeline_request().nonce());
+      Answer(aItem.mRoute, std::move(reply));
+    } else if (aItem.mEnvelope.has_status_request()) {
+      wire::Envelope reply;
+      reply.mutable_status_reply()->set_nonce(aItem.mEnvelope.status_request().nonce());
+      reply.mutable_status_reply()->set_document(DescribeStatus(mCore->State(), now));
+      Answer(aItem.mRoute, std::move(reply));
+    } else {
+      Perform(mCore->OnEnvelope(aItem.mRoute, std::move(aItem.mEnvelope), now));
+    }
   }
   void Handle(BackendEvent& aItem)
   {
     Perform(mCore->OnBackend(std::move(aItem), mClock.Now()));
   }
   void Handle(const StoreAnswer& aItem) { Perform(mCore->OnStore(aItem, mClock.Now())); }
-  void Handle(const TickDue&) { Perform(mCore->Tick(mClock.Now())); }
+  void Handle(const TickDue&)
+  {
+    const timing::Instant now = mClock.Now();
+    Perform(mCore->Tick(now));
+    mObserver.Update(mCore->State(), now);
+  }
   void Handle(const LeaveRequested&) { Perform(mCore->Leave(mClock.Now())); }
 
+  /// Sends an answer that the core has no part in.
+  void Answer(const Route& aRoute, wire::Envelope aEnvelope)
+  {
+    aEnvelope.set_sender(mConfig.mName.Str());
+    aEnvelope.set_sender_incarnation(mConfig.mIncarnation.Count());
+    SendEnvelope item{ aRoute, std::move(aEnvelope) };
+    Perform(item);
+  }
+
   void Perform(Actions aActions)
   {
     for (Action& action : aActions) {
@@ -157,6 +190,7 @@
 
   void Perform(SendEnvelope& aItem)
   {
+    aItem.mEnvelope.set_stamp(mObserver.Timeline().NextStamp());
     mServer->Send(aItem.mRoute, std::move(aItem.mEnvelope));
   }
   void Perform(StartBackend& aItem) { mCalls.Start(std::move(aItem)); }
@@ -170,13 +204,12 @@
       Post(StoreAnswer{ call.mCall, mStore.Execute(call.mRequest, mStoreTimeout) });
     });
   }
-  void Perform(const RecordEvent& aItem)
-  {
-    spdlog::debug("{} {} {}", aItem.mKind, aItem.mRequest.Str(), aItem.mDetail);
-  }
+  void Perform(const RecordEvent& aItem) { mObserver.Record(aItem); }
   void Perform(const Exit&) { mExit.set_value(); }
 
   const timing::Clock& mClock;
+  AgentConfig mConfig;
+  Observer mObserver;
   std::chrono::milliseconds mStoreTimeout;
   std::promise<void> mExit;
   std::future<void> mExited{ mExit.get_future() };
--- a/apps/samphiresail/agent/intentlog.cpp
+++ b/apps/samphiresail/agent/intentlog.cpp
@@ -136,6 +136,7 @@
   std::vector<ledger::Order> orders;
   std::ranges::transform(aRecord.intents(), std::back_inserter(orders), ReadIntent);
   mState.mLedger.Adopt(orders, aNow);
+  mState.mOutbox.Record("intents-adopted", std::to_string(orders.size()));
 }
 
 void IntentLog::AdoptKeepers(const std::string& aValue)
