--- a/apps/samphiresail/agent/endpointgate.cpp
+++ b/apps/samphiresail/agent/endpointgate.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kHealthInterval{ 200 };
+constexpr std::chrono::milliseconds kHealthInterval{ 100 };
 /// Age above which a health answer no longer shows that the back end is ready.
 constexpr std::chrono::milliseconds kHealthLife{ 1000 };
 /// Time after which a health query without an answer is asked again.
--- /dev/null
+++ b/apps/tests/ledger/memoryledgertest.cpp
@@ -0,0 +1,105 @@
+#include <catch2/catch.hpp>
+
+#include "components/ledger/memoryledger.hpp"
+
+namespace {
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using ledger::MemoryLedger;
+using ledger::Order;
+using ledger::OrderAction;
+using ledger::OrderOutcome;
+
+const timing::Instant kStart{ 1h };
+const ids::ModelId kFirst{ "first" };
+const ids::ModelId kSecond{ "second" };
+constexpr units::Bytes kMemory{ 60 };
+
+Order MakeOrder(std::uint64_t aFencing, OrderAction aAction)
+{
+  return { .mFencing = units::FencingNumber(aFencing),
+           .mAction = aAction,
+           .mModel = kFirst,
+           .mMemory = kMemory };
+}
+
+MemoryLedger MakeLedger(bool aChecksFencing)
+{
+  MemoryLedger ledger;
+  ledger.Configure({ .mCapacity = units::Bytes(100),
+                     .mChecksFencing = aChecksFencing,
+                     .mLongestOrder = 3s });
+  return ledger;
+}
+
+void Load(MemoryLedger& aLedger, OrderOutcome aOutcome)
+{
+  REQUIRE(aLedger.Reserve(kFirst, kMemory));
+  aLedger.Issue(MakeOrder(1, OrderAction::Load), kStart);
+  aLedger.OnAnswer(units::FencingNumber(1), aOutcome, kStart + 1s);
+}
+
+void List(MemoryLedger& aLedger,
+          const std::vector<ids::ModelId>& aModels,
+          timing::Instant aAskedAt,
+          timing::Instant aNow)
+{
+  const auto memoryOf = [](const ids::ModelId&) { return std::optional(kMemory); };
+  aLedger.OnResidents(aModels, memoryOf, aAskedAt, aNow);
+}
+
+}
+
+TEST_CASE("memory is held until a list that was asked for after the order's last chance",
+          "[must-hold]")
+{
+  MemoryLedger ledger = MakeLedger(false);
+  Load(ledger, OrderOutcome::Unknown);
+  List(ledger, {}, kStart + 2s, kStart + 4s);
+  CHECK(ledger.Occupied() == kMemory);
+  CHECK_FALSE(ledger.Reserve(kSecond, kMemory));
+  List(ledger, {}, kStart + 3100ms, kStart + 4200ms);
+  CHECK(ledger.Occupied() == units::Bytes(0));
+  CHECK(ledger.Reserve(kSecond, kMemory));
+}
+
+TEST_CASE("memory of an unloaded model is free at once only if old orders are refused",
+          "[must-hold]")
+{
+  const bool checksFencing = GENERATE(false, true);
+  MemoryLedger ledger = MakeLedger(checksFencing);
+  Load(ledger, OrderOutcome::Confirmed);
+  CHECK(ledger.IsResident(kFirst));
+  ledger.Issue(MakeOrder(2, OrderAction::Unload), kStart + 1s);
+  CHECK_FALSE(ledger.IsResident(kFirst));
+  ledger.OnAnswer(units::FencingNumber(2), OrderOutcome::Confirmed, kStart + 2s);
+  CHECK(ledger.Reserve(kSecond, kMemory) == checksFencing);
+}
+
+TEST_CASE("memory of an order that was certainly not sent is free at once")
+{
+  MemoryLedger ledger = MakeLedger(false);
+  Load(ledger, OrderOutcome::NotSent);
+  CHECK(ledger.Occupied() == units::Bytes(0));
+}
+
+TEST_CASE("memory of a model that nothing declares counts as the whole endpoint")
+{
+  MemoryLedger ledger = MakeLedger(false);
+  const auto unknown = [](const ids::ModelId&) { return std::optional<units::Bytes>(); };
+  ledger.OnResidents({ kFirst }, unknown, kStart, kStart);
+  CHECK(ledger.Free() == units::Bytes(0));
+  List(ledger, { kFirst }, kStart + 1s, kStart + 1s);
+  CHECK(ledger.Occupied() == kMemory);
+}
+
+TEST_CASE("a list that is older than a confirmation does not change what is resident")
+{
+  MemoryLedger ledger = MakeLedger(true);
+  Load(ledger, OrderOutcome::Confirmed);
+  List(ledger, {}, kStart, kStart + 2s);
+  CHECK(ledger.IsResident(kFirst));
+  List(ledger, {}, kStart + 2s, kStart + 3s);
+  CHECK_FALSE(ledger.IsResident(kFirst));
+}
--- a/components/ledger/memoryledger.cpp
+++ b/components/ledger/memoryledger.cpp
@@ -132,16 +132,16 @@
       holding.mResident = true;
     }
   }
-  for (auto& [model, holding] : mHoldings) {
-    const bool absent = std::ranges::find(aModels, model) == aModels.end();
 #ifndef SAMPHIRESAIL_MUTANT_LEDGER_EVIDENCE_AGE
-    const bool current = aAskedAt >= holding.mStateSince;
+  const timing::Instant evidence = aAskedAt;
 #else
-    const bool current = true;
+  const timing::Instant evidence = aNow;
 #endif
-    if (absent && current) {
+  for (auto& [model, holding] : mHoldings) {
+    const bool absent = std::ranges::find(aModels, model) == aModels.end();
+    if (absent && evidence >= holding.mStateSince) {
       holding.mResident = false;
-      holding.mAbsentAt = std::max(holding.mAbsentAt, aAskedAt);
+      holding.mAbsentAt = std::max(holding.mAbsentAt, evidence);
     }
   }
   Settle(aNow);
