--- a/apps/samphiresail/entry/control/rightskeeper.cpp
+++ b/apps/samphiresail/entry/control/rightskeeper.cpp
@@ -1,6 +1,7 @@
 #include "apps/samphiresail/entry/control/rightskeeper.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "components/store/storekeys.hpp"
 
@@ -15,6 +16,8 @@
 /// A stop does not wait longer for a store that is down.
 constexpr std::chrono::seconds kHandOverTimeout{ 5 };
 
+constexpr std::chrono::seconds kFirstPlanDelay{ 2 };
+
 }
 
 RightsKeeper::RightsKeeper(ControlState& aState,
@@ -48,13 +51,29 @@
   mOutbox.Call(StorePurpose::WriteRights, write, aNow);
 }
 
-std::optional<RightsRecord> RightsKeeper::Next(timing::Instant aNow) const
+std::optional<RightsRecord> RightsKeeper::Next(timing::Instant aNow)
 {
   if (!mState.mConfiguration || !mState.IsPlanner(aNow)) {
     return std::nullopt;
   }
+  const std::vector<HolderCandidate> candidates = Candidates(aNow);
+  if (mState.mRights.mShares.empty() && AwaitsEntries(candidates, aNow)) {
+    return std::nullopt;
+  }
   return limits::PlanRights(
-    mState.mRights, mState.mConfiguration->mCatalogue, Candidates(aNow), mSettled);
+    mState.mRights, mState.mConfiguration->mCatalogue, candidates, mSettled);
+}
+
+bool RightsKeeper::AwaitsEntries(const std::vector<HolderCandidate>& aCandidates,
+                                 timing::Instant aNow)
+{
+  mFirstPlan = mFirstPlan.value_or(aNow);
+  std::set<ids::AvailabilityZoneId> zones;
+  for (const HolderCandidate& candidate : aCandidates) {
+    zones.insert(candidate.mAvailabilityZone);
+  }
+  return zones.size() < mState.mConfiguration->mCatalogue.mAvailabilityZones.size() &&
+         aNow - *mFirstPlan < kFirstPlanDelay;
 }
 
 std::optional<RightsRecord> RightsKeeper::NextAtStop(timing::Instant aNow) const
--- a/apps/samphiresail/entry/control/rightskeeper.hpp
+++ b/apps/samphiresail/entry/control/rightskeeper.hpp
@@ -35,7 +35,11 @@
 
 private:
   std::vector<limits::HolderCandidate> Candidates(timing::Instant aNow) const;
-  std::optional<limits::RightsRecord> Next(timing::Instant aNow) const;
+  std::optional<limits::RightsRecord> Next(timing::Instant aNow);
+  /// Returns true while the first shares wait for entries of all availability zones, so
+  /// that all of them start full.
+  bool AwaitsEntries(const std::vector<limits::HolderCandidate>& aCandidates,
+                     timing::Instant aNow);
   std::optional<limits::RightsRecord> NextAtStop(timing::Instant aNow) const;
   void NoteAccepted(timing::Instant aNow);
 
@@ -50,6 +54,7 @@
   /// End of the last write; decisions need a later read.
   timing::Instant mWriteEnded;
   std::optional<timing::Instant> mHandOverBegan;
+  std::optional<timing::Instant> mFirstPlan;
 };
 
 }
