Check the key before the request

A caller without a key learned from the answers which models the catalogue has, since the request was parsed first. Ruled out: hiding the difference in the texts, which would hide it from callers with a key too. The key is checked first now, except on open routes.

Seen in a run of the whole path as separate processes: streamed and whole answers, one booking for two calls with the same idempotency key.

--- a/apps/samphiresail/entry/callerrequest.hpp
+++ b/apps/samphiresail/entry/callerrequest.hpp
@@ -63,10 +63,11 @@
   units::Tokens Cost() const { return mPromptTokens + mMaxOutput; }
 };
 
-/// Checks a request against the snapshot. Throws ApiError for each kind of bad input. The
-/// account fields are filled in by the authentication.
+/// Checks a request against the snapshot and completes what the authentication has filled
+/// in. Throws ApiError for each kind of bad input.
 CallerRequest ParseCallerRequest(const RawRequest& aRaw,
-                                 const RoutingSnapshot& aSnapshot);
+                                 const RoutingSnapshot& aSnapshot,
+                                 CallerRequest aAuthenticated);
 
 }
 
--- a/apps/samphiresail/entry/httpfront.cpp
+++ b/apps/samphiresail/entry/httpfront.cpp
@@ -257,6 +257,17 @@
     }
   }
 
+  /// Checks the key first, so that a caller without one learns nothing of the catalogue.
+  CallerRequest ReadRequest(const httplib::Request& aRequest,
+                            const RoutingSnapshot& aSnapshot) const
+  {
+    CallerRequest caller;
+    const catalogue::Service* service = aSnapshot.FindService(aRequest.path);
+    caller.mOpen = service != nullptr && service->mOpen;
+    Authenticate(mContext, aSnapshot, aRequest.get_header_value("Authorization"), caller);
+    return ParseCallerRequest(ReadRaw(aRequest), aSnapshot, std::move(caller));
+  }
+
   void Serve(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
     auto inFlight = std::make_shared<InFlight>(mInFlight);
@@ -267,10 +278,8 @@
     }
     try {
       const SnapshotPointer snapshot = RequireSnapshot();
-      CallerRequest request = ParseCallerRequest(ReadRaw(aRequest), *snapshot);
+      CallerRequest request = ReadRequest(aRequest, *snapshot);
       request.mId = ids::RequestId(id);
-      Authenticate(
-        mContext, *snapshot, aRequest.get_header_value("Authorization"), request);
       AdmissionCharge charge(mContext, request, *snapshot);
       if (!request.mRepeatable) {
         OperationRun operation(mContext, std::move(request), std::move(charge));
