--- a/apps/samphiresail/entry/callerrequest.hpp
+++ b/apps/samphiresail/entry/callerrequest.hpp
@@ -33,6 +33,16 @@
   Service,
 };
 
+/// What the time line, the log and the metrics say about a request.
+struct RequestSummary
+{
+  ids::RequestId mId;
+  ids::ClientAccountId mAccount;
+  catalogue::RequestClass mClass{ catalogue::RequestClass::Streamed };
+  ids::ModelId mModel;
+  ids::ServiceId mService;
+};
+
 /// Checked request of a caller.
 struct CallerRequest
 {
@@ -59,6 +69,8 @@
   units::Tokens mMaxOutput;
   std::chrono::milliseconds mDeadline{ 0 };
 
+  RequestSummary Summary() const { return { mId, mAccount, mClass, mModel, mService }; }
+
   /// Tokens that are charged before dispatch.
   units::Tokens Cost() const { return mPromptTokens + mMaxOutput; }
 };
