--- a/apps/samphiresail/entry/exchange.cpp
+++ b/apps/samphiresail/entry/exchange.cpp
@@ -117,8 +117,8 @@
   const SnapshotPointer snapshot = CheckDispatch(mContext, mRequest);
   routing::EndpointDescription endpoint =
     ChooseEndpoint(mContext, mRequest, mExcluded, mDeadline);
-  wire::Submit submit =
-    BuildSubmit(mRequest, ids::AttemptId(MakeIdentifier("att-")), snapshot->Version());
+  const ids::AttemptId attempt(MakeIdentifier("att-"));
+  wire::Submit submit = BuildSubmit(mRequest, attempt, snapshot->Version());
   if (mRequest.mStream && !mTranscript.Text().empty()) {
     mTranscript.BeginContinuation();
     submit.set_resume_text(mTranscript.Text());
