--- a/apps/samphiresail/agent/agentcore.cpp
+++ b/apps/samphiresail/agent/agentcore.cpp
@@ -149,10 +149,10 @@
   const auto reason = CheckSubmit(mState, aSubmit, aNow);
   if (!reason) {
     Accept(aRoute, aSubmit, aNow);
-  } else if (EndsAttempt(*reason)) {
-    RefuseForGood(sender, *reason, aNow);
-  } else {
+  } else if (MayResubmit(*reason)) {
     SendRefuse(mState, sender, *reason, aNow);
+  } else {
+    RefuseForGood(sender, *reason, aNow);
   }
 }
 
@@ -434,12 +434,13 @@
                                .mChecksFencing = pool->mChecksFencing,
                                .mLongestOrder = pool->mLongestOrder });
     RefuseDropped(aNow);
-    mScheduler.Resize(pool->mQueue, aNow);
+    mScheduler.Resize(pool->mQueue);
   }
   mState.mOutbox.Record("adopt-pool", std::to_string(mState.mPool.mVersion.Count()));
   mPlacement.Tick(aNow);
 }
 
 template class BasicAgentCore<admission::FairQueue>;
+template class BasicAgentCore<admission::FifoQueue>;
 
 }
--- a/apps/samphiresail/agent/agentcore.hpp
+++ b/apps/samphiresail/agent/agentcore.hpp
@@ -10,6 +10,7 @@
 #include "apps/samphiresail/agent/scheduler.hpp"
 #include "components/admission/admissionqueue.hpp"
 #include "components/admission/fairqueue.hpp"
+#include "components/admission/fifoqueue.hpp"
 
 namespace samphiresail::agent {
 
@@ -76,8 +77,11 @@
 };
 
 using AgentCore = BasicAgentCore<admission::FairQueue>;
+/// Baseline that serves in the order of arrival.
+using FifoAgentCore = BasicAgentCore<admission::FifoQueue>;
 
 extern template class BasicAgentCore<admission::FairQueue>;
+extern template class BasicAgentCore<admission::FifoQueue>;
 
 }
 
--- a/apps/samphiresail/agent/agentshell.cpp
+++ b/apps/samphiresail/agent/agentshell.cpp
@@ -11,7 +11,7 @@
 #include "apps/samphiresail/agent/backendcalls.hpp"
 #include "apps/samphiresail/agent/backendcontrol.hpp"
 #include "apps/samphiresail/agent/observer.hpp"
-#include "components/concurrency/serialworker.hpp"
+#include "apps/samphiresail/agent/serialworker.hpp"
 #include "components/store/etcdstore.hpp"
 #include "components/transport/peerserver.hpp"
 
@@ -100,7 +100,11 @@
     mServer.emplace(aSettings.mCommon.mPeer, aSettings.mCommon.mCurve, onEnvelope);
     const settings::SocketAddress address = mServer->Address();
     mConfig.mAddress = address.mHost + ":" + std::to_string(address.mPort);
-    mCore.emplace(mConfig, mClock.Now());
+    if (aSettings.mQueue == settings::QueuePolicy::FirstInFirstOut) {
+      mCore.emplace<FifoAgentCore>(mConfig, mClock.Now());
+    } else {
+      mCore.emplace<AgentCore>(mConfig, mClock.Now());
+    }
     mActor = mSystem.spawn<caf::detached>(
       [this](caf::event_based_actor* aSelf) { return Behave(aSelf); });
     mObserver.Log().Info(
@@ -153,24 +157,33 @@
     } else if (aItem.mEnvelope.has_status_request()) {
       wire::Envelope reply;
       reply.mutable_status_reply()->set_nonce(aItem.mEnvelope.status_request().nonce());
-      reply.mutable_status_reply()->set_document(DescribeStatus(mCore->State(), now));
+      reply.mutable_status_reply()->set_document(DescribeStatus(State(), now));
       Answer(aItem.mRoute, std::move(reply));
     } else {
-      Perform(mCore->OnEnvelope(aItem.mRoute, std::move(aItem.mEnvelope), now));
+      Perform(WithCore([&](auto& aCore) {
+        return aCore.OnEnvelope(aItem.mRoute, std::move(aItem.mEnvelope), now);
+      }));
     }
   }
   void Handle(BackendEvent& aItem)
   {
-    Perform(mCore->OnBackend(std::move(aItem), mClock.Now()));
+    Perform(WithCore(
+      [&](auto& aCore) { return aCore.OnBackend(std::move(aItem), mClock.Now()); }));
+  }
+  void Handle(const StoreAnswer& aItem)
+  {
+    Perform(WithCore([&](auto& aCore) { return aCore.OnStore(aItem, mClock.Now()); }));
   }
-  void Handle(const StoreAnswer& aItem) { Perform(mCore->OnStore(aItem, mClock.Now())); }
   void Handle(const TickDue&)
   {
     const timing::Instant now = mClock.Now();
-    Perform(mCore->Tick(now));
-    mObserver.Update(mCore->State(), now);
+    Perform(WithCore([&](auto& aCore) { return aCore.Tick(now); }));
+    mObserver.Update(State(), now);
+  }
+  void Handle(const LeaveRequested&)
+  {
+    Perform(WithCore([&](auto& aCore) { return aCore.Leave(mClock.Now()); }));
   }
-  void Handle(const LeaveRequested&) { Perform(mCore->Leave(mClock.Now())); }
 
   /// Sends an answer that the core has no part in.
   void Answer(const Route& aRoute, wire::Envelope aEnvelope)
@@ -207,13 +220,29 @@
   void Perform(const RecordEvent& aItem) { mObserver.Record(aItem); }
   void Perform(const Exit&) { mExit.set_value(); }
 
+  /// Calls aUse with the core of the chosen queue; the core exists before any input.
+  template<typename Use>
+  Actions WithCore(Use aUse)
+  {
+    if (auto* fifo = std::get_if<FifoAgentCore>(&mCore)) {
+      return aUse(*fifo);
+    }
+    return aUse(std::get<AgentCore>(mCore));
+  }
+
+  const AgentState& State() const
+  {
+    const auto* fifo = std::get_if<FifoAgentCore>(&mCore);
+    return fifo != nullptr ? fifo->State() : std::get<AgentCore>(mCore).State();
+  }
+
   const timing::Clock& mClock;
   AgentConfig mConfig;
   Observer mObserver;
   std::chrono::milliseconds mStoreTimeout;
   std::promise<void> mExit;
   std::future<void> mExited{ mExit.get_future() };
-  std::optional<AgentCore> mCore;
+  std::variant<std::monostate, AgentCore, FifoAgentCore> mCore;
   caf::actor_system_config mActorConfig;
   caf::actor_system mSystem;
   /// Held while the control thread is not ready to take input.
@@ -222,7 +251,7 @@
   std::optional<transport::PeerServer> mServer;
   // The threads that post input end before the control thread's actor goes.
   store::EtcdStore mStore;
-  concurrency::SerialWorker mStoreWorker;
+  SerialWorker mStoreWorker;
   BackendCalls mCalls;
   BackendControl mControl;
 };
--- a/apps/samphiresail/agent/scheduler.hpp
+++ b/apps/samphiresail/agent/scheduler.hpp
@@ -81,15 +81,7 @@
   }
 
   /// Changes the capacity; nothing that waits is dropped.
-  void Resize(std::size_t aCapacity, timing::Instant aNow)
-  {
-    Queue queue({ std::max(aCapacity, mQueue.Size()) });
-    const auto any = [](const admission::QueueItem&) { return true; };
-    while (auto item = mQueue.Pop(aNow, any)) {
-      queue.Push(*std::move(item), aNow);
-    }
-    mQueue = std::move(queue);
-  }
+  void Resize(std::size_t aCapacity) { mQueue.SetCapacity(aCapacity); }
 
 private:
   /// Capacity until the pool's limits are known.
--- a/components/concurrency/serialworker.cpp
+++ b/apps/samphiresail/agent/serialworker.cpp
@@ -1,8 +1,8 @@
-#include "components/concurrency/serialworker.hpp"
+#include "apps/samphiresail/agent/serialworker.hpp"
 
 #include <utility>
 
-namespace samphiresail::concurrency {
+namespace samphiresail::agent {
 
 SerialWorker::SerialWorker()
   : mThread([this](const std::stop_token& aStop) { Run(aStop); })
--- a/apps/samphiresail/agent/submitcheck.cpp
+++ b/apps/samphiresail/agent/submitcheck.cpp
@@ -37,16 +37,9 @@
   return std::nullopt;
 }
 
-bool EndsAttempt(wire::RefuseReason aReason)
+bool MayResubmit(wire::RefuseReason aReason)
 {
-  switch (aReason) {
-    case wire::STALE_TICKET:
-    case wire::STALE_CONFIGURATION:
-    case wire::WRONG_INCARNATION:
-      return false;
-    default:
-      return true;
-  }
+  return aReason == wire::STALE_TICKET || aReason == wire::STALE_CONFIGURATION;
 }
 
 }
--- a/apps/samphiresail/entry/callerrequest.cpp
+++ b/apps/samphiresail/entry/callerrequest.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
-#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -232,11 +231,9 @@
 
 }
 
-CallerRequest ParseCallerRequest(const RawRequest& aRaw,
-                                 const RoutingSnapshot& aSnapshot,
-                                 CallerRequest aAuthenticated)
+CallerRequest ParseCallerRequest(const RawRequest& aRaw, const RoutingSnapshot& aSnapshot)
 {
-  CallerRequest request = std::move(aAuthenticated);
+  CallerRequest request;
   request.mMethod = aRaw.mMethod;
   request.mTarget = aRaw.mTarget;
   request.mContentType = aRaw.mContentType;
--- a/apps/samphiresail/entry/callerrequest.hpp
+++ b/apps/samphiresail/entry/callerrequest.hpp
@@ -33,16 +33,6 @@
   Service,
 };
 
-/// What the time line, the log and the metrics say about a request.
-struct RequestSummary
-{
-  ids::RequestId mId;
-  ids::ClientAccountId mAccount;
-  catalogue::RequestClass mClass{ catalogue::RequestClass::Streamed };
-  ids::ModelId mModel;
-  ids::ServiceId mService;
-};
-
 /// Checked request of a caller.
 struct CallerRequest
 {
@@ -69,17 +59,14 @@
   units::Tokens mMaxOutput;
   std::chrono::milliseconds mDeadline{ 0 };
 
-  RequestSummary Summary() const { return { mId, mAccount, mClass, mModel, mService }; }
-
   /// Tokens that are charged before dispatch.
   units::Tokens Cost() const { return mPromptTokens + mMaxOutput; }
 };
 
-/// Checks a request against the snapshot and completes what the authentication has filled
-/// in. Throws ApiError for each kind of bad input.
+/// Checks a request against the snapshot. Throws ApiError for each kind of bad input. The
+/// account fields are filled in by the authentication.
 CallerRequest ParseCallerRequest(const RawRequest& aRaw,
-                                 const RoutingSnapshot& aSnapshot,
-                                 CallerRequest aAuthenticated);
+                                 const RoutingSnapshot& aSnapshot);
 
 }
 
--- a/apps/samphiresail/entry/endpointchoice.cpp
+++ b/apps/samphiresail/entry/endpointchoice.cpp
@@ -12,6 +12,7 @@
 #include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/loadondemand.hpp"
 #include "apps/samphiresail/entry/sharedstate.hpp"
+#include "components/routing/baselinerouters.hpp"
 #include "components/routing/poweroftworouter.hpp"
 
 namespace samphiresail::entry {
@@ -51,6 +52,18 @@
   return route;
 }
 
+routing::RouteResult Route(const EntryContext& aContext,
+                           const routing::RouteRequest& aRoute,
+                           timing::Instant aNow)
+{
+  if (aContext.mSettings.mRouter == settings::RouterPolicy::RoundRobin) {
+    static routing::RoundRobinRouter roundRobin;
+    return roundRobin.Choose(aContext.mEndpoints, aRoute, aNow, Generator());
+  }
+  return routing::PowerOfTwoRouter().Choose(
+    aContext.mEndpoints, aRoute, aNow, Generator());
+}
+
 timing::Duration WaitLimit(routing::NoRouteCause aCause)
 {
   return aCause == routing::NoRouteCause::NotResident ? timing::Duration(kLoadWait)
@@ -80,13 +93,11 @@
                                             const std::vector<ids::EndpointId>& aExcluded,
                                             timing::Instant aDeadline)
 {
-  const routing::PowerOfTwoRouter router;
   const routing::RouteRequest route = MakeRouteRequest(aContext, aRequest, aExcluded);
   const timing::Instant begin = aContext.mClock.Now();
   while (true) {
     const timing::Instant now = aContext.mClock.Now();
-    const routing::RouteResult result =
-      router.Choose(aContext.mEndpoints, route, now, Generator());
+    const routing::RouteResult result = Route(aContext, route, now);
     if (const auto* endpoint = std::get_if<routing::EndpointDescription>(&result)) {
       return *endpoint;
     }
--- a/apps/samphiresail/entry/entrycontext.hpp
+++ b/apps/samphiresail/entry/entrycontext.hpp
@@ -20,7 +20,6 @@
 namespace samphiresail::entry {
 
 class AgentLink;
-class EntryTelemetry;
 class LoadOnDemand;
 class OperationLog;
 class SharedState;
@@ -39,7 +38,6 @@
   AgentLink& mAgents;
   OperationLog& mOperations;
   LoadOnDemand& mLoads;
-  EntryTelemetry& mTelemetry;
 };
 
 }
--- a/apps/tests/admission/fairqueuetest.cpp
+++ b/apps/tests/admission/fairqueuetest.cpp
@@ -237,3 +237,14 @@
   }
   CHECK(served > 80);
 }
+
+TEST_CASE("a smaller capacity drops nothing and still reports what expired")
+{
+  FairQueue queue({ .mCapacity = 4 });
+  queue.Push(Item("x", RequestClass::Short, "a", 1s), kNow);
+  queue.Push(Item("y", RequestClass::Short, "a", 5s), kNow);
+  queue.SetCapacity(1);
+  CHECK(queue.Size() == 2);
+  CHECK(queue.Push(Item("z", RequestClass::Short, "a"), kNow) == PushResult::Full);
+  CHECK(queue.TakeDropped(kNow + 2s).size() == 1);
+}
--- a/components/admission/admissionqueue.hpp
+++ b/components/admission/admissionqueue.hpp
@@ -19,8 +19,10 @@
                                   QueueItem aItem,
                                   timing::Instant aNow,
                                   const ItemFilter& aFilter,
-                                  const ids::AttemptId& aAttempt)
+                                  const ids::AttemptId& aAttempt,
+                                  std::size_t aCapacity)
 {
+  aQueue.SetCapacity(aCapacity);
   {
     aQueue.Push(aItem, aNow)
     } -> std::same_as<PushResult>;
--- a/components/admission/fifoqueue.hpp
+++ b/components/admission/fifoqueue.hpp
@@ -20,6 +20,8 @@
   std::optional<QueueItem> Pop(timing::Instant aNow, const ItemFilter& aFilter);
   bool Remove(const ids::AttemptId& aAttempt);
   std::vector<DroppedItem> TakeDropped(timing::Instant aNow);
+  /// Changes the bound; nothing that waits is dropped.
+  void SetCapacity(std::size_t aCapacity) { mCapacity = aCapacity; }
   std::size_t Size() const { return mItems.size(); }
 
 private:
--- a/components/settings/processsettings.hpp
+++ b/components/settings/processsettings.hpp
@@ -45,6 +45,21 @@
   std::uint32_t mTimelineEvents{ 20000 };
 };
 
+/// How an entry chooses an endpoint; the others than the default are baselines to
+/// measure.
+enum class RouterPolicy
+{
+  PowerOfTwo,
+  RoundRobin,
+};
+
+/// In which order an agent serves; the others than the default are baselines to measure.
+enum class QueuePolicy
+{
+  Fair,
+  FirstInFirstOut,
+};
+
 struct EntrySettings
 {
   CommonSettings mCommon;
@@ -64,6 +79,7 @@
   std::chrono::milliseconds mGrantLife{ 2000 };
   /// Silence on a connection with work in flight after which it is opened anew.
   std::chrono::milliseconds mSilence{ 1500 };
+  RouterPolicy mRouter{ RouterPolicy::PowerOfTwo };
 };
 
 struct AgentSettings
@@ -76,6 +92,7 @@
   /// Age above which a ticket that the agent issued is refused.
   std::chrono::milliseconds mTicketLife{ 2000 };
   std::chrono::milliseconds mProgressInterval{ 400 };
+  QueuePolicy mQueue{ QueuePolicy::Fair };
 };
 
 }
--- a/components/settings/settingsloader.cpp
+++ b/components/settings/settingsloader.cpp
@@ -113,6 +113,24 @@
   return common;
 }
 
+/// Reads one of two names; the first is the default.
+template<typename Policy>
+Policy ReadPolicy(MapReader aReader,
+                  const std::string& aKey,
+                  const std::array<std::string_view, 2>& aNames)
+{
+  const std::string name = aReader.Text(aKey, std::string(aNames.at(0)));
+  const auto it = std::ranges::find(aNames, name);
+  if (it == aNames.end()) {
+    aReader.Report(aKey,
+                   "'" + aKey + "' must be " + std::string(aNames.at(0)) + " or " +
+                     std::string(aNames.at(1)));
+  }
+  aReader.Finish();
+  return it == std::next(aNames.begin()) ? static_cast<Policy>(1)
+                                         : static_cast<Policy>(0);
+}
+
 EntrySettings ReadEntry(MapReader& aReader)
 {
   EntrySettings entry;
@@ -133,6 +151,8 @@
     "grant_life_ms", { milliseconds(100), milliseconds(10000) }, entry.mGrantLife);
   entry.mSilence = aReader.Milliseconds(
     "silence_ms", { milliseconds(100), milliseconds(30000) }, entry.mSilence);
+  entry.mRouter = ReadPolicy<RouterPolicy>(
+    aReader.Map("policy", false), "router", { "power-of-two", "round-robin" });
   if (entry.mPollInterval * 2 > entry.mInTouch) {
     aReader.Report("poll_interval_ms",
                    "'poll_interval_ms' must be at most half of in_touch_ms");
@@ -153,6 +173,8 @@
     aReader.Milliseconds("progress_interval_ms",
                          { milliseconds(50), milliseconds(10000) },
                          agent.mProgressInterval);
+  agent.mQueue =
+    ReadPolicy<QueuePolicy>(aReader.Map("policy", false), "queue", { "fair", "fifo" });
   return agent;
 }
 
