--- a/apps/samphiresail/agent/agentcore.cpp
+++ b/apps/samphiresail/agent/agentcore.cpp
@@ -149,10 +149,10 @@
   const auto reason = CheckSubmit(mState, aSubmit, aNow);
   if (!reason) {
     Accept(aRoute, aSubmit, aNow);
-  } else if (MayResubmit(*reason)) {
-    SendRefuse(mState, sender, *reason, aNow);
-  } else {
+  } else if (EndsAttempt(*reason)) {
     RefuseForGood(sender, *reason, aNow);
+  } else {
+    SendRefuse(mState, sender, *reason, aNow);
   }
 }
 
--- a/apps/samphiresail/agent/agentshell.cpp
+++ b/apps/samphiresail/agent/agentshell.cpp
@@ -11,7 +11,7 @@
 #include "apps/samphiresail/agent/backendcalls.hpp"
 #include "apps/samphiresail/agent/backendcontrol.hpp"
 #include "apps/samphiresail/agent/observer.hpp"
-#include "apps/samphiresail/agent/serialworker.hpp"
+#include "components/concurrency/serialworker.hpp"
 #include "components/store/etcdstore.hpp"
 #include "components/transport/peerserver.hpp"
 
@@ -251,7 +251,7 @@
   std::optional<transport::PeerServer> mServer;
   // The threads that post input end before the control thread's actor goes.
   store::EtcdStore mStore;
-  SerialWorker mStoreWorker;
+  concurrency::SerialWorker mStoreWorker;
   BackendCalls mCalls;
   BackendControl mControl;
 };
--- a/apps/samphiresail/agent/backendcontrol.hpp
+++ b/apps/samphiresail/agent/backendcontrol.hpp
@@ -5,7 +5,7 @@
 
 #include "apps/samphiresail/agent/agentactions.hpp"
 #include "apps/samphiresail/agent/backendcalls.hpp"
-#include "apps/samphiresail/agent/serialworker.hpp"
+#include "components/concurrency/serialworker.hpp"
 #include "components/timing/clock.hpp"
 
 namespace samphiresail::agent {
@@ -24,8 +24,8 @@
   std::string mUrl;
   const timing::Clock& mClock;
   BackendSink mSink;
-  SerialWorker mQueries;
-  SerialWorker mOrders;
+  concurrency::SerialWorker mQueries;
+  concurrency::SerialWorker mOrders;
 };
 
 }
--- a/apps/samphiresail/agent/submitcheck.cpp
+++ b/apps/samphiresail/agent/submitcheck.cpp
@@ -37,9 +37,16 @@
   return std::nullopt;
 }
 
-bool MayResubmit(wire::RefuseReason aReason)
+bool EndsAttempt(wire::RefuseReason aReason)
 {
-  return aReason == wire::STALE_TICKET || aReason == wire::STALE_CONFIGURATION;
+  switch (aReason) {
+    case wire::STALE_TICKET:
+    case wire::STALE_CONFIGURATION:
+    case wire::WRONG_INCARNATION:
+      return false;
+    default:
+      return true;
+  }
 }
 
 }
--- a/apps/samphiresail/agent/submitcheck.hpp
+++ b/apps/samphiresail/agent/submitcheck.hpp
@@ -12,8 +12,10 @@
                                               const wire::Submit& aSubmit,
                                               timing::Instant aNow);
 
-/// True for reasons that refuse one submit rather than the attempt.
-bool MayResubmit(wire::RefuseReason aReason);
+/// True for reasons after which this agent must never run the attempt. A stale submit may
+/// come again with a fresh ticket, and of an attempt that was meant for an earlier
+/// incarnation nobody here knows whether it ran.
+bool EndsAttempt(wire::RefuseReason aReason);
 
 }
 
--- a/apps/samphiresail/entry/attemptrun.cpp
+++ b/apps/samphiresail/entry/attemptrun.cpp
@@ -138,7 +138,9 @@
                   mAcknowledged = true;
                   mSilences = 0;
                   if (aChunk.sequence() >= mChunksHeld) {
-                    mEarlyChunks[aChunk.sequence()] = std::move(*aChunk.mutable_data());
+                    mEarlyChunks[aChunk.sequence()] = { std::move(*aChunk.mutable_data()),
+                                                        static_cast<int>(
+                                                          aChunk.http_status()) };
                   }
                   return std::nullopt;
                 },
@@ -160,7 +162,7 @@
 {
   const auto it = mEarlyChunks.find(mChunksHeld);
   if (it != mEarlyChunks.end()) {
-    AttemptChunk chunk{ std::move(it->second) };
+    AttemptChunk chunk = std::move(it->second);
     mEarlyChunks.erase(it);
     ++mChunksHeld;
     return chunk;
--- a/apps/samphiresail/entry/attemptrun.hpp
+++ b/apps/samphiresail/entry/attemptrun.hpp
@@ -20,6 +20,8 @@
 struct AttemptChunk
 {
   std::string mData;
+  /// Status of the back end's answer; stated with the first chunk, otherwise 0.
+  int mHttpStatus{ 0 };
 };
 
 /// The attempt has not run and will not run at its endpoint.
@@ -100,7 +102,7 @@
   bool mAcknowledged{ false };
   timing::Instant mHeardAt;
   std::uint64_t mChunksHeld{ 0 };
-  std::map<std::uint64_t, std::string> mEarlyChunks;
+  std::map<std::uint64_t, AttemptChunk> mEarlyChunks;
   std::optional<wire::Complete> mComplete;
   bool mFinished{ false };
 };
--- a/apps/samphiresail/entry/callerrequest.cpp
+++ b/apps/samphiresail/entry/callerrequest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -231,9 +232,11 @@
 
 }
 
-CallerRequest ParseCallerRequest(const RawRequest& aRaw, const RoutingSnapshot& aSnapshot)
+CallerRequest ParseCallerRequest(const RawRequest& aRaw,
+                                 const RoutingSnapshot& aSnapshot,
+                                 CallerRequest aAuthenticated)
 {
-  CallerRequest request;
+  CallerRequest request = std::move(aAuthenticated);
   request.mMethod = aRaw.mMethod;
   request.mTarget = aRaw.mTarget;
   request.mContentType = aRaw.mContentType;
--- a/apps/samphiresail/entry/callerrequest.hpp
+++ b/apps/samphiresail/entry/callerrequest.hpp
@@ -33,6 +33,16 @@
   Service,
 };
 
+/// What the time line, the log and the metrics say about a request.
+struct RequestSummary
+{
+  ids::RequestId mId;
+  ids::ClientAccountId mAccount;
+  catalogue::RequestClass mClass{ catalogue::RequestClass::Streamed };
+  ids::ModelId mModel;
+  ids::ServiceId mService;
+};
+
 /// Checked request of a caller.
 struct CallerRequest
 {
@@ -59,14 +69,17 @@
   units::Tokens mMaxOutput;
   std::chrono::milliseconds mDeadline{ 0 };
 
+  RequestSummary Summary() const { return { mId, mAccount, mClass, mModel, mService }; }
+
   /// Tokens that are charged before dispatch.
   units::Tokens Cost() const { return mPromptTokens + mMaxOutput; }
 };
 
-/// Checks a request against the snapshot. Throws ApiError for each kind of bad input. The
-/// account fields are filled in by the authentication.
+/// Checks a request against the snapshot and completes what the authentication has filled
+/// in. Throws ApiError for each kind of bad input.
 CallerRequest ParseCallerRequest(const RawRequest& aRaw,
-                                 const RoutingSnapshot& aSnapshot);
+                                 const RoutingSnapshot& aSnapshot,
+                                 CallerRequest aAuthenticated);
 
 }
 
--- a/apps/samphiresail/entry/entrycontext.hpp
+++ b/apps/samphiresail/entry/entrycontext.hpp
@@ -20,6 +20,7 @@
 namespace samphiresail::entry {
 
 class AgentLink;
+class EntryTelemetry;
 class LoadOnDemand;
 class OperationLog;
 class SharedState;
@@ -38,6 +39,7 @@
   AgentLink& mAgents;
   OperationLog& mOperations;
   LoadOnDemand& mLoads;
+  EntryTelemetry& mTelemetry;
 };
 
 }
--- a/apps/samphiresail/entry/exchange.cpp
+++ b/apps/samphiresail/entry/exchange.cpp
@@ -8,6 +8,7 @@
 #include "apps/samphiresail/entry/apierror.hpp"
 #include "apps/samphiresail/entry/authentication.hpp"
 #include "apps/samphiresail/entry/endpointchoice.hpp"
+#include "apps/samphiresail/entry/entrytelemetry.hpp"
 #include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/refusals.hpp"
 #include "apps/samphiresail/entry/sharedstate.hpp"
@@ -20,6 +21,9 @@
 
 /// Time for which an endpoint that could not be reached gets no new work from this entry.
 constexpr std::chrono::seconds kUnreachablePause{ 2 };
+constexpr int kStatusOk = 200;
+/// A call that may run again is tried elsewhere if the back end answers from here on.
+constexpr int kFirstServerError = 500;
 
 std::mt19937_64& Generator()
 {
@@ -60,7 +64,8 @@
 std::optional<std::string> Exchange::NextPart()
 {
   while (true) {
-    if (!mAnswer.mBody.empty()) {
+    // The answer of a back end that failed is held back, since another may still answer.
+    if (!mAnswer.mBody.empty() && mAnswer.mStatus < kFirstServerError) {
       return std::exchange(mAnswer.mBody, {});
     }
     if (mComplete) {
@@ -77,9 +82,7 @@
   }
   AttemptStep step = mRun->Next();
   if (auto* chunk = std::get_if<AttemptChunk>(&step)) {
-    mMayHaveRun = true;
-    CheckWhileWaiting();
-    mAnswer.mBody += mRequest.mStream ? mTranscript.Append(chunk->mData) : chunk->mData;
+    OnChunk(std::move(*chunk));
     return true;
   }
   if (std::holds_alternative<AttemptWaiting>(step)) {
@@ -98,18 +101,30 @@
   return false;
 }
 
+void Exchange::OnChunk(AttemptChunk aChunk)
+{
+  mMayHaveRun = true;
+  CheckWhileWaiting();
+  if (aChunk.mHttpStatus != 0) {
+    mAnswer.mStatus = aChunk.mHttpStatus;
+  }
+  const bool isStream = mRequest.mStream && mAnswer.mStatus == kStatusOk;
+  mAnswer.mBody += isStream ? mTranscript.Append(aChunk.mData) : aChunk.mData;
+}
+
 void Exchange::StartAttempt()
 {
   const SnapshotPointer snapshot = CheckDispatch(mContext, mRequest);
   routing::EndpointDescription endpoint =
     ChooseEndpoint(mContext, mRequest, mExcluded, mDeadline);
-  wire::Submit submit =
-    BuildSubmit(mRequest, ids::AttemptId(MakeIdentifier("att-")), snapshot->Version());
+  const ids::AttemptId attempt(MakeIdentifier("att-"));
+  wire::Submit submit = BuildSubmit(mRequest, attempt, snapshot->Version());
   if (mRequest.mStream && !mTranscript.Text().empty()) {
     mTranscript.BeginContinuation();
     submit.set_resume_text(mTranscript.Text());
     submit.set_resume_tokens(static_cast<std::uint64_t>(mTranscript.Tokens().Count()));
   }
+  mContext.mTelemetry.OnAttempt(mRequest.Summary(), endpoint.mName, attempt);
   mRun = std::make_unique<AttemptRun>(
     mContext, std::move(endpoint), std::move(submit), mDeadline);
 }
@@ -125,7 +140,8 @@
 bool Exchange::OnCompleted(const wire::Complete& aComplete)
 {
   mMayHaveRun = true;
-  if (aComplete.state() != wire::COMPLETED) {
+  const auto status = static_cast<int>(aComplete.http_status());
+  if (aComplete.state() != wire::COMPLETED || status >= kFirstServerError) {
     OnBroken();
     return false;
   }
@@ -134,7 +150,7 @@
   if (used > 0) {
     mCharge.SettleUsed(units::Tokens(used));
   }
-  mAnswer.mStatus = static_cast<int>(aComplete.http_status());
+  mAnswer.mStatus = status;
   mAnswer.mContentType = aComplete.content_type();
   mComplete = true;
   mRun.reset();
@@ -144,6 +160,7 @@
 void Exchange::OnRefused(const wire::Refuse& aRefuse)
 {
   const retry::Failure failure = ClassifyRefusal(aRefuse.reason());
+  NoteFailure(wire::RefuseReason_Name(aRefuse.reason()));
   if (failure == retry::Failure::Final) {
     mRun.reset();
     FailDeadline();
@@ -154,18 +171,31 @@
   Retry(failure, std::chrono::milliseconds(aRefuse.retry_after_ms()));
 }
 
+void Exchange::NoteFailure(std::string_view aReason)
+{
+  mContext.mTelemetry.OnAttemptFailed(
+    mRequest.Summary(), mRun->Endpoint().mName, aReason);
+}
+
 void Exchange::OnNotSent()
 {
-  mContext.mEndpoints.MarkUnreachable(mRun->Endpoint().mName,
-                                      mContext.mClock.Now() + kUnreachablePause);
-  ExcludeEndpoint();
-  Retry(retry::Failure::Elsewhere, std::chrono::milliseconds(0));
+  NoteFailure("not_sent");
+  LeaveEndpoint();
 }
 
 void Exchange::OnBroken()
 {
   mMayHaveRun = true;
-  OnNotSent();
+  NoteFailure("broken");
+  LeaveEndpoint();
+}
+
+void Exchange::LeaveEndpoint()
+{
+  mContext.mEndpoints.MarkUnreachable(mRun->Endpoint().mName,
+                                      mContext.mClock.Now() + kUnreachablePause);
+  ExcludeEndpoint();
+  Retry(retry::Failure::Elsewhere, std::chrono::milliseconds(0));
 }
 
 void Exchange::ExcludeEndpoint()
@@ -181,8 +211,8 @@
     mComplete = true;
     return;
   }
-  if (!mRequest.mStream) {
-    mAnswer.mBody.clear();
+  if (!mRequest.mStream || mAnswer.mStatus != kStatusOk) {
+    mAnswer = {};
   }
   const retry::RetryDecision decision =
     retry::DecideRetry(retry::RetryLimits{}, aFailure, mHistory, Generator());
--- a/apps/samphiresail/entry/exchange.hpp
+++ b/apps/samphiresail/entry/exchange.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "apps/samphiresail/entry/admissioncharge.hpp"
@@ -31,14 +32,18 @@
   /// Throws ApiError.
   std::optional<std::string> NextPart();
 
-  const CallerRequest& Request() const { return mRequest; }
+  /// Status of the answer; known once the first part is there.
+  int Status() const { return mAnswer.mStatus; }
 
 private:
   void StartAttempt();
-  std::optional<std::string> OnChunk(AttemptChunk aChunk);
   void OnRefused(const wire::Refuse& aRefuse);
   void OnNotSent();
   void OnBroken();
+  /// Tries elsewhere and gives the endpoint a pause.
+  void LeaveEndpoint();
+  void NoteFailure(std::string_view aReason);
+  void OnChunk(AttemptChunk aChunk);
   bool OnCompleted(const wire::Complete& aComplete);
   void CheckWhileWaiting();
   void Retry(retry::Failure aFailure, std::chrono::milliseconds aRetryAfter);
--- a/apps/samphiresail/entry/httpfront.cpp
+++ b/apps/samphiresail/entry/httpfront.cpp
@@ -11,6 +11,7 @@
 
 #include "apps/samphiresail/entry/apierror.hpp"
 #include "apps/samphiresail/entry/authentication.hpp"
+#include "apps/samphiresail/entry/entrytelemetry.hpp"
 #include "apps/samphiresail/entry/exchange.hpp"
 #include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/operationrun.hpp"
@@ -20,6 +21,7 @@
 
 namespace {
 
+constexpr int kStatusOk = 200;
 constexpr char kJson[] = "application/json";
 constexpr char kEventStream[] = "text/event-stream";
 constexpr std::chrono::seconds kKeepAlive{ 15 };
@@ -87,6 +89,49 @@
   std::atomic<int>& mCount;
 };
 
+/// Reports the end of a request to the telemetry, once.
+class RequestReport
+{
+public:
+  RequestReport(EntryContext& aContext, RequestSummary aSummary)
+    : mContext(aContext)
+    , mSummary(std::move(aSummary))
+    , mBegin(aContext.mClock.Now())
+  {
+    mContext.mTelemetry.OnAdmitted(mSummary);
+  }
+
+  ~RequestReport()
+  {
+    mContext.mTelemetry.OnFinished(mSummary, mResult, mContext.mClock.Now() - mBegin);
+  }
+  RequestReport(const RequestReport&) = delete;
+  RequestReport& operator=(const RequestReport&) = delete;
+
+  const RequestSummary& Summary() const { return mSummary; }
+  void SetResult(std::string aResult) { mResult = std::move(aResult); }
+  void OnFirstPart()
+  {
+    mContext.mTelemetry.OnFirstPart(mSummary, mContext.mClock.Now() - mBegin);
+  }
+
+private:
+  EntryContext& mContext;
+  RequestSummary mSummary;
+  timing::Instant mBegin;
+  std::string mResult{ "caller_gone" };
+};
+
+/// Everything that lives as long as a streamed answer.
+struct StreamState
+{
+  std::shared_ptr<InFlight> mInFlight;
+  std::shared_ptr<RequestReport> mReport;
+  std::unique_ptr<Exchange> mExchange;
+  /// First part, which is read before the headers are written.
+  std::optional<std::string> mFirst;
+};
+
 std::unique_ptr<httplib::Server> MakeServer(const settings::TlsSettings& aTls)
 {
   if (aTls.mCertificateFile.empty()) {
@@ -257,6 +302,17 @@
     }
   }
 
+  /// Checks the key first, so that a caller without one learns nothing of the catalogue.
+  CallerRequest ReadRequest(const httplib::Request& aRequest,
+                            const RoutingSnapshot& aSnapshot) const
+  {
+    CallerRequest caller;
+    const catalogue::Service* service = aSnapshot.FindService(aRequest.path);
+    caller.mOpen = service != nullptr && service->mOpen;
+    Authenticate(mContext, aSnapshot, aRequest.get_header_value("Authorization"), caller);
+    return ParseCallerRequest(ReadRaw(aRequest), aSnapshot, std::move(caller));
+  }
+
   void Serve(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
     auto inFlight = std::make_shared<InFlight>(mInFlight);
@@ -267,56 +323,90 @@
     }
     try {
       const SnapshotPointer snapshot = RequireSnapshot();
-      CallerRequest request = ParseCallerRequest(ReadRaw(aRequest), *snapshot);
+      CallerRequest request = ReadRequest(aRequest, *snapshot);
       request.mId = ids::RequestId(id);
-      Authenticate(
-        mContext, *snapshot, aRequest.get_header_value("Authorization"), request);
-      AdmissionCharge charge(mContext, request, *snapshot);
-      if (!request.mRepeatable) {
-        OperationRun operation(mContext, std::move(request), std::move(charge));
+      ServeChecked(std::move(request), *snapshot, inFlight, aResponse);
+    } catch (const ApiError& error) {
+      WriteError(error, id, aResponse);
+    }
+  }
+
+  void ServeChecked(CallerRequest aRequest,
+                    const RoutingSnapshot& aSnapshot,
+                    const std::shared_ptr<InFlight>& aInFlight,
+                    httplib::Response& aResponse)
+  {
+    auto report = std::make_shared<RequestReport>(mContext, aRequest.Summary());
+    try {
+      AdmissionCharge charge(mContext, aRequest, aSnapshot);
+      if (!aRequest.mRepeatable) {
+        OperationRun operation(mContext, std::move(aRequest), std::move(charge));
         WriteAnswer(operation.Run(), aResponse);
+      } else if (aRequest.mStream) {
+        auto exchange =
+          std::make_unique<Exchange>(mContext, std::move(aRequest), std::move(charge));
+        Stream(std::move(exchange), aInFlight, report, aResponse);
         return;
-      }
-      const bool stream = request.mStream;
-      auto exchange =
-        std::make_shared<Exchange>(mContext, std::move(request), std::move(charge));
-      if (stream) {
-        Stream(exchange, inFlight, aResponse);
       } else {
-        WriteAnswer(exchange->RunUnary(), aResponse);
+        Exchange exchange(mContext, std::move(aRequest), std::move(charge));
+        WriteAnswer(exchange.RunUnary(), aResponse);
       }
+      report->OnFirstPart();
+      report->SetResult("answered");
     } catch (const ApiError& error) {
-      WriteError(error, id, aResponse);
+      report->SetResult(error.Name());
+      throw;
     }
   }
 
-  static void Stream(const std::shared_ptr<Exchange>& aExchange,
+  static void Stream(std::unique_ptr<Exchange> aExchange,
                      const std::shared_ptr<InFlight>& aInFlight,
+                     const std::shared_ptr<RequestReport>& aReport,
                      httplib::Response& aResponse)
   {
     // The first part decides about the status, before any header is written.
-    auto first = std::make_shared<std::optional<std::string>>(aExchange->NextPart());
+    auto first = aExchange->NextPart();
+    aReport->OnFirstPart();
+    const int status = aExchange->Status();
+    if (status != kStatusOk) {
+      WriteAnswer({ status, kJson, CollectAll(*aExchange, first) }, aResponse);
+      aReport->SetResult("answered");
+      return;
+    }
+    auto state = std::make_shared<StreamState>(
+      StreamState{ aInFlight, aReport, std::move(aExchange), std::move(first) });
     aResponse.set_header("Cache-Control", "no-cache");
     aResponse.set_chunked_content_provider(
-      kEventStream, [aExchange, aInFlight, first](std::size_t, httplib::DataSink& aSink) {
-        return WritePart(*aExchange, *first, aSink);
+      kEventStream, [state](std::size_t, httplib::DataSink& aSink) {
+        return WritePart(*state, aSink);
       });
   }
 
+  static std::string CollectAll(Exchange& aExchange,
+                                const std::optional<std::string>& aFirst)
+  {
+    std::string body = aFirst.value_or(std::string());
+    while (auto part = aExchange.NextPart()) {
+      body += *part;
+    }
+    return body;
+  }
+
   /// Writes one part of a stream; returns false if the caller has gone.
-  static bool WritePart(Exchange& aExchange,
-                        std::optional<std::string>& aFirst,
-                        httplib::DataSink& aSink)
+  static bool WritePart(StreamState& aState, httplib::DataSink& aSink)
   {
     try {
-      auto part = aFirst ? std::exchange(aFirst, std::nullopt) : aExchange.NextPart();
+      auto part = aState.mFirst ? std::exchange(aState.mFirst, std::nullopt)
+                                : aState.mExchange->NextPart();
       if (!part) {
+        aState.mReport->SetResult("answered");
         aSink.done();
         return true;
       }
       return aSink.write(part->data(), part->size());
     } catch (const ApiError& error) {
-      const std::string event = ErrorEvent(error, aExchange.Request().mId.Str());
+      const std::string event = ErrorEvent(error, aState.mReport->Summary().mId.Str());
+      aState.mReport->SetResult(error.Name());
       aSink.write(event.data(), event.size());
       aSink.done();
       return true;
--- a/apps/samphiresail/entry/operationrun.cpp
+++ b/apps/samphiresail/entry/operationrun.cpp
@@ -10,6 +10,7 @@
 #include "apps/samphiresail/entry/attemptrun.hpp"
 #include "apps/samphiresail/entry/authentication.hpp"
 #include "apps/samphiresail/entry/endpointchoice.hpp"
+#include "apps/samphiresail/entry/entrytelemetry.hpp"
 #include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/refusals.hpp"
 #include "apps/samphiresail/entry/routingsnapshot.hpp"
@@ -239,6 +240,7 @@
 
 void OperationRun::FailUnknown(const std::string& aMessage, bool aRecord)
 {
+  NoteFailure("outcome_unknown");
   if (aRecord && IsRecorded()) {
     mContext.mOperations.Write(
       mKey, mRevision, MakeRecord(wire::OperationRecord::UNKNOWN));
@@ -246,8 +248,14 @@
   throw ApiError(ApiErrorType::OutcomeUnknown, aMessage);
 }
 
+void OperationRun::NoteFailure(std::string_view aReason)
+{
+  mContext.mTelemetry.OnAttemptFailed(mRequest.Summary(), mEndpoint.mName, aReason);
+}
+
 void OperationRun::OnRefused(const wire::Refuse& aRefuse)
 {
+  NoteFailure(wire::RefuseReason_Name(aRefuse.reason()));
   const retry::Failure failure = ClassifyRefusal(aRefuse.reason());
   if (failure != retry::Failure::Stale) {
     mExcluded.push_back(mEndpoint.mName);
@@ -263,6 +271,7 @@
 
 void OperationRun::OnNotSent()
 {
+  NoteFailure("not_sent");
   mContext.mEndpoints.MarkUnreachable(mEndpoint.mName,
                                       mContext.mClock.Now() + kUnreachablePause);
   mExcluded.push_back(mEndpoint.mName);
--- a/apps/samphiresail/entry/operationrun.hpp
+++ b/apps/samphiresail/entry/operationrun.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "apps/samphiresail/entry/admissioncharge.hpp"
 #include "apps/samphiresail/entry/answer.hpp"
@@ -44,6 +45,7 @@
   [[noreturn]] void FailUnknown(const std::string& aMessage, bool aRecord);
   void OnRefused(const wire::Refuse& aRefuse);
   void OnNotSent();
+  void NoteFailure(std::string_view aReason);
   wire::OperationRecord MakeRecord(wire::OperationRecord::State aState) const;
 
   EntryContext& mContext;
--- a/apps/samphiresail/entry/routingsnapshot.cpp
+++ b/apps/samphiresail/entry/routingsnapshot.cpp
@@ -34,13 +34,14 @@
 
 }
 
-RoutingSnapshot::RoutingSnapshot(catalogue::Configuration aConfiguration,
-                                 std::vector<AgentRow> aAgents)
+RoutingSnapshot::RoutingSnapshot(
+  std::shared_ptr<const catalogue::Configuration> aConfiguration,
+  std::vector<AgentRow> aAgents)
   : mConfiguration(std::move(aConfiguration))
   , mAgents(std::move(aAgents))
 {
-  const catalogue::Catalogue& catalogue = mConfiguration.mCatalogue;
-  BuildIndex(mKeys, mConfiguration.mKeys, &catalogue::IssuedKey::mHash);
+  const catalogue::Catalogue& catalogue = mConfiguration->mCatalogue;
+  BuildIndex(mKeys, mConfiguration->mKeys, &catalogue::IssuedKey::mHash);
   BuildIndex(mAccounts, catalogue.mClientAccounts, &catalogue::ClientAccount::mName);
   BuildIndex(mModels, catalogue.mModels, &catalogue::Model::mName);
   BuildIndex(mPools, catalogue.mPools, &catalogue::EndpointPool::mName);
@@ -81,7 +82,7 @@
 const catalogue::Service* RoutingSnapshot::FindService(const std::string& aPath) const
 {
   const catalogue::Service* best = nullptr;
-  for (const catalogue::Service& service : mConfiguration.mCatalogue.mServices) {
+  for (const catalogue::Service& service : mConfiguration->mCatalogue.mServices) {
     if (IsBelowRoute(aPath, service.mRoute) &&
         (best == nullptr || service.mRoute.size() > best->mRoute.size())) {
       best = &service;
--- a/apps/samphiresail/entry/routingsnapshot.hpp
+++ b/apps/samphiresail/entry/routingsnapshot.hpp
@@ -33,10 +33,12 @@
 class RoutingSnapshot
 {
 public:
-  RoutingSnapshot(catalogue::Configuration aConfiguration, std::vector<AgentRow> aAgents);
+  /// The configuration must not be null.
+  RoutingSnapshot(std::shared_ptr<const catalogue::Configuration> aConfiguration,
+                  std::vector<AgentRow> aAgents);
 
-  units::Version Version() const { return mConfiguration.mVersion; }
-  const catalogue::Configuration& Configuration() const { return mConfiguration; }
+  units::Version Version() const { return mConfiguration->mVersion; }
+  const catalogue::Configuration& Configuration() const { return *mConfiguration; }
   const std::vector<AgentRow>& Agents() const { return mAgents; }
 
   /// Each finder returns nullptr for an unknown name.
@@ -53,7 +55,7 @@
   std::vector<const AgentRow*> ServingAgents(const ids::PoolId& aPool) const;
 
 private:
-  catalogue::Configuration mConfiguration;
+  std::shared_ptr<const catalogue::Configuration> mConfiguration;
   std::vector<AgentRow> mAgents;
   std::unordered_map<ids::KeyHash, const catalogue::IssuedKey*> mKeys;
   std::unordered_map<ids::ClientAccountId, const catalogue::ClientAccount*> mAccounts;
--- a/apps/samphiresail/agent/serialworker.cpp
+++ b/components/concurrency/serialworker.cpp
@@ -1,8 +1,8 @@
-#include "apps/samphiresail/agent/serialworker.hpp"
+#include "components/concurrency/serialworker.hpp"
 
 #include <utility>
 
-namespace samphiresail::agent {
+namespace samphiresail::concurrency {
 
 SerialWorker::SerialWorker()
   : mThread([this](const std::stop_token& aStop) { Run(aStop); })
--- a/apps/samphiresail/agent/serialworker.hpp
+++ b/components/concurrency/serialworker.hpp
@@ -1,5 +1,5 @@
-#ifndef SAMPHIRESAIL_APPS_SAMPHIRESAIL_AGENT_SERIALWORKER_HPP
-#define SAMPHIRESAIL_APPS_SAMPHIRESAIL_AGENT_SERIALWORKER_HPP
+#ifndef SAMPHIRESAIL_COMPONENTS_CONCURRENCY_SERIALWORKER_HPP
+#define SAMPHIRESAIL_COMPONENTS_CONCURRENCY_SERIALWORKER_HPP
 
 #include <condition_variable>
 #include <deque>
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <thread>
 
-namespace samphiresail::agent {
+namespace samphiresail::concurrency {
 
 /// Thread that runs tasks one after the other in the order in which they were posted.
 class SerialWorker
