--- a/apps/samphiresail/entry/exchange.cpp
+++ b/apps/samphiresail/entry/exchange.cpp
@@ -78,11 +78,11 @@
 bool Exchange::Step()
 {
   if (!mRun) {
-    StartAttempt();
+    TryStartAttempt();
   }
   AttemptStep step = mRun->Next();
-  if (auto* chunk = std::get_if<AttemptChunk>(&step)) {
-    OnChunk(std::move(*chunk));
+  if (const auto* chunk = std::get_if<AttemptChunk>(&step)) {
+    OnChunk(*chunk);
     return true;
   }
   if (std::holds_alternative<AttemptWaiting>(step)) {
@@ -101,7 +101,7 @@
   return false;
 }
 
-void Exchange::OnChunk(AttemptChunk aChunk)
+void Exchange::OnChunk(const AttemptChunk& aChunk)
 {
   mMayHaveRun = true;
   CheckWhileWaiting();
@@ -112,6 +112,19 @@
   mAnswer.mBody += isStream ? mTranscript.Append(aChunk.mData) : aChunk.mData;
 }
 
+void Exchange::TryStartAttempt()
+{
+  try {
+    StartAttempt();
+  } catch (ApiError& error) {
+    // That no further attempt can start says nothing about the earlier ones.
+    if (mMayHaveRun) {
+      error.WithOutcome(Outcome::Unknown);
+    }
+    throw;
+  }
+}
+
 void Exchange::StartAttempt()
 {
   const SnapshotPointer snapshot = CheckDispatch(mContext, mRequest);
--- a/apps/samphiresail/entry/exchange.hpp
+++ b/apps/samphiresail/entry/exchange.hpp
@@ -36,6 +36,7 @@
   int Status() const { return mAnswer.mStatus; }
 
 private:
+  void TryStartAttempt();
   void StartAttempt();
   void OnRefused(const wire::Refuse& aRefuse);
   void OnNotSent();
@@ -43,7 +44,7 @@
   /// Tries elsewhere and gives the endpoint a pause.
   void LeaveEndpoint();
   void NoteFailure(std::string_view aReason);
-  void OnChunk(AttemptChunk aChunk);
+  void OnChunk(const AttemptChunk& aChunk);
   bool OnCompleted(const wire::Complete& aComplete);
   void CheckWhileWaiting();
   void Retry(retry::Failure aFailure, std::chrono::milliseconds aRetryAfter);
--- a/apps/samphiresail/entry/operationrun.cpp
+++ b/apps/samphiresail/entry/operationrun.cpp
@@ -14,6 +14,7 @@
 #include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/refusals.hpp"
 #include "apps/samphiresail/entry/routingsnapshot.hpp"
+#include "apps/samphiresail/entry/sharedstate.hpp"
 #include "apps/samphiresail/entry/submitbuilder.hpp"
 #include "components/store/storekeys.hpp"
 
@@ -158,11 +159,14 @@
 std::optional<Answer> OperationRun::AskEarlierAgent(const wire::OperationRecord& aRecord)
 {
   while (true) {
-    const auto endpoint = mContext.mEndpoints.Find(ids::EndpointId(aRecord.endpoint()));
-    if (!endpoint || endpoint->mIncarnation.Count() != aRecord.agent_incarnation()) {
+    // Also the agent of an endpoint that takes no new work can tell what became of the
+    // call.
+    const SnapshotPointer snapshot = mContext.mState.Snapshot();
+    const AgentRow* agent = snapshot->FindAgent(ids::EndpointId(aRecord.endpoint()));
+    if (agent == nullptr || agent->mIncarnation.Count() != aRecord.agent_incarnation()) {
       FailUnknown("the agent that took the call has gone", false);
     }
-    const auto reply = AskTombstone(aRecord, endpoint->mAddress);
+    const auto reply = AskTombstone(aRecord, agent->mAddress);
     if (!reply || reply->agent_incarnation() != aRecord.agent_incarnation()) {
       FailUnknown("the agent that took the call does not answer", false);
     }
