Bound the probes of an entry by one budget

Each entry asked every agent twice a second. At 600 agents that is 1200 probes a second from each entry and 360 times as many at an agent, against a budget of 26 KB/s for a node. Ruled out: heartbeats from agents, which cost the same. All probes of an entry now share 40 a second; between them the load of an endpoint in use comes with its answers. A pool's limits are sent only to an agent whose report shows that it lacks them, not by all entries at once.

At 15 agents the interval stays 0.5 s; at 600 it becomes 15 s by arithmetic. Not measured at that size.

--- a/apps/samphiresail/entry/agentprober.cpp
+++ b/apps/samphiresail/entry/agentprober.cpp
@@ -1,6 +1,7 @@
 #include "apps/samphiresail/entry/agentprober.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -11,6 +12,12 @@
 
 namespace {
 
+/// Probes that an entry sends per second to all agents together.
+constexpr double kProbesPerSecond = 40.0;
+/// Probes that may be sent in one tick after a pause.
+constexpr double kProbeBurst = 40.0;
+constexpr std::chrono::milliseconds kShortestInterval{ 500 };
+
 template<typename Row, typename Keep>
 std::vector<Row> Filter(const std::vector<Row>& aRows, Keep aKeep)
 {
@@ -19,6 +26,14 @@
   return rows;
 }
 
+timing::Duration IntervalFor(std::size_t aAgents)
+{
+  const std::chrono::duration<double> fair(static_cast<double>(aAgents) /
+                                           kProbesPerSecond);
+  return std::max<timing::Duration>(kShortestInterval,
+                                    std::chrono::duration_cast<timing::Duration>(fair));
+}
+
 }
 
 AgentProber::AgentProber(const SharedState& aState,
@@ -30,34 +45,41 @@
 {
 }
 
-void AgentProber::FollowSnapshot(const RoutingSnapshot& aSnapshot)
+void AgentProber::FollowSnapshot(const RoutingSnapshot& aSnapshot, timing::Instant aNow)
 {
   mDocuments.clear();
-  std::vector<ids::EndpointId> known;
+  std::map<ids::EndpointId, Row> rows;
   for (const AgentRow& agent : aSnapshot.Agents()) {
-    if (!agent.mServing) {
-      continue;
+    const auto known = mRows.find(agent.mEndpoint);
+    const bool same =
+      known != mRows.end() && known->second.mIncarnation == agent.mIncarnation;
+    Row row = same ? known->second : Row{ .mDueAt = aNow };
+    row.mAddress = agent.mAddress;
+    row.mPool = agent.mPool;
+    row.mIncarnation = agent.mIncarnation;
+    rows.emplace(agent.mEndpoint, std::move(row));
+    if (agent.mServing) {
+      mEndpoints.Put({ .mName = agent.mEndpoint,
+                       .mPool = agent.mPool,
+                       .mAvailabilityZone = agent.mAvailabilityZone,
+                       .mAddress = agent.mAddress,
+                       .mIncarnation = agent.mIncarnation });
+    } else {
+      mEndpoints.Remove(agent.mEndpoint);
     }
-    known.push_back(agent.mEndpoint);
-    mEndpoints.Put({ .mName = agent.mEndpoint,
-                     .mPool = agent.mPool,
-                     .mAvailabilityZone = agent.mAvailabilityZone,
-                     .mAddress = agent.mAddress,
-                     .mIncarnation = agent.mIncarnation });
   }
-  std::ranges::sort(known);
-  for (const ids::EndpointId& name : mKnown) {
-    if (!std::ranges::binary_search(known, name)) {
+  for (const auto& [name, row] : mRows) {
+    if (!rows.contains(name)) {
       mEndpoints.Remove(name);
     }
   }
-  mKnown = std::move(known);
+  mRows = std::move(rows);
 }
 
-std::string AgentProber::PoolDocument(const RoutingSnapshot& aSnapshot,
-                                      const ids::PoolId& aPool)
+const std::string& AgentProber::PoolDocument(const RoutingSnapshot& aSnapshot,
+                                             const ids::PoolId& aPool)
 {
-  auto& document = mDocuments[aPool];
+  std::string& document = mDocuments[aPool];
   if (document.empty()) {
     const catalogue::Catalogue& whole = aSnapshot.Configuration().mCatalogue;
     catalogue::Configuration reduced;
@@ -73,7 +95,15 @@
   return document;
 }
 
-void AgentProber::Tick(timing::Instant)
+std::size_t AgentProber::TakeBudget(timing::Instant aNow)
+{
+  const std::chrono::duration<double> elapsed = aNow - mBudgetAt;
+  mBudgetAt = aNow;
+  mBudget = std::min(mBudget + elapsed.count() * kProbesPerSecond, kProbeBurst);
+  return static_cast<std::size_t>(mBudget);
+}
+
+void AgentProber::Tick(timing::Instant aNow)
 {
   const SnapshotPointer snapshot = mState.Snapshot();
   if (!snapshot) {
@@ -81,20 +111,37 @@
   }
   const std::lock_guard lock(mMutex);
   if (snapshot != mFollowed) {
-    FollowSnapshot(*snapshot);
+    FollowSnapshot(*snapshot, aNow);
     mFollowed = snapshot;
   }
-  for (const AgentRow& agent : snapshot->Agents()) {
-    wire::Envelope envelope;
-    envelope.set_configuration_version(snapshot->Version().Count());
-    wire::Probe* probe = envelope.mutable_probe();
-    probe->set_nonce(++mNonce);
-    probe->set_want_models(true);
-    if (mVersions[agent.mAddress] < snapshot->Version()) {
-      probe->set_pool_document(PoolDocument(*snapshot, agent.mPool));
+  std::vector<Row*> due;
+  for (auto& [name, row] : mRows) {
+    if (row.mDueAt <= aNow) {
+      due.push_back(&row);
     }
-    mAgents.SendTo(agent.mAddress, std::move(envelope));
   }
+  std::ranges::sort(due, {}, &Row::mDueAt);
+  due.resize(std::min(due.size(), TakeBudget(aNow)));
+  mBudget -= static_cast<double>(due.size());
+  for (Row* row : due) {
+    row->mDueAt = aNow + IntervalFor(mRows.size());
+    SendProbe(*row, *snapshot);
+  }
+}
+
+void AgentProber::SendProbe(Row& aRow, const RoutingSnapshot& aSnapshot)
+{
+  wire::Envelope envelope;
+  envelope.set_configuration_version(aSnapshot.Version().Count());
+  wire::Probe* probe = envelope.mutable_probe();
+  probe->set_nonce(++mNonce);
+  probe->set_want_models(true);
+  // All entries see a change at once; only those that find the agent behind send it.
+  if (std::exchange(aRow.mBehind, false)) {
+    probe->set_pool_document(PoolDocument(aSnapshot, aRow.mPool));
+  }
+  aRow.mProbedUnder = aSnapshot.Version();
+  mAgents.SendTo(aRow.mAddress, std::move(envelope));
 }
 
 void AgentProber::OnReport(const transport::PeerAddress& aAddress,
@@ -102,15 +149,19 @@
                            timing::Instant aNow)
 {
   const wire::LoadReport& report = aEnvelope.load_report();
-  {
-    const std::lock_guard lock(mMutex);
-    mVersions[aAddress] = units::Version(aEnvelope.configuration_version());
-  }
   mAgents.StoreTicket(aAddress, report.ticket());
   const ids::EndpointId endpoint(report.endpoint());
-  const auto known = mEndpoints.Find(endpoint);
-  if (!known || known->mIncarnation.Count() != report.incarnation()) {
-    return;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto it = mRows.find(endpoint);
+    if (it == mRows.end() || it->second.mIncarnation.Count() != report.incarnation()) {
+      return;
+    }
+    Row& row = it->second;
+    if (units::Version(aEnvelope.configuration_version()) < row.mProbedUnder) {
+      row.mBehind = true;
+      row.mDueAt = aNow;
+    }
   }
   mEndpoints.ReportLoad(endpoint, ReadLoad(report.load()), aNow);
   mEndpoints.ReportModels(endpoint, ReadModels(report), aNow);
--- a/apps/samphiresail/entry/agentprober.hpp
+++ b/apps/samphiresail/entry/agentprober.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_APPS_SAMPHIRESAIL_ENTRY_AGENTPROBER_HPP
 #define SAMPHIRESAIL_APPS_SAMPHIRESAIL_ENTRY_AGENTPROBER_HPP
 
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -16,9 +17,11 @@
 
 namespace samphiresail::entry {
 
-/// Keeps the endpoint table up to date: follows the agents of the snapshot, asks each
-/// agent for its load and models, and brings the limits of its pool to an agent that is
-/// behind.
+/// Keeps the endpoint table up to date: follows the agents of the snapshot, asks agents
+/// for load and models, and brings the limits of its pool to an agent that is behind.
+///
+/// The probes of all agents share one budget, so that their cost does not grow with the
+/// fleet. Between probes the load of an endpoint that is in use comes with its answers.
 class AgentProber
 {
 public:
@@ -26,7 +29,7 @@
               AgentLink& aAgents,
               routing::EndpointTable& aEndpoints);
 
-  /// Sends a round of probes.
+  /// Sends the probes that are due.
   void Tick(timing::Instant aNow);
 
   /// Takes an answer to a probe.
@@ -35,18 +38,34 @@
                 timing::Instant aNow);
 
 private:
-  void FollowSnapshot(const RoutingSnapshot& aSnapshot);
-  std::string PoolDocument(const RoutingSnapshot& aSnapshot, const ids::PoolId& aPool);
+  struct Row
+  {
+    transport::PeerAddress mAddress;
+    ids::PoolId mPool;
+    units::Incarnation mIncarnation;
+    timing::Instant mDueAt;
+    /// Configuration that this entry had when it sent the last probe.
+    units::Version mProbedUnder;
+    /// True if a report showed that the agent lacks the configuration of the probe.
+    bool mBehind{ false };
+  };
+
+  void FollowSnapshot(const RoutingSnapshot& aSnapshot, timing::Instant aNow);
+  void SendProbe(Row& aRow, const RoutingSnapshot& aSnapshot);
+  const std::string& PoolDocument(const RoutingSnapshot& aSnapshot,
+                                  const ids::PoolId& aPool);
+  std::size_t TakeBudget(timing::Instant aNow);
 
   const SharedState& mState;
   AgentLink& mAgents;
   routing::EndpointTable& mEndpoints;
   std::mutex mMutex;
   SnapshotPointer mFollowed;
-  std::vector<ids::EndpointId> mKnown;
-  std::map<transport::PeerAddress, units::Version> mVersions;
+  std::map<ids::EndpointId, Row> mRows;
   std::map<ids::PoolId, std::string> mDocuments;
   std::uint64_t mNonce{ 0 };
+  double mBudget{ 0 };
+  timing::Instant mBudgetAt;
 };
 
 }
--- a/apps/samphiresail/entry/entryprocess.cpp
+++ b/apps/samphiresail/entry/entryprocess.cpp
@@ -30,7 +30,7 @@
 namespace {
 
 constexpr std::chrono::seconds kVmListInterval{ 2 };
-constexpr std::chrono::milliseconds kProbeInterval{ 500 };
+constexpr std::chrono::milliseconds kProbeTick{ 50 };
 /// Longest wait for another entry to take over the shares of a stopping one.
 constexpr std::chrono::seconds kHandOverTimeout{ 5 };
 constexpr std::chrono::seconds kLeaveTimeout{ 8 };
@@ -262,7 +262,7 @@
     while (!aStop.stop_requested()) {
       mProber.Tick(mClock.Now());
       std::unique_lock lock(mutex);
-      wake.wait_for(lock, aStop, kProbeInterval, [] { return false; });
+      wake.wait_for(lock, aStop, kProbeTick, [] { return false; });
     }
   }
 
