Place models from the entry's control thread

The placement system was not driven by any process: models stayed where they were, and a request for a model that no endpoint held waited in vain. The control thread now ticks it, takes load permits for it, sends its orders and hands it the agents' reports. The entry probes an agent soon after an order, so that the model is found as soon as it is resident. Two faults at the end of an entry, found by tests with real processes, are mended: the worker of the store calls ended before the actor that uses it, and the transport's pointers were emptied while its threads still used them.

--- a/apps/samphiresail/entry/agentprober.cpp
+++ b/apps/samphiresail/entry/agentprober.cpp
@@ -17,6 +17,8 @@
 /// Probes that may be sent in one tick after a pause.
 constexpr double kProbeBurst = 40.0;
 constexpr std::chrono::milliseconds kShortestInterval{ 500 };
+/// Interval of the probes of an agent that loads a model.
+constexpr std::chrono::milliseconds kLoadingInterval{ 200 };
 
 template<typename Row, typename Keep>
 std::vector<Row> Filter(const std::vector<Row>& aRows, Keep aKeep)
@@ -129,6 +131,16 @@
   }
 }
 
+void AgentProber::ProbeSoon(const transport::PeerAddress& aAddress, timing::Instant aNow)
+{
+  const std::lock_guard lock(mMutex);
+  for (auto& [name, row] : mRows) {
+    if (row.mAddress == aAddress) {
+      row.mDueAt = std::min(row.mDueAt, aNow + kLoadingInterval);
+    }
+  }
+}
+
 void AgentProber::SendProbe(Row& aRow, const RoutingSnapshot& aSnapshot)
 {
   wire::Envelope envelope;
@@ -162,6 +174,9 @@
       row.mBehind = true;
       row.mDueAt = aNow;
     }
+    if (std::ranges::any_of(report.models(), &wire::ModelState::loading)) {
+      row.mDueAt = std::min(row.mDueAt, aNow + kLoadingInterval);
+    }
   }
   mEndpoints.ReportLoad(endpoint, ReadLoad(report.load()), aNow);
   mEndpoints.ReportModels(endpoint, ReadModels(report), aNow);
--- a/apps/samphiresail/entry/agentprober.hpp
+++ b/apps/samphiresail/entry/agentprober.hpp
@@ -32,6 +32,9 @@
   /// Sends the probes that are due.
   void Tick(timing::Instant aNow);
 
+  /// Has the agent probed soon, because it got an order.
+  void ProbeSoon(const transport::PeerAddress& aAddress, timing::Instant aNow);
+
   /// Takes an answer to a probe.
   void OnReport(const transport::PeerAddress& aAddress,
                 const wire::Envelope& aEnvelope,
--- a/apps/samphiresail/entry/control/controlthread.cpp
+++ b/apps/samphiresail/entry/control/controlthread.cpp
@@ -7,6 +7,7 @@
 #include <caf/all.hpp>
 
 #include "apps/samphiresail/entry/control/entrycore.hpp"
+#include "apps/samphiresail/entry/placement/placementsystem.hpp"
 #include "components/concurrency/serialworker.hpp"
 
 namespace samphiresail::entry {
@@ -17,8 +18,22 @@
   wire::Envelope mEnvelope;
 };
 
+/// Report of an agent, or its answer to a placement order.
+struct AgentArrived
+{
+  wire::Envelope mEnvelope;
+};
+
+/// Which part of the control state a call of the store belongs to.
+enum class StoreCaller
+{
+  Core,
+  Placement,
+};
+
 struct StoreAnswered
 {
+  StoreCaller mCaller{ StoreCaller::Core };
   std::uint64_t mId{ 0 };
   store::StoreReply mReply;
 };
@@ -44,6 +59,7 @@
 struct ControlInput
 {
   std::variant<PeerArrived,
+               AgentArrived,
                StoreAnswered,
                VmsListed,
                TickDue,
@@ -81,6 +97,8 @@
        ControlPorts aPorts)
     : mClock(aClock)
     , mPorts(std::move(aPorts))
+    , mPlacement(aSettings.mSelf.mName.Str() + "-" +
+                 std::to_string(aSettings.mSelf.mIncarnation.Count()))
     , mCore(std::move(aSettings), aPool)
     , mSystem(ConfigureActors(mActorConfig))
     , mActor(mSystem.spawn<caf::detached>(
@@ -90,9 +108,10 @@
 
   ~Loop()
   {
-    mStore.reset();
     caf::anon_send_exit(mActor, caf::exit_reason::user_shutdown);
     mSystem.await_all_actors_done();
+    // The actor hands calls to the worker until its end.
+    mStore.reset();
   }
 
   template<typename Item>
@@ -119,11 +138,8 @@
       if (std::holds_alternative<TickDue>(aInput.mItem)) {
         aSelf->delayed_send(aSelf, kTickInterval, ControlInput{ TickDue{} });
       }
-      Actions actions =
-        std::visit([this](auto& aItem) { return Handle(aItem); }, aInput.mItem);
-      for (Action& action : actions) {
-        std::visit([this](auto& aItem) { Perform(aItem); }, action);
-      }
+      PerformAll(std::visit([this](auto& aItem) { return Handle(aItem); }, aInput.mItem));
+      PerformAll(mPlacement.Take());
     } };
   }
 
@@ -131,40 +147,105 @@
   {
     return mCore.OnPeer(aItem.mRoute, aItem.mEnvelope, mClock.Now());
   }
+  Actions Handle(const AgentArrived& aItem)
+  {
+    if (aItem.mEnvelope.has_load_report()) {
+      mPlacement.OnReport(aItem.mEnvelope.load_report(), mClock.Now());
+    } else if (aItem.mEnvelope.has_placement_reply()) {
+      mPlacement.OnPlacementReply(aItem.mEnvelope.placement_reply(), mClock.Now());
+    }
+    return {};
+  }
   Actions Handle(const StoreAnswered& aItem)
   {
+    if (aItem.mCaller == StoreCaller::Placement) {
+      mPlacement.OnStoreReply(aItem.mId, aItem.mReply);
+      return {};
+    }
     return mCore.OnStoreReply(aItem.mId, aItem.mReply, mClock.Now());
   }
   Actions Handle(const VmsListed& aItem)
   {
     return mCore.OnVms(aItem.mList, mClock.Now());
   }
-  Actions Handle(const TickDue&) { return mCore.Tick(mClock.Now()); }
+  Actions Handle(const TickDue&)
+  {
+    const timing::Instant now = mClock.Now();
+    const ControlState& state = mCore.State();
+    mPlacement.Tick(mSnapshot, state.InTouch(now) && state.IsPlanner(now), now);
+    mPlacement.OnWanted(mPorts.mWanted(), now);
+    return mCore.Tick(now);
+  }
   Actions Handle(const CreditWanted&) { return mCore.OnDemand(mClock.Now()); }
   Actions Handle(const HandOverRequested&) { return mCore.BeginStop(mClock.Now()); }
   Actions Handle(const LeaveRequested&) { return mCore.Leave(mClock.Now()); }
 
+  template<typename Items>
+  void PerformAll(Items aItems)
+  {
+    for (auto& action : aItems) {
+      std::visit([this](auto& aItem) { Perform(aItem); }, action);
+    }
+  }
+
+  void CallStore(StoreCaller aCaller, std::uint64_t aId, store::StoreRequest aRequest)
+  {
+    mStore->Post([this, aCaller, aId, request = std::move(aRequest)] {
+      Post(StoreAnswered{ aCaller, aId, mPorts.mExecute(request) });
+    });
+  }
+
   void Perform(SendToPeer& aItem) { mPorts.mSend(std::move(aItem)); }
   void Perform(ReplyToPeer& aItem) { mPorts.mReply(std::move(aItem)); }
   void Perform(StoreCall& aItem)
   {
-    mStore->Post([this, call = std::move(aItem)] {
-      Post(StoreAnswered{ call.mId, mPorts.mExecute(call.mRequest) });
-    });
+    CallStore(StoreCaller::Core, aItem.mId, std::move(aItem.mRequest));
+  }
+  void Perform(PlacementStoreCall& aItem)
+  {
+    CallStore(StoreCaller::Placement, aItem.mId, std::move(aItem.mRequest));
+  }
+  void Perform(const AskPermit& aItem)
+  {
+    PerformAll(mCore.RequestPermit(aItem.mId, mClock.Now()));
+  }
+  void Perform(const GiveBackPermit& aItem)
+  {
+    PerformAll(mCore.ReleasePermit(aItem.mPermit, mClock.Now()));
+  }
+  void Perform(SendOrder& aItem)
+  {
+    SendToPeer message{ .mAddress = aItem.mAddress };
+    *message.mEnvelope.mutable_placement() = std::move(aItem.mPlacement);
+    mPorts.mSend(std::move(message));
+  }
+  void Perform(const NotePlacement& aItem)
+  {
+    mPorts.mNote(
+      { .mKind = aItem.mKind, .mDetail = aItem.mEndpoint + " " + aItem.mDetail });
+  }
+  void Perform(const PublishSnapshot& aItem)
+  {
+    mSnapshot = aItem.mSnapshot;
+    mPorts.mPublish(aItem.mSnapshot);
   }
-  void Perform(const PublishSnapshot& aItem) { mPorts.mPublish(aItem.mSnapshot); }
   void Perform(const PublishEvidence& aItem) { mPorts.mEvidence(aItem.mSince); }
   /// The traffic threads look up the key of each running answer in the published
   /// snapshot.
   void Perform(const WithdrawKeys&) {}
-  void Perform(const AnswerPermit&) {}
+  void Perform(const AnswerPermit& aItem)
+  {
+    mPlacement.OnPermit(aItem.mId, aItem.mAnswer, mClock.Now());
+  }
   void Perform(const HandOverDone&) { mHandedOver.set_value(); }
   void Perform(const LeaveDone&) { mLeft.set_value(); }
   void Perform(const NoteEvent& aItem) { mPorts.mNote(aItem); }
 
   const timing::Clock& mClock;
   ControlPorts mPorts;
+  PlacementSystem mPlacement;
   EntryCore mCore;
+  std::shared_ptr<const ControlSnapshot> mSnapshot;
   std::promise<void> mHandedOver;
   std::promise<void> mLeft;
   std::unique_ptr<concurrency::SerialWorker> mStore{
@@ -195,6 +276,11 @@
   mLoop->Post(CreditWanted{});
 }
 
+void ControlThread::OnAgent(wire::Envelope aEnvelope)
+{
+  mLoop->Post(AgentArrived{ std::move(aEnvelope) });
+}
+
 void ControlThread::OnVms(std::vector<membership::ListedVm> aList)
 {
   mLoop->Post(VmsListed{ std::move(aList) });
--- a/apps/samphiresail/entry/control/controlthread.hpp
+++ b/apps/samphiresail/entry/control/controlthread.hpp
@@ -27,6 +27,8 @@
   std::function<store::StoreReply(const store::StoreRequest&)> mExecute;
   std::function<void(std::shared_ptr<const ControlSnapshot>)> mPublish;
   std::function<void(timing::Instant)> mEvidence;
+  /// Models that requests wait for since the last call.
+  std::function<std::vector<ids::ModelId>()> mWanted;
   std::function<void(const NoteEvent&)> mNote;
 };
 
@@ -43,6 +45,8 @@
   /// The functions below may be called from any thread; they only queue the input.
   void OnPeer(std::string aRoute, wire::Envelope aEnvelope);
   void OnDemand();
+  /// Takes an agent's report or its answer to a placement order.
+  void OnAgent(wire::Envelope aEnvelope);
   void OnVms(std::vector<membership::ListedVm> aList);
 
   /// Hands the shares over and waits until that is done, or for the timeout.
--- a/apps/samphiresail/entry/entryprocess.cpp
+++ b/apps/samphiresail/entry/entryprocess.cpp
@@ -117,8 +117,8 @@
     mProbes.join();
     // The transport threads take the mutex, so they must not be waited for under it.
     TakeControl().reset();
-    mServer.reset();
-    mClient.reset();
+    // The threads of the transport send through mServer and mClient until they are
+    // joined, so that these pointers must not be emptied here.
   }
 
   void Stop()
@@ -161,7 +161,12 @@
   {
     ControlPorts ports{
       .mSend =
-        [this](SendToPeer aItem) { SendTo(aItem.mAddress, std::move(aItem.mEnvelope)); },
+        [this](SendToPeer aItem) {
+          if (aItem.mEnvelope.has_placement()) {
+            mProber.ProbeSoon(aItem.mAddress, mClock.Now());
+          }
+          SendTo(aItem.mAddress, std::move(aItem.mEnvelope));
+        },
       .mReply =
         [this](ReplyToPeer aItem) { Reply(aItem.mRoute, std::move(aItem.mEnvelope)); },
       .mExecute =
@@ -170,6 +175,7 @@
         },
       .mPublish = [this](const auto& aSnapshot) { Publish(*aSnapshot); },
       .mEvidence = [this](timing::Instant aSince) { mState.SetEvidence(aSince); },
+      .mWanted = [this] { return mLoads.Take(); },
       .mNote =
         [this](const NoteEvent& aEvent) {
           mTelemetry.Timeline().Record(aEvent.mKind, { .mDetail = aEvent.mDetail });
@@ -212,9 +218,16 @@
     }
     if (aEnvelope.has_load_report()) {
       mProber.OnReport(aAddress, aEnvelope, mClock.Now());
+    }
+    const std::lock_guard lock(mControlMutex);
+    if (!mControl) {
       return;
     }
-    ToControl({}, std::move(aEnvelope));
+    if (aEnvelope.has_load_report() || aEnvelope.has_placement_reply()) {
+      mControl->OnAgent(std::move(aEnvelope));
+    } else {
+      mControl->OnPeer({}, std::move(aEnvelope));
+    }
   }
 
   /// Takes a message on a connection that another process opened.
