--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "apps/load/capacity/capacitycommand.hpp"
 #include "apps/load/drive/drivecommand.hpp"
 #include "apps/load/trials/trialcommands.hpp"
 
@@ -12,6 +13,7 @@
   std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   CLI::App app("Load generator and experiments");
   app.require_subcommand(1);
+  samphiresail::load::AddCapacityCommand(app);
   samphiresail::load::AddDriveCommand(app);
   samphiresail::load::AddTrialCommands(app);
   try {
