--- a/apps/samphiresail/agent/agentcore.cpp
+++ b/apps/samphiresail/agent/agentcore.cpp
@@ -20,6 +20,8 @@
 
 /// Time for which a planned stop waits for receipts of answers that are already sent.
 constexpr std::chrono::seconds kReceiptWait{ 3 };
+/// Time for which a planned stop tries to take its record out of the store.
+constexpr std::chrono::seconds kWithdrawWait{ 5 };
 
 template<typename Message>
 AttemptSender SenderOf(const Route& aRoute, const Message& aMessage)
@@ -400,11 +402,12 @@
   const auto waited = aNow - *mState.mLeavingSince;
   const auto& attempts = mState.mAttempts;
   const bool confirmed = attempts.UnconfirmedCount() == 0 || waited >= kReceiptWait;
+  // With the store down the record stays; the platform's list says that the VM leaves.
+  const bool withdrawn = mRegistration.IsWithdrawn() || waited >= kWithdrawWait;
 #ifndef SAMPHIRESAIL_MUTANT_AGENT_DRAIN
-  const bool drained =
-    attempts.OpenCount() == 0 && mRegistration.IsWithdrawn() && confirmed;
+  const bool drained = attempts.OpenCount() == 0 && withdrawn && confirmed;
 #else
-  const bool drained = mRegistration.IsWithdrawn();
+  const bool drained = withdrawn;
 #endif
   if (drained || waited >= mState.mConfig.mStopTimeout) {
     mExited = true;
--- a/apps/tests/agent/endpointtest.cpp
+++ b/apps/tests/agent/endpointtest.cpp
@@ -194,3 +194,15 @@
   world.Run(10s);
   CHECK(world.Exited());
 }
+
+TEST_CASE("graceful-stop: a stop ends in time while the store is down", "[must-hold]")
+{
+  AgentWorld world(MakeOptions(1));
+  world.Run(1s);
+  world.Store().SetDown(true);
+  world.Leave();
+  world.Run(1s);
+  CHECK_FALSE(world.Exited());
+  world.Run(6s);
+  CHECK(world.Exited());
+}
