Count a keeper as holder only by a report newer than its record

Cause: a planner that made a holder a keeper and dropped another in one step, or on an old report, could leave a model without a copy: the new keeper may have decided to evict it before the record changed. Ruled out: asking the agent whether it knows that it keeps the model (it learns the record only when it evicts).

--- a/apps/samphiresail/entry/placement/fleetreports.cpp
+++ b/apps/samphiresail/entry/placement/fleetreports.cpp
@@ -33,7 +33,9 @@
 
 }
 
-void FleetReports::OnReport(const wire::LoadReport& aReport, timing::Instant aNow)
+void FleetReports::OnReport(const wire::LoadReport& aReport,
+                            timing::Instant aAskedAt,
+                            timing::Instant aNow)
 {
   Report& report = mReports[ids::EndpointId(aReport.endpoint())];
   const units::Incarnation incarnation(aReport.incarnation());
@@ -42,6 +44,7 @@
   }
   Smooth(report, aReport, aNow - report.mArrivedAt);
   report.mRow = ReadRow(aReport);
+  report.mRow.mAskedAt = aAskedAt;
   report.mReserved =
     units::Bytes(static_cast<std::int64_t>(aReport.memory_reserved_bytes()));
   report.mArrivedAt = aNow;
--- a/apps/samphiresail/entry/placement/fleetreports.hpp
+++ b/apps/samphiresail/entry/placement/fleetreports.hpp
@@ -19,7 +19,10 @@
 class FleetReports
 {
 public:
-  void OnReport(const wire::LoadReport& aReport, timing::Instant aNow);
+  /// aAskedAt is when the question was sent that the report answers.
+  void OnReport(const wire::LoadReport& aReport,
+                timing::Instant aAskedAt,
+                timing::Instant aNow);
 
   /// Forgets agents that are not registered any more.
   void KeepOnly(const std::vector<AgentInfo>& aAgents);
--- a/apps/samphiresail/entry/placement/placementsystem.cpp
+++ b/apps/samphiresail/entry/placement/placementsystem.cpp
@@ -56,9 +56,11 @@
   }
 }
 
-void PlacementSystem::OnReport(const wire::LoadReport& aReport, timing::Instant aNow)
+void PlacementSystem::OnReport(const wire::LoadReport& aReport,
+                               timing::Instant aAskedAt,
+                               timing::Instant aNow)
 {
-  mReports.OnReport(aReport, aNow);
+  mReports.OnReport(aReport, aAskedAt, aNow);
 }
 
 void PlacementSystem::OnStoreReply(std::uint64_t aId, const store::StoreReply& aReply)
--- a/apps/samphiresail/entry/placement/placementsystem.hpp
+++ b/apps/samphiresail/entry/placement/placementsystem.hpp
@@ -33,7 +33,10 @@
             bool aIsPlanner,
             timing::Instant aNow);
 
-  void OnReport(const wire::LoadReport& aReport, timing::Instant aNow);
+  /// aAskedAt is when the question was sent that the report answers.
+  void OnReport(const wire::LoadReport& aReport,
+                timing::Instant aAskedAt,
+                timing::Instant aNow);
   void OnStoreReply(std::uint64_t aId, const store::StoreReply& aReply);
   void OnPermit(std::uint64_t aId,
                 const limits::PermitAnswer& aAnswer,
--- a/components/placement/keeperplanner.cpp
+++ b/components/placement/keeperplanner.cpp
@@ -11,12 +11,15 @@
 /// An agent that restarts is back within this time, and its engine kept the models.
 constexpr std::chrono::seconds kAbsenceGrace{ 15 };
 
+using KeptSince = std::map<ids::ModelId, std::map<ids::EndpointId, timing::Instant>>;
+
 /// One round of choices over a table of keepers.
 class Choice
 {
 public:
-  explicit Choice(const PlacementView& aView)
+  Choice(const PlacementView& aView, const KeptSince& aKeptSince)
     : mView(aView)
+    , mKeptSince(aKeptSince)
     , mKeepers(Valid(aView))
     , mMemory(aView, mKeepers)
   {
@@ -220,11 +223,28 @@
     }
   }
 
+  /// True if the keeper serves and is certain to hold the model for good.
   bool Holds(const ids::EndpointId& aName, const catalogue::Model& aModel) const
   {
     const EndpointRow* endpoint = mView.FindEndpoint(aName);
     return endpoint != nullptr && endpoint->mServing &&
-           endpoint->mResident.contains(aModel.mName);
+           endpoint->mResident.contains(aModel.mName) &&
+           WasKeptBefore(aName, aModel.mName, endpoint->mAskedAt);
+  }
+
+  bool WasKeptBefore(const ids::EndpointId& aName,
+                     const ids::ModelId& aModel,
+                     timing::Instant aInstant) const
+  {
+#ifdef SAMPHIRESAIL_MUTANT_KEEPER_EVIDENCE
+    return true;
+#endif
+    const auto model = mKeptSince.find(aModel);
+    if (model == mKeptSince.end()) {
+      return false;
+    }
+    const auto since = model->second.find(aName);
+    return since != model->second.end() && since->second < aInstant;
   }
 
   /// Returns a keeper that can go without leaving fewer holders than wanted.
@@ -256,6 +276,7 @@
   }
 
   const PlacementView& mView;
+  const KeptSince& mKeptSince;
   KeeperTable mKeepers;
   KeptMemory mMemory;
 };
@@ -265,7 +286,8 @@
 KeeperChoice KeeperPlanner::Choose(const PlacementView& aView, timing::Instant aNow)
 {
   NoteAbsence(aView, aNow);
-  Choice choice(aView);
+  NoteKept(aView, aNow);
+  Choice choice(aView, mKeptSince);
   const auto serves = [&](const ids::EndpointId& aName) { return choice.Serves(aName); };
   const auto servesSoon = [&](const ids::EndpointId& aName) {
     return choice.Serves(aName) || IsAbsentBriefly(aName, aNow);
@@ -304,6 +326,23 @@
   mAbsentSince = std::move(absent);
 }
 
+void KeeperPlanner::NoteKept(const PlacementView& aView, timing::Instant aNow)
+{
+  KeptSince kept;
+  for (const auto& [model, endpoints] : aView.mKeepers) {
+    const auto before = mKeptSince.find(model);
+    for (const ids::EndpointId& endpoint : endpoints) {
+      timing::Instant& since = kept[model][endpoint];
+      since = aNow;
+      if (before != mKeptSince.end()) {
+        const auto it = before->second.find(endpoint);
+        since = it == before->second.end() ? aNow : it->second;
+      }
+    }
+  }
+  mKeptSince = std::move(kept);
+}
+
 bool KeeperPlanner::IsAbsentBriefly(const ids::EndpointId& aEndpoint,
                                     timing::Instant aNow) const
 {
--- a/components/placement/placementview.hpp
+++ b/components/placement/placementview.hpp
@@ -8,6 +8,7 @@
 
 #include "components/catalogue/catalogue.hpp"
 #include "components/ids/ids.hpp"
+#include "components/timing/clock.hpp"
 #include "components/units/quantity.hpp"
 
 namespace samphiresail::placement {
@@ -27,6 +28,8 @@
   bool mServing{ true };
   std::set<ids::ModelId> mResident;
   std::set<ids::ModelId> mLoading;
+  /// The report answers a question that was sent at this instant or later.
+  timing::Instant mAskedAt;
 };
 
 /// Everything a planner decides on.
