Tell the planner when each report was asked for

Cause: a keeper counts as holder only by a report newer than its record. Change: the prober remembers its last probe to each agent and hands the time on; reports count as silent after 20 s, since probes grow rarer with the fleet.

--- a/apps/samphiresail/entry/agentprober.cpp
+++ b/apps/samphiresail/entry/agentprober.cpp
@@ -127,7 +127,7 @@
   mBudget -= static_cast<double>(due.size());
   for (Row* row : due) {
     row->mDueAt = aNow + IntervalFor(mRows.size());
-    SendProbe(*row, *snapshot);
+    SendProbe(*row, *snapshot, aNow);
   }
 }
 
@@ -141,12 +141,16 @@
   }
 }
 
-void AgentProber::SendProbe(Row& aRow, const RoutingSnapshot& aSnapshot)
+void AgentProber::SendProbe(Row& aRow,
+                            const RoutingSnapshot& aSnapshot,
+                            timing::Instant aNow)
 {
   wire::Envelope envelope;
   envelope.set_configuration_version(aSnapshot.Version().Count());
   wire::Probe* probe = envelope.mutable_probe();
   probe->set_nonce(++mNonce);
+  aRow.mNonce = mNonce;
+  aRow.mAskedAt = aNow;
   probe->set_want_models(true);
   // All entries see a change at once; only those that find the agent behind send it.
   if (std::exchange(aRow.mBehind, false)) {
@@ -156,20 +160,24 @@
   mAgents.SendTo(aRow.mAddress, std::move(envelope));
 }
 
-void AgentProber::OnReport(const transport::PeerAddress& aAddress,
-                           const wire::Envelope& aEnvelope,
-                           timing::Instant aNow)
+timing::Instant AgentProber::OnReport(const transport::PeerAddress& aAddress,
+                                      const wire::Envelope& aEnvelope,
+                                      timing::Instant aNow)
 {
   const wire::LoadReport& report = aEnvelope.load_report();
   mAgents.StoreTicket(aAddress, report.ticket());
   const ids::EndpointId endpoint(report.endpoint());
+  timing::Instant askedAt;
   {
     const std::lock_guard lock(mMutex);
     const auto it = mRows.find(endpoint);
     if (it == mRows.end() || it->second.mIncarnation.Count() != report.incarnation()) {
-      return;
+      return askedAt;
     }
     Row& row = it->second;
+    if (row.mNonce == report.nonce()) {
+      askedAt = row.mAskedAt;
+    }
     if (units::Version(aEnvelope.configuration_version()) < row.mProbedUnder) {
       row.mBehind = true;
       row.mDueAt = aNow;
@@ -180,6 +188,7 @@
   }
   mEndpoints.ReportLoad(endpoint, ReadLoad(report.load()), aNow);
   mEndpoints.ReportModels(endpoint, ReadModels(report), aNow);
+  return askedAt;
 }
 
 }
--- a/apps/samphiresail/entry/agentprober.hpp
+++ b/apps/samphiresail/entry/agentprober.hpp
@@ -35,10 +35,11 @@
   /// Has the agent probed soon, because it got an order.
   void ProbeSoon(const transport::PeerAddress& aAddress, timing::Instant aNow);
 
-  /// Takes an answer to a probe.
-  void OnReport(const transport::PeerAddress& aAddress,
-                const wire::Envelope& aEnvelope,
-                timing::Instant aNow);
+  /// Takes an answer to a probe. Returns when the probe was sent, or the epoch if it was
+  /// not the last one to the agent.
+  timing::Instant OnReport(const transport::PeerAddress& aAddress,
+                           const wire::Envelope& aEnvelope,
+                           timing::Instant aNow);
 
 private:
   struct Row
@@ -47,6 +48,9 @@
     ids::PoolId mPool;
     units::Incarnation mIncarnation;
     timing::Instant mDueAt;
+    /// Last probe.
+    std::uint64_t mNonce{ 0 };
+    timing::Instant mAskedAt;
     /// Configuration that this entry had when it sent the last probe.
     units::Version mProbedUnder;
     /// True if a report showed that the agent lacks the configuration of the probe.
@@ -54,7 +58,7 @@
   };
 
   void FollowSnapshot(const RoutingSnapshot& aSnapshot, timing::Instant aNow);
-  void SendProbe(Row& aRow, const RoutingSnapshot& aSnapshot);
+  void SendProbe(Row& aRow, const RoutingSnapshot& aSnapshot, timing::Instant aNow);
   const std::string& PoolDocument(const RoutingSnapshot& aSnapshot,
                                   const ids::PoolId& aPool);
   std::size_t TakeBudget(timing::Instant aNow);
--- a/apps/samphiresail/entry/control/controlthread.cpp
+++ b/apps/samphiresail/entry/control/controlthread.cpp
@@ -22,6 +22,7 @@
 struct AgentArrived
 {
   wire::Envelope mEnvelope;
+  timing::Instant mAskedAt;
 };
 
 /// Which part of the control state a call of the store belongs to.
@@ -150,7 +151,7 @@
   Actions Handle(const AgentArrived& aItem)
   {
     if (aItem.mEnvelope.has_load_report()) {
-      mPlacement.OnReport(aItem.mEnvelope.load_report(), mClock.Now());
+      mPlacement.OnReport(aItem.mEnvelope.load_report(), aItem.mAskedAt, mClock.Now());
     } else if (aItem.mEnvelope.has_placement_reply()) {
       mPlacement.OnPlacementReply(aItem.mEnvelope.placement_reply(), mClock.Now());
     }
@@ -276,9 +277,9 @@
   mLoop->Post(CreditWanted{});
 }
 
-void ControlThread::OnAgent(wire::Envelope aEnvelope)
+void ControlThread::OnAgent(wire::Envelope aEnvelope, timing::Instant aAskedAt)
 {
-  mLoop->Post(AgentArrived{ std::move(aEnvelope) });
+  mLoop->Post(AgentArrived{ std::move(aEnvelope), aAskedAt });
 }
 
 void ControlThread::OnVms(std::vector<membership::ListedVm> aList)
--- a/apps/samphiresail/entry/control/controlthread.hpp
+++ b/apps/samphiresail/entry/control/controlthread.hpp
@@ -45,8 +45,9 @@
   /// The functions below may be called from any thread; they only queue the input.
   void OnPeer(std::string aRoute, wire::Envelope aEnvelope);
   void OnDemand();
-  /// Takes an agent's report or its answer to a placement order.
-  void OnAgent(wire::Envelope aEnvelope);
+  /// Takes an agent's report or its answer to a placement order. aAskedAt is when the
+  /// probe was sent that a report answers.
+  void OnAgent(wire::Envelope aEnvelope, timing::Instant aAskedAt);
   void OnVms(std::vector<membership::ListedVm> aList);
 
   /// Hands the shares over and waits until that is done, or for the timeout.
--- a/apps/samphiresail/entry/entryprocess.cpp
+++ b/apps/samphiresail/entry/entryprocess.cpp
@@ -216,15 +216,16 @@
     if (mAgents.OnEnvelope(aAddress, aEnvelope)) {
       return;
     }
+    timing::Instant askedAt;
     if (aEnvelope.has_load_report()) {
-      mProber.OnReport(aAddress, aEnvelope, mClock.Now());
+      askedAt = mProber.OnReport(aAddress, aEnvelope, mClock.Now());
     }
     const std::lock_guard lock(mControlMutex);
     if (!mControl) {
       return;
     }
     if (aEnvelope.has_load_report() || aEnvelope.has_placement_reply()) {
-      mControl->OnAgent(std::move(aEnvelope));
+      mControl->OnAgent(std::move(aEnvelope), askedAt);
     } else {
       mControl->OnPeer({}, std::move(aEnvelope));
     }
--- a/apps/samphiresail/entry/placement/fleetreports.cpp
+++ b/apps/samphiresail/entry/placement/fleetreports.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::chrono::seconds kSilence{ 5 };
+/// Longer than the interval of the probes in a large fleet; an agent that ended loses its
+/// registration sooner.
+constexpr std::chrono::seconds kSilence{ 20 };
 /// Time over which demand is smoothed.
 constexpr std::chrono::duration<double> kSmoothing{ 10 };
 
