Measure one fleet size alone, and weigh adapters below models in the load

The capacity command ran only its whole ladder of sizes, so that one line could not be repeated or changed by itself; it takes one size by options now. The load gave an adapter the demand of a model, which put two fifths of the streamed demand on a few endpoints; an adapter counts a quarter.

--- a/apps/load/capacity/capacitycommand.cpp
+++ b/apps/load/capacity/capacitycommand.cpp
@@ -17,6 +17,8 @@
   int mSeconds{ 20 };
   /// Also runs the sizes planned for, which takes longer.
   bool mFull{ false };
+  /// Runs this size alone if it has entries.
+  FleetSize mOnly{ .mEntries = 0 };
 };
 
 void Print(const FleetSize& aSize, const CapacityLine& aLine)
@@ -51,6 +53,10 @@
     "entries agents models zones requests | cpu %% mean most | messages/s mean most "
     "| bytes/s mean most | store reads/s writes/s | configuration bytes, seconds "
     "to adopt a change, longest call us\n");
+  if (aLine.mOnly.mEntries > 0) {
+    Print(aLine.mOnly, aLine);
+    return;
+  }
   constexpr FleetSize kBase{ .mEntries = 10, .mAgents = 60, .mModels = 100 };
   for (const std::size_t entries : { 3U, 10U, 30U, 60U }) {
     FleetSize size = kBase;
@@ -94,6 +100,11 @@
   const auto line = std::make_shared<CapacityLine>();
   command->add_option("--settle", line->mSettle, "Seconds before each measurement");
   command->add_option("--seconds", line->mSeconds, "Seconds of each measurement");
+  command->add_option("--entries", line->mOnly.mEntries, "Only this number of entries");
+  command->add_option("--agents", line->mOnly.mAgents, "Agents beside it");
+  command->add_option("--models", line->mOnly.mModels, "Models beside it");
+  command->add_option("--zones", line->mOnly.mZones, "Availability zones beside it");
+  command->add_option("--requests", line->mOnly.mRequests, "Requests per second");
   command->add_flag("--full", line->mFull, "Also the size planned for");
   command->callback([line] { Run(*line); });
 }
--- a/apps/load/drive/workload.cpp
+++ b/apps/load/drive/workload.cpp
@@ -17,6 +17,8 @@
 /// Share of the calls of plain services among all requests, and of repeated actions.
 constexpr double kServiceShare = 0.15;
 constexpr double kRepeatShare = 0.2;
+/// Demand of an adapter over that of a model.
+constexpr double kAdapterShare = 0.25;
 constexpr double kBatchNightFactor = 6.0;
 
 class Planner
@@ -115,7 +117,8 @@
       const double wave = std::sin(mPhases.at(it) + aTime * 0.4);
       const double demand =
         mOptions.mDemand == Demand::Burst ? std::pow(10.0, 0.5 * wave) : 1.0;
-      weights.push_back(models.at(it).mClass == aAccount.mClass ? demand : 0.0);
+      const double share = models.at(it).mBase.Empty() ? 1.0 : kAdapterShare;
+      weights.push_back(models.at(it).mClass == aAccount.mClass ? demand * share : 0.0);
     }
     if (std::ranges::none_of(weights, [](double aWeight) { return aWeight > 0.0; })) {
       std::ranges::fill(weights, 1.0);
