Tell a limited caller the state of its limit

A caller that was refused by its rate saw only Retry-After. The answer now carries the RateLimit headers, so that a client library can pace itself; the reset is the time in which the account's rate refills the request's cost. Ruled out: the fleet-wide remainder, which no entry knows; an entry that refuses has none left, so it says 0. A prompt that the engine counts longer than the entry estimated is charged after the fact from what credit there is.

One test added; it passes.

--- a/apps/samphiresail/entry/admissioncharge.cpp
+++ b/apps/samphiresail/entry/admissioncharge.cpp
@@ -49,7 +49,9 @@
                    "the account's rate of " +
                      std::to_string(std::llround(account.mRate.Count())) +
                      " tokens per second is used up")
-      .WithRetryAfter(RefillTime(cost, account.mRate));
+      .WithRateLimit({ .mLimit = account.mBurst,
+                       .mRemaining = units::Tokens(0),
+                       .mReset = RefillTime(cost, account.mRate) });
   }
 }
 
@@ -65,6 +67,10 @@
   }
   if (aUsed < mCharge->mTokens) {
     mContext.mCredit.Return(*mCharge, mCharge->mTokens - aUsed);
+  } else if (aUsed > mCharge->mTokens) {
+    // The engine counted a longer prompt than was estimated; what credit there is pays.
+    mContext.mCredit.TryCharge(
+      mCharge->mAccount, aUsed - mCharge->mTokens, mContext.mClock.Now());
   }
   mCharge.reset();
 }
--- a/apps/samphiresail/entry/apierror.cpp
+++ b/apps/samphiresail/entry/apierror.cpp
@@ -75,6 +75,12 @@
   return *this;
 }
 
+ApiError& ApiError::WithRateLimit(const RateLimitState& aState)
+{
+  mRateLimit = aState;
+  return WithRetryAfter(aState.mReset);
+}
+
 std::string ApiError::Body(const std::string& aRequestId) const
 {
   nlohmann::json error{ { "type", Name() },
--- a/apps/samphiresail/entry/apierror.hpp
+++ b/apps/samphiresail/entry/apierror.hpp
@@ -41,6 +41,14 @@
   Unknown,
 };
 
+/// State of a client account's limit, for the RateLimit headers.
+struct RateLimitState
+{
+  units::Tokens mLimit;
+  units::Tokens mRemaining;
+  std::chrono::milliseconds mReset{ 0 };
+};
+
 /// Error that a caller gets as a JSON object under the key "error".
 class ApiError : public std::runtime_error
 {
@@ -55,6 +63,9 @@
   ApiError& WithOutcome(Outcome aOutcome);
   ApiError& WithRetryAfter(std::chrono::milliseconds aRetryAfter);
 
+  ApiError& WithRateLimit(const RateLimitState& aState);
+
+  const std::optional<RateLimitState>& RateLimit() const { return mRateLimit; }
   const std::optional<std::chrono::milliseconds>& RetryAfter() const
   {
     return mRetryAfter;
@@ -67,6 +78,7 @@
   ApiErrorType mType;
   Outcome mOutcome;
   std::optional<std::chrono::milliseconds> mRetryAfter;
+  std::optional<RateLimitState> mRateLimit;
 };
 
 }
--- a/apps/samphiresail/entry/httpfront.cpp
+++ b/apps/samphiresail/entry/httpfront.cpp
@@ -57,6 +57,12 @@
   if (aError.RetryAfter()) {
     aResponse.set_header("Retry-After", WholeSeconds(*aError.RetryAfter()));
   }
+  if (const auto& limit = aError.RateLimit()) {
+    aResponse.set_header("RateLimit-Limit", std::to_string(limit->mLimit.Count()));
+    aResponse.set_header("RateLimit-Remaining",
+                         std::to_string(limit->mRemaining.Count()));
+    aResponse.set_header("RateLimit-Reset", WholeSeconds(limit->mReset));
+  }
   aResponse.set_content(aError.Body(aRequestId), kJson);
 }
 
--- a/apps/tests/entry/serving/callerrequesttest.cpp
+++ b/apps/tests/entry/serving/callerrequesttest.cpp
@@ -134,3 +134,25 @@
   CHECK_FALSE(entry::ParseVmList("x"));
   CHECK_FALSE(entry::ParseVmList(R"({"vms":[{"name":1}]})"));
 }
+
+TEST_CASE("a request that can never fit the burst differs from one that is too early")
+{
+  tests::ServingFixture fixture;
+  fixture.SetAgent([](const auto&, const wire::Envelope&) {});
+  entry::CallerRequest request = fixture.Chat(false);
+  request.mMaxOutput = units::Tokens(20000);
+  CHECK_THROWS_AS(fixture.Charge(request), entry::ApiError);
+  request.mMaxOutput = units::Tokens(9000);
+  for (int n = 0; n < 11; ++n) {
+    fixture.Charge(request);
+  }
+  try {
+    fixture.Charge(request);
+    FAIL("the credit was used up");
+  } catch (const entry::ApiError& error) {
+    CHECK(error.Type() == ApiErrorType::RateLimited);
+    REQUIRE(error.RateLimit());
+    CHECK(error.RateLimit()->mLimit == units::Tokens(10000));
+    CHECK(error.RateLimit()->mReset > std::chrono::seconds(9));
+  }
+}
