Refuse open routes too while an entry is not in touch

An open route needs no key, so an entry without a recent view of the configuration went on serving it, also into an availability zone that had been taken out meanwhile. Found by reading. Ruled out: the agent's ticket, which an entry that is cut off from the store but not from the agent renews. The dispatch of every request now needs the in-touch check.

The new test failed before and passes now.

--- a/apps/samphiresail/entry/authentication.cpp
+++ b/apps/samphiresail/entry/authentication.cpp
@@ -55,10 +55,11 @@
 SnapshotPointer CheckDispatch(const EntryContext& aContext, const CallerRequest& aRequest)
 {
   SnapshotPointer snapshot = aContext.mState.Snapshot();
+  // An open route needs no key, but it must not lead into a zone that was taken out.
+  CheckInTouch(aContext);
   if (aRequest.mOpen) {
     return snapshot;
   }
-  CheckInTouch(aContext);
 #ifndef SAMPHIRESAIL_MUTANT_KEY_RECHECK
   if (snapshot->FindKey(aRequest.mKeyHash) == nullptr) {
     throw ApiError(ApiErrorType::KeyWithdrawn, "the key was withdrawn");
--- a/apps/tests/entry/serving/exchangetest.cpp
+++ b/apps/tests/entry/serving/exchangetest.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "apps/samphiresail/entry/apierror.hpp"
+#include "apps/samphiresail/entry/authentication.hpp"
 #include "apps/samphiresail/entry/exchange.hpp"
 #include "apps/tests/entry/serving/servingfixture.hpp"
 
@@ -285,3 +286,17 @@
   Exchange exchange = MakeExchange(fixture, false);
   CHECK(exchange.RunUnary().mBody == "ok");
 }
+
+TEST_CASE("zone: an entry that is not in touch dispatches nothing on open routes",
+          "[must-hold]")
+{
+  ServingFixture fixture;
+  fixture.SetAgent([](const auto&, const wire::Envelope&) {});
+  entry::CallerRequest request;
+  request.mOpen = true;
+  fixture.Context().mState.SetEvidence(fixture.Context().mClock.Now() -
+                                       std::chrono::hours(2));
+  const ApiError error =
+    CatchError([&] { entry::CheckDispatch(fixture.Context(), request); });
+  CHECK(error.Type() == ApiErrorType::NotInTouch);
+}
