Let an agent announce another address than it listens on

Something between two processes may forward connections, and others then reach the process at another address than it binds. The setting announce names that address; it defaults to the peer address. The tests with real processes need it to put a forwarder before an agent.

--- a/apps/samphiresail/agent/agentshell.cpp
+++ b/apps/samphiresail/agent/agentshell.cpp
@@ -98,7 +98,9 @@
     };
     const std::lock_guard lock(mReady);
     mServer.emplace(aSettings.mCommon.mPeer, aSettings.mCommon.mCurve, onEnvelope);
-    const settings::SocketAddress address = mServer->Address();
+    const settings::SocketAddress& announced = aSettings.mCommon.mAnnounce;
+    const settings::SocketAddress address =
+      announced.mPort == 0 ? mServer->Address() : announced;
     mConfig.mAddress = address.mHost + ":" + std::to_string(address.mPort);
     if (aSettings.mQueue == settings::QueuePolicy::FirstInFirstOut) {
       mCore.emplace<FifoAgentCore>(mConfig, mClock.Now());
--- a/apps/samphiresail/entry/entryprocess.cpp
+++ b/apps/samphiresail/entry/entryprocess.cpp
@@ -157,6 +157,12 @@
       });
   }
 
+  settings::SocketAddress AnnouncedAddress() const
+  {
+    const settings::SocketAddress& announced = mSettings.mCommon.mAnnounce;
+    return announced.mPort == 0 ? mServer->Address() : announced;
+  }
+
   void StartControl()
   {
     ControlPorts ports{
@@ -183,7 +189,7 @@
         },
     };
     auto control = std::make_unique<ControlThread>(
-      MakeControlSettings(mSettings, mIncarnation, Text(mServer->Address())),
+      MakeControlSettings(mSettings, mIncarnation, Text(AnnouncedAddress())),
       mCredit,
       mClock,
       std::move(ports));
--- a/apps/tests/settings/settingsloadertest.cpp
+++ b/apps/tests/settings/settingsloadertest.cpp
@@ -35,6 +35,7 @@
     kCommon + "http: '[::1]:8080'\nin_touch_ms: 1500\n", "e.yml");
   CHECK(read.mCommon.mName == ids::ProcessId("p1"));
   CHECK(read.mCommon.mPeer.mPort == 7000);
+  CHECK(read.mCommon.mAnnounce.mPort == 0);
   CHECK(read.mCommon.mStoreUrl == "http://127.0.0.1:2379");
   CHECK(read.mHttp.mHost == "::1");
   CHECK(read.mHttp.mPort == 8080);
--- a/components/settings/processsettings.hpp
+++ b/components/settings/processsettings.hpp
@@ -31,8 +31,11 @@
   ids::ProcessId mName;
   ids::VmId mVm;
   ids::AvailabilityZoneId mAvailabilityZone;
-  /// Where other processes of the system connect; the address is announced as written.
+  /// Where other processes of the system connect.
   SocketAddress mPeer;
+  /// Where others reach mPeer if something between them forwards connections; port 0 for
+  /// mPeer itself.
+  SocketAddress mAnnounce;
   /// Where metrics are served; port 0 serves none.
   SocketAddress mMetrics;
   /// Base URL of the platform's key-value service.
--- a/components/settings/settingsloader.cpp
+++ b/components/settings/settingsloader.cpp
@@ -100,6 +100,7 @@
   common.mVm = ids::VmId(aReader.Text("vm"));
   common.mAvailabilityZone = ids::AvailabilityZoneId(aReader.Text("availability_zone"));
   common.mPeer = ReadAddress(aReader, "peer");
+  common.mAnnounce = ReadAddress(aReader, "announce", "127.0.0.1:0");
   common.mMetrics = ReadAddress(aReader, "metrics", "127.0.0.1:0");
   common.mStoreUrl = ReadUrl(aReader, "store_url");
   common.mLogLevel = ReadLogLevel(aReader, common.mLogLevel);
