Wait for the configuration that an agent already follows

Cause: after every change some entry follows the new version up to a poll interval later than others, and agents refuse what it sends under the old one. The entry sent again at once, used its three tries up within a few milliseconds and refused the caller: 34 of 1714 requests of the test "zone: an availability zone taken out gets no new work until it is back", all not run, within rate and with room.

Ruled out: more tries, which only load the agent.

Change: after such a refusal the attempt waits until the entry follows a newer version than the refused one, no longer than the deadline and the in-touch limit.

--- a/apps/samphiresail/entry/attemptrun.hpp
+++ b/apps/samphiresail/entry/attemptrun.hpp
@@ -80,6 +80,11 @@
   void Cancel();
 
   const routing::EndpointDescription& Endpoint() const { return mEndpoint; }
+  /// Version of the configuration under which the caller was authenticated.
+  units::Version ConfigurationVersion() const
+  {
+    return units::Version(mSubmit.configuration_version());
+  }
 
 private:
   void SendSubmit();
--- a/apps/samphiresail/entry/exchange.cpp
+++ b/apps/samphiresail/entry/exchange.cpp
@@ -181,6 +181,9 @@
   if (failure != retry::Failure::Stale) {
     ExcludeEndpoint();
   }
+  if (aRefuse.reason() == wire::STALE_CONFIGURATION) {
+    AwaitNewerConfiguration(mContext, mRun->ConfigurationVersion(), mDeadline);
+  }
   Retry(failure, std::chrono::milliseconds(aRefuse.retry_after_ms()));
 }
 
--- a/apps/samphiresail/entry/operationrun.cpp
+++ b/apps/samphiresail/entry/operationrun.cpp
@@ -203,6 +203,9 @@
     } else if (const auto* completed = std::get_if<AttemptCompleted>(&step)) {
       return OnCompleted(completed->mComplete, std::move(body));
     } else if (const auto* refused = std::get_if<AttemptRefused>(&step)) {
+      if (refused->mRefuse.reason() == wire::STALE_CONFIGURATION) {
+        AwaitNewerConfiguration(mContext, run.ConfigurationVersion(), mDeadline);
+      }
       OnRefused(refused->mRefuse);
       return std::nullopt;
     } else if (std::holds_alternative<AttemptNotSent>(step)) {
--- a/apps/samphiresail/entry/refusals.cpp
+++ b/apps/samphiresail/entry/refusals.cpp
@@ -1,5 +1,12 @@
 #include "apps/samphiresail/entry/refusals.hpp"
 
+#include <algorithm>
+#include <thread>
+
+#include "apps/samphiresail/entry/entrycontext.hpp"
+#include "apps/samphiresail/entry/routingsnapshot.hpp"
+#include "apps/samphiresail/entry/sharedstate.hpp"
+
 namespace samphiresail::entry {
 
 retry::Failure ClassifyRefusal(wire::RefuseReason aReason)
@@ -18,4 +25,17 @@
   }
 }
 
+void AwaitNewerConfiguration(EntryContext& aContext,
+                             units::Version aRefused,
+                             timing::Instant aUntil)
+{
+  constexpr std::chrono::milliseconds kStep{ 5 };
+  const timing::Instant until =
+    std::min(aUntil, aContext.mClock.Now() + aContext.mSettings.mInTouch);
+  while (aContext.mState.Snapshot()->Version() <= aRefused &&
+         aContext.mClock.Now() < until) {
+    std::this_thread::sleep_for(kStep);
+  }
+}
+
 }
