--- a/apps/tests/entry/placement/placementsystemtest.cpp
+++ b/apps/tests/entry/placement/placementsystemtest.cpp
@@ -73,7 +73,7 @@
   {
     mNow += aStep;
     mSystem.Tick(mSnapshot, aIsPlanner, mNow);
-    const PlacementActions actions = mSystem.Take();
+    PlacementActions actions = mSystem.Take();
     for (const PlacementStoreCall& call : Pick<PlacementStoreCall>(actions)) {
       mSystem.OnStoreReply(call.mId, mStore.Execute(call.mRequest, {}));
     }
--- a/apps/tests/placement/reachabletest.cpp
+++ b/apps/tests/placement/reachabletest.cpp
@@ -13,8 +13,9 @@
     tests::FleetHarness fleet(seed);
     fleet.RunWithFaults(150);
     fleet.Recover(60);
-    REQUIRE(fleet.Violations() == std::vector<std::string>());
-    REQUIRE(fleet.Unreachable() == std::vector<ids::ModelId>());
+    CAPTURE(fleet.Violations());
+    REQUIRE(fleet.Violations().empty());
+    REQUIRE(fleet.Unreachable().empty());
 
     // A fleet without faults comes to rest.
     const int loads = fleet.Loads();
--- a/components/placement/keeperplanner.cpp
+++ b/components/placement/keeperplanner.cpp
@@ -13,6 +13,20 @@
 
 using KeptSince = std::map<ids::ModelId, std::map<ids::EndpointId, timing::Instant>>;
 
+/// Rank of an endpoint for a model; lower is better, the first difference decides.
+struct EndpointRank
+{
+  /// Keepers that the model has in the availability zone.
+  std::int64_t mInZone{ 0 };
+  bool mNeedsBase{ false };
+  bool mNeedsLoad{ false };
+  /// Part of the memory that kept models take up.
+  double mFill{ 0.0 };
+  ids::EndpointId mName;
+
+  auto operator<=>(const EndpointRank&) const = default;
+};
+
 /// One round of choices over a table of keepers.
 class Choice
 {
@@ -136,28 +150,32 @@
     });
   }
 
-  /// Rank of an endpoint for a model; lower is better.
-  auto Rank(const EndpointRow& aEndpoint, const catalogue::Model& aModel) const
+  EndpointRank Rank(const EndpointRow& aEndpoint, const catalogue::Model& aModel) const
   {
     const bool needsBase = !aModel.mBase.Empty() && !Keeps(aEndpoint.mName, aModel.mBase);
     const bool needsLoad = !aEndpoint.mResident.contains(aModel.mName);
     const double fill =
       static_cast<double>(mMemory.Used(aEndpoint).Count()) /
       static_cast<double>(std::max<std::int64_t>(aEndpoint.mMemory.Count(), 1));
-    return std::tuple(InZone(aModel, aEndpoint.mAvailabilityZone),
-                      needsBase,
-                      needsLoad,
-                      fill,
-                      aEndpoint.mName);
+    return { .mInZone = InZone(aModel, aEndpoint.mAvailabilityZone),
+             .mNeedsBase = needsBase,
+             .mNeedsLoad = needsLoad,
+             .mFill = fill,
+             .mName = aEndpoint.mName };
   }
 
   const EndpointRow* Best(const catalogue::Model& aModel) const
   {
     const EndpointRow* best = nullptr;
+    std::optional<EndpointRank> bestRank;
     for (const auto& [name, endpoint] : mView.mEndpoints) {
-      if (MayKeep(endpoint, aModel) && mMemory.Fits(endpoint, aModel) &&
-          (best == nullptr || Rank(endpoint, aModel) < Rank(*best, aModel))) {
+      if (!MayKeep(endpoint, aModel) || !mMemory.Fits(endpoint, aModel)) {
+        continue;
+      }
+      EndpointRank rank = Rank(endpoint, aModel);
+      if (!bestRank || rank < *bestRank) {
         best = &endpoint;
+        bestRank = std::move(rank);
       }
     }
     return best;
--- a/components/placement/keptmemory.cpp
+++ b/components/placement/keptmemory.cpp
@@ -1,7 +1,5 @@
 #include "components/placement/keptmemory.hpp"
 
-#include <numeric>
-
 namespace samphiresail::placement {
 
 KeptMemory::KeptMemory(const PlacementView& aView, const KeeperTable& aKeepers)
@@ -9,58 +7,85 @@
 {
   for (const auto& [model, endpoints] : aKeepers) {
     for (const ids::EndpointId& endpoint : endpoints) {
-      mKept[endpoint].insert(model);
+      Keep(mHoldings[endpoint], model);
     }
   }
 }
 
 void KeptMemory::Add(const EndpointRow& aEndpoint, const catalogue::Model& aModel)
 {
-  mKept[aEndpoint.mName].insert(aModel.mName);
+  Keep(mHoldings[aEndpoint.mName], aModel.mName);
 }
 
 void KeptMemory::Remove(const EndpointRow& aEndpoint, const catalogue::Model& aModel)
 {
-  mKept[aEndpoint.mName].erase(aModel.mName);
+  Holding& holding = mHoldings[aEndpoint.mName];
+  if (holding.mKept.erase(aModel.mName) == 0) {
+    return;
+  }
+  RemoveReason(holding, aModel.mName);
+  if (!aModel.mBase.Empty()) {
+    RemoveReason(holding, aModel.mBase);
+  }
 }
 
 units::Bytes KeptMemory::Used(const EndpointRow& aEndpoint) const
 {
-  const auto it = mKept.find(aEndpoint.mName);
-  return it == mKept.end() ? units::Bytes() : Sum(it->second);
+  const auto it = mHoldings.find(aEndpoint.mName);
+  return it == mHoldings.end() ? units::Bytes() : it->second.mUsed;
 }
 
 bool KeptMemory::Fits(const EndpointRow& aEndpoint, const catalogue::Model& aModel) const
 {
-  const auto it = mKept.find(aEndpoint.mName);
-  std::set<ids::ModelId> kept = it == mKept.end() ? std::set<ids::ModelId>() : it->second;
-  kept.insert(aModel.mName);
 #ifdef SAMPHIRESAIL_MUTANT_KEPT_MEMORY
   return true;
 #endif
-  return Sum(kept) <= aEndpoint.mMemory;
+  static const Holding kNothing;
+  const auto it = mHoldings.find(aEndpoint.mName);
+  const Holding& holding = it == mHoldings.end() ? kNothing : it->second;
+  const units::Bytes further =
+    Further(holding, aModel.mName) + Further(holding, aModel.mBase);
+  return holding.mUsed + further <= aEndpoint.mMemory;
 }
 
-units::Bytes KeptMemory::Sum(const std::set<ids::ModelId>& aModels) const
+void KeptMemory::Keep(Holding& aHolding, const ids::ModelId& aModel)
 {
-  const std::set<ids::ModelId> all = WithBases(aModels);
-  const auto add = [this](units::Bytes aSum, const ids::ModelId& aModel) {
-    const catalogue::Model* model = mView.FindModel(aModel);
-    return model == nullptr ? aSum : aSum + model->mMemory;
-  };
-  return std::accumulate(all.begin(), all.end(), units::Bytes(), add);
+  if (!aHolding.mKept.insert(aModel).second) {
+    return;
+  }
+  AddReason(aHolding, aModel);
+  const catalogue::Model* declared = mView.FindModel(aModel);
+  if (declared != nullptr && !declared->mBase.Empty()) {
+    AddReason(aHolding, declared->mBase);
+  }
 }
 
-std::set<ids::ModelId> KeptMemory::WithBases(const std::set<ids::ModelId>& aModels) const
+void KeptMemory::AddReason(Holding& aHolding, const ids::ModelId& aModel)
 {
-  std::set<ids::ModelId> all = aModels;
-  for (const ids::ModelId& model : aModels) {
-    const catalogue::Model* declared = mView.FindModel(model);
-    if (declared != nullptr && !declared->mBase.Empty()) {
-      all.insert(declared->mBase);
-    }
+  if (++aHolding.mReasons[aModel] == 1) {
+    aHolding.mUsed += MemoryOf(aModel);
+  }
+}
+
+void KeptMemory::RemoveReason(Holding& aHolding, const ids::ModelId& aModel)
+{
+  const auto it = aHolding.mReasons.find(aModel);
+  if (--it->second == 0) {
+    aHolding.mReasons.erase(it);
+    aHolding.mUsed -= MemoryOf(aModel);
   }
-  return all;
+}
+
+units::Bytes KeptMemory::MemoryOf(const ids::ModelId& aModel) const
+{
+  const catalogue::Model* model = mView.FindModel(aModel);
+  return model == nullptr ? units::Bytes() : model->mMemory;
+}
+
+units::Bytes KeptMemory::Further(const Holding& aHolding,
+                                 const ids::ModelId& aModel) const
+{
+  return aHolding.mReasons.contains(aModel) ? units::Bytes() : MemoryOf(aModel);
 }
 
 }
--- a/components/placement/keptmemory.hpp
+++ b/components/placement/keptmemory.hpp
@@ -25,11 +25,23 @@
   bool Fits(const EndpointRow& aEndpoint, const catalogue::Model& aModel) const;
 
 private:
-  units::Bytes Sum(const std::set<ids::ModelId>& aModels) const;
-  std::set<ids::ModelId> WithBases(const std::set<ids::ModelId>& aModels) const;
+  struct Holding
+  {
+    std::set<ids::ModelId> mKept;
+    /// Models that are kept or are the base of a kept adapter, with the number of
+    /// reasons.
+    std::map<ids::ModelId, int> mReasons;
+    units::Bytes mUsed;
+  };
+
+  void AddReason(Holding& aHolding, const ids::ModelId& aModel);
+  void RemoveReason(Holding& aHolding, const ids::ModelId& aModel);
+  void Keep(Holding& aHolding, const ids::ModelId& aModel);
+  units::Bytes MemoryOf(const ids::ModelId& aModel) const;
+  units::Bytes Further(const Holding& aHolding, const ids::ModelId& aModel) const;
 
   const PlacementView& mView;
-  std::map<ids::EndpointId, std::set<ids::ModelId>> mKept;
+  std::map<ids::EndpointId, Holding> mHoldings;
 };
 
 }
