Count a model's keepers by availability zone once for each choice

Cause: a plan from nothing for 600 endpoints and 540 models still took 667 ms. Change: the choice of an endpoint counts the zones once and skips endpoints of worse zones early.

--- a/components/placement/keeperplanner.cpp
+++ b/components/placement/keeperplanner.cpp
@@ -135,29 +135,41 @@
            !Keeps(aEndpoint.mName, aModel.mName);
   }
 
-  /// Serving keepers of the model in the availability zone.
-  std::int64_t InZone(const catalogue::Model& aModel,
-                      const ids::AvailabilityZoneId& aZone) const
+  using ZoneCounts = std::map<ids::AvailabilityZoneId, std::int64_t>;
+
+  /// Serving keepers of the model in each availability zone.
+  ZoneCounts CountByZone(const catalogue::Model& aModel) const
   {
+    ZoneCounts counts;
     const auto it = mKeepers.find(aModel.mName);
-    if (it == mKeepers.end()) {
-      return 0;
+    if (it != mKeepers.end()) {
+      for (const ids::EndpointId& name : it->second) {
+        const EndpointRow* endpoint = mView.FindEndpoint(name);
+        if (endpoint != nullptr && endpoint->mServing) {
+          ++counts[endpoint->mAvailabilityZone];
+        }
+      }
     }
-    return std::ranges::count_if(it->second, [&](const ids::EndpointId& aName) {
-      const EndpointRow* endpoint = mView.FindEndpoint(aName);
-      return endpoint != nullptr && endpoint->mServing &&
-             endpoint->mAvailabilityZone == aZone;
-    });
+    return counts;
   }
 
-  EndpointRank Rank(const EndpointRow& aEndpoint, const catalogue::Model& aModel) const
+  static std::int64_t CountIn(const ZoneCounts& aCounts,
+                              const ids::AvailabilityZoneId& aZone)
+  {
+    const auto it = aCounts.find(aZone);
+    return it == aCounts.end() ? 0 : it->second;
+  }
+
+  EndpointRank Rank(const EndpointRow& aEndpoint,
+                    const catalogue::Model& aModel,
+                    std::int64_t aInZone) const
   {
     const bool needsBase = !aModel.mBase.Empty() && !Keeps(aEndpoint.mName, aModel.mBase);
     const bool needsLoad = !aEndpoint.mResident.contains(aModel.mName);
     const double fill =
       static_cast<double>(mMemory.Used(aEndpoint).Count()) /
       static_cast<double>(std::max<std::int64_t>(aEndpoint.mMemory.Count(), 1));
-    return { .mInZone = InZone(aModel, aEndpoint.mAvailabilityZone),
+    return { .mInZone = aInZone,
              .mNeedsBase = needsBase,
              .mNeedsLoad = needsLoad,
              .mFill = fill,
@@ -166,13 +178,21 @@
 
   const EndpointRow* Best(const catalogue::Model& aModel) const
   {
+    const ZoneCounts inZone = CountByZone(aModel);
+    const auto kept = mKeepers.find(aModel.mName);
     const EndpointRow* best = nullptr;
     std::optional<EndpointRank> bestRank;
     for (const auto& [name, endpoint] : mView.mEndpoints) {
-      if (!MayKeep(endpoint, aModel) || !mMemory.Fits(endpoint, aModel)) {
+      const bool keeps = kept != mKeepers.end() && kept->second.contains(name);
+      if (keeps || !endpoint.mServing || endpoint.mPool != aModel.mPool) {
+        continue;
+      }
+      const std::int64_t others = CountIn(inZone, endpoint.mAvailabilityZone);
+      const bool worse = bestRank && others > bestRank->mInZone;
+      if (worse || !mMemory.Fits(endpoint, aModel)) {
         continue;
       }
-      EndpointRank rank = Rank(endpoint, aModel);
+      EndpointRank rank = Rank(endpoint, aModel, others);
       if (!bestRank || rank < *bestRank) {
         best = &endpoint;
         bestRank = std::move(rank);
@@ -272,13 +292,14 @@
     if (it == mKeepers.end() || it->second.size() <= aModel.mKeepers) {
       return std::nullopt;
     }
+    const ZoneCounts inZone = CountByZone(aModel);
     const auto worst =
       std::ranges::max_element(it->second, {}, [&](const ids::EndpointId& aName) {
         const EndpointRow* endpoint = mView.FindEndpoint(aName);
         return std::tuple(
           !Serves(aName),
           !Holds(aName, aModel),
-          endpoint == nullptr ? 0 : InZone(aModel, endpoint->mAvailabilityZone),
+          endpoint == nullptr ? 0 : CountIn(inZone, endpoint->mAvailabilityZone),
           aName);
       });
     [[maybe_unused]] const std::uint32_t others =
