--- a/apps/samphiresail/agent/agentcore.cpp
+++ b/apps/samphiresail/agent/agentcore.cpp
@@ -6,8 +6,8 @@
 
 #include "apps/samphiresail/agent/attemptmessages.hpp"
 #include "apps/samphiresail/agent/loadreport.hpp"
+#include "apps/samphiresail/agent/poolupdate.hpp"
 #include "apps/samphiresail/agent/submitcheck.hpp"
-#include "components/catalogue/configurationcodec.hpp"
 
 namespace samphiresail::agent {
 
@@ -86,7 +86,6 @@
 {
   std::visit([&](auto& aItem) { Handle(aItem, aNow); }, aEvent);
   Dispatch(aNow);
-  RefuseDropped(aNow);
   return mState.mOutbox.Take();
 }
 
@@ -108,7 +107,6 @@
   mPlacement.Tick(aNow);
   CancelLate(aNow);
   Dispatch(aNow);
-  RefuseDropped(aNow);
   SendProgress(mState, aNow);
   mState.mAttempts.Expire(aNow);
   ContinueLeaving(aNow);
@@ -165,7 +163,6 @@
 {
   Attempt& attempt = mState.mAttempts.Add(MakeAttempt(std::move(aSubmit), aNow));
   attempt.mRoute = aRoute;
-  attempt.mSentAt = aNow;
   if (const auto reason = mScheduler.Enqueue(attempt, aNow)) {
     RefuseForGood(agent::SenderOf(attempt), *reason, aNow);
     return;
@@ -173,7 +170,6 @@
   mState.mOutbox.Record("accept", attempt, attempt.mModel.Str());
   mState.Send(aRoute, MakeAcknowledge(attempt));
   Dispatch(aNow);
-  RefuseDropped(aNow);
 }
 
 template<admission::AdmissionQueue Queue>
@@ -245,8 +241,11 @@
                                    const wire::Probe& aProbe,
                                    timing::Instant aNow)
 {
-  if (!aProbe.pool_document().empty()) {
-    AdoptPool(aProbe.pool_document(), aNow);
+  if (!aProbe.pool_document().empty() && AdoptPool(mState, aProbe.pool_document())) {
+    if (const catalogue::EndpointPool* pool = mState.FindPool()) {
+      mScheduler.Resize(pool->mQueue);
+    }
+    mPlacement.Tick(aNow);
   }
   wire::Envelope envelope;
   *envelope.mutable_load_report() = MakeLoadReport(aProbe, mState, aNow);
@@ -274,12 +273,7 @@
   if (attempt == nullptr || attempt->mPhase != AttemptPhase::Running) {
     return;
   }
-  if (aDone.mHttpStatus != 0) {
-    attempt->mHttpStatus = aDone.mHttpStatus;
-    attempt->mContentType = aDone.mContentType;
-  }
-  attempt->mPromptTokens = aDone.mPromptTokens;
-  attempt->mOutputTokens = aDone.mOutputTokens;
+  NoteEnd(*attempt, aDone);
   switch (aDone.mOutcome) {
     case BackendOutcome::Answered:
       NoteServiceTime(mState, aNow - attempt->mStartedAt);
@@ -300,24 +294,6 @@
   }
 }
 
-template<admission::AdmissionQueue Queue>
-void BasicAgentCore<Queue>::Handle(const HealthAnswer& aAnswer, timing::Instant aNow)
-{
-  mState.mGate.OnHealth(aAnswer, aNow);
-}
-
-template<admission::AdmissionQueue Queue>
-void BasicAgentCore<Queue>::Handle(const ResidentAnswer& aAnswer, timing::Instant aNow)
-{
-  mPlacement.OnResidents(aAnswer, aNow);
-}
-
-template<admission::AdmissionQueue Queue>
-void BasicAgentCore<Queue>::Handle(const OrderAnswer& aAnswer, timing::Instant aNow)
-{
-  mPlacement.OnOrder(aAnswer, aNow);
-}
-
 template<admission::AdmissionQueue Queue>
 void BasicAgentCore<Queue>::RefuseForGood(const AttemptSender& aSender,
                                           wire::RefuseReason aReason,
@@ -361,6 +337,7 @@
   while (Attempt* attempt = mScheduler.Next(aNow)) {
     Start(*attempt, aNow);
   }
+  RefuseDropped(aNow);
 }
 
 template<admission::AdmissionQueue Queue>
@@ -416,33 +393,6 @@
   }
 }
 
-template<admission::AdmissionQueue Queue>
-void BasicAgentCore<Queue>::AdoptPool(const std::string& aDocument, timing::Instant aNow)
-{
-  catalogue::Configuration configuration;
-  try {
-    configuration = catalogue::DecodeConfiguration(aDocument);
-  } catch (const catalogue::ConfigurationError& error) {
-    mState.mOutbox.Record("bad-pool-document", error.what());
-    return;
-  }
-  if (configuration.mVersion <= mState.mPool.mVersion) {
-    return;
-  }
-  mState.mPool = std::move(configuration);
-  mState.mVersionSeen = std::max(mState.mVersionSeen, mState.mPool.mVersion);
-  if (const catalogue::EndpointPool* pool = mState.FindPool()) {
-    mState.mGate.Configure(*pool);
-    mState.mLedger.Configure({ .mCapacity = pool->mMemory,
-                               .mChecksFencing = pool->mChecksFencing,
-                               .mLongestOrder = pool->mLongestOrder });
-    RefuseDropped(aNow);
-    mScheduler.Resize(pool->mQueue);
-  }
-  mState.mOutbox.Record("adopt-pool", std::to_string(mState.mPool.mVersion.Count()));
-  mPlacement.Tick(aNow);
-}
-
 template class BasicAgentCore<admission::FairQueue>;
 template class BasicAgentCore<admission::FifoQueue>;
 
--- a/apps/samphiresail/agent/agentcore.hpp
+++ b/apps/samphiresail/agent/agentcore.hpp
@@ -1,8 +1,6 @@
 #ifndef SAMPHIRESAIL_APPS_SAMPHIRESAIL_AGENT_AGENTCORE_HPP
 #define SAMPHIRESAIL_APPS_SAMPHIRESAIL_AGENT_AGENTCORE_HPP
 
-#include <string>
-
 #include "apps/samphiresail/agent/agentstate.hpp"
 #include "apps/samphiresail/agent/placementsystem.hpp"
 #include "apps/samphiresail/agent/registration.hpp"
@@ -45,9 +43,18 @@
 
   void Handle(BackendChunk& aChunk, timing::Instant aNow);
   void Handle(const BackendDone& aDone, timing::Instant aNow);
-  void Handle(const HealthAnswer& aAnswer, timing::Instant aNow);
-  void Handle(const ResidentAnswer& aAnswer, timing::Instant aNow);
-  void Handle(const OrderAnswer& aAnswer, timing::Instant aNow);
+  void Handle(const HealthAnswer& aAnswer, timing::Instant aNow)
+  {
+    mState.mGate.OnHealth(aAnswer, aNow);
+  }
+  void Handle(const ResidentAnswer& aAnswer, timing::Instant aNow)
+  {
+    mPlacement.OnResidents(aAnswer, aNow);
+  }
+  void Handle(const OrderAnswer& aAnswer, timing::Instant aNow)
+  {
+    mPlacement.OnOrder(aAnswer, aNow);
+  }
 
   void Accept(const Route& aRoute, wire::Submit& aSubmit, timing::Instant aNow);
 
@@ -61,13 +68,13 @@
               attempts::AttemptEnd aEnd,
               timing::Instant aNow);
 
-  /// Hands queued attempts to the back end as far as its limit allows.
+  /// Hands queued attempts to the back end as far as its limit allows, and refuses those
+  /// that left the queue.
   void Dispatch(timing::Instant aNow);
   void Start(attempts::Attempt& aAttempt, timing::Instant aNow);
   void Cancel(attempts::Attempt& aAttempt);
   void CancelLate(timing::Instant aNow);
   void ContinueLeaving(timing::Instant aNow);
-  void AdoptPool(const std::string& aDocument, timing::Instant aNow);
 
   AgentState mState;
   Scheduler<Queue> mScheduler;
--- a/apps/samphiresail/agent/attemptmessages.cpp
+++ b/apps/samphiresail/agent/attemptmessages.cpp
@@ -91,10 +91,21 @@
                           ? timing::Duration(kDefaultDeadline)
                           : std::chrono::milliseconds(aSubmit.deadline_ms());
   attempt.mDeadline = aNow + deadline;
+  attempt.mSentAt = aNow;
   attempt.mCall = MakeCall(aSubmit);
   return attempt;
 }
 
+void NoteEnd(Attempt& aAttempt, const BackendDone& aDone)
+{
+  if (aDone.mHttpStatus != 0) {
+    aAttempt.mHttpStatus = aDone.mHttpStatus;
+    aAttempt.mContentType = aDone.mContentType;
+  }
+  aAttempt.mPromptTokens = aDone.mPromptTokens;
+  aAttempt.mOutputTokens = aDone.mOutputTokens;
+}
+
 wire::Envelope MakeAcknowledge(const Attempt& aAttempt)
 {
   wire::Envelope envelope;
--- a/apps/samphiresail/agent/attemptmessages.hpp
+++ b/apps/samphiresail/agent/attemptmessages.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "apps/samphiresail/agent/agentactions.hpp"
 #include "components/attempts/attempt.hpp"
 #include "components/wire/generated/samphiresail.pb.h"
 
@@ -11,6 +12,9 @@
 /// Builds the table entry of an attempt from the message that submits it.
 attempts::Attempt MakeAttempt(wire::Submit aSubmit, timing::Instant aNow);
 
+/// Writes what the end of a back end call tells into the attempt.
+void NoteEnd(attempts::Attempt& aAttempt, const BackendDone& aDone);
+
 wire::Envelope MakeAcknowledge(const attempts::Attempt& aAttempt);
 wire::Envelope MakeChunk(const attempts::Attempt& aAttempt, std::uint64_t aSequence);
 wire::Envelope MakeComplete(const attempts::Attempt& aAttempt);
