Feed engine events and callers' requests to their decoders too

Every decoder of outside bytes now has its entry point. The text of an engine's answer must not depend on how its bytes arrive.

--- a/apps/fuzz/decoders.cpp
+++ b/apps/fuzz/decoders.cpp
@@ -1,9 +1,14 @@
 #include "apps/fuzz/decoders.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <stdexcept>
 
 #include "apps/fuzz/check.hpp"
+#include "apps/samphiresail/agent/answerreader.hpp"
+#include "apps/samphiresail/entry/apierror.hpp"
+#include "apps/samphiresail/entry/callerrequest.hpp"
+#include "apps/samphiresail/entry/routingsnapshot.hpp"
 #include "components/catalogue/catalogueparser.hpp"
 #include "components/catalogue/configurationcodec.hpp"
 #include "components/findings/findingserror.hpp"
@@ -162,13 +167,80 @@
   }
 }
 
+void RunEngineEvents(std::string_view aBytes)
+{
+  agent::AnswerReader whole(true);
+  auto text = whole.Read(aBytes);
+  text += whole.Finish();
+  agent::AnswerReader pieces(true);
+  std::string joined;
+  for (const char it : aBytes) {
+    joined += pieces.Read({ &it, 1 });
+  }
+  joined += pieces.Finish();
+  Check(joined == text, "an answer does not depend on how its bytes arrive");
+  Check(pieces.Complete() == whole.Complete(), "nor does its end");
+}
+
+std::vector<std::string> EngineEventSeeds()
+{
+  return { "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n"
+           "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":2,"
+           "\"completion_tokens\":1}}\n\ndata: [DONE]\n\n",
+           ": comment\r\n\r\ndata: [DONE]\r\n\r\n" };
+}
+
+const entry::RoutingSnapshot& CallerSnapshot()
+{
+  static const entry::RoutingSnapshot snapshot = [] {
+    auto configuration = std::make_shared<catalogue::Configuration>();
+    configuration->mVersion = units::Version(1);
+    configuration->mCatalogue = catalogue::ParseCatalogue(kCatalogueSeed, "seed.yml");
+    return entry::RoutingSnapshot(std::move(configuration), {});
+  }();
+  return snapshot;
+}
+
+void RunCallerRequest(std::string_view aBytes)
+{
+  const std::string body(aBytes);
+  for (const auto* path : { "/v1/chat/completions", "/v1/completions", "/s/x/1" }) {
+    entry::RawRequest raw;
+    raw.mMethod = "POST";
+    raw.mPath = path;
+    raw.mTarget = path;
+    raw.mContentType = "application/json";
+    raw.mBody = body;
+    raw.mClass = body.substr(0, body.find(' '));
+    raw.mDeadline = body.substr(0, 8);
+    try {
+      const auto request = entry::ParseCallerRequest(raw, CallerSnapshot(), {});
+      Check(request.mPromptTokens.Count() >= 0, "a prompt has no negative size");
+      Check(request.mMaxOutput.Count() >= 0, "nor has an output limit");
+    } catch (const entry::ApiError& ec) {
+      Check(!ec.Body("r").empty(), "an error has a body");
+    }
+  }
+}
+
+std::vector<std::string> CallerRequestSeeds()
+{
+  return {
+    R"({"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":4})",
+    R"({"model":"l","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}],"stream":true,"stream_options":{"include_usage":true}})",
+    R"({"model":"m","prompt":"hi","max_completion_tokens":4,"n":1})"
+  };
+}
+
 std::vector<Decoder> MakeDecoders()
 {
   return { { "frame", RunFrame, FrameSeeds() },
            { "store-answer", RunStoreAnswer, StoreAnswerSeeds() },
            { "configuration", RunConfiguration, ConfigurationSeeds() },
            { "catalogue", RunCatalogue, { kCatalogueSeed } },
-           { "settings", RunSettings, { kSettingsSeed } } };
+           { "settings", RunSettings, { kSettingsSeed } },
+           { "engine-events", RunEngineEvents, EngineEventSeeds() },
+           { "caller-request", RunCallerRequest, CallerRequestSeeds() } };
 }
 
 }
