--- a/apps/tests/entry/configurationtest.cpp
+++ b/apps/tests/entry/configurationtest.cpp
@@ -151,6 +151,31 @@
   }
 }
 
+TEST_CASE("keys: an entry that is cut off or was paused stops serving a withdrawn key",
+          "[must-hold]")
+{
+  for (const bool paused : { false, true }) {
+    Fleet fleet(1);
+    fleet.Run(8s);
+    REQUIRE(fleet.ServesKey(0, "key"));
+    if (paused) {
+      fleet.Freeze(0, true);
+    } else {
+      fleet.Isolate(0);
+      fleet.CutStore(0, true);
+    }
+    REQUIRE(fleet.Change(
+      [](catalogue::Configuration& aConfiguration) { aConfiguration.mKeys.clear(); }));
+    fleet.Run(kKeyBound);
+    CHECK_FALSE(fleet.ServesKey(1, "key"));
+    fleet.Freeze(0, false);
+    CHECK_FALSE(fleet.Serves(0));
+    fleet.MendAll();
+    fleet.Run(3s, [&] { REQUIRE_FALSE(fleet.ServesKey(0, "key")); });
+    CHECK(fleet.Serves(0));
+  }
+}
+
 TEST_CASE("zone: an entry routes nothing to an availability zone that was taken out",
           "[must-hold]")
 {
--- a/apps/tests/entry/faultplan.cpp
+++ b/apps/tests/entry/faultplan.cpp
@@ -79,7 +79,11 @@
       break;
     default:
       mFleet.Isolate(aNode);
-      After(aTime, [this] { mFleet.Carrier().MendAll(); });
+      mFleet.CutStore(aNode, Draw(0, 1) == 1);
+      After(2 * aTime, [=, this] {
+        mFleet.Carrier().MendAll();
+        mFleet.CutStore(aNode, false);
+      });
       break;
   }
 }
--- a/apps/tests/entry/fleet.cpp
+++ b/apps/tests/entry/fleet.cpp
@@ -126,6 +126,7 @@
   mListDown = false;
   for (std::size_t i = 0; i < mNodes.size(); ++i) {
     Freeze(i, false);
+    CutStore(i, false);
   }
 }
 
@@ -213,6 +214,13 @@
   const auto arrival =
     std::chrono::milliseconds(mStoreSlow ? slow(mRandom) : quick(mRandom));
   const timing::Instant sent = Now();
+  if (mNodes[aNode].mStoreCut) {
+    At(sent + kStoreTimeout, [=, this] {
+      FinishCall(
+        aNode, incarnation, aCall.mId, { .mOutcome = store::StoreOutcome::Unknown });
+    });
+    return;
+  }
   At(sent + arrival, [=, this] {
     // A call that takes too long still has its effect.
     const store::StoreReply reply = mStore.Execute(aCall.mRequest, 1s);
--- a/apps/tests/entry/fleet.hpp
+++ b/apps/tests/entry/fleet.hpp
@@ -25,6 +25,7 @@
   std::optional<timing::Instant> mEvidence;
   timing::Instant mLastTick;
   bool mAlive{ false };
+  bool mStoreCut{ false };
   bool mHandOverDone{ false };
   bool mLeaveDone{ false };
 };
@@ -49,6 +50,8 @@
   /// Takes the VM from the platform's list, and its node with it.
   void ReplaceVm(std::size_t aNode);
   void Isolate(std::size_t aNode);
+  /// Loses all calls of one node to the store while set.
+  void CutStore(std::size_t aNode, bool aCut) { mNodes[aNode].mStoreCut = aCut; }
   void MendAll();
 
   /// Runs a call of the control core and carries its actions.
--- a/apps/tests/entry/ratetest.cpp
+++ b/apps/tests/entry/ratetest.cpp
@@ -56,6 +56,9 @@
     Fleet fleet(seed, 3 + seed % 2);
     FaultPlan faults(fleet);
     Traffic traffic(fleet, 3.0);
+    if (seed % 2 == 0) {
+      traffic.UseAll();
+    }
     fleet.Run(60s, [&] {
       faults.Step();
       MoveBalancer(fleet, traffic);
@@ -90,6 +93,28 @@
   }
 }
 
+TEST_CASE("rate: a holder that is not in touch grants nothing", "[must-hold]")
+{
+  Fleet fleet(1);
+  fleet.Run(8s);
+  const auto ask = [&](std::uint64_t aNonce) {
+    wire::Envelope envelope;
+    envelope.set_sender("asker");
+    envelope.mutable_credit_request()->set_nonce(aNonce);
+    envelope.mutable_credit_request()->set_client_account("north");
+    envelope.mutable_credit_request()->set_tokens(1);
+    const auto actions = fleet.Nodes()[0].mCore->OnPeer("asker", envelope, fleet.Now());
+    return std::get<entry::ReplyToPeer>(actions.front())
+      .mEnvelope.credit_grant()
+      .tokens();
+  };
+  CHECK(ask(1) == 1);
+  fleet.Isolate(0);
+  fleet.CutStore(0, true);
+  fleet.Run(Fleet::kInTouch);
+  CHECK(ask(2) == 0);
+}
+
 TEST_CASE("an account inside its rate is hardly ever refused at an uneven balancer")
 {
   double refused = 0.0;
--- a/apps/tests/entry/traffic.cpp
+++ b/apps/tests/entry/traffic.cpp
@@ -51,7 +51,9 @@
     return;
   }
   const int prompt = std::uniform_int_distribution<int>(0, kMaxPrompt)(mFleet.Random());
-  const int output = std::uniform_int_distribution<int>(0, kMaxOutput)(mFleet.Random());
+  const int output =
+    mUseAll ? kMaxOutput
+            : std::uniform_int_distribution<int>(0, kMaxOutput)(mFleet.Random());
   const int time = std::uniform_int_distribution<int>(10, 3000)(mFleet.Random());
   const Waiting request{
     index,           node.mMember.mIncarnation,       prompt + kMaxOutput,
--- a/apps/tests/entry/traffic.hpp
+++ b/apps/tests/entry/traffic.hpp
@@ -21,6 +21,9 @@
   /// To be called after each step.
   void Step();
 
+  /// Makes every request use all that it is charged, so that nothing is refunded.
+  void UseAll() { mUseAll = true; }
+
   /// Sets the probability with which the balancer picks each entry.
   void SetWeights(std::vector<double> aWeights) { mWeights = std::move(aWeights); }
 
@@ -82,6 +85,7 @@
   std::vector<Waiting> mWaiting;
   std::multimap<timing::Instant, Running> mRunning;
   std::vector<Admission> mAdmissions;
+  bool mUseAll{ false };
   std::uint64_t mOffered{ 0 };
   std::uint64_t mRefused{ 0 };
   limits::RateBucket mIdeal;
--- a/apps/tests/limits/rightsholdertest.cpp
+++ b/apps/tests/limits/rightsholdertest.cpp
@@ -136,6 +136,39 @@
   CHECK(holder.InUse(kNorth));
 }
 
+TEST_CASE("rate: a holder that missed the loss of its share does not go on using it",
+          "[must-hold]")
+{
+  const auto catalogue = MakeCatalogue();
+  const HolderCandidate first = MakeCandidate(1);
+  const HolderCandidate second = MakeCandidate(2);
+  const auto given = limits::PlanRights({}, catalogue, { first }, Version(0));
+  const auto taken = limits::PlanRights(*given, catalogue, { second }, Version(0));
+  const auto back = limits::PlanRights(*taken, catalogue, { first }, Version(0));
+  REQUIRE(back);
+  RightsHolder holder = MakeHolder(1);
+  holder.Adopt(*given, Version(1), catalogue, kStart);
+  REQUIRE(holder.InUse(kNorth));
+  holder.Adopt(*back, Version(3), catalogue, kStart + 10s);
+  CHECK_FALSE(holder.InUse(kNorth));
+  CHECK(holder.Grant(kNorth, MakeKey(1), Tokens(1000), kStart + 10s) == Tokens(0));
+  holder.Tick(Version(3), kStart + 14500ms);
+  CHECK(holder.InUse(kNorth));
+  CHECK(holder.Grant(kNorth, MakeKey(2), Tokens(1000), kStart + 14500ms) == Tokens(0));
+}
+
+TEST_CASE("rate: a holder keeps what it has when its share is raised", "[must-hold]")
+{
+  const auto catalogue = MakeCatalogue();
+  const std::vector<HolderCandidate> both{ MakeCandidate(1), MakeCandidate(2) };
+  const auto given = limits::PlanRights({}, catalogue, both, Version(0));
+  const auto raised = limits::PlanRights(*given, catalogue, { both[0] }, Version(0));
+  RightsHolder holder = MakeHolder(1);
+  holder.Adopt(*given, Version(1), catalogue, kStart);
+  holder.Adopt(*raised, Version(2), catalogue, kStart);
+  CHECK(holder.Grant(kNorth, MakeKey(1), Tokens(1000), kStart) == Tokens(500));
+}
+
 TEST_CASE("load permits are split among the holders and paced")
 {
   const auto catalogue = MakeCatalogue();
--- a/components/limits/permitholder.cpp
+++ b/components/limits/permitholder.cpp
@@ -34,6 +34,12 @@
            aShare.mIncarnation == mIncarnation;
   });
   const std::uint32_t share = it == aRecord.mShares.end() ? 0 : it->mMillionths;
+  if (share > 0) {
+    // A holder that missed a record may have lost the share in it: it starts anew.
+    const bool kept = mHeldSince == it->mSince || mHeldSince == it->mKeptSince;
+    mMillionths = kept ? mMillionths : 0;
+    mHeldSince = it->mSince;
+  }
   if (share <= mMillionths) {
     mMillionths = share;
     mWaiting = false;
--- a/components/limits/permitholder.hpp
+++ b/components/limits/permitholder.hpp
@@ -56,6 +56,8 @@
   bool mWaiting{ false };
   bool mReclaimed{ false };
   units::Version mSince;
+  /// Version of the record that gave the share last.
+  units::Version mHeldSince;
   std::optional<timing::Instant> mUsableAt;
   std::optional<timing::Instant> mNextStart;
   std::uint64_t mCount{ 0 };
--- a/components/limits/rightsholder.cpp
+++ b/components/limits/rightsholder.cpp
@@ -37,10 +37,19 @@
                               const catalogue::ClientAccount& aAccount,
                               timing::Instant aNow)
 {
+#ifndef SAMPHIRESAIL_MUTANT_SHARE_SINCE
+  // A holder that missed a record may have lost the share in it: it starts anew.
+  const auto known = mHeld.find(aShare.mAccount);
+  if (known != mHeld.end() && known->second.mSince != aShare.mSince &&
+      known->second.mSince != aShare.mKeptSince) {
+    mHeld.erase(known);
+  }
+#endif
   const auto [it, isNew] = mHeld.try_emplace(aShare.mAccount, aNow, mTimes.mGrantLife);
   Held& held = it->second;
   held.mRate = aAccount.mRate;
   held.mBurst = aAccount.mBurst;
+  held.mSince = aShare.mSince;
   if (isNew && aShare.mStartsFull) {
     held.mMillionths = aShare.mMillionths;
     ApplyLimits(held, aNow);
@@ -53,6 +62,9 @@
   } else if (held.mWaiting && held.mWaiting->mSince == aShare.mSince) {
     held.mWaiting->mMillionths = aShare.mMillionths;
   } else {
+    if (aShare.mKeptMillionths < held.mMillionths) {
+      held.mMillionths = aShare.mKeptMillionths;
+    }
     // A share given up by its holder does not shorten the wait for a reclaimed one.
     const bool reclaimed =
       aShare.mReclaimed || (held.mWaiting && held.mWaiting->mReclaimed);
--- a/components/limits/rightsholder.hpp
+++ b/components/limits/rightsholder.hpp
@@ -83,6 +83,8 @@
 
     RateBucket mBucket;
     std::uint32_t mMillionths{ 0 };
+    /// Version of the record that gave the share last.
+    units::Version mSince;
     units::TokensPerSecond mRate;
     units::Tokens mBurst;
     std::optional<Waiting> mWaiting;
--- a/components/limits/rightsplanner.cpp
+++ b/components/limits/rightsplanner.cpp
@@ -49,6 +49,20 @@
   return holders;
 }
 
+/// Raises a share; its holder keeps what it has if it knows the version it has it from.
+void Raise(RightShare& aShare,
+           std::uint32_t aMillionths,
+           bool aReclaimed,
+           units::Version aVersion)
+{
+  aShare.mKeptMillionths = aShare.mMillionths;
+  aShare.mKeptSince = aShare.mSince;
+  aShare.mMillionths = aMillionths;
+  aShare.mReclaimed = aReclaimed;
+  aShare.mSince = aVersion;
+  aShare.mStartsFull = false;
+}
+
 RightShare PlanShare(const RightsRecord& aCurrent,
                      const ids::ClientAccountId& aAccount,
                      const HolderCandidate& aHolder,
@@ -68,6 +82,11 @@
     share.mReclaimed = share.mReclaimed && aSettled < share.mSince;
     return share;
   }
+  if (it != aCurrent.mShares.end()) {
+    RightShare share = *it;
+    Raise(share, aMillionths, true, aVersion);
+    return share;
+  }
   const bool first = std::ranges::none_of(aCurrent.mShares, isAccount);
   return { aAccount, aHolder.mName, aHolder.mIncarnation, aMillionths, !first,
            aVersion, first };
@@ -93,9 +112,7 @@
       return true;
     }
     if (!held->mReclaimed) {
-      held->mMillionths += aGiven.mMillionths;
-      held->mSince = aNext.mVersion;
-      held->mStartsFull = false;
+      Raise(*held, held->mMillionths + aGiven.mMillionths, false, aNext.mVersion);
       aGiven.mMillionths = 0;
       return true;
     }
--- a/components/limits/rightsrecord.cpp
+++ b/components/limits/rightsrecord.cpp
@@ -20,6 +20,8 @@
     out.set_reclaimed(share.mReclaimed);
     out.set_since_version(share.mSince.Count());
     out.set_starts_full(share.mStartsFull);
+    out.set_kept_millionths(share.mKeptMillionths);
+    out.set_kept_since(share.mKeptSince.Count());
   }
   return record.SerializeAsString();
 }
@@ -41,7 +43,9 @@
                          aShare.millionths(),
                          aShare.reclaimed(),
                          units::Version(aShare.since_version()),
-                         aShare.starts_full() };
+                         aShare.starts_full(),
+                         aShare.kept_millionths(),
+                         units::Version(aShare.kept_since()) };
     });
   return result;
 }
--- a/components/limits/rightsrecord.hpp
+++ b/components/limits/rightsrecord.hpp
@@ -27,6 +27,9 @@
   units::Version mSince;
   /// True for the first share that the account ever had.
   bool mStartsFull{ false };
+  /// Part of the share that the holder had before, and the version since which it had it.
+  std::uint32_t mKeptMillionths{ 0 };
+  units::Version mKeptSince;
 
   bool operator==(const RightShare&) const = default;
 };
