--- a/apps/bench/controlbench.cpp
+++ b/apps/bench/controlbench.cpp
@@ -73,13 +73,13 @@
         ids::ModelId("model-" + std::to_string(it));
     }
     store::TransactionRequest put;
-    put.mWrites.push_back(store::PutOperation{
+    put.mWrites.emplace_back(store::PutOperation{
       store::kConfigurationKey, catalogue::EncodeConfiguration(configuration), 0 });
     for (int it = 0; it < kEndpoints; ++it) {
       wire::AgentRecord agent;
       agent.set_endpoint("endpoint-" + std::to_string(it));
       agent.set_availability_zone("zone-" + std::to_string(it % 5));
-      put.mWrites.push_back(store::PutOperation{
+      put.mWrites.emplace_back(store::PutOperation{
         store::kAgentPrefix + agent.endpoint(), agent.SerializeAsString(), 0 });
     }
     mStore.Execute(put, 1s);
--- a/apps/load/capacity/corefleet.cpp
+++ b/apps/load/capacity/corefleet.cpp
@@ -121,7 +121,7 @@
 void CoreFleet::WriteFirstRecords()
 {
   store::TransactionRequest put;
-  put.mWrites.push_back(
+  put.mWrites.emplace_back(
     store::PutOperation{ store::kConfigurationKey,
                          catalogue::EncodeConfiguration(MakeConfiguration(mSize)),
                          0 });
@@ -133,7 +133,7 @@
     agent.set_incarnation(it + 1);
     agent.set_availability_zone(Number("zone-", it % mSize.mZones));
     agent.set_vm(Number("agent-vm-", it));
-    put.mWrites.push_back(store::PutOperation{
+    put.mWrites.emplace_back(store::PutOperation{
       store::kAgentPrefix + agent.endpoint(), agent.SerializeAsString(), 0 });
   }
   mStore.Execute(put, 1s);
--- a/apps/tests/admission/fairqueuetest.cpp
+++ b/apps/tests/admission/fairqueuetest.cpp
@@ -248,3 +248,32 @@
   CHECK(queue.Push(Item("z", RequestClass::Short, "a"), kNow) == PushResult::Full);
   CHECK(queue.TakeDropped(kNow + 2s).size() == 1);
 }
+
+TEST_CASE("a full fair queue keeps the lower classes of the others against an account "
+          "beyond its share")
+{
+  FairQueue queue({ .mCapacity = 30 });
+  int next = 0;
+  const auto push = [&](RequestClass aClass, const std::string& aAccount) {
+    return queue.Push(Item("i" + std::to_string(next++), aClass, aAccount), kNow);
+  };
+  for (int it = 0; it < 5; ++it) {
+    push(RequestClass::Short, "small");
+  }
+  // The small account waits while the large one is served far beyond its share.
+  for (int it = 0; it < 25; ++it) {
+    push(RequestClass::Streamed, "large");
+    queue.Pop(kNow, [](const QueueItem& aItem) {
+      return aItem.mAccount == ids::ClientAccountId("large");
+    });
+  }
+  while (queue.Size() < 30) {
+    push(RequestClass::Streamed, "large");
+  }
+  CHECK(push(RequestClass::Streamed, "large") == PushResult::Full);
+  CHECK(queue.TakeDropped(kNow).empty());
+  CHECK(push(RequestClass::Short, "small") == PushResult::Accepted);
+  const auto dropped = queue.TakeDropped(kNow);
+  REQUIRE(dropped.size() == 1);
+  CHECK(dropped.front().mItem.mAccount.Str() == "large");
+}
--- a/components/admission/classqueue.cpp
+++ b/components/admission/classqueue.cpp
@@ -117,7 +117,7 @@
 std::optional<QueueItem> ClassQueue::Displace(const ids::ClientAccountId& aAccount,
                                               std::uint32_t aWeight)
 {
-  const auto most = MostBacklogged();
+  const auto most = MostBacklogged({});
   if (most == mFlows.end() || most->first == aAccount) {
     return std::nullopt;
   }
@@ -132,23 +132,27 @@
   return TakeLatest(most->second);
 }
 
-std::optional<QueueItem> ClassQueue::DisplaceAny()
+std::optional<QueueItem> ClassQueue::DisplaceAny(const AccountFilter& aFilter)
 {
-  const auto most = MostBacklogged();
+  const auto most = MostBacklogged(aFilter);
   if (most == mFlows.end()) {
     return std::nullopt;
   }
   return TakeLatest(most->second);
 }
 
-ClassQueue::Flows::iterator ClassQueue::MostBacklogged()
+ClassQueue::Flows::iterator ClassQueue::MostBacklogged(const AccountFilter& aFilter)
 {
-  if (mSize == 0) {
-    return mFlows.end();
+  auto most = mFlows.end();
+  double backlog = 0.0;
+  for (auto it = mFlows.begin(); it != mFlows.end(); ++it) {
+    const double own = static_cast<double>(it->second.mItems.size()) / it->second.mWeight;
+    if (own > backlog && (!aFilter || aFilter(it->first))) {
+      backlog = own;
+      most = it;
+    }
   }
-  return std::ranges::max_element(mFlows, {}, [](const auto& aEntry) {
-    return static_cast<double>(aEntry.second.mItems.size()) / aEntry.second.mWeight;
-  });
+  return most;
 }
 
 QueueItem ClassQueue::TakeLatest(Flow& aFlow)
--- a/components/admission/classqueue.hpp
+++ b/components/admission/classqueue.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_ADMISSION_CLASSQUEUE_HPP
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -15,6 +16,8 @@
 class ClassQueue
 {
 public:
+  using AccountFilter = std::function<bool(const ids::ClientAccountId&)>;
+
   void Push(QueueItem aItem);
 
   /// Removes and returns the first item in fair order that the filter lets start.
@@ -33,8 +36,9 @@
   std::optional<QueueItem> Displace(const ids::ClientAccountId& aAccount,
                                     std::uint32_t aWeight);
 
-  /// Removes the latest item of the account with the most backlog for its weight.
-  std::optional<QueueItem> DisplaceAny();
+  /// Removes the latest item of the account with the most backlog for its weight among
+  /// those that the filter accepts.
+  std::optional<QueueItem> DisplaceAny(const AccountFilter& aFilter);
 
   /// Returns the token cost of the item that is first in fair order; infinite if empty.
   double NextCost() const;
@@ -55,7 +59,7 @@
   using Flows = std::map<ids::ClientAccountId, Flow>;
 
   std::optional<QueueItem> PopFrom(Flow& aFlow, const ItemFilter& aFilter);
-  Flows::iterator MostBacklogged();
+  Flows::iterator MostBacklogged(const AccountFilter& aFilter);
   QueueItem TakeLatest(Flow& aFlow);
   void ForgetIdleFlows();
 
--- a/components/admission/fairqueue.cpp
+++ b/components/admission/fairqueue.cpp
@@ -43,19 +43,40 @@
 }
 
 bool FairQueue::MakeRoom(const QueueItem& aItem)
+{
+  auto item = FindVictim(aItem);
+  if (!item) {
+    return false;
+  }
+  Displaced(std::move(*item));
+  return true;
+}
+
+std::optional<QueueItem> FairQueue::FindVictim(const QueueItem& aItem)
 {
   const auto own = static_cast<std::size_t>(aItem.mClass);
-  for (std::size_t lower = kClasses - 1; lower > own; --lower) {
-    if (auto item = mClasses.at(lower).DisplaceAny()) {
-      Displaced(std::move(*item));
-      return true;
+  const auto batch = static_cast<std::size_t>(catalogue::RequestClass::Batch);
+  if (own != batch) {
+    if (auto item = mClasses.at(batch).DisplaceAny({})) {
+      return item;
     }
   }
-  if (auto item = mClasses.at(own).Displace(aItem.mAccount, aItem.mWeight)) {
-    Displaced(std::move(*item));
-    return true;
+  if (own != batch && mShares.InShare(aItem.mAccount)) {
+    const auto inExcess = [&](const ids::ClientAccountId& aAccount) {
+      return !mShares.InShare(aAccount);
+    };
+    for (std::size_t it = batch; it-- > 0;) {
+      if (auto item = mClasses.at(it).DisplaceAny(inExcess)) {
+        return item;
+      }
+    }
+    for (std::size_t lower = batch - 1; lower > own; --lower) {
+      if (auto item = mClasses.at(lower).DisplaceAny({})) {
+        return item;
+      }
+    }
   }
-  return false;
+  return mClasses.at(own).Displace(aItem.mAccount, aItem.mWeight);
 }
 
 void FairQueue::Displaced(QueueItem aItem)
--- a/components/admission/fairqueue.hpp
+++ b/components/admission/fairqueue.hpp
@@ -27,9 +27,10 @@
 /// Serves the class first, then weighted fair shares between client accounts, then the
 /// deadline. An account that got much more than its share of the endpoint while others
 /// wait comes after them in all classes but batch. Each class has a floor, so that batch
-/// runs in the slack and is never starved. A full queue gives way: to a higher class from
-/// the lowest one, and within a class from the account with the most backlog, so that one
-/// account cannot crowd out the others.
+/// runs in the slack and is never starved. A full
+/// queue gives way: batch first, then accounts in excess of their share, then lower
+/// classes, and within a class the account with the most backlog. An account in excess
+/// displaces only batch and its like, so that it cannot crowd out the others.
 class FairQueue
 {
 public:
@@ -54,6 +55,8 @@
   };
 
   bool MakeRoom(const QueueItem& aItem);
+  /// Takes out the item that gives way to a new one, if there is any.
+  std::optional<QueueItem> FindVictim(const QueueItem& aItem);
   void Displaced(QueueItem aItem);
   void DropExpired(timing::Instant aNow);
   std::optional<QueueItem> PopClass(std::size_t aClass, const ItemFilter& aFilter);
