--- a/apps/fuzz/libfuzzer.cpp
+++ b/apps/fuzz/libfuzzer.cpp
@@ -4,6 +4,11 @@
 
 #include "apps/fuzz/decoders.hpp"
 
+// The build names one decoder for each target.
+#ifndef SAMPHIRESAIL_DECODER
+#define SAMPHIRESAIL_DECODER "frame"
+#endif
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
 {
   static const auto& decoder = samphiresail::fuzz::FindDecoder(SAMPHIRESAIL_DECODER);
--- a/apps/tests/processes/changetest.cpp
+++ b/apps/tests/processes/changetest.cpp
@@ -35,7 +35,7 @@
   CHECK(deployment.Operate({ "zone", "in", "zone-a" }).mStatus == 0);
   CHECK(Eventually([&] { return deployment.EngineExecutions(1) > out; }));
   const auto requests = load.Stop();
-  CHECK(DescribeFailures(requests) == "");
+  CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   deployment.CheckStandIns();
 }
 
@@ -57,7 +57,7 @@
   load.AwaitMore(60);
   CHECK(deployment.EngineExecutions(2) == left);
   const auto requests = load.Stop();
-  CHECK(DescribeFailures(requests) == "");
+  CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   deployment.CheckStandIns();
 }
 
--- a/apps/tests/processes/gracefulstoptest.cpp
+++ b/apps/tests/processes/gracefulstoptest.cpp
@@ -36,7 +36,7 @@
 
   const auto requests = load.Stop();
   CHECK(requests.size() >= 40);
-  CHECK(DescribeFailures(requests) == "");
+  CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   CHECK(status.value_or(-1) == 0);
   deployment.CheckStandIns();
 }
@@ -58,7 +58,7 @@
 
   const auto requests = load.Stop();
   CHECK(requests.size() >= 40);
-  CHECK(DescribeFailures(requests) == "");
+  CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   CHECK(status.value_or(-1) == 0);
   // What was in flight ran to its end once and was not begun anew elsewhere.
   CHECK(deployment.EngineExecutions() == requests.size() + 3);
--- a/apps/tests/processes/outagetest.cpp
+++ b/apps/tests/processes/outagetest.cpp
@@ -34,7 +34,7 @@
     load.AwaitMore(60);
     const auto requests = load.Stop();
     CHECK(requests.size() >= 60);
-    CHECK(DescribeFailures(requests) == "");
+    CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   }
   // One of three entries may go as well.
   deployment.Process("entry-3").Kill();
@@ -106,6 +106,7 @@
   deployment.Process("entry-1").Signal(SIGSTOP);
   std::vector<ChatReply> replies(4);
   std::vector<std::jthread> callers;
+  callers.reserve(replies.size());
   for (auto& reply : replies) {
     callers.emplace_back([&] {
       reply =
@@ -141,7 +142,7 @@
 
   const auto requests = load.Stop();
   CHECK(requests.size() >= 36);
-  CHECK(DescribeFailures(requests) == "");
+  CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   deployment.CheckStandIns();
 }
 
--- a/apps/tests/processes/silenttest.cpp
+++ b/apps/tests/processes/silenttest.cpp
@@ -29,7 +29,7 @@
 
   const auto requests = load.Stop();
   CHECK(requests.size() >= 24);
-  CHECK(DescribeFailures(requests) == "");
+  CHECK_THAT(DescribeFailures(requests), Catch::Equals(""));
   // An answer is taken up again on a new connection and not generated a second time.
   CHECK(deployment.EngineExecutions() == requests.size() + 3);
   deployment.CheckStandIns();
