Withdraw the record of a call before saying that it has not run

A call that no endpoint took left its record in the store. While its entry said 'not run', another call with the same idempotency key could take the record over and run the action, so that the statement was false; the model of irreversible actions shows it as mutant RELEASE. Ruled out: following the other call, whose answer a repeat gets anyway. The entry now removes the record by compare-and-swap first; if another call has changed it, or a write of its own got no answer, it says that the outcome is unknown. A cancel names the agent's incarnation, so that one that overtakes its submit still forbids the attempt.

--- a/apps/samphiresail/entry/attemptrun.cpp
+++ b/apps/samphiresail/entry/attemptrun.cpp
@@ -86,6 +86,7 @@
   wire::Envelope envelope;
   envelope.mutable_cancel()->set_request_id(mSubmit.request_id());
   envelope.mutable_cancel()->set_attempt_id(mSubmit.attempt_id());
+  envelope.mutable_cancel()->set_agent_incarnation(mSubmit.agent_incarnation());
   mContext.mAgents.SendTo(mEndpoint.mAddress, std::move(envelope));
 }
 
--- a/apps/samphiresail/entry/operationlog.cpp
+++ b/apps/samphiresail/entry/operationlog.cpp
@@ -38,11 +38,20 @@
                                 std::int64_t aRevision,
                                 const wire::OperationRecord& aRecord)
 {
-  PendingWrite write{ aKey, aRevision, aRecord.SerializeAsString(), {} };
-  std::future<WriteResult> result = write.mResult.get_future();
+  return Queue({ aKey, aRevision, aRecord.SerializeAsString(), {} });
+}
+
+WriteResult OperationLog::Remove(const std::string& aKey, std::int64_t aRevision)
+{
+  return Queue({ aKey, aRevision, {}, {} });
+}
+
+WriteResult OperationLog::Queue(PendingWrite aWrite)
+{
+  std::future<WriteResult> result = aWrite.mResult.get_future();
   {
     const std::lock_guard lock(mMutex);
-    mQueue.push_back(std::move(write));
+    mQueue.push_back(std::move(aWrite));
   }
   mQueued.notify_one();
   return result.get();
@@ -92,8 +101,12 @@
   store::TransactionRequest transaction;
   for (const PendingWrite* write : aWrites) {
     transaction.mCompares.push_back({ write->mKey, write->mRevision });
-    transaction.mWrites.emplace_back(
-      store::PutOperation{ write->mKey, write->mValue, mLease });
+    if (write->mValue.empty()) {
+      transaction.mWrites.emplace_back(store::DeleteOperation{ write->mKey });
+    } else {
+      transaction.mWrites.emplace_back(
+        store::PutOperation{ write->mKey, write->mValue, mLease });
+    }
   }
   return transaction;
 }
@@ -132,6 +145,7 @@
 
 WriteResult OperationLog::CommitOne(PendingWrite& aWrite)
 {
+  WriteResult unanswered;
   for (int n = 0; n < kMaxTries; ++n) {
     const store::StoreReply reply = mExecute(MakeTransaction({ &aWrite }), mTimeout);
     if (reply.mOutcome == store::StoreOutcome::NotSent) {
@@ -146,8 +160,9 @@
     if (found.mState != WriteState::Unavailable) {
       return found;
     }
+    unanswered.mMayTakeEffect = true;
   }
-  return {};
+  return unanswered;
 }
 
 WriteResult OperationLog::ReadBack(const PendingWrite& aWrite)
@@ -157,13 +172,17 @@
     return {};
   }
   WriteResult result{ .mState = WriteState::Conflict };
+  if (reply.mRecords.empty() && aWrite.mValue.empty()) {
+    result.mState = WriteState::Written;
+    return result;
+  }
   if (reply.mRecords.empty()) {
     // An unanswered write may still take effect, so it has to be tried again.
     return aWrite.mRevision == 0 ? WriteResult{} : result;
   }
   result.mRevision = reply.mRecords.front().mModRevision;
   result.mRecord.ParseFromString(reply.mRecords.front().mValue);
-  if (SameAttempt(result.mRecord, aWrite.mValue)) {
+  if (!aWrite.mValue.empty() && SameAttempt(result.mRecord, aWrite.mValue)) {
     result.mState = WriteState::Written;
   } else if (result.mRevision == aWrite.mRevision) {
     result.mState = WriteState::Unavailable;
--- a/apps/samphiresail/entry/operationlog.hpp
+++ b/apps/samphiresail/entry/operationlog.hpp
@@ -34,6 +34,8 @@
   /// Record in the store; for a conflict it may be absent, with revision 0.
   wire::OperationRecord mRecord;
   std::int64_t mRevision{ 0 };
+  /// True if a write without an answer may still take effect.
+  bool mMayTakeEffect{ false };
 };
 
 /// Records of irreversible actions in the platform's store. Writes that wait at the same
@@ -55,15 +57,20 @@
                     std::int64_t aRevision,
                     const wire::OperationRecord& aRecord);
 
+  /// Removes the record if the one in the store still has the given revision.
+  WriteResult Remove(const std::string& aKey, std::int64_t aRevision);
+
 private:
   struct PendingWrite
   {
     std::string mKey;
     std::int64_t mRevision;
+    /// Empty to remove the record.
     std::string mValue;
     std::promise<WriteResult> mResult;
   };
 
+  WriteResult Queue(PendingWrite aWrite);
   void Run(const std::stop_token& aStop);
   bool EnsureLease();
   void Commit(std::vector<PendingWrite>& aWrites);
--- a/apps/samphiresail/entry/operationrun.cpp
+++ b/apps/samphiresail/entry/operationrun.cpp
@@ -55,6 +55,31 @@
 }
 
 Answer OperationRun::Run()
+{
+  try {
+    return RunAttempts();
+  } catch (ApiError& error) {
+    if (error.RequestOutcome() == Outcome::NotRun && !ReleaseRecord()) {
+      error.WithOutcome(Outcome::Unknown);
+    }
+    throw;
+  }
+}
+
+bool OperationRun::ReleaseRecord()
+{
+#ifndef SAMPHIRESAIL_MUTANT_OPERATION_RELEASE
+  if (mHasLostWrite) {
+    return false;
+  }
+  return !mHasRecord ||
+         mContext.mOperations.Remove(mKey, mRevision).mState == WriteState::Written;
+#else
+  return true;
+#endif
+}
+
+Answer OperationRun::RunAttempts()
 {
   while (true) {
     try {
@@ -99,9 +124,11 @@
       mKey, mRevision, MakeRecord(wire::OperationRecord::PENDING));
     if (written.mState == WriteState::Written) {
       mRevision = written.mRevision;
+      mHasRecord = true;
       return std::nullopt;
     }
     if (written.mState == WriteState::Unavailable) {
+      mHasLostWrite = mHasLostWrite || written.mMayTakeEffect;
       mCharge.SettleUnused();
       throw ApiError(ApiErrorType::StoreUnavailable,
                      "calls that run at most once need the platform's store, which does "
--- a/apps/samphiresail/entry/operationrun.hpp
+++ b/apps/samphiresail/entry/operationrun.hpp
@@ -32,6 +32,11 @@
 
 private:
   bool IsRecorded() const { return !mKey.empty(); }
+  Answer RunAttempts();
+  /// Withdraws the record, so that no other call can take it over once this call says
+  /// that nothing has run. Returns false if another call may have run the action
+  /// meanwhile.
+  bool ReleaseRecord();
   void ChooseAttempt();
   std::optional<Answer> Claim();
   std::optional<Answer> ResolveExisting(const WriteResult& aFound);
@@ -59,6 +64,9 @@
   std::vector<ids::EndpointId> mExcluded;
   /// Revision of the record in the store as this call last saw it.
   std::int64_t mRevision{ 0 };
+  bool mHasRecord{ false };
+  /// True if a write of this call got no answer and may still take effect.
+  bool mHasLostWrite{ false };
   std::uint32_t mRefusals{ 0 };
 };
 
--- a/apps/tests/entry/serving/operationruntest.cpp
+++ b/apps/tests/entry/serving/operationruntest.cpp
@@ -4,8 +4,10 @@
 #include <thread>
 
 #include "apps/samphiresail/entry/apierror.hpp"
+#include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/operationrun.hpp"
 #include "apps/tests/entry/serving/servingfixture.hpp"
+#include "components/store/storekeys.hpp"
 
 namespace {
 
@@ -98,6 +100,24 @@
   return run.Run();
 }
 
+/// Runs a booking that fails and returns its error.
+ApiError BookFailing(ServingFixture& aFixture, const std::string& aKey)
+{
+  try {
+    Book(aFixture, aKey);
+  } catch (const ApiError& error) {
+    return error;
+  }
+  FAIL("the call was answered");
+  return { ApiErrorType::Stopping, "" };
+}
+
+std::string RecordKey(const std::string& aKey)
+{
+  return std::string(store::kOperationPrefix) + "depots/booking/" +
+         entry::HexText(entry::DigestText(aKey));
+}
+
 ApiErrorType BookError(ServingFixture& aFixture,
                        const std::string& aKey,
                        const std::string& aBody = "{}")
@@ -209,3 +229,54 @@
   CHECK(BookError(fixture, "") == ApiErrorType::OutcomeUnknown);
   CHECK(agent.Runs() == 1);
 }
+
+TEST_CASE("not-run: a call that no endpoint takes withdraws its record", "[must-hold]")
+{
+  ServingFixture fixture;
+  fixture.SetAgent([&](const auto& aAddress, const wire::Envelope& aEnvelope) {
+    if (aEnvelope.has_submit()) {
+      fixture.Answer(aAddress, MakeRefuse(aEnvelope.submit(), wire::LEAVING));
+    }
+  });
+  const ApiError error = BookFailing(fixture, "k");
+  CHECK(error.RequestOutcome() == entry::Outcome::NotRun);
+  CHECK(fixture.Store().Value(RecordKey("k")).empty());
+}
+
+TEST_CASE("not-run: a call whose record another call took over is not called not run",
+          "[must-hold]")
+{
+  ServingFixture fixture;
+  fixture.SetAgent([&](const auto& aAddress, const wire::Envelope& aEnvelope) {
+    if (!aEnvelope.has_submit()) {
+      return;
+    }
+    wire::OperationRecord rival;
+    rival.set_attempt_id("att-of-rival");
+    rival.set_state(wire::OperationRecord::DONE);
+    const auto found = fixture.Store().Execute(store::RangeRequest{ RecordKey("k") },
+                                               std::chrono::seconds(1));
+    REQUIRE(found.mRecords.size() == 1);
+    fixture.Store().Execute(
+      store::TransactionRequest{
+        { { RecordKey("k"), found.mRecords.front().mModRevision } },
+        { store::PutOperation{ RecordKey("k"), rival.SerializeAsString() } } },
+      std::chrono::seconds(1));
+    fixture.Answer(aAddress, MakeRefuse(aEnvelope.submit(), wire::DEADLINE));
+  });
+  const ApiError error = BookFailing(fixture, "k");
+  CHECK(error.RequestOutcome() == entry::Outcome::Unknown);
+}
+
+TEST_CASE("not-run: a record whose write got no answer leaves the outcome unknown",
+          "[must-hold]")
+{
+  ServingFixture fixture;
+  ServiceAgent agent(fixture);
+  Book(fixture, "warm-up");
+  fixture.Store().SetLoseAnswers(true);
+  CHECK(BookFailing(fixture, "k").RequestOutcome() == entry::Outcome::Unknown);
+  fixture.Store().SetLoseAnswers(false);
+  fixture.Store().SetDown(true);
+  CHECK(BookFailing(fixture, "k").RequestOutcome() == entry::Outcome::NotRun);
+}
