Be ready only when rate credit can be had

Ruled out: a longer wait for credit, which delays every true refusal. Readiness now waits until the adopted rights cover all client accounts and are accepted, at most 5 s in touch.

--- a/apps/samphiresail/entry/control/controlsnapshot.hpp
+++ b/apps/samphiresail/entry/control/controlsnapshot.hpp
@@ -36,6 +36,8 @@
   std::vector<AgentInfo> mAgents;
   /// Value of the keeper record; empty if there is none.
   std::string mKeepers;
+  /// True once each client account's rate had holders that could grant.
+  bool mHasCredit{ false };
 };
 
 }
--- a/apps/samphiresail/entry/control/controlstate.cpp
+++ b/apps/samphiresail/entry/control/controlstate.cpp
@@ -227,12 +227,24 @@
   return !mLeaving && first && first->IsSame(Self());
 }
 
+bool ControlState::RightsCoverAccounts() const
+{
+  return mConfiguration &&
+         std::ranges::all_of(
+           mConfiguration->mCatalogue.mClientAccounts, [this](const auto& aAccount) {
+             return std::ranges::find(
+                      mRights.mShares, aAccount.mName, &limits::RightShare::mAccount) !=
+                    mRights.mShares.end();
+           });
+}
+
 std::shared_ptr<const ControlSnapshot> ControlState::MakeSnapshot() const
 {
   auto snapshot = std::make_shared<ControlSnapshot>();
   snapshot->mVersions = Versions();
   snapshot->mConfiguration = mConfiguration;
   snapshot->mKeepers = mKeepers;
+  snapshot->mHasCredit = mHasCredit;
   std::ranges::transform(mEntries,
                          std::back_inserter(snapshot->mEntries),
                          [](const auto& aItem) { return aItem.second; });
--- a/apps/samphiresail/entry/control/controlstate.hpp
+++ b/apps/samphiresail/entry/control/controlstate.hpp
@@ -72,6 +72,8 @@
   /// True if the snapshot for the traffic threads is out of date.
   bool mChanged{ false };
   std::vector<ids::KeyHash> mWithdrawn;
+  /// True once each client account's rate had holders that could grant; stays true.
+  bool mHasCredit{ false };
 
   const membership::Member& Self() const { return mSettings.mSelf; }
   membership::Versions Versions() const;
@@ -106,6 +108,9 @@
   /// Returns true if this entry plans the roster and the rights. Two planners are safe.
   bool IsPlanner(timing::Instant aNow) const;
 
+  /// Returns true if the adopted rights give shares of each client account to holders.
+  bool RightsCoverAccounts() const;
+
   std::shared_ptr<const ControlSnapshot> MakeSnapshot() const;
 
 private:
--- a/apps/samphiresail/entry/control/entrycore.cpp
+++ b/apps/samphiresail/entry/control/entrycore.cpp
@@ -9,6 +9,8 @@
 
 /// A stop does not wait longer for the roster to change.
 constexpr std::chrono::seconds kLeaveTimeout{ 6 };
+/// A new entry does not wait longer for holders of rate credit before it is ready.
+constexpr std::chrono::seconds kCreditTimeout{ 5 };
 
 }
 
@@ -206,10 +208,27 @@
   AdoptRights(aNow);
   mState.mEvidence.Evaluate(mState.Versions(), mState.mRoster, mState.Self(), aNow);
   mOutbox.SetVersions(mState.Versions());
+  NoteCredit(aNow);
   Publish();
   return mOutbox.Take();
 }
 
+void EntryCore::NoteCredit(timing::Instant aNow)
+{
+  if (mState.mHasCredit || !mState.mConfiguration || !mState.InTouch(aNow)) {
+    return;
+  }
+  if (!mCreditAwaitedSince) {
+    mCreditAwaitedSince = aNow;
+  }
+  const bool granted =
+    mState.RightsCoverAccounts() && mRightsKeeper.Accepted() >= mState.mRights.mVersion;
+  if (granted || aNow - *mCreditAwaitedSince >= kCreditTimeout) {
+    mState.mHasCredit = true;
+    mState.mChanged = true;
+  }
+}
+
 void EntryCore::Publish()
 {
   if (!mState.mWithdrawn.empty()) {
--- a/apps/samphiresail/entry/control/entrycore.hpp
+++ b/apps/samphiresail/entry/control/entrycore.hpp
@@ -64,6 +64,8 @@
   void Dispatch(const PeerMessage& aMessage, timing::Instant aNow);
   void AdoptRights(timing::Instant aNow);
   void TickStop(timing::Instant aNow);
+  /// Notes that credit can be had, so that the entry may count as ready.
+  void NoteCredit(timing::Instant aNow);
   void Publish();
 
   ControlState mState;
@@ -80,6 +82,7 @@
   membership::Versions mRightsBasis;
   units::Version mRosterSeen;
   std::optional<timing::Instant> mPublishedEvidence;
+  std::optional<timing::Instant> mCreditAwaitedSince;
   bool mStopping{ false };
   bool mHandOverDone{ false };
   std::optional<timing::Instant> mLeaveBegan;
--- a/apps/samphiresail/entry/entryprocess.cpp
+++ b/apps/samphiresail/entry/entryprocess.cpp
@@ -269,6 +269,9 @@
     if (!aSnapshot.mConfiguration) {
       return;
     }
+    if (aSnapshot.mHasCredit) {
+      mState.SetHasCredit();
+    }
     std::vector<AgentRow> agents(aSnapshot.mAgents.size());
     std::ranges::transform(aSnapshot.mAgents, agents.begin(), ReadAgent);
     mState.Publish(
--- a/apps/samphiresail/entry/httpfront.cpp
+++ b/apps/samphiresail/entry/httpfront.cpp
@@ -271,7 +271,7 @@
   void AnswerReady(httplib::Response& aResponse)
   {
     constexpr int kUnavailable = 503;
-    const bool ready = !mContext.mState.IsStopping() &&
+    const bool ready = !mContext.mState.IsStopping() && mContext.mState.HasCredit() &&
                        mContext.mState.Snapshot() != nullptr &&
                        mContext.mState.IsInTouch(mContext.mClock.Now());
     aResponse.status = ready ? 200 : kUnavailable;
--- a/apps/samphiresail/entry/sharedstate.hpp
+++ b/apps/samphiresail/entry/sharedstate.hpp
@@ -41,6 +41,10 @@
     return aNow - mEvidence.load() < mInTouchLimit;
   }
 
+  /// States that rate credit can be had.
+  void SetHasCredit() { mHasCredit.store(true); }
+  bool HasCredit() const { return mHasCredit.load(); }
+
   void BeginStop() { mStopping.store(true); }
   bool IsStopping() const { return mStopping.load(); }
 
@@ -49,6 +53,7 @@
   mutable std::mutex mMutex;
   SnapshotPointer mSnapshot;
   std::atomic<timing::Instant> mEvidence{ timing::Instant{} };
+  std::atomic<bool> mHasCredit{ false };
   std::atomic<bool> mStopping{ false };
 };
 
