--- a/apps/samphiresail/entry/attemptrun.cpp
+++ b/apps/samphiresail/entry/attemptrun.cpp
@@ -6,6 +6,7 @@
 
 #include "apps/samphiresail/entry/agentlink.hpp"
 #include "apps/samphiresail/entry/endpointreports.hpp"
+#include "components/functional/overloaded.hpp"
 
 namespace samphiresail::entry {
 
@@ -18,15 +19,6 @@
 constexpr std::chrono::milliseconds kWaitStep{ 500 };
 constexpr std::chrono::milliseconds kResubmitPause{ 100 };
 
-template<typename... Handlers>
-struct Overloaded : Handlers...
-{
-  using Handlers::operator()...;
-};
-
-template<typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 /// Refusals that a restarted agent also gives for an attempt that its former incarnation
 /// ran.
 bool IsAboutSender(wire::RefuseReason aReason)
@@ -127,35 +119,35 @@
 std::optional<AttemptStep> AttemptRun::OnEvent(AttemptEvent aEvent)
 {
   return std::visit(
-    Overloaded{ [this](NotSentEvent) { return OnNotSent(); },
-                [this](ReattachEvent aReattach) -> std::optional<AttemptStep> {
-                  mConnection = aReattach.mConnection;
-                  SendSubmit();
-                  return std::nullopt;
-                },
-                [this](wire::Refuse& aRefuse) { return OnRefuse(std::move(aRefuse)); },
-                [this](wire::Chunk& aChunk) -> std::optional<AttemptStep> {
-                  mHeardAt = mContext.mClock.Now();
-                  mAcknowledged = true;
-                  mSilences = 0;
-                  if (aChunk.sequence() >= mChunksHeld) {
-                    mEarlyChunks[aChunk.sequence()] = { std::move(*aChunk.mutable_data()),
-                                                        static_cast<int>(
-                                                          aChunk.http_status()) };
-                  }
-                  return std::nullopt;
-                },
-                [this](wire::Complete& aComplete) -> std::optional<AttemptStep> {
-                  mHeardAt = mContext.mClock.Now();
-                  mComplete = std::move(aComplete);
-                  return std::nullopt;
-                },
-                [this](const auto&) -> std::optional<AttemptStep> {
-                  mHeardAt = mContext.mClock.Now();
-                  mAcknowledged = true;
-                  mSilences = 0;
-                  return std::nullopt;
-                } },
+    functional::Overloaded{
+      [this](NotSentEvent) { return OnNotSent(); },
+      [this](ReattachEvent aReattach) -> std::optional<AttemptStep> {
+        mConnection = aReattach.mConnection;
+        SendSubmit();
+        return std::nullopt;
+      },
+      [this](wire::Refuse& aRefuse) { return OnRefuse(std::move(aRefuse)); },
+      [this](wire::Chunk& aChunk) -> std::optional<AttemptStep> {
+        mHeardAt = mContext.mClock.Now();
+        mAcknowledged = true;
+        mSilences = 0;
+        if (aChunk.sequence() >= mChunksHeld) {
+          mEarlyChunks[aChunk.sequence()] = { std::move(*aChunk.mutable_data()),
+                                              static_cast<int>(aChunk.http_status()) };
+        }
+        return std::nullopt;
+      },
+      [this](wire::Complete& aComplete) -> std::optional<AttemptStep> {
+        mHeardAt = mContext.mClock.Now();
+        mComplete = std::move(aComplete);
+        return std::nullopt;
+      },
+      [this](const auto&) -> std::optional<AttemptStep> {
+        mHeardAt = mContext.mClock.Now();
+        mAcknowledged = true;
+        mSilences = 0;
+        return std::nullopt;
+      } },
     aEvent);
 }
 
--- a/apps/samphiresail/entry/endpointchoice.cpp
+++ b/apps/samphiresail/entry/endpointchoice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
-#include <random>
 #include <string_view>
 #include <thread>
 
@@ -27,12 +26,6 @@
 /// Bytes of the body that decide which endpoint may have the prompt's prefix cached.
 constexpr std::size_t kPrefixBytes = 512;
 
-std::mt19937_64& Generator()
-{
-  thread_local std::mt19937_64 generator(MakeRandomNumber());
-  return generator;
-}
-
 routing::RouteRequest MakeRouteRequest(const EntryContext& aContext,
                                        const CallerRequest& aRequest,
                                        const std::vector<ids::EndpointId>& aExcluded)
@@ -58,10 +51,10 @@
 {
   if (aContext.mSettings.mRouter == settings::RouterPolicy::RoundRobin) {
     static routing::RoundRobinRouter roundRobin;
-    return roundRobin.Choose(aContext.mEndpoints, aRoute, aNow, Generator());
+    return roundRobin.Choose(aContext.mEndpoints, aRoute, aNow, ThreadGenerator());
   }
   return routing::PowerOfTwoRouter().Choose(
-    aContext.mEndpoints, aRoute, aNow, Generator());
+    aContext.mEndpoints, aRoute, aNow, ThreadGenerator());
 }
 
 timing::Duration WaitLimit(routing::NoRouteCause aCause)
--- a/apps/samphiresail/entry/exchange.cpp
+++ b/apps/samphiresail/entry/exchange.cpp
@@ -1,7 +1,6 @@
 #include "apps/samphiresail/entry/exchange.hpp"
 
 #include <algorithm>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -25,12 +24,6 @@
 /// A call that may run again is tried elsewhere if the back end answers from here on.
 constexpr int kFirstServerError = 500;
 
-std::mt19937_64& Generator()
-{
-  thread_local std::mt19937_64 generator(MakeRandomNumber());
-  return generator;
-}
-
 }
 
 Exchange::Exchange(EntryContext& aContext,
@@ -231,7 +224,7 @@
     mAnswer = {};
   }
   const retry::RetryDecision decision =
-    retry::DecideRetry(retry::RetryLimits{}, aFailure, mHistory, Generator());
+    retry::DecideRetry(retry::RetryLimits{}, aFailure, mHistory, ThreadGenerator());
   const timing::Instant now = mContext.mClock.Now();
   const bool mayRetry = decision.mAction == retry::RetryAction::Resend ||
                         (decision.mAction == retry::RetryAction::TryElsewhere &&
--- a/apps/samphiresail/entry/identifiers.cpp
+++ b/apps/samphiresail/entry/identifiers.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-/// Random numbers of one thread, seeded from the system.
-std::mt19937_64& Generator()
-{
-  thread_local std::mt19937_64 generator = [] {
-    std::random_device device;
-    std::seed_seq seed{ device(), device(), device(), device() };
-    return std::mt19937_64(seed);
-  }();
-  return generator;
-}
-
 void AppendNumber(std::string& aText, std::uint64_t aNumber)
 {
   for (int shift = 56; shift >= 0; shift -= 8) {
@@ -30,17 +19,27 @@
 
 }
 
+std::mt19937_64& ThreadGenerator()
+{
+  thread_local std::mt19937_64 generator = [] {
+    std::random_device device;
+    std::seed_seq seed{ device(), device(), device(), device() };
+    return std::mt19937_64(seed);
+  }();
+  return generator;
+}
+
 std::string MakeIdentifier(std::string_view aPrefix)
 {
   std::string bytes;
-  AppendNumber(bytes, Generator()());
-  AppendNumber(bytes, Generator()());
+  AppendNumber(bytes, ThreadGenerator()());
+  AppendNumber(bytes, ThreadGenerator()());
   return std::string(aPrefix) + HexText(bytes);
 }
 
 std::uint64_t MakeRandomNumber()
 {
-  return std::uniform_int_distribution<std::uint64_t>(1)(Generator());
+  return std::uniform_int_distribution<std::uint64_t>(1)(ThreadGenerator());
 }
 
 std::string DigestText(std::string_view aText)
--- a/apps/samphiresail/entry/identifiers.hpp
+++ b/apps/samphiresail/entry/identifiers.hpp
@@ -2,11 +2,15 @@
 #define SAMPHIRESAIL_APPS_SAMPHIRESAIL_ENTRY_IDENTIFIERS_HPP
 
 #include <cstdint>
+#include <random>
 #include <string>
 #include <string_view>
 
 namespace samphiresail::entry {
 
+/// Returns the calling thread's generator, seeded from the system.
+std::mt19937_64& ThreadGenerator();
+
 /// Returns 128 random bits as lower-case hexadecimal text after a prefix.
 std::string MakeIdentifier(std::string_view aPrefix);
 
--- /dev/null
+++ b/components/functional/overloaded.hpp
@@ -0,0 +1,18 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_FUNCTIONAL_OVERLOADED_HPP
+#define SAMPHIRESAIL_COMPONENTS_FUNCTIONAL_OVERLOADED_HPP
+
+namespace samphiresail::functional {
+
+/// Joins function objects into one with all their overloads, to visit a variant.
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}
+
+#endif
--- a/components/store/etcdcodec.cpp
+++ b/components/store/etcdcodec.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "components/functional/overloaded.hpp"
 #include "components/store/base64.hpp"
 
 namespace samphiresail::store {
@@ -15,15 +16,6 @@
 
 namespace {
 
-template<typename... Handlers>
-struct Overloaded : Handlers...
-{
-  using Handlers::operator()...;
-};
-
-template<typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 /// The gateway writes 64-bit integers as strings and leaves out zeroes.
 std::int64_t ReadInteger(const Json& aObject, const char* aName)
 {
@@ -159,7 +151,7 @@
 EtcdCall EncodeEtcdCall(const StoreRequest& aRequest)
 {
   return std::visit(
-    Overloaded{
+    functional::Overloaded{
       [](const RangeRequest& aRange) { return WriteRange(aRange); },
       [](const TransactionRequest& aTransaction) {
         return WriteTransaction(aTransaction);
