Keep threads of an entry for accounts that hold few

Ruled out: a fixed bound for each account, which would refuse an account that is alone. While a quarter of the threads is free, any account may take one; after that only an account with less than an even part. The listener's report of a request has a file of its own now.

--- a/apps/samphiresail/entry/httpfront.cpp
+++ b/apps/samphiresail/entry/httpfront.cpp
@@ -1,6 +1,5 @@
 #include "apps/samphiresail/entry/httpfront.hpp"
 
-#include <atomic>
 #include <cmath>
 #include <memory>
 #include <stdexcept>
@@ -11,10 +10,11 @@
 
 #include "apps/samphiresail/entry/apierror.hpp"
 #include "apps/samphiresail/entry/authentication.hpp"
-#include "apps/samphiresail/entry/entrytelemetry.hpp"
+#include "apps/samphiresail/entry/callerslots.hpp"
 #include "apps/samphiresail/entry/exchange.hpp"
 #include "apps/samphiresail/entry/identifiers.hpp"
 #include "apps/samphiresail/entry/operationrun.hpp"
+#include "apps/samphiresail/entry/requestreport.hpp"
 #include "apps/samphiresail/entry/sharedstate.hpp"
 
 namespace samphiresail::entry {
@@ -31,6 +31,7 @@
 constexpr std::chrono::milliseconds kReadinessLead{ 1500 };
 constexpr std::chrono::milliseconds kQuietTime{ 300 };
 constexpr std::chrono::milliseconds kDrainStep{ 20 };
+constexpr std::chrono::milliseconds kCrowdedRetry{ 1000 };
 
 RawRequest ReadRaw(const httplib::Request& aRequest)
 {
@@ -78,60 +79,10 @@
   return "data: " + aError.Body(aRequestId) + "\n\n";
 }
 
-/// Counts a request as in flight for as long as it lives.
-class InFlight
-{
-public:
-  explicit InFlight(std::atomic<int>& aCount)
-    : mCount(aCount)
-  {
-    ++mCount;
-  }
-  ~InFlight() { --mCount; }
-  InFlight(const InFlight&) = delete;
-  InFlight& operator=(const InFlight&) = delete;
-
-private:
-  std::atomic<int>& mCount;
-};
-
-/// Reports the end of a request to the telemetry, once.
-class RequestReport
-{
-public:
-  RequestReport(EntryContext& aContext, RequestSummary aSummary)
-    : mContext(aContext)
-    , mSummary(std::move(aSummary))
-    , mBegin(aContext.mClock.Now())
-  {
-    mContext.mTelemetry.OnAdmitted(mSummary);
-  }
-
-  ~RequestReport()
-  {
-    mContext.mTelemetry.OnFinished(mSummary, mResult, mContext.mClock.Now() - mBegin);
-  }
-  RequestReport(const RequestReport&) = delete;
-  RequestReport& operator=(const RequestReport&) = delete;
-
-  const RequestSummary& Summary() const { return mSummary; }
-  void SetResult(std::string aResult) { mResult = std::move(aResult); }
-  void OnFirstPart()
-  {
-    mContext.mTelemetry.OnFirstPart(mSummary, mContext.mClock.Now() - mBegin);
-  }
-
-private:
-  EntryContext& mContext;
-  RequestSummary mSummary;
-  timing::Instant mBegin;
-  std::string mResult{ "caller_gone" };
-};
-
 /// Everything that lives as long as a streamed answer.
 struct StreamState
 {
-  std::shared_ptr<InFlight> mInFlight;
+  std::shared_ptr<CallerSlot> mSlot;
   std::shared_ptr<RequestReport> mReport;
   std::unique_ptr<Exchange> mExchange;
   /// First part, which is read before the headers are written.
@@ -155,6 +106,7 @@
   explicit Listener(EntryContext& aContext)
     : mContext(aContext)
     , mServer(MakeServer(aContext.mSettings.mTls))
+    , mSlots(aContext.mSettings.mHttpThreads)
   {
     if (!mServer->is_valid()) {
       throw std::runtime_error("the TLS certificate or key cannot be used");
@@ -175,7 +127,7 @@
     timing::Instant busyAt = begin;
     while (true) {
       const timing::Instant now = mContext.mClock.Now();
-      if (mInFlight.load() > 0) {
+      if (mSlots.Taken() > 0) {
         busyAt = now;
       }
       const bool quiet = now - begin >= kReadinessLead && now - busyAt >= kQuietTime;
@@ -321,7 +273,6 @@
 
   void Serve(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
-    auto inFlight = std::make_shared<InFlight>(mInFlight);
     const std::string id = MakeIdentifier("req-");
     aResponse.set_header("X-Request-Id", id);
     if (mContext.mState.IsStopping()) {
@@ -331,7 +282,7 @@
       const SnapshotPointer snapshot = RequireSnapshot();
       CallerRequest request = ReadRequest(aRequest, *snapshot);
       request.mId = ids::RequestId(id);
-      ServeChecked(std::move(request), *snapshot, inFlight, aResponse);
+      ServeChecked(std::move(request), *snapshot, aResponse);
     } catch (const ApiError& error) {
       WriteError(error, id, aResponse);
     }
@@ -339,11 +290,16 @@
 
   void ServeChecked(CallerRequest aRequest,
                     const RoutingSnapshot& aSnapshot,
-                    const std::shared_ptr<InFlight>& aInFlight,
                     httplib::Response& aResponse)
   {
     auto report = std::make_shared<RequestReport>(mContext, aRequest.Summary());
+    auto slot = std::make_shared<CallerSlot>(mSlots, aRequest.mAccount);
     try {
+      if (!slot->IsTaken()) {
+        throw ApiError(ApiErrorType::Overloaded,
+                       "the account has too many requests open at this entry")
+          .WithRetryAfter(kCrowdedRetry);
+      }
       AdmissionCharge charge(mContext, aRequest, aSnapshot);
       if (!aRequest.mRepeatable) {
         OperationRun operation(mContext, std::move(aRequest), std::move(charge));
@@ -351,7 +307,7 @@
       } else if (aRequest.mStream) {
         auto exchange =
           std::make_unique<Exchange>(mContext, std::move(aRequest), std::move(charge));
-        Stream(std::move(exchange), aInFlight, report, aResponse);
+        Stream(std::move(exchange), slot, report, aResponse);
         return;
       } else {
         Exchange exchange(mContext, std::move(aRequest), std::move(charge));
@@ -366,7 +322,7 @@
   }
 
   static void Stream(std::unique_ptr<Exchange> aExchange,
-                     const std::shared_ptr<InFlight>& aInFlight,
+                     const std::shared_ptr<CallerSlot>& aSlot,
                      const std::shared_ptr<RequestReport>& aReport,
                      httplib::Response& aResponse)
   {
@@ -380,7 +336,7 @@
       return;
     }
     auto state = std::make_shared<StreamState>(
-      StreamState{ aInFlight, aReport, std::move(aExchange), std::move(first) });
+      StreamState{ aSlot, aReport, std::move(aExchange), std::move(first) });
     aResponse.set_header("Cache-Control", "no-cache");
     aResponse.set_chunked_content_provider(
       kEventStream, [state](std::size_t, httplib::DataSink& aSink) {
@@ -421,7 +377,7 @@
 
   EntryContext& mContext;
   std::unique_ptr<httplib::Server> mServer;
-  std::atomic<int> mInFlight{ 0 };
+  CallerSlots mSlots;
   std::uint16_t mPort{ 0 };
   std::jthread mThread;
 };
