Make the linter accept all sources

A run of the linter over all files found 10 places in 6 files: strings joined by copies, growing vectors and copied parameters. All were mended in the code; no check was taken out.

--- a/apps/tests/entry/serving/operationruntest.cpp
+++ b/apps/tests/entry/serving/operationruntest.cpp
@@ -161,6 +161,7 @@
   std::atomic<int> answered{ 0 };
   {
     std::vector<std::jthread> callers;
+    callers.reserve(8);
     for (int n = 0; n < 8; ++n) {
       callers.emplace_back([&] { answered += Book(fixture, "k").mBody == "booked"; });
     }
--- a/apps/tests/timeline/recordertest.cpp
+++ b/apps/tests/timeline/recordertest.cpp
@@ -72,6 +72,7 @@
   timeline::Recorder recorder = MakeRecorder(clock, 1000);
   {
     std::vector<std::jthread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i) {
       threads.emplace_back([&] {
         for (int n = 0; n < 200; ++n) {
--- a/apps/tests/transport/peertransporttest.cpp
+++ b/apps/tests/transport/peertransporttest.cpp
@@ -53,7 +53,7 @@
 {
   transport::PeerServer* answerer = nullptr;
   transport::PeerServer server(
-    {}, aCurve, [&](const transport::Route& aRoute, wire::Envelope aEnvelope) {
+    {}, aCurve, [&](const transport::Route& aRoute, const wire::Envelope& aEnvelope) {
       answerer->Send(aRoute, MakeProbe(aEnvelope.probe().nonce() + 1));
     });
   answerer = &server;
--- a/components/catalogue/cataloguediff.cpp
+++ b/components/catalogue/cataloguediff.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -54,6 +55,16 @@
   return entries;
 }
 
+/// Returns the line of an entry that was removed (-), added (+) or changed (~).
+std::string EntryLine(char aSign, const std::string& aKind, const std::string& aName)
+{
+  std::string line{ aSign, ' ' };
+  line += aKind;
+  line += ' ';
+  line += aName;
+  return line;
+}
+
 std::vector<std::string> DiffSection(const std::string& aKind,
                                      const Json& aBefore,
                                      const Json& aAfter)
@@ -63,16 +74,18 @@
   const std::map<std::string, Json> after = ByName(aAfter);
   for (const auto& [name, entry] : before) {
     if (!after.contains(name)) {
-      lines.push_back("- " + aKind + " " + name);
+      lines.push_back(EntryLine('-', aKind, name));
     }
   }
   for (const auto& [name, entry] : after) {
     const auto it = before.find(name);
     if (it == before.end()) {
-      lines.push_back("+ " + aKind + " " + name);
+      lines.push_back(EntryLine('+', aKind, name));
     } else if (it->second != entry) {
-      lines.push_back("~ " + aKind + " " + name + ":" +
-                      DescribeChanges(it->second, entry));
+      std::string line = EntryLine('~', aKind, name);
+      line += ':';
+      line += DescribeChanges(it->second, entry);
+      lines.push_back(std::move(line));
     }
   }
   return lines;
--- a/components/limits/rightsplanner.cpp
+++ b/components/limits/rightsplanner.cpp
@@ -42,10 +42,9 @@
       it->second = candidate;
     }
   }
-  std::vector<HolderCandidate> holders;
-  for (const auto& [zone, candidate] : picked) {
-    holders.push_back(candidate);
-  }
+  std::vector<HolderCandidate> holders(picked.size());
+  std::ranges::transform(
+    picked, holders.begin(), [](const auto& aItem) { return aItem.second; });
   return holders;
 }
 
--- a/components/yaml/mapreader.cpp
+++ b/components/yaml/mapreader.cpp
@@ -41,8 +41,10 @@
 
 }
 
-MapReader::MapReader(YAML::Node aNode, std::string aWhat, findings::Findings& aFindings)
-  : mNode(std::move(aNode))
+MapReader::MapReader(const YAML::Node& aNode,
+                     std::string aWhat,
+                     findings::Findings& aFindings)
+  : mNode(aNode)
   , mWhat(std::move(aWhat))
   , mFindings(&aFindings)
   , mReadable(mNode.IsDefined() && mNode.IsMap())
@@ -52,7 +54,8 @@
   }
 }
 
-std::string MapReader::Text(const std::string& aKey, std::optional<std::string> aDefault)
+std::string MapReader::Text(const std::string& aKey,
+                            const std::optional<std::string>& aDefault)
 {
   std::optional<std::string> text = Scalar(aKey, !aDefault.has_value(), false);
   if (text && text->empty()) {
--- a/components/yaml/mapreader.hpp
+++ b/components/yaml/mapreader.hpp
@@ -28,10 +28,11 @@
 {
 public:
   /// aWhat names the map in findings, as in `model 'depot'`.
-  MapReader(YAML::Node aNode, std::string aWhat, findings::Findings& aFindings);
+  MapReader(const YAML::Node& aNode, std::string aWhat, findings::Findings& aFindings);
 
   /// A value without a default is required.
-  std::string Text(const std::string& aKey, std::optional<std::string> aDefault = {});
+  std::string Text(const std::string& aKey,
+                   const std::optional<std::string>& aDefault = {});
   std::int64_t Integer(const std::string& aKey,
                        Range<std::int64_t> aRange,
                        std::optional<std::int64_t> aDefault = {});
