--- a/components/catalogue/entryreader.cpp
+++ b/components/catalogue/entryreader.cpp
@@ -49,9 +49,10 @@
   return name;
 }
 
-RequestClass ReadClass(MapReader& aReader, std::optional<std::string> aDefault = {})
+RequestClass ReadClass(MapReader& aReader,
+                       const std::optional<std::string>& aDefault = {})
 {
-  const std::string name = aReader.Text("class", std::move(aDefault));
+  const std::string name = aReader.Text("class", aDefault);
   try {
     return ParseClass(name);
   } catch (const ConfigurationError&) {
--- a/components/settings/settingsloader.cpp
+++ b/components/settings/settingsloader.cpp
@@ -29,9 +29,9 @@
 
 SocketAddress ReadAddress(MapReader& aReader,
                           const std::string& aKey,
-                          std::optional<std::string> aDefault = {})
+                          const std::optional<std::string>& aDefault = {})
 {
-  const std::string text = aReader.Text(aKey, std::move(aDefault));
+  const std::string text = aReader.Text(aKey, aDefault);
   const std::optional<SocketAddress> address = ParseSocketAddress(text);
   if (!address && aReader.Has(aKey)) {
     aReader.Report(aKey,
@@ -42,9 +42,9 @@
 
 std::string ReadUrl(MapReader& aReader,
                     const std::string& aKey,
-                    std::optional<std::string> aDefault = {})
+                    const std::optional<std::string>& aDefault = {})
 {
-  std::string text = aReader.Text(aKey, std::move(aDefault));
+  std::string text = aReader.Text(aKey, aDefault);
   const bool valid = text.starts_with("http://") || text.starts_with("https://");
   if (!valid && aReader.Has(aKey)) {
     aReader.Report(aKey, "'" + aKey + "' must begin with http:// or https://");
