--- /dev/null
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -0,0 +1,557 @@
+#include "apps/samphiresail/gateway/gatewayprocess.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "components/gateway/peercodec.hpp"
+
+namespace samphiresail::gatewayapp {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using frontend::ErrorCode;
+using frontend::Into;
+using gateway::Leadership;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Step of the tables' systems: the resolution of every deadline.
+constexpr milliseconds kTick{ 40 };
+/// Every so often the other entries are told this one's load.
+constexpr milliseconds kDigestEvery{ 250 };
+/// With more entries digests go out less often, so that each hears as many a second.
+constexpr milliseconds kDigestPerEntry{ 25 };
+constexpr milliseconds kPlacementEvery{ 200 };
+constexpr milliseconds kUpkeepEvery{ 1000 };
+constexpr milliseconds kLeaseLook{ 100 };
+constexpr milliseconds kStoreLimit{ 900 };
+/// After the signal to stop the balancer needs two missed probes, a second apart.
+constexpr milliseconds kStopLinger{ 3000 };
+/// Idle connections are kept a little longer, for callers that reuse them.
+constexpr milliseconds kStopIdle{ 2600 };
+/// Time before the kill at which a stopping process ends whatever still runs.
+constexpr milliseconds kStopMargin{ 500 };
+/// Time that a new leader waits beyond the lease of an earlier one's orders.
+constexpr milliseconds kQuietMargin{ 300 };
+/// A new leader does not know the loads that an earlier one began.
+constexpr milliseconds kLoadsPause{ 1000 };
+/// Descriptors kept for connections to endpoints, the store and files.
+constexpr std::size_t kOwnDescriptors = 1200;
+
+const std::string kMemberPrefix = "samphiresail/entries/";
+const std::string kLeaderKey = "samphiresail/leader";
+
+std::uint64_t DrawSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::uint64_t WallMillis(const timing::Clock& aClock)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(aClock.WallNow().time_since_epoch())
+      .count());
+}
+
+}
+
+GatewayProcess::GatewayProcess(const GatewayOptions& aOptions,
+                               std::string aSettingsPath,
+                               platform::Settings aSettings,
+                               const timing::Clock& aClock)
+  : mOptions(aOptions)
+  , mSettingsPath(std::move(aSettingsPath))
+  , mSettings(std::move(aSettings))
+  , mClock(aClock)
+  , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel))
+  , mMetrics(mRegistry)
+  , mIncarnation(WallMillis(aClock))
+  , mControl(mSettings.mZone, DrawSeed())
+  , mPeers(mSettings.mName)
+  , mLeadership(mSettings.mOrderLease + kQuietMargin, mSettings.mFirstStart)
+  , mClient(mIo)
+  , mStore(mClient, mSettings.mStore)
+  , mEngines(mClient, mSettings.mName)
+  , mFeed(mIo, mStore, *this, aClock, mLogger, DrawSeed())
+  , mBackends(mIo)
+  , mFrontend{ mIo,       mClock,     mDialect, mControl,
+               mBackends, mExchanges, mLogger,  mMetrics }
+  , mCallers(mFrontend,
+             mSettings.mCallers,
+             mSettings.mMaxDescriptors > 2 * kOwnDescriptors
+               ? mSettings.mMaxDescriptors - kOwnDescriptors
+               : mSettings.mMaxDescriptors / 2)
+  , mReadiness(mIo,
+               mSettings.mReadiness,
+               [this](std::string_view) { return Readiness(); })
+  , mPeerSocket(mIo)
+  , mSignals(mIo, SIGTERM, SIGHUP, SIGINT)
+{
+  ApplySettings();
+  if (mOptions.mMetricsPort != 0) {
+    mMetricsListener = std::make_unique<frontend::StatusListener>(
+      mIo,
+      settings::SocketAddress{ mSettings.mIp, mOptions.mMetricsPort },
+      [this](std::string_view) {
+        return frontend::StatusListener::Answer{ 200, mRegistry.Text() };
+      });
+  }
+  mPeerSocket.open(udp::v4());
+  mPeerSocket.bind(
+    { asio::ip::make_address_v4(mSettings.mIp), mSettings.mFirstPeerPort });
+  mPeerSocket.non_blocking(true);
+}
+
+void GatewayProcess::ApplySettings()
+{
+  mControl.mRepeats.SetLimits(
+    { mSettings.mRepeatWindow, mSettings.mRepeatRatio, mSettings.mRepeatSlack });
+}
+
+void GatewayProcess::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  mLogger.Info("start",
+               { { "zone", mSettings.mZone.Str() },
+                 { "first_start", mSettings.mFirstStart },
+                 { "incarnation", mIncarnation } });
+  mCallers.Start();
+  mReadiness.Start();
+  if (mMetricsListener) {
+    mMetricsListener->Start();
+  }
+  asio::co_spawn(
+    mIo, [this] { return mFeed.Run(); }, asio::detached);
+  asio::co_spawn(
+    mIo, [this] { return LeaseLoop(); }, asio::detached);
+  asio::co_spawn(
+    mIo, [this] { return ReceiveDigests(); }, asio::detached);
+  asio::co_spawn(
+    mIo, [this] { return HandleSignals(); }, asio::detached);
+  asio::co_spawn(
+    mIo, [this] { return TickLoop(); }, asio::detached);
+  mIo.run();
+  mLogger.Info("stop", { { "requests_left", mExchanges.Size() } });
+}
+
+asio::awaitable<void> GatewayProcess::TickLoop()
+{
+  asio::steady_timer timer(mIo);
+  while (!mStopped) {
+    ErrorCode ec;
+    timer.expires_after(kTick);
+    co_await timer.async_wait(Into(ec));
+    Tick(mClock.Now());
+  }
+  mIo.stop();
+}
+
+void GatewayProcess::Tick(timing::Instant aNow)
+{
+  mExchanges.Tick(aNow);
+  mCallers.Tick(aNow);
+  mControl.Tick(aNow);
+  mPeers.Tick(aNow);
+  if (aNow >= mNextDigest) {
+    const auto entries = static_cast<std::int64_t>(mPeers.Entries());
+    mNextDigest = aNow + std::max(kDigestEvery, kDigestPerEntry * entries);
+    UpdateShares(aNow);
+    SendDigest(aNow);
+  }
+  if (aNow >= mNextPlacement) {
+    mNextPlacement = aNow + kPlacementEvery;
+    PlaceModels(aNow);
+  }
+  if (aNow >= mNextUpkeep) {
+    mNextUpkeep = aNow + kUpkeepEvery;
+    mBackends.Tick(aNow);
+  }
+  if (mStopBegan != timing::Instant::max()) {
+    const timing::Duration since = aNow - mStopBegan;
+    const bool served = since >= kStopLinger && mExchanges.Size() == 0;
+    mStopped = served || since >= mSettings.mStopGrace - kStopMargin;
+  }
+}
+
+void GatewayProcess::UpdateShares(timing::Instant aNow)
+{
+  mControl.SetEntries(mPeers.Entries());
+  std::unordered_map<ids::EndpointId, unsigned> counts;
+  for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
+    counts.emplace(id, mPeers.InFlight(id, aNow));
+  }
+  mControl.mDirectory.SetPeersInFlight(counts);
+  if (!mControl.Configuration()) {
+    return;
+  }
+  const bool allHear = mPeers.AllHearAll(aNow);
+  for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
+    mControl.mQuotas.SetPart(account.mName,
+                             mPeers.AccountDemands(account.mName, aNow),
+                             mPeers.Entries(),
+                             allHear,
+                             aNow);
+  }
+}
+
+void GatewayProcess::SendDigest(timing::Instant aNow)
+{
+  gateway::PeerDigest digest;
+  digest.mProcess = mSettings.mName;
+  digest.mIncarnation = mIncarnation;
+  digest.mNumber = ++mDigestNumber;
+  digest.mHearsAll = mPeers.HearsAll(aNow);
+  for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
+    if (endpoint.mInFlight > 0) {
+      digest.mInFlight.emplace(gateway::DigestKey(id.Str()), endpoint.mInFlight);
+    }
+  }
+  if (mControl.Configuration()) {
+    for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
+      const double demand = mControl.mQuotas.Demand(account.mName, aNow);
+      if (demand >= 1.0) {
+        digest.mAccountDemand.emplace(gateway::DigestKey(account.mName.Str()), demand);
+      }
+    }
+  }
+  mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
+    digest.mModelDemand.emplace(gateway::DigestKey(aName), aRate);
+  });
+  const std::string bytes = gateway::EncodeDigest(digest);
+  for (const settings::SocketAddress& address : mPeers.Addresses()) {
+    ErrorCode ec;
+    const auto host = asio::ip::make_address_v4(address.mHost, ec);
+    if (!ec) {
+      // A lost digest is followed by the next one.
+      mPeerSocket.send_to(asio::buffer(bytes), udp::endpoint(host, address.mPort), 0, ec);
+    }
+  }
+}
+
+asio::awaitable<void> GatewayProcess::ReceiveDigests()
+{
+  for (;;) {
+    ErrorCode ec;
+    udp::endpoint sender;
+    const std::size_t n = co_await mPeerSocket.async_receive_from(
+      asio::buffer(mDatagram), sender, Into(ec));
+    if (ec == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (ec) {
+      continue;
+    }
+    if (auto digest = gateway::DecodeDigest({ mDatagram.data(), n })) {
+      mPeers.Take(std::move(*digest), mClock.Now());
+    }
+  }
+}
+
+void GatewayProcess::PlaceModels(timing::Instant aNow)
+{
+  const std::optional<std::int64_t> token = mLeadership.Token(aNow);
+  if (token.has_value() != mLeading) {
+    mLeading = token.has_value();
+    mLogger.Info(mLeading ? "leadership begins" : "leadership ends",
+                 { { "token", token.value_or(0) } });
+    mOrders.Reset(mSettings.mFirstStart ? aNow : aNow + kLoadsPause);
+  }
+  if (!token || !mControl.Configuration() || mStopBegan != timing::Instant::max()) {
+    return;
+  }
+  const auto demand = [&](const ids::ModelId& aModel, const std::string& aAdapter) {
+    const std::string name = gateway::DemandMeter::Name(aModel, aAdapter);
+    return mControl.mDemand.Rate(name, aNow) + mPeers.ModelDemand(name, aNow);
+  };
+  for (const gateway::Service& service : mControl.Configuration()->mServices) {
+    if (!service.mEngine) {
+      continue;
+    }
+    for (gateway::EngineAction& action :
+         mOrders.Tick(service, mControl.mDirectory, demand, aNow)) {
+      const gateway::Endpoint* endpoint = mControl.mDirectory.Find(action.mEndpoint);
+      if (endpoint != nullptr) {
+        asio::co_spawn(
+          mIo, Act(std::move(action), endpoint->mReport, *token), asio::detached);
+      }
+    }
+  }
+}
+
+asio::awaitable<void> GatewayProcess::Act(gateway::EngineAction aAction,
+                                          gateway::EndpointReport aEndpoint,
+                                          std::int64_t aToken)
+{
+  if (!aAction.mOrder) {
+    const auto report = co_await mEngines.Report(aEndpoint);
+    mOrders.OnReport(aEndpoint.mId, report, mClock.Now());
+    co_return;
+  }
+  const gateway::EngineOrder order = *aAction.mOrder;
+  const auto outcome = co_await mEngines.Order(aEndpoint, aAction, aToken);
+  mOrders.OnOutcome(aEndpoint.mId, outcome, mClock.Now());
+  mLogger.Info(
+    "order",
+    { { "endpoint", aEndpoint.mId.Str() },
+      { "kind", order.mKind == gateway::OrderKind::Load ? "load" : "unload" },
+      { "model", order.mModel.Str() },
+      { "adapter", order.mAdapter },
+      { "precondition", aAction.mPrecondition },
+      { "token", aToken },
+      { "outcome", static_cast<int>(outcome) } });
+  if (outcome == gateway::OrderOutcome::Fenced) {
+    mLeadership.Fenced(mClock.Now());
+  }
+}
+
+asio::awaitable<void> GatewayProcess::LeaseLoop()
+{
+  asio::steady_timer timer(mIo);
+  for (;;) {
+    const Leadership::Step step = mStopBegan == timing::Instant::max()
+                                    ? mLeadership.Next(mClock.Now())
+                                    : Leadership::Step::None;
+    if (step != Leadership::Step::None) {
+      co_await TakeLeaseStep(step);
+    }
+    ErrorCode ec;
+    timer.expires_after(kLeaseLook);
+    co_await timer.async_wait(Into(ec));
+  }
+}
+
+asio::awaitable<void> GatewayProcess::TakeLeaseStep(Leadership::Step aStep)
+{
+  const timing::Instant sent = mClock.Now();
+  const std::int64_t lease = mLeadership.Lease();
+  store::StoreRequest request;
+  switch (aStep) {
+    case Leadership::Step::GrantLease:
+      request = store::LeaseGrantRequest{ Leadership::kLease };
+      break;
+    case Leadership::Step::KeepLease:
+      request = store::LeaseKeepAliveRequest{ lease };
+      break;
+    case Leadership::Step::WriteMember:
+      request = store::TransactionRequest{
+        {},
+        { store::PutOperation{
+          kMemberPrefix + mSettings.mName.Str(),
+          gateway::EncodeMember({ mSettings.mName,
+                                  { mSettings.mIp, mSettings.mFirstPeerPort } }),
+          lease } }
+      };
+      break;
+    case Leadership::Step::CreateLeader:
+      request = store::TransactionRequest{
+        { { kLeaderKey, 0 } },
+        { store::PutOperation{ kLeaderKey, mSettings.mName.Str(), lease } }
+      };
+      break;
+    case Leadership::Step::None:
+      co_return;
+  }
+  const store::StoreReply reply = co_await mStore.Execute(request, kStoreLimit);
+  const timing::Instant now = mClock.Now();
+  if (reply.mOutcome != store::StoreOutcome::Answered) {
+    mLeadership.StepFailed(now);
+    co_return;
+  }
+  if (!reply.mSucceeded) {
+    if (aStep == Leadership::Step::CreateLeader && !reply.mRecords.empty()) {
+      // Another entry was first; the watch will say so too.
+      mLeadership.LeaderRecord(true,
+                               reply.mRecords.front().mLease,
+                               reply.mRecords.front().mCreateRevision);
+    } else {
+      mLeadership.LeaseLost();
+    }
+    mLeadership.StepFailed(now);
+    co_return;
+  }
+  switch (aStep) {
+    case Leadership::Step::GrantLease:
+      mLeadership.LeaseGranted(reply.mLease, Leadership::kLease, sent);
+      break;
+    case Leadership::Step::KeepLease:
+      mLeadership.LeaseKept(sent);
+      break;
+    case Leadership::Step::WriteMember:
+      mLeadership.MemberWritten();
+      break;
+    case Leadership::Step::CreateLeader:
+      mLeadership.LeaderCreated(reply.mRevision, now);
+      break;
+    case Leadership::Step::None:
+      break;
+  }
+}
+
+asio::awaitable<void> GatewayProcess::HandleSignals()
+{
+  for (;;) {
+    ErrorCode ec;
+    const int signal = co_await mSignals.async_wait(Into(ec));
+    if (ec) {
+      co_return;
+    }
+    if (signal == SIGHUP) {
+      Reload();
+    } else {
+      BeginStop();
+    }
+  }
+}
+
+void GatewayProcess::BeginStop()
+{
+  if (mStopBegan != timing::Instant::max()) {
+    return;
+  }
+  mStopBegan = mClock.Now();
+  mCallers.Drain(mStopBegan + kStopIdle);
+  mLogger.Info("stop begins", { { "requests", mExchanges.Size() } });
+  if (mLeadership.Lease() != 0) {
+    asio::co_spawn(
+      mIo,
+      [this]() -> asio::awaitable<void> {
+        co_await mStore.Execute(store::LeaseRevokeRequest{ mLeadership.Lease() },
+                                kStoreLimit);
+      },
+      asio::detached);
+  }
+}
+
+void GatewayProcess::Reload()
+{
+  try {
+    mSettings = platform::LoadSettings(mSettingsPath);
+    ApplySettings();
+    mLogger.Info("reload", { { "settings", mSettingsPath } });
+  } catch (const std::exception& error) {
+    mLogger.Error("reload failed; the old settings stay in force",
+                  { { "error", std::string(error.what()) } });
+  }
+}
+
+bool GatewayProcess::Ready(timing::Instant aNow) const
+{
+  return mStopBegan == timing::Instant::max() && mControl.Configuration() &&
+         mEndpointsRead && mControl.mContact.Ready(aNow);
+}
+
+frontend::StatusListener::Answer GatewayProcess::Readiness() const
+{
+  return Ready(mClock.Now()) ? frontend::StatusListener::Answer{ 200, "ready\n" }
+                             : frontend::StatusListener::Answer{ 503, "not ready\n" };
+}
+
+void GatewayProcess::OnConfiguration(
+  std::shared_ptr<gateway::ServingConfiguration> aConfiguration)
+{
+  const auto& current = mControl.Configuration();
+  if (current && aConfiguration->mVersion <= current->mVersion) {
+    return;
+  }
+  mLogger.Info("configuration",
+               { { "version", aConfiguration->mVersion },
+                 { "routes", aConfiguration->mRoutes.size() },
+                 { "accounts", aConfiguration->mAccounts.size() } });
+  mControl.SetConfiguration(std::move(aConfiguration), mClock.Now());
+  UpdateShares(mClock.Now());
+}
+
+void GatewayProcess::OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut)
+{
+  mControl.mDirectory.SetZoneOut(aZone, aOut, mClock.Now());
+}
+
+void GatewayProcess::OnEndpoint(gateway::EndpointReport aReport)
+{
+  const gateway::Endpoint* known = mControl.mDirectory.Find(aReport.mId);
+  if (known == nullptr || known->mReport.mDraining != aReport.mDraining ||
+      known->mReport.mIncarnation != aReport.mIncarnation) {
+    mLogger.Info("endpoint",
+                 { { "endpoint", aReport.mId.Str() },
+                   { "zone", aReport.mZone.Str() },
+                   { "draining", aReport.mDraining },
+                   { "cold_ms", aReport.mColdFor.count() },
+                   { "models", aReport.mModels.size() },
+                   { "incarnation", aReport.mIncarnation } });
+  }
+  mControl.mDirectory.Update(std::move(aReport), mClock.Now());
+}
+
+void GatewayProcess::OnEndpointGone(const ids::EndpointId& aId)
+{
+  const timing::Instant now = mClock.Now();
+  const bool lapse = mControl.mContact.AfterOutage(now);
+  mLogger.Info("endpoint gone",
+               { { "endpoint", aId.Str() }, { "may_have_lapsed", lapse } });
+  mControl.mDirectory.Remove(aId, lapse, now);
+}
+
+void GatewayProcess::OnFullReading(const gateway::FullReading& aReading)
+{
+  const timing::Instant now = mClock.Now();
+  mControl.mDirectory.RetainOnly(
+    aReading.mEndpoints, mControl.mContact.AfterOutage(now), now);
+  for (const ids::AvailabilityZoneId& zone : mControl.mDirectory.ZonesOut()) {
+    mControl.mDirectory.SetZoneOut(zone, aReading.mZonesOut.contains(zone), now);
+  }
+  if (!aReading.mOwnKeys.contains(kLeaderKey)) {
+    mLeadership.LeaderRecord(false, 0, 0);
+  }
+  for (const ids::ProcessId& process : mPeers.Registered()) {
+    if (!aReading.mOwnKeys.contains(kMemberPrefix + process.Str())) {
+      mPeers.Unregister(process, now);
+    }
+  }
+  mEndpointsRead = true;
+}
+
+void GatewayProcess::OnOwnRecord(const std::string& aKey,
+                                 const std::optional<std::string>& aValue,
+                                 std::int64_t aCreateRevision,
+                                 std::int64_t aLease)
+{
+  const timing::Instant now = mClock.Now();
+  if (aKey == kLeaderKey) {
+    mLogger.Info("leader record",
+                 { { "holder", aValue.value_or("none") },
+                   { "revision", aCreateRevision } });
+    mLeadership.LeaderRecord(aValue.has_value(), aLease, aCreateRevision);
+  } else if (aKey.starts_with(kMemberPrefix)) {
+    const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
+    mLogger.Info("entry record",
+                 { { "entry", process.Str() }, { "present", aValue.has_value() } });
+    if (!aValue) {
+      mPeers.Unregister(process, now);
+    } else if (const auto member = gateway::DecodeMember(*aValue)) {
+      mPeers.Register(process, member->mAddress, now);
+    }
+  }
+}
+
+void GatewayProcess::OnConfirmed(timing::Instant aAsOf)
+{
+  mControl.mContact.Confirm(aAsOf, mClock.Now());
+}
+
+void GatewayProcess::OnContactLost(const std::string& aReason)
+{
+  mLogger.Warn("contact with the store lost",
+               { { "reason", aReason },
+                 { "age_ms",
+                   std::chrono::duration_cast<milliseconds>(
+                     mControl.mContact.Age(mClock.Now()))
+                     .count() } });
+}
+
+}
--- /dev/null
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -0,0 +1,113 @@
+#ifndef SAMPHIRESAIL_APPS_SAMPHIRESAIL_GATEWAY_GATEWAYPROCESS_HPP
+#define SAMPHIRESAIL_APPS_SAMPHIRESAIL_GATEWAY_GATEWAYPROCESS_HPP
+
+#include <array>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "apps/samphiresail/gateway/gatewaycommand.hpp"
+#include "components/frontend/listener.hpp"
+#include "components/gateway/leadership.hpp"
+#include "components/gateway/orderbook.hpp"
+#include "components/gateway/peertable.hpp"
+#include "components/gateway/platformport.hpp"
+#include "components/gateway/trafficcontrol.hpp"
+#include "components/logging/logger.hpp"
+#include "components/metrics/registry.hpp"
+#include "platform/dialect.hpp"
+#include "platform/enginecalls.hpp"
+#include "platform/feed.hpp"
+#include "platform/settings.hpp"
+
+namespace samphiresail::gatewayapp {
+
+/// An entry on the platform: one event loop that carries the callers' requests and runs the
+/// decision cores on a coarse tick.
+class GatewayProcess final : public gateway::PlatformListener
+{
+public:
+  GatewayProcess(const GatewayOptions& aOptions,
+                 std::string aSettingsPath,
+                 platform::Settings aSettings,
+                 const timing::Clock& aClock);
+
+  /// Runs until the process was told to stop and its last request is answered.
+  void Run();
+
+  void OnConfiguration(
+    std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override;
+  void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override;
+  void OnEndpoint(gateway::EndpointReport aReport) override;
+  void OnEndpointGone(const ids::EndpointId& aId) override;
+  void OnFullReading(const gateway::FullReading& aReading) override;
+  void OnOwnRecord(const std::string& aKey,
+                   const std::optional<std::string>& aValue,
+                   std::int64_t aCreateRevision,
+                   std::int64_t aLease) override;
+  void OnConfirmed(timing::Instant aAsOf) override;
+  void OnContactLost(const std::string& aReason) override;
+
+private:
+  frontend::asio::awaitable<void> TickLoop();
+  void Tick(timing::Instant aNow);
+  frontend::asio::awaitable<void> LeaseLoop();
+  frontend::asio::awaitable<void> TakeLeaseStep(gateway::Leadership::Step aStep);
+  frontend::asio::awaitable<void> ReceiveDigests();
+  void SendDigest(timing::Instant aNow);
+  void UpdateShares(timing::Instant aNow);
+  void PlaceModels(timing::Instant aNow);
+  frontend::asio::awaitable<void> Act(gateway::EngineAction aAction,
+                                      gateway::EndpointReport aEndpoint,
+                                      std::int64_t aToken);
+  frontend::asio::awaitable<void> HandleSignals();
+  void BeginStop();
+  void Reload();
+  bool Ready(timing::Instant aNow) const;
+  frontend::StatusListener::Answer Readiness() const;
+  void ApplySettings();
+
+  GatewayOptions mOptions;
+  std::string mSettingsPath;
+  platform::Settings mSettings;
+  const timing::Clock& mClock;
+  logging::Logger mLogger;
+  metrics::Registry mRegistry;
+  frontend::GatewayMetrics mMetrics;
+  boost::asio::io_context mIo{ 1 };
+  std::uint64_t mIncarnation;
+  gateway::TrafficControl mControl;
+  gateway::PeerTable mPeers;
+  gateway::Leadership mLeadership;
+  gateway::OrderBook mOrders;
+  platform::PlatformDialect mDialect;
+  platform::HttpClient mClient;
+  platform::PlatformStore mStore;
+  platform::EngineCalls mEngines;
+  platform::Feed mFeed;
+  frontend::BackendPool mBackends;
+  frontend::ExchangeTable mExchanges;
+  frontend::FrontendContext mFrontend;
+  frontend::CallerListener mCallers;
+  frontend::StatusListener mReadiness;
+  std::unique_ptr<frontend::StatusListener> mMetricsListener;
+  boost::asio::ip::udp::socket mPeerSocket;
+  boost::asio::signal_set mSignals;
+  std::array<char, 65536> mDatagram{};
+  std::uint64_t mDigestNumber{ 0 };
+  timing::Instant mNextDigest{};
+  timing::Instant mNextPlacement{};
+  timing::Instant mNextUpkeep{};
+  timing::Instant mStopBegan{ timing::Instant::max() };
+  bool mLeading{ false };
+  bool mEndpointsRead{ false };
+  bool mStopped{ false };
+};
+
+}
+
+#endif
--- a/apps/samphiresail/main.cpp
+++ b/apps/samphiresail/main.cpp
@@ -5,9 +5,12 @@
 
 #include <CLI/CLI.hpp>
 
+#include "apps/samphiresail/gateway/gatewaycommand.hpp"
+#ifndef SAMPHIRESAIL_PLATFORM_ONLY
 #include "apps/samphiresail/agent/agentcommand.hpp"
 #include "apps/samphiresail/entry/entrycommand.hpp"
 #include "apps/samphiresail/operator/operatorcommands.hpp"
+#endif
 
 int main(int aArgc, char** aArgv)
 {
@@ -17,6 +20,15 @@
   app.require_subcommand(1);
 
   int status = EXIT_SUCCESS;
+  samphiresail::gatewayapp::GatewayOptions options;
+  CLI::App* gateway = app.add_subcommand("gateway", "Run an entry on the users' platform");
+  gateway->add_option(
+    "--settings", options.mSettings, "Settings file; default: as the platform names it");
+  gateway->add_option("--metrics-port", options.mMetricsPort, "Port of /metrics; 0: none");
+  gateway->add_option("--log-level", options.mLogLevel, "trace, debug, info, warn, error")
+    ->check(CLI::IsMember({ "trace", "debug", "info", "warn", "error" }));
+  gateway->callback([&] { status = samphiresail::gatewayapp::RunGateway(options); });
+#ifndef SAMPHIRESAIL_PLATFORM_ONLY
   std::string settings;
   CLI::App* entry = app.add_subcommand("entry", "Run an entry");
   entry->add_option("--settings", settings, "Settings file")->required();
@@ -25,6 +37,7 @@
   agent->add_option("--settings", settings, "Settings file")->required();
   agent->callback([&] { status = samphiresail::agent::RunAgent(settings); });
   samphiresail::operators::AddOperatorCommands(app, status);
+#endif
 
   try {
     app.parse(aArgc, aArgv);
--- /dev/null
+++ b/components/frontend/backendpool.cpp
@@ -0,0 +1,101 @@
+#include "components/frontend/backendpool.hpp"
+
+#include <algorithm>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace samphiresail::frontend {
+
+namespace {
+
+/// Time in milliseconds for which sent data may stay unacknowledged.
+constexpr int kUnacknowledgedMs = 1500;
+/// Seconds of silence before keep-alive probes, between them, and probes before the end.
+constexpr int kProbeAfterSeconds = 2;
+constexpr int kProbeEverySeconds = 1;
+constexpr int kProbes = 2;
+
+}
+
+void SetConnectionOptions(tcp::socket& aSocket)
+{
+  ErrorCode ec;
+  aSocket.set_option(tcp::no_delay(true), ec);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ec);
+  const int handle = aSocket.native_handle();
+  // A platform without one of the options still works, only slower to notice silence.
+  setsockopt(handle,
+             IPPROTO_TCP,
+             TCP_USER_TIMEOUT,
+             &kUnacknowledgedMs,
+             sizeof(kUnacknowledgedMs));
+  setsockopt(handle,
+             IPPROTO_TCP,
+             TCP_KEEPIDLE,
+             &kProbeAfterSeconds,
+             sizeof(kProbeAfterSeconds));
+  setsockopt(handle,
+             IPPROTO_TCP,
+             TCP_KEEPINTVL,
+             &kProbeEverySeconds,
+             sizeof(kProbeEverySeconds));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
+bool BackendPool::Sound(BackendConnection& aConnection, timing::Instant aNow)
+{
+  if (aNow - aConnection.mIdleSince + kKeepAliveMargin >= aConnection.mKeepAlive) {
+    return false;
+  }
+  char byte = 0;
+  ErrorCode ec;
+  aConnection.mSocket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+std::unique_ptr<BackendConnection> BackendPool::Take(const ids::EndpointId& aEndpoint,
+                                                     bool aOnce,
+                                                     timing::Instant aNow)
+{
+  const auto it = mIdle.find(aEndpoint);
+  while (it != mIdle.end() && !it->second.empty()) {
+    std::unique_ptr<BackendConnection> connection = std::move(it->second.back());
+    it->second.pop_back();
+    if (Sound(*connection, aNow) &&
+        !(aOnce && aNow - connection->mIdleSince > kSureIdle)) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+std::unique_ptr<BackendConnection> BackendPool::Make()
+{
+  return std::make_unique<BackendConnection>(mContext);
+}
+
+void BackendPool::Put(const ids::EndpointId& aEndpoint,
+                      std::unique_ptr<BackendConnection> aConnection,
+                      timing::Instant aNow)
+{
+  auto& idle = mIdle[aEndpoint];
+  if (idle.size() >= kIdleMost || aConnection->mBuffer.size() > 0) {
+    return;
+  }
+  aConnection->mIdleSince = aNow;
+  aConnection->mUsedBefore = true;
+  idle.push_back(std::move(aConnection));
+}
+
+void BackendPool::Tick(timing::Instant aNow)
+{
+  for (auto it = mIdle.begin(); it != mIdle.end();) {
+    std::erase_if(it->second,
+                  [aNow](const auto& aConnection) { return !Sound(*aConnection, aNow); });
+    it = it->second.empty() ? mIdle.erase(it) : std::next(it);
+  }
+}
+
+}
--- /dev/null
+++ b/components/frontend/callersession.cpp
@@ -0,0 +1,211 @@
+#include "components/frontend/callersession.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace samphiresail::frontend {
+
+namespace {
+
+const gateway::CallerLimits kLimitsBeforeConfiguration;
+
+/// True if the caller waits for leave to send the body.
+bool WaitsForLeave(const http::request_header<>& aHeader)
+{
+  return beast::iequals(aHeader[http::field::expect], "100-continue");
+}
+
+}
+
+CallerSession::CallerSession(FrontendContext& aContext, tcp::socket aSocket)
+  : mContext(aContext)
+  , mSocket(std::move(aSocket))
+  , mSince(aContext.mClock.Now())
+{
+}
+
+const gateway::CallerLimits& CallerSession::Limits() const
+{
+  const auto& configuration = mContext.mControl.Configuration();
+  return configuration ? configuration->mLimits : kLimitsBeforeConfiguration;
+}
+
+asio::awaitable<void> CallerSession::Run()
+{
+  ErrorCode ec;
+  mSocket.non_blocking(true, ec);
+  SetConnectionOptions(mSocket);
+  while (co_await ServeOne()) {
+  }
+  mSocket.shutdown(tcp::socket::shutdown_send, ec);
+  CloseSocket(mSocket);
+}
+
+void CallerSession::Tick(timing::Instant aNow)
+{
+  const bool idleOver = mState == State::Idle &&
+                        (aNow - mSince >= Limits().mIdleTimeout || aNow >= mIdleEnd);
+  const bool slow =
+    mState == State::Reading && aNow - mSince >= Limits().mHeaderTimeout;
+  if (idleOver || slow) {
+    CloseSocket(mSocket);
+  }
+}
+
+void CallerSession::Drain(timing::Instant aIdleEnd)
+{
+  mDraining = true;
+  mIdleEnd = aIdleEnd;
+}
+
+asio::awaitable<bool> CallerSession::ServeOne()
+{
+  ErrorCode ec;
+  mState = State::Idle;
+  mSince = mContext.mClock.Now();
+  if (mBuffer.size() == 0) {
+    co_await mSocket.async_wait(tcp::socket::wait_read, Into(ec));
+    if (ec) {
+      co_return false;
+    }
+  }
+  mState = State::Reading;
+  mSince = mContext.mClock.Now();
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(Limits().mMaxHeaderBytes);
+  parser.body_limit(Limits().mMaxBodyBytes);
+  co_await http::async_read_header(mSocket, mBuffer, parser, Into(ec));
+  if (!ec && WaitsForLeave(parser.get())) {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(
+      mSocket, asio::buffer(kContinue.data(), kContinue.size()), Into(ec));
+  }
+  if (!ec) {
+    co_await http::async_read(mSocket, mBuffer, parser, Into(ec));
+  }
+  mState = State::Serving;
+  if (ec) {
+    if (ec == http::error::header_limit) {
+      co_await Refuse({}, { 431, "the head is too large", {} }, false);
+    } else if (ec == http::error::body_limit) {
+      co_await Refuse({}, { 413, "the body is too large", {} }, false);
+    } else if (ec.category() == http::make_error_code(http::error::bad_field).category() &&
+               ec != http::error::end_of_stream && ec != http::error::partial_message) {
+      co_await Refuse({}, { 400, "the request is malformed", {} }, false);
+    }
+    co_return false;
+  }
+  mContext.mMetrics.mRequests.Increment();
+  const timing::Instant arrived = mContext.mClock.Now();
+  const CallerRequest request = parser.release();
+  const bool keepAlive = request.keep_alive() && !mDraining;
+  std::optional<gateway::RequestFacts> facts =
+    mContext.mDialect.ReadRequest(request.base());
+  if (!facts) {
+    co_return co_await Refuse({}, { 400, "the request lacks its identifier", {} }, false);
+  }
+  auto admitted = mContext.mControl.Admit(*facts, arrived);
+  if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
+    Report(*facts, nullptr, refusal->mReason, refusal->mStatus, arrived);
+    co_return co_await Refuse(*facts, *refusal, keepAlive);
+  }
+  Exchange exchange(std::move(std::get<gateway::Admission>(admitted)));
+  exchange.mCaller = &mSocket;
+  mContext.mExchanges.Add(&exchange);
+  asio::co_spawn(
+    mContext.mIo,
+    [self = shared_from_this(), &exchange, served = mServed] {
+      return self->WatchCaller(exchange, served);
+    },
+    asio::detached);
+  Forwarder forwarder(mContext, mSocket, request, exchange, keepAlive);
+  const bool keep = co_await forwarder.Run();
+  ++mServed;
+  mContext.mExchanges.Remove(&exchange);
+  mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
+  Report(exchange.mAdmission.mFacts,
+         &exchange,
+         forwarder.Outcome(),
+         forwarder.Status(),
+         arrived);
+  // Ends the watch of this request.
+  mSocket.cancel(ec);
+  co_return keep && mSocket.is_open();
+}
+
+asio::awaitable<void> CallerSession::WatchCaller(Exchange& aExchange,
+                                                 std::uint64_t aServed)
+{
+  for (;;) {
+    ErrorCode ec;
+    co_await mSocket.async_wait(tcp::socket::wait_read, Into(ec));
+    if (mServed != aServed || ec) {
+      co_return;
+    }
+    char byte = 0;
+    const std::size_t n =
+      mSocket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    if (ec == asio::error::would_block) {
+      continue;
+    }
+    if (!ec && n > 0) {
+      // The caller's next request is here already.
+      co_return;
+    }
+    aExchange.mCallerGone = true;
+    aExchange.BreakAttempt();
+    co_return;
+  }
+}
+
+asio::awaitable<bool> CallerSession::Refuse(const gateway::RequestFacts& aFacts,
+                                            const gateway::Refusal& aRefusal,
+                                            bool aKeepAlive)
+{
+  mContext.mMetrics.mRefusals.Increment();
+  ErrorCode ec;
+  const std::string answer =
+    BuildOwnAnswer(mContext.mDialect, aFacts, aRefusal, aKeepAlive);
+  co_await asio::async_write(mSocket, asio::buffer(answer), Into(ec));
+  co_return !ec && aKeepAlive;
+}
+
+void CallerSession::Report(const gateway::RequestFacts& aFacts,
+                           const Exchange* aExchange,
+                           std::string_view aOutcome,
+                           unsigned aStatus,
+                           timing::Instant aArrived)
+{
+  using std::chrono::milliseconds;
+  const auto millis = [](timing::Duration aTime) {
+    return std::chrono::duration_cast<milliseconds>(aTime).count();
+  };
+  const timing::Instant now = mContext.mClock.Now();
+  const auto& configuration = mContext.mControl.Configuration();
+  mContext.mLogger.Info(
+    "request",
+    { { "request", aFacts.mId.Str() },
+      { "status", aStatus },
+      { "outcome", aOutcome },
+      { "model", aFacts.mModel.Str() },
+      { "adapter", aFacts.mAdapter },
+      { "route", aExchange != nullptr ? aExchange->mAdmission.mRoute->mName : "" },
+      { "account",
+        aExchange != nullptr && aExchange->mAdmission.mAccount != nullptr
+          ? aExchange->mAdmission.mAccount->mName.Str()
+          : "" },
+      { "endpoint",
+        aExchange != nullptr && !aExchange->mTried.empty()
+          ? aExchange->mTried.back().Str()
+          : "" },
+      { "tried", aExchange != nullptr ? aExchange->mTried.size() : 0 },
+      { "sent", aExchange != nullptr ? aExchange->mSent : 0 },
+      { "configuration", configuration ? configuration->mVersion : 0 },
+      { "knowledge_age_ms",
+        configuration ? millis(mContext.mControl.mContact.Age(now)) : -1 },
+      { "took_ms", millis(now - aArrived) } });
+}
+
+}
--- /dev/null
+++ b/components/frontend/exchange.cpp
@@ -0,0 +1,22 @@
+#include "components/frontend/exchange.hpp"
+
+namespace samphiresail::frontend {
+
+void ExchangeTable::Tick(timing::Instant aNow)
+{
+  for (Exchange* exchange : mExchanges) {
+    if (aNow >= exchange->mAdmission.mDeadline) {
+      exchange->mExpired = true;
+      exchange->BreakAttempt();
+      if (aNow >= exchange->mAdmission.mDeadline + kWriteGrace &&
+          exchange->mCaller != nullptr) {
+        CloseSocket(*exchange->mCaller);
+      }
+    } else if (aNow >= exchange->mAttemptDeadline) {
+      exchange->mAttemptTimedOut = true;
+      exchange->BreakAttempt();
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/components/frontend/exchange.hpp
@@ -0,0 +1,69 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_EXCHANGE_HPP
+#define SAMPHIRESAIL_COMPONENTS_FRONTEND_EXCHANGE_HPP
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "components/frontend/backendpool.hpp"
+#include "components/gateway/eventsplitter.hpp"
+#include "components/gateway/trafficcontrol.hpp"
+
+namespace samphiresail::frontend {
+
+/// One request of a caller on its way, as the tick sees it.
+struct Exchange
+{
+  explicit Exchange(gateway::Admission aAdmission)
+    : mAdmission(std::move(aAdmission))
+  {
+  }
+
+  gateway::Admission mAdmission;
+  std::vector<ids::EndpointId> mTried;
+  /// Attempts whose request was sent.
+  std::size_t mSent{ 0 };
+  /// Some attempt may have run.
+  bool mMayHaveRun{ false };
+  bool mCallerGone{ false };
+  bool mExpired{ false };
+  /// The current attempt ran into mAttemptDeadline.
+  bool mAttemptTimedOut{ false };
+  timing::Instant mAttemptDeadline{ timing::Instant::max() };
+  /// Connection of the current attempt, so that it can be closed from outside.
+  BackendConnection* mBackend{ nullptr };
+  tcp::socket* mCaller{ nullptr };
+  /// The head of a streamed answer went to the caller.
+  bool mHeadSent{ false };
+  gateway::EventSplitter mEvents;
+  std::size_t mEventBytes{ 0 };
+
+  /// Ends the current attempt; its coroutine sees an error.
+  void BreakAttempt()
+  {
+    if (mBackend != nullptr) {
+      CloseSocket(mBackend->mSocket);
+    }
+  }
+};
+
+/// Table of the exchanges under way. The tick ends those whose time is over, in place of a
+/// timer for each.
+class ExchangeTable
+{
+public:
+  /// How long past its deadline a caller that takes no bytes is kept.
+  static constexpr timing::Duration kWriteGrace = std::chrono::milliseconds(200);
+
+  void Add(Exchange* aExchange) { mExchanges.insert(aExchange); }
+  void Remove(Exchange* aExchange) { mExchanges.erase(aExchange); }
+  std::size_t Size() const { return mExchanges.size(); }
+  void Tick(timing::Instant aNow);
+
+private:
+  std::set<Exchange*> mExchanges;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/frontend/forwarder.cpp
@@ -0,0 +1,525 @@
+#include "components/frontend/forwarder.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace samphiresail::frontend {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time to open a connection to an endpoint; two lost packets fit in.
+constexpr milliseconds kConnectLimit{ 450 };
+/// Wait for the head of an answer before a request that may be repeated goes elsewhere.
+constexpr milliseconds kHeadLimit{ 900 };
+/// Wait for the first event of a stream that may be resumed, as a multiple of its target.
+constexpr int kFirstEventTargets = 6;
+constexpr milliseconds kFirstEventLeast{ 1500 };
+/// Pause in a stream after which it is resumed elsewhere; callers leave after two seconds.
+constexpr milliseconds kGapLimit{ 1300 };
+/// Answers that are kept whole before they are handed on, in bytes.
+constexpr std::size_t kWholeAnswerMost = 8U << 20U;
+/// Late answers to other requests that are skipped on one connection.
+constexpr int kForeignAnswersMost = 3;
+/// Endpoints to which a connection is tried for one request.
+constexpr std::size_t kUnreachableMost = 4;
+/// Head and buffer of an endpoint's answer, in bytes.
+constexpr std::uint32_t kAnswerHeadMost = 16384;
+
+constexpr std::array<std::string_view, 9> kHopHeaders{
+  "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+  "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade"
+};
+
+bool Same(std::string_view aLeft, std::string_view aRight)
+{
+  return beast::iequals({ aLeft.data(), aLeft.size() }, { aRight.data(), aRight.size() });
+}
+
+bool HopHeader(std::string_view aName)
+{
+  return std::ranges::any_of(
+    kHopHeaders, [aName](std::string_view aHop) { return Same(aHop, aName); });
+}
+
+std::string_view View(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+void AppendLine(std::string& aHead, std::string_view aName, std::string_view aValue)
+{
+  aHead.append(aName).append(": ").append(aValue).append("\r\n");
+}
+
+/// Appends the header lines of a message that concern more than one connection.
+template<typename Skip>
+void AppendEndToEnd(const http::fields& aFields, std::string& aHead, const Skip& aSkip)
+{
+  http::token_list named(aFields[http::field::connection]);
+  for (const auto& field : aFields) {
+    const std::string_view name = View(field.name_string());
+    if (!HopHeader(name) && !Same(name, "Content-Length") &&
+        !aSkip(name, named.exists(field.name_string()))) {
+      AppendLine(aHead, name, View(field.value()));
+    }
+  }
+}
+
+std::string StatusLine(unsigned aStatus, std::string_view aReason)
+{
+  std::string line = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  return line.append(aReason).append("\r\n");
+}
+
+std::string AnswerHead(const http::response_header<>& aHeader)
+{
+  std::string head = StatusLine(aHeader.result_int(), View(aHeader.reason()));
+  AppendEndToEnd(
+    aHeader, head, [](std::string_view, bool aNamed) { return aNamed; });
+  return head;
+}
+
+std::string Chunk(std::string_view aBytes)
+{
+  std::array<char, 20> size{};
+  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
+  std::string chunk(size.data(), static_cast<std::size_t>(n));
+  return chunk.append(aBytes).append("\r\n");
+}
+
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+bool Success(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+bool ServerFailure(unsigned aStatus)
+{
+  return aStatus >= 500;
+}
+
+}
+
+std::string BuildOwnAnswer(const Dialect& aDialect,
+                           const gateway::RequestFacts& aFacts,
+                           const gateway::Refusal& aRefusal,
+                           bool aKeepAlive)
+{
+  const std::string body = "{\"error\":\"" + aRefusal.mReason + "\"}";
+  std::string head =
+    StatusLine(aRefusal.mStatus,
+               View(http::obsolete_reason(http::int_to_status(aRefusal.mStatus))));
+  aDialect.WriteOwnAnswer(aFacts, head);
+  if (aRefusal.mRetryAfter) {
+    std::array<char, 24> seconds{};
+    std::snprintf(seconds.data(),
+                  seconds.size(),
+                  "%.3f",
+                  std::chrono::duration<double>(*aRefusal.mRetryAfter).count());
+    AppendLine(head, "Retry-After", seconds.data());
+  }
+  AppendLine(head, "Content-Type", "application/json");
+  AppendLine(head, "Content-Length", std::to_string(body.size()));
+  if (!aKeepAlive) {
+    AppendLine(head, "Connection", "close");
+  }
+  return head + "\r\n" + body;
+}
+
+Forwarder::Forwarder(FrontendContext& aContext,
+                     tcp::socket& aCaller,
+                     const CallerRequest& aRequest,
+                     Exchange& aExchange,
+                     bool aKeepAlive)
+  : mContext(aContext)
+  , mCaller(aCaller)
+  , mRequest(aRequest)
+  , mExchange(aExchange)
+  , mKeepAlive(aKeepAlive)
+{
+}
+
+asio::awaitable<bool> Forwarder::Run()
+{
+  gateway::TrafficControl& control = mContext.mControl;
+  const gateway::Admission& admission = mExchange.mAdmission;
+  std::size_t unreachable = 0;
+  for (;;) {
+    const gateway::Choice choice =
+      control.Begin(admission, mExchange.mTried, mContext.mClock.Now());
+    if (choice.mEndpoint == nullptr) {
+      co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
+                                choice.mReason);
+    }
+    const ids::EndpointId endpoint = choice.mEndpoint->mReport.mId;
+    mExchange.mTried.push_back(endpoint);
+    mExchange.mAttemptTimedOut = false;
+    const Result result = co_await Attempt(*choice.mEndpoint);
+    mExchange.mAttemptDeadline = timing::Instant::max();
+    const bool over = mExchange.mCallerGone || mExchange.mExpired;
+    if (result == Result::Delivered || result == Result::Ended || over) {
+      co_return co_await Finish(result, gateway::NoEndpoint::Full);
+    }
+    if (result == Result::Unreachable) {
+      if (++unreachable >= kUnreachableMost) {
+        co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
+                                  gateway::NoEndpoint::NoneUsable);
+      }
+      continue;
+    }
+    if (result == Result::Failed) {
+      mExchange.mMayHaveRun = true;
+    }
+    const bool repeatable = result == Result::NotRun || !Irreversible();
+    if (!repeatable ||
+        !control.MayRepeat(admission, mExchange.mSent, mContext.mClock.Now())) {
+      co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
+                                gateway::NoEndpoint::Full);
+    }
+    mContext.mMetrics.mRepeats.Increment();
+  }
+}
+
+asio::awaitable<Forwarder::Result> Forwarder::Attempt(const gateway::Endpoint& aEndpoint)
+{
+  const ids::EndpointId id = aEndpoint.mReport.mId;
+  const settings::SocketAddress address = aEndpoint.mReport.mAddress;
+  const auto end = [&](gateway::AttemptEnd aEnd) {
+    mContext.mControl.End(id, aEnd, mContext.mClock.Now());
+  };
+  std::unique_ptr<BackendConnection> made = co_await Connect(id, address);
+  if (made == nullptr) {
+    end(mExchange.mCallerGone ? gateway::AttemptEnd::Abandoned
+                              : gateway::AttemptEnd::Unreachable);
+    co_return Result::Unreachable;
+  }
+  bool reusable = false;
+  mExchange.mBackend = made.get();
+  const Result result = co_await Converse(*made, id, reusable);
+  mExchange.mBackend = nullptr;
+  if (reusable) {
+    mContext.mBackends.Put(id, std::move(made), mContext.mClock.Now());
+  }
+  const bool over = mExchange.mCallerGone || mExchange.mExpired;
+  if (result == Result::NotRun) {
+    end(gateway::AttemptEnd::Refused);
+  } else if (result == Result::Delivered) {
+    end(mFailureAnswer.empty() ? gateway::AttemptEnd::Answered
+                               : gateway::AttemptEnd::Failed);
+  } else {
+    end(over ? gateway::AttemptEnd::Abandoned : gateway::AttemptEnd::Failed);
+  }
+  co_return result;
+}
+
+void Forwarder::SetAttemptDeadline(timing::Duration aLimit)
+{
+  mExchange.mAttemptDeadline = mContext.mClock.Now() + aLimit;
+}
+
+asio::awaitable<std::unique_ptr<BackendConnection>> Forwarder::Connect(
+  const ids::EndpointId& aEndpoint,
+  const settings::SocketAddress& aAddress)
+{
+  auto connection =
+    mContext.mBackends.Take(aEndpoint, Irreversible(), mContext.mClock.Now());
+  if (connection != nullptr) {
+    co_return connection;
+  }
+  connection = mContext.mBackends.Make();
+  ErrorCode ec;
+  const auto host = asio::ip::make_address_v4(aAddress.mHost, ec);
+  if (ec) {
+    co_return nullptr;
+  }
+  mExchange.mBackend = connection.get();
+  SetAttemptDeadline(kConnectLimit);
+  co_await connection->mSocket.async_connect({ host, aAddress.mPort }, Into(ec));
+  mExchange.mBackend = nullptr;
+  mExchange.mAttemptDeadline = timing::Instant::max();
+  if (ec || mExchange.mCallerGone || mExchange.mExpired) {
+    co_return nullptr;
+  }
+  mExchange.mAttemptTimedOut = false;
+  connection->mSocket.non_blocking(true, ec);
+  SetConnectionOptions(connection->mSocket);
+  co_return connection;
+}
+
+std::string Forwarder::BuildRequest(const ids::EndpointId& aEndpoint) const
+{
+  const gateway::Admission& admission = mExchange.mAdmission;
+  std::string head;
+  head.append(View(mRequest.method_string()))
+    .append(" ")
+    .append(View(mRequest.target()))
+    .append(" HTTP/1.1\r\n");
+  const bool resumed = mExchange.mHeadSent;
+  AppendEndToEnd(mRequest, head, [&](std::string_view aName, bool aNamed) {
+    return mContext.mDialect.Reserved(aName) || Same(aName, "Expect") ||
+           (aNamed && !mContext.mDialect.Essential(aName));
+  });
+  AttemptFacts facts;
+  facts.mEndpoint = aEndpoint;
+  facts.mTimeLeft = std::max(milliseconds(1),
+                             std::chrono::floor<milliseconds>(admission.mDeadline -
+                                                              mContext.mClock.Now()));
+  if (admission.mAccount != nullptr) {
+    facts.mAccount = admission.mAccount->mName;
+  }
+  facts.mPriority = admission.mPriority;
+  facts.mLastEventId = resumed && mExchange.mEvents.LastId()
+                         ? *mExchange.mEvents.LastId()
+                         : admission.mFacts.mLastEventId;
+  mContext.mDialect.WriteAttempt(facts, head);
+  if (!mRequest.body().empty() || mRequest.method() != http::verb::get) {
+    AppendLine(head, "Content-Length", std::to_string(mRequest.body().size()));
+  }
+  return head.append("\r\n").append(mRequest.body());
+}
+
+asio::awaitable<Forwarder::Result> Forwarder::Converse(BackendConnection& aBackend,
+                                                       const ids::EndpointId& aEndpoint,
+                                                       bool& aReusable)
+{
+  ErrorCode written;
+  const std::string request = BuildRequest(aEndpoint);
+  ++mExchange.mSent;
+  co_await asio::async_write(aBackend.mSocket, asio::buffer(request), Into(written));
+  const gateway::Route& route = *mExchange.mAdmission.mRoute;
+  const bool stream = route.mKind == gateway::RequestKind::Stream;
+  if (!Irreversible()) {
+    SetAttemptDeadline(stream ? std::max<timing::Duration>(
+                                  route.mTargetLatency * kFirstEventTargets,
+                                  kFirstEventLeast)
+                              : timing::Duration(kHeadLimit));
+  }
+  std::optional<AnswerParser> parser;
+  gateway::AnswerFacts facts;
+  for (int foreign = 0;; ++foreign) {
+    if (foreign > kForeignAnswersMost || !co_await ReadHead(aBackend, parser, facts)) {
+      co_return Result::Failed;
+    }
+    if (facts.mNotRun || facts.mWrongEndpoint ||
+        facts.mId == mExchange.mAdmission.mFacts.mId) {
+      break;
+    }
+    // An answer to an earlier request that came late: its body is skipped.
+    if (!co_await SkipBody(aBackend, *parser)) {
+      co_return Result::Failed;
+    }
+  }
+  const unsigned status = parser->get().result_int();
+  const bool notRun = facts.mNotRun || facts.mWrongEndpoint;
+  Result result = Result::Failed;
+  if (!notRun && Success(status) && !facts.mSealed) {
+    co_return Result::Failed;
+  }
+  if (stream && Success(status) && !notRun) {
+    result = co_await DeliverStream(aBackend, *parser);
+  } else if (notRun) {
+    co_await SkipBody(aBackend, *parser);
+    result = Result::NotRun;
+  } else {
+    result = co_await DeliverWhole(aBackend, *parser);
+  }
+  aReusable = !written && parser->is_done() && !parser->need_eof() &&
+              parser->get().keep_alive() && aBackend.mBuffer.size() == 0 &&
+              aBackend.mSocket.is_open();
+  if (facts.mKeepAlive) {
+    aBackend.mKeepAlive = *facts.mKeepAlive;
+  }
+  co_return result;
+}
+
+asio::awaitable<bool> Forwarder::ReadHead(BackendConnection& aBackend,
+                                          std::optional<AnswerParser>& aParser,
+                                          gateway::AnswerFacts& aFacts)
+{
+  ErrorCode ec;
+  aParser.emplace();
+  aParser->header_limit(kAnswerHeadMost);
+  aParser->body_limit(boost::none);
+  co_await http::async_read_header(
+    aBackend.mSocket, aBackend.mBuffer, *aParser, Into(ec));
+  if (ec) {
+    co_return false;
+  }
+  aFacts = mContext.mDialect.ReadAnswer(aParser->get().base());
+  co_return true;
+}
+
+asio::awaitable<ErrorCode> Forwarder::ReadSome(BackendConnection& aBackend,
+                                               AnswerParser& aParser,
+                                               std::string_view& aRead)
+{
+  ErrorCode ec;
+  aParser.get().body().data = mBytes.data();
+  aParser.get().body().size = mBytes.size();
+  aParser.get().body().more = true;
+  co_await http::async_read_some(aBackend.mSocket, aBackend.mBuffer, aParser, Into(ec));
+  aRead = { mBytes.data(), mBytes.size() - aParser.get().body().size };
+  co_return ec == http::error::need_buffer ? ErrorCode{} : ec;
+}
+
+asio::awaitable<bool> Forwarder::SkipBody(BackendConnection& aBackend,
+                                          AnswerParser& aParser)
+{
+  ErrorCode ec;
+  std::string_view skipped;
+  while (!ec && !aParser.is_done()) {
+    ec = co_await ReadSome(aBackend, aParser, skipped);
+  }
+  co_return !ec;
+}
+
+asio::awaitable<Forwarder::Result> Forwarder::DeliverWhole(BackendConnection& aBackend,
+                                                           AnswerParser& aParser)
+{
+  std::string body;
+  while (!aParser.is_done()) {
+    std::string_view read;
+    const ErrorCode ec = co_await ReadSome(aBackend, aParser, read);
+    body.append(read);
+    if (ec || body.size() > kWholeAnswerMost) {
+      co_return Result::Failed;
+    }
+  }
+  const unsigned status = aParser.get().result_int();
+  std::string answer = AnswerHead(aParser.get().base());
+  AppendLine(answer, "Content-Length", std::to_string(body.size()));
+  if (!mKeepAlive) {
+    AppendLine(answer, "Connection", "close");
+  }
+  answer.append("\r\n").append(body);
+  if (ServerFailure(status)) {
+    mFailureAnswer = std::move(answer);
+    mFailureStatus = status;
+    co_return Result::Failed;
+  }
+  mStatus = status;
+  co_return co_await WriteCaller(std::move(answer)) ? Result::Delivered : Result::Ended;
+}
+
+asio::awaitable<Forwarder::Result> Forwarder::DeliverStream(BackendConnection& aBackend,
+                                                            AnswerParser& aParser)
+{
+  const bool resumable = !Irreversible();
+  mExchange.mEvents.Restart();
+  while (!aParser.is_done()) {
+    std::string_view read;
+    const ErrorCode ec = co_await ReadSome(aBackend, aParser, read);
+    const std::string_view events = mExchange.mEvents.Feed(read);
+    if (!events.empty()) {
+      std::string out;
+      if (!mExchange.mHeadSent) {
+        out = AnswerHead(aParser.get().base());
+        AppendLine(out, "Transfer-Encoding", "chunked");
+        if (!mKeepAlive) {
+          AppendLine(out, "Connection", "close");
+        }
+        out.append("\r\n");
+        mStatus = aParser.get().result_int();
+        mExchange.mHeadSent = true;
+        mContext.mMetrics.mFirstEvent.Observe(mContext.mClock.Now() -
+                                              mExchange.mAdmission.mArrived);
+      }
+      out.append(Chunk(events));
+      if (aParser.is_done() && !mExchange.mEvents.Partial()) {
+        out.append(kLastChunk);
+      }
+      mExchange.mEventBytes += events.size();
+      if (!co_await WriteCaller(std::move(out))) {
+        co_return Result::Ended;
+      }
+      if (resumable) {
+        SetAttemptDeadline(kGapLimit);
+      }
+      if (aParser.is_done() && !mExchange.mEvents.Partial()) {
+        co_return Result::Delivered;
+      }
+    }
+    if (ec) {
+      co_return Result::Failed;
+    }
+  }
+  if (mExchange.mEvents.Partial()) {
+    co_return Result::Failed;
+  }
+  // The stream ended without a further event, or had none at all.
+  std::string out;
+  if (!mExchange.mHeadSent) {
+    out = AnswerHead(aParser.get().base());
+    AppendLine(out, "Content-Length", "0");
+    if (!mKeepAlive) {
+      AppendLine(out, "Connection", "close");
+    }
+    out.append("\r\n");
+    mStatus = aParser.get().result_int();
+  } else {
+    out = kLastChunk;
+  }
+  co_return co_await WriteCaller(std::move(out)) ? Result::Delivered : Result::Ended;
+}
+
+asio::awaitable<bool> Forwarder::WriteCaller(std::string aBytes)
+{
+  ErrorCode ec;
+  co_await asio::async_write(mCaller, asio::buffer(aBytes), Into(ec));
+  if (ec) {
+    mExchange.mCallerGone = true;
+  }
+  co_return !ec;
+}
+
+asio::awaitable<bool> Forwarder::SendOwn(const gateway::Refusal& aRefusal)
+{
+  mStatus = aRefusal.mStatus;
+  mContext.mMetrics.mRefusals.Increment();
+  co_return co_await WriteCaller(BuildOwnAnswer(
+    mContext.mDialect, mExchange.mAdmission.mFacts, aRefusal, mKeepAlive)) &&
+    mKeepAlive;
+}
+
+asio::awaitable<bool> Forwarder::Finish(Result aResult, gateway::NoEndpoint aReason)
+{
+  if (aResult == Result::Delivered) {
+    Note("answered");
+    co_return mKeepAlive;
+  }
+  if (mExchange.mCallerGone) {
+    Note("caller left");
+    co_return false;
+  }
+  if (mExchange.mHeadSent) {
+    // Part of the answer is out; only a closed connection tells that it is not whole.
+    Note(mExchange.mExpired ? "stream cut at the deadline" : "stream broke off");
+    mContext.mMetrics.mBroken.Increment();
+    co_return false;
+  }
+  if (!mFailureAnswer.empty()) {
+    Note("endpoint failed");
+    mStatus = mFailureStatus;
+    co_return co_await WriteCaller(std::move(mFailureAnswer)) && mKeepAlive;
+  }
+  const bool sent = mExchange.mSent > 0;
+  if (aResult == Result::NotRun || (!sent && !mExchange.mMayHaveRun)) {
+    gateway::Refusal refusal =
+      mContext.mControl.RefuseNotRun(mExchange.mAdmission, aReason);
+    Note(refusal.mReason);
+    co_return co_await SendOwn(refusal);
+  }
+  if (mExchange.mExpired) {
+    Note("deadline passed");
+    co_return co_await SendOwn({ 504, "the endpoint did not answer in time", {} });
+  }
+  Note("no whole answer");
+  co_return co_await SendOwn({ 502, "the endpoint gave no whole answer", {} });
+}
+
+}
--- /dev/null
+++ b/components/frontend/gatewaymetrics.hpp
@@ -0,0 +1,36 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_GATEWAYMETRICS_HPP
+#define SAMPHIRESAIL_COMPONENTS_FRONTEND_GATEWAYMETRICS_HPP
+
+#include "components/metrics/registry.hpp"
+
+namespace samphiresail::frontend {
+
+/// Counters and histograms of an entry that serves the platform.
+struct GatewayMetrics
+{
+  explicit GatewayMetrics(metrics::Registry& aRegistry)
+    : mRequests(aRegistry.AddCounter("samphiresail_requests_total", "Requests read"))
+    , mRefusals(aRegistry.AddCounter("samphiresail_refusals_total",
+                                     "Requests answered by the entry itself"))
+    , mRepeats(aRegistry.AddCounter("samphiresail_repeats_total",
+                                    "Requests sent to one more endpoint"))
+    , mBroken(aRegistry.AddCounter("samphiresail_broken_answers_total",
+                                   "Answers that broke off on the way"))
+    , mLatency(aRegistry.AddHistogram("samphiresail_request_seconds",
+                                      "Time from a whole request to its final answer"))
+    , mFirstEvent(aRegistry.AddHistogram("samphiresail_first_event_seconds",
+                                         "Time from a whole request to its first event"))
+  {
+  }
+
+  metrics::Counter mRequests;
+  metrics::Counter mRefusals;
+  metrics::Counter mRepeats;
+  metrics::Counter mBroken;
+  metrics::Histogram mLatency;
+  metrics::Histogram mFirstEvent;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/frontend/listener.cpp
@@ -0,0 +1,147 @@
+#include "components/frontend/listener.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace samphiresail::frontend {
+
+namespace {
+
+/// Pause after accept failed, for lack of descriptors as a rule.
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+constexpr int kBacklog = 512;
+
+tcp::acceptor Bind(asio::io_context& aIo, const settings::SocketAddress& aAddress)
+{
+  const tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.mHost), aAddress.mPort);
+  tcp::acceptor acceptor(aIo);
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(endpoint);
+  acceptor.listen(kBacklog);
+  return acceptor;
+}
+
+asio::awaitable<void> Pause(asio::io_context& aIo)
+{
+  asio::steady_timer timer(aIo, kAcceptPause);
+  ErrorCode ec;
+  co_await timer.async_wait(Into(ec));
+}
+
+}
+
+CallerListener::CallerListener(FrontendContext& aContext,
+                               const settings::SocketAddress& aAddress,
+                               std::size_t aMostSessions)
+  : mContext(aContext)
+  , mAcceptor(Bind(aContext.mIo, aAddress))
+  , mMostSessions(aMostSessions)
+{
+}
+
+void CallerListener::Start()
+{
+  asio::co_spawn(
+    mContext.mIo, [this] { return Accept(); }, asio::detached);
+}
+
+asio::awaitable<void> CallerListener::Accept()
+{
+  for (;;) {
+    ErrorCode ec;
+    tcp::socket socket(mContext.mIo);
+    co_await mAcceptor.async_accept(socket, Into(ec));
+    if (ec || mSessions.size() >= mMostSessions) {
+      co_await Pause(mContext.mIo);
+      continue;
+    }
+    auto session = std::make_shared<CallerSession>(mContext, std::move(socket));
+    if (mDraining) {
+      session->Drain(mIdleEnd);
+    }
+    mSessions.push_back(session);
+    asio::co_spawn(
+      mContext.mIo, [session] { return session->Run(); }, asio::detached);
+  }
+}
+
+void CallerListener::Tick(timing::Instant aNow)
+{
+  std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
+  for (const auto& weak : mSessions) {
+    if (const auto session = weak.lock()) {
+      session->Tick(aNow);
+    }
+  }
+}
+
+void CallerListener::Drain(timing::Instant aIdleEnd)
+{
+  mDraining = true;
+  mIdleEnd = aIdleEnd;
+  for (const auto& weak : mSessions) {
+    if (const auto session = weak.lock()) {
+      session->Drain(aIdleEnd);
+    }
+  }
+}
+
+StatusListener::StatusListener(asio::io_context& aIo,
+                               const settings::SocketAddress& aAddress,
+                               Handler aHandler)
+  : mIo(aIo)
+  , mAcceptor(Bind(aIo, aAddress))
+  , mHandler(std::move(aHandler))
+{
+}
+
+void StatusListener::Start()
+{
+  asio::co_spawn(
+    mIo, [this] { return Accept(); }, asio::detached);
+}
+
+asio::awaitable<void> StatusListener::Accept()
+{
+  for (;;) {
+    ErrorCode ec;
+    tcp::socket socket(mIo);
+    co_await mAcceptor.async_accept(socket, Into(ec));
+    if (ec) {
+      co_await Pause(mIo);
+      continue;
+    }
+    SetConnectionOptions(socket);
+    asio::co_spawn(mIo, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> StatusListener::Serve(tcp::socket aSocket)
+{
+  beast::flat_buffer buffer;
+  bool keep = true;
+  while (keep) {
+    ErrorCode ec;
+    http::request<http::empty_body> request;
+    co_await http::async_read(aSocket, buffer, request, Into(ec));
+    if (ec) {
+      co_return;
+    }
+    const Answer answer =
+      mHandler({ request.target().data(), request.target().size() });
+    http::response<http::string_body> response(http::int_to_status(answer.mStatus),
+                                               request.version());
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.keep_alive(request.keep_alive());
+    response.body() = answer.mBody;
+    response.prepare_payload();
+    co_await http::async_write(aSocket, response, Into(ec));
+    keep = !ec && request.keep_alive();
+  }
+}
+
+}
--- /dev/null
+++ b/components/gateway/demandmeter.hpp
@@ -0,0 +1,48 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_DEMANDMETER_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_DEMANDMETER_HPP
+
+#include <string>
+#include <unordered_map>
+
+#include "components/ids/ids.hpp"
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::gateway {
+
+/// Requests a second for each model and adapter that this entry's callers ask for, served
+/// or not, as an exponential average.
+class DemandMeter
+{
+public:
+  /// Name under which a model (empty adapter) or one of its adapters is counted.
+  static std::string Name(const ids::ModelId& aModel, const std::string& aAdapter);
+
+  void Record(const ids::ModelId& aModel,
+              const std::string& aAdapter,
+              timing::Instant aNow);
+  double Rate(const std::string& aName, timing::Instant aNow) const;
+  /// Calls aVisit(name, rate) for everything that is asked for.
+  template<typename Visit>
+  void ForEach(timing::Instant aNow, Visit aVisit) const
+  {
+    for (const auto& [name, counter] : mCounters) {
+      aVisit(name, Decayed(counter, aNow));
+    }
+  }
+  void Tick(timing::Instant aNow);
+
+private:
+  struct Counter
+  {
+    double mRate{ 0.0 };
+    timing::Instant mAt{};
+  };
+  static double Decayed(const Counter& aCounter, timing::Instant aNow);
+  void Add(const std::string& aName, timing::Instant aNow);
+
+  std::unordered_map<std::string, Counter> mCounters;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/endpointchooser.cpp
@@ -0,0 +1,81 @@
+#include "components/gateway/endpointchooser.hpp"
+
+#include <algorithm>
+
+namespace samphiresail::gateway {
+
+namespace {
+
+/// Load by slots that an endpoint with failures must be better by, so that it is taken last.
+constexpr double kOutlierPenalty = 4.0;
+constexpr double kAvoidPenalty = 8.0;
+/// Upper end of the random part of a score, which spreads the choices of equals.
+constexpr double kJitter = 0.02;
+
+}
+
+EndpointChooser::EndpointChooser(EndpointDirectory& aDirectory,
+                                 ColdLimiter& aCold,
+                                 ids::AvailabilityZoneId aOwnZone,
+                                 std::uint64_t aSeed)
+  : mDirectory(aDirectory)
+  , mCold(aCold)
+  , mOwnZone(std::move(aOwnZone))
+  , mRandom(aSeed)
+{
+}
+
+double EndpointChooser::Score(const Endpoint& aEndpoint, timing::Instant aNow) const
+{
+  const double slots = std::max(1U, aEndpoint.mReport.mSlots);
+  double score = (aEndpoint.mInFlight + aEndpoint.mPeersInFlight) / slots;
+  if (aEndpoint.mReport.mZone != mOwnZone) {
+    score += kZonePenalty;
+  }
+  if (aEndpoint.mFailureShare > kOutlierShare) {
+    score += kOutlierPenalty * aEndpoint.mFailureShare;
+  }
+  if (aNow < aEndpoint.mAvoidUntil) {
+    score += kAvoidPenalty;
+  }
+  return score;
+}
+
+Choice EndpointChooser::Choose(const Service& aService,
+                               const RequestFacts& aFacts,
+                               const std::vector<ids::EndpointId>& aTried,
+                               timing::Instant aNow)
+{
+  Choice choice;
+  double best = 0.0;
+  std::uniform_real_distribution<double> jitter(0.0, kJitter);
+  for (auto& [id, endpoint] : mDirectory.All()) {
+    if (endpoint.mReport.mService != aService.mName ||
+        !mDirectory.Usable(endpoint, aNow) || std::ranges::count(aTried, id) > 0) {
+      continue;
+    }
+    if (choice.mReason == NoEndpoint::NoneUsable) {
+      choice.mReason = NoEndpoint::ModelAbsent;
+    }
+    if (aService.mEngine && !endpoint.Holds(aFacts.mModel, aFacts.mAdapter)) {
+      continue;
+    }
+    choice.mReason = NoEndpoint::Full;
+    const double slots = std::max(1U, endpoint.mReport.mSlots);
+    const bool full =
+      endpoint.mInFlight + endpoint.mPeersInFlight >= slots * (1.0 + kWaitingPart);
+    const bool careful = aNow < endpoint.mColdUntil || aNow < endpoint.mRampUntil;
+    if (full ||
+        (careful && !mCold.HasRoom(id, aService.mColdPerSecond, mEntries, aNow))) {
+      continue;
+    }
+    const double score = Score(endpoint, aNow) + jitter(mRandom);
+    if (choice.mEndpoint == nullptr || score < best) {
+      choice.mEndpoint = &endpoint;
+      best = score;
+    }
+  }
+  return choice;
+}
+
+}
--- /dev/null
+++ b/components/gateway/endpointchooser.hpp
@@ -0,0 +1,70 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTCHOOSER_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTCHOOSER_HPP
+
+#include <random>
+#include <vector>
+
+#include "components/gateway/coldlimiter.hpp"
+#include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/requestfacts.hpp"
+#include "components/gateway/servingconfiguration.hpp"
+
+namespace samphiresail::gateway {
+
+/// Why no endpoint can take a request now.
+enum class NoEndpoint
+{
+  /// No endpoint of the service may get work.
+  NoneUsable,
+  /// None that may get work holds the model.
+  ModelAbsent,
+  /// All are full or in cold start.
+  Full,
+};
+
+struct Choice
+{
+  /// Null if there is none; then mReason says why.
+  Endpoint* mEndpoint{ nullptr };
+  NoEndpoint mReason{ NoEndpoint::NoneUsable };
+};
+
+/// Load answered: all days. Sends a request to the endpoint that holds its model and adapter
+/// and has the fewest requests of all entries for its slots, and prefers the entry's own
+/// availability zone while that costs little time.
+class EndpointChooser
+{
+public:
+  /// Requests beyond an endpoint's slots that may wait there, as a part of its slots.
+  static constexpr double kWaitingPart = 0.5;
+  /// Load by slots that another availability zone's endpoint must be better by.
+  static constexpr double kZonePenalty = 0.12;
+  /// Share of failed requests above which an endpoint counts as an outlier.
+  static constexpr double kOutlierShare = 0.3;
+
+  EndpointChooser(EndpointDirectory& aDirectory,
+                  ColdLimiter& aCold,
+                  ids::AvailabilityZoneId aOwnZone,
+                  std::uint64_t aSeed);
+
+  void SetEntries(std::size_t aEntries) { mEntries = aEntries; }
+
+  /// Chooses among the endpoints of the service that are not in aTried.
+  Choice Choose(const Service& aService,
+                const RequestFacts& aFacts,
+                const std::vector<ids::EndpointId>& aTried,
+                timing::Instant aNow);
+
+private:
+  double Score(const Endpoint& aEndpoint, timing::Instant aNow) const;
+
+  EndpointDirectory& mDirectory;
+  ColdLimiter& mCold;
+  ids::AvailabilityZoneId mOwnZone;
+  std::size_t mEntries{ 1 };
+  std::mt19937_64 mRandom;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/endpointdirectory.cpp
@@ -0,0 +1,103 @@
+#include "components/gateway/endpointdirectory.hpp"
+
+#include <algorithm>
+
+namespace samphiresail::gateway {
+
+void EndpointDirectory::Update(EndpointReport aReport, timing::Instant aNow)
+{
+  const auto [it, added] = mEndpoints.try_emplace(aReport.mId);
+  Endpoint& endpoint = it->second;
+  if (!added && aReport.mIncarnation < endpoint.mReport.mIncarnation) {
+    return;
+  }
+  const bool restarted =
+    !added && aReport.mIncarnation > endpoint.mReport.mIncarnation;
+  if (restarted) {
+    const unsigned inFlight = endpoint.mInFlight;
+    endpoint = Endpoint{};
+    endpoint.mInFlight = inFlight;
+  }
+  if (added || restarted) {
+    endpoint.mRampUntil = aNow + kRampTime;
+  }
+  if (aReport.mColdFor.count() > 0) {
+    endpoint.mColdUntil = aNow + aReport.mColdFor;
+    endpoint.mRampUntil = std::max(endpoint.mRampUntil, endpoint.mColdUntil + kRampTime);
+  }
+  endpoint.mUsableUntil = timing::Instant::max();
+  endpoint.mReportedAt = aNow;
+  endpoint.mReport = std::move(aReport);
+}
+
+void EndpointDirectory::Remove(const ids::EndpointId& aId,
+                               bool aAfterOutage,
+                               timing::Instant aNow)
+{
+  const auto it = mEndpoints.find(aId);
+  if (it == mEndpoints.end()) {
+    return;
+  }
+  Endpoint& endpoint = it->second;
+  const timing::Instant end = aAfterOutage ? aNow + kLapseGrace : aNow;
+  endpoint.mUsableUntil = std::min(endpoint.mUsableUntil, end);
+}
+
+void EndpointDirectory::RetainOnly(const std::set<ids::EndpointId>& aListed,
+                                   bool aAfterOutage,
+                                   timing::Instant aNow)
+{
+  for (const auto& [id, endpoint] : mEndpoints) {
+    if (!aListed.contains(id)) {
+      Remove(id, aAfterOutage, aNow);
+    }
+  }
+}
+
+void EndpointDirectory::SetZoneOut(const ids::AvailabilityZoneId& aZone,
+                                   bool aOut,
+                                   timing::Instant aNow)
+{
+  if (aOut) {
+    mZonesOut.insert(aZone);
+    return;
+  }
+  if (mZonesOut.erase(aZone) == 0) {
+    return;
+  }
+  for (auto& [id, endpoint] : mEndpoints) {
+    if (endpoint.mReport.mZone == aZone) {
+      endpoint.mRampUntil = std::max(endpoint.mRampUntil, aNow + kRampTime);
+    }
+  }
+}
+
+void EndpointDirectory::Tick(timing::Instant aNow)
+{
+  std::erase_if(mEndpoints, [aNow](const auto& aRow) {
+    return aRow.second.mUsableUntil <= aNow && aRow.second.mInFlight == 0;
+  });
+}
+
+void EndpointDirectory::SetPeersInFlight(
+  const std::unordered_map<ids::EndpointId, unsigned>& aCounts)
+{
+  for (auto& [id, endpoint] : mEndpoints) {
+    const auto it = aCounts.find(id);
+    endpoint.mPeersInFlight = it == aCounts.end() ? 0 : it->second;
+  }
+}
+
+Endpoint* EndpointDirectory::Find(const ids::EndpointId& aId)
+{
+  const auto it = mEndpoints.find(aId);
+  return it == mEndpoints.end() ? nullptr : &it->second;
+}
+
+bool EndpointDirectory::Usable(const Endpoint& aEndpoint, timing::Instant aNow) const
+{
+  return !aEndpoint.mReport.mDraining && aNow < aEndpoint.mUsableUntil &&
+         !mZonesOut.contains(aEndpoint.mReport.mZone);
+}
+
+}
--- /dev/null
+++ b/components/gateway/endpointdirectory.hpp
@@ -0,0 +1,59 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTDIRECTORY_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTDIRECTORY_HPP
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "components/gateway/endpoint.hpp"
+
+namespace samphiresail::gateway {
+
+/// Table of the endpoints that the platform lists. An endpoint that drains, that is gone
+/// or whose availability zone is out gets no new work.
+class EndpointDirectory
+{
+public:
+  /// How long an endpoint stays usable whose record lapsed while the store was away. The
+  /// platform promises its return within about two seconds.
+  static constexpr timing::Duration kLapseGrace = std::chrono::milliseconds(1700);
+  /// How long an endpoint that just appeared or came back is loaded with care.
+  static constexpr timing::Duration kRampTime = std::chrono::seconds(3);
+
+  /// Records what an endpoint says of itself; reports of earlier incarnations are ignored.
+  void Update(EndpointReport aReport, timing::Instant aNow);
+
+  /// Records that an endpoint is no longer listed. With aAfterOutage its record may have
+  /// lapsed while the store was away, and it stays usable for kLapseGrace.
+  void Remove(const ids::EndpointId& aId, bool aAfterOutage, timing::Instant aNow);
+
+  /// Keeps only the listed endpoints, see Remove.
+  void RetainOnly(const std::set<ids::EndpointId>& aListed,
+                  bool aAfterOutage,
+                  timing::Instant aNow);
+
+  void SetZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut, timing::Instant aNow);
+  std::set<ids::AvailabilityZoneId> ZonesOut() const { return mZonesOut; }
+
+  /// Drops the endpoints whose grace has ended.
+  void Tick(timing::Instant aNow);
+
+  /// Replaces the counts of requests that the other entries have at the endpoints.
+  void SetPeersInFlight(const std::unordered_map<ids::EndpointId, unsigned>& aCounts);
+
+  Endpoint* Find(const ids::EndpointId& aId);
+  std::map<ids::EndpointId, Endpoint>& All() { return mEndpoints; }
+  const std::map<ids::EndpointId, Endpoint>& All() const { return mEndpoints; }
+
+  /// True if the endpoint may get new work at all.
+  bool Usable(const Endpoint& aEndpoint, timing::Instant aNow) const;
+
+private:
+  std::map<ids::EndpointId, Endpoint> mEndpoints;
+  std::set<ids::AvailabilityZoneId> mZonesOut;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/leadership.hpp
@@ -0,0 +1,83 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_LEADERSHIP_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_LEADERSHIP_HPP
+
+#include <cstdint>
+#include <optional>
+
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::gateway {
+
+/// Registration of this entry in the platform's store and the leadership that it may hold:
+/// one lease carries both records. Only the leader orders loads. Its fencing token is the
+/// revision at which its record was created, and it stops before its lease can have ended.
+class Leadership
+{
+public:
+  /// What is to be asked of the store next.
+  enum class Step
+  {
+    None,
+    GrantLease,
+    KeepLease,
+    /// Writes the record of this entry, bound to the lease.
+    WriteMember,
+    /// Creates the leader's record if there is none, bound to the lease.
+    CreateLeader,
+  };
+
+  static constexpr std::chrono::milliseconds kLease{ 2500 };
+  static constexpr std::chrono::milliseconds kKeepEvery{ 800 };
+  /// Time before the end of the lease at which the leader stops giving orders.
+  static constexpr std::chrono::milliseconds kMargin{ 800 };
+  /// How long a failed step is not tried again.
+  static constexpr std::chrono::milliseconds kBackoff{ 500 };
+
+  /// aQuietTime is how long a new leader waits for orders of an earlier one to run out;
+  /// aFirstStart says that there cannot have been an earlier one.
+  Leadership(timing::Duration aQuietTime, bool aFirstStart)
+    : mQuietTime(aQuietTime)
+    , mFirstStart(aFirstStart)
+  {
+  }
+
+  /// Records whether some entry's leader record is in the store.
+  void LeaderRecord(bool aPresent, std::int64_t aLease, std::int64_t aCreateRevision);
+
+  /// Returns the next step; the caller reports its outcome before the next call.
+  Step Next(timing::Instant aNow);
+
+  void LeaseGranted(std::int64_t aLease,
+                    std::chrono::milliseconds aTimeToLive,
+                    timing::Instant aSent);
+  void LeaseKept(timing::Instant aSent);
+  void LeaseLost();
+  void MemberWritten() { mMemberWritten = true; }
+  void LeaderCreated(std::int64_t aRevision, timing::Instant aNow);
+  void StepFailed(timing::Instant aNow) { mNotBefore = aNow + kBackoff; }
+  /// Another holder with a newer token has given orders.
+  void Fenced(timing::Instant aNow);
+
+  std::int64_t Lease() const { return mLease.value_or(0); }
+  /// The token under which orders may be sent now, or none.
+  std::optional<std::int64_t> Token(timing::Instant aNow) const;
+
+private:
+  bool LeaseSurelyRuns(timing::Instant aNow) const;
+
+  timing::Duration mQuietTime;
+  bool mFirstStart;
+  std::optional<std::int64_t> mLease;
+  std::chrono::milliseconds mTimeToLive{ 0 };
+  timing::Instant mKeptAt{};
+  timing::Instant mNotBefore{};
+  bool mMemberWritten{ false };
+  bool mLeaderPresent{ true };
+  bool mSeenOther{ false };
+  std::optional<std::int64_t> mToken;
+  timing::Instant mOrdersFrom{};
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/peercodec.cpp
@@ -0,0 +1,77 @@
+#include "components/gateway/peercodec.hpp"
+
+#include "components/wire/generated/samphiresail.pb.h"
+
+namespace samphiresail::gateway {
+
+std::string EncodeDigest(const PeerDigest& aDigest)
+{
+  wire::PeerLoad load;
+  load.set_process(aDigest.mProcess.Str());
+  load.set_incarnation(aDigest.mIncarnation);
+  load.set_number(aDigest.mNumber);
+  load.set_hears_all(aDigest.mHearsAll);
+  for (const auto& [key, count] : aDigest.mInFlight) {
+    auto* item = load.add_in_flight();
+    item->set_key(key);
+    item->set_count(count);
+  }
+  const auto addRates = [](const auto& aRates, auto* aItems) {
+    for (const auto& [key, rate] : aRates) {
+      auto* item = aItems->Add();
+      item->set_key(key);
+      item->set_rate(static_cast<float>(rate));
+    }
+  };
+  addRates(aDigest.mAccountDemand, load.mutable_account_demand());
+  addRates(aDigest.mModelDemand, load.mutable_model_demand());
+  return load.SerializeAsString();
+}
+
+std::optional<PeerDigest> DecodeDigest(std::string_view aBytes)
+{
+  wire::PeerLoad load;
+  if (!load.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size())) ||
+      load.process().empty()) {
+    return std::nullopt;
+  }
+  PeerDigest digest;
+  digest.mProcess = ids::ProcessId(load.process());
+  digest.mIncarnation = load.incarnation();
+  digest.mNumber = load.number();
+  digest.mHearsAll = load.hears_all();
+  for (const auto& item : load.in_flight()) {
+    digest.mInFlight.emplace(item.key(), item.count());
+  }
+  for (const auto& item : load.account_demand()) {
+    digest.mAccountDemand.emplace(item.key(), item.rate());
+  }
+  for (const auto& item : load.model_demand()) {
+    digest.mModelDemand.emplace(item.key(), item.rate());
+  }
+  return digest;
+}
+
+std::string EncodeMember(const MemberRecord& aMember)
+{
+  wire::EntryRecord record;
+  record.set_name(aMember.mProcess.Str());
+  record.set_address(aMember.mAddress.mHost + ":" +
+                     std::to_string(aMember.mAddress.mPort));
+  return record.SerializeAsString();
+}
+
+std::optional<MemberRecord> DecodeMember(const std::string& aBytes)
+{
+  wire::EntryRecord record;
+  if (!record.ParseFromString(aBytes)) {
+    return std::nullopt;
+  }
+  const auto address = settings::ParseSocketAddress(record.address());
+  if (!address || record.name().empty()) {
+    return std::nullopt;
+  }
+  return MemberRecord{ ids::ProcessId(record.name()), *address };
+}
+
+}
--- /dev/null
+++ b/components/gateway/peercodec.hpp
@@ -0,0 +1,27 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_PEERCODEC_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_PEERCODEC_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "components/gateway/peertable.hpp"
+
+namespace samphiresail::gateway {
+
+std::string EncodeDigest(const PeerDigest& aDigest);
+/// Returns nothing for bytes that are no digest.
+std::optional<PeerDigest> DecodeDigest(std::string_view aBytes);
+
+/// Registration of an entry in the store.
+struct MemberRecord
+{
+  ids::ProcessId mProcess;
+  settings::SocketAddress mAddress;
+};
+std::string EncodeMember(const MemberRecord& aMember);
+std::optional<MemberRecord> DecodeMember(const std::string& aBytes);
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/peertable.cpp
@@ -0,0 +1,136 @@
+#include "components/gateway/peertable.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "components/random/rendezvous.hpp"
+
+namespace samphiresail::gateway {
+
+std::uint64_t DigestKey(const std::string& aName)
+{
+  return random::RendezvousWeight(aName, {});
+}
+
+void PeerTable::Register(const ids::ProcessId& aProcess,
+                         const settings::SocketAddress& aAddress,
+                         timing::Instant aNow)
+{
+  if (aProcess == mOwn) {
+    return;
+  }
+  Peer& peer = mPeers[aProcess];
+  peer.mAddress = aAddress;
+  peer.mRegistered = true;
+  peer.mSeen = aNow;
+}
+
+void PeerTable::Unregister(const ids::ProcessId& aProcess, timing::Instant aNow)
+{
+  const auto it = mPeers.find(aProcess);
+  if (it != mPeers.end()) {
+    it->second.mRegistered = false;
+    it->second.mSeen = aNow;
+  }
+}
+
+bool PeerTable::Take(PeerDigest aDigest, timing::Instant aNow)
+{
+  const auto it = mPeers.find(aDigest.mProcess);
+  if (it == mPeers.end()) {
+    return false;
+  }
+  Peer& peer = it->second;
+  const PeerDigest& last = peer.mDigest;
+  if (std::pair(aDigest.mIncarnation, aDigest.mNumber) <=
+      std::pair(last.mIncarnation, last.mNumber)) {
+    return false;
+  }
+  peer.mDigest = std::move(aDigest);
+  peer.mHeard = aNow;
+  return true;
+}
+
+void PeerTable::Tick(timing::Instant aNow)
+{
+  std::erase_if(mPeers, [aNow](const auto& aRow) {
+    const Peer& peer = aRow.second;
+    return !peer.mRegistered && std::max(peer.mSeen, peer.mHeard) + kForget < aNow;
+  });
+}
+
+bool PeerTable::Fresh(const Peer& aPeer, timing::Instant aNow) const
+{
+  return aPeer.mHeard + kFresh > aNow;
+}
+
+bool PeerTable::HearsAll(timing::Instant aNow) const
+{
+  return std::ranges::all_of(
+    mPeers, [&](const auto& aRow) { return Fresh(aRow.second, aNow); });
+}
+
+bool PeerTable::AllHearAll(timing::Instant aNow) const
+{
+  return std::ranges::all_of(mPeers, [&](const auto& aRow) {
+    return Fresh(aRow.second, aNow) && aRow.second.mDigest.mHearsAll;
+  });
+}
+
+std::vector<settings::SocketAddress> PeerTable::Addresses() const
+{
+  std::vector<settings::SocketAddress> addresses;
+  std::ranges::transform(mPeers, std::back_inserter(addresses), [](const auto& aRow) {
+    return aRow.second.mAddress;
+  });
+  return addresses;
+}
+
+std::vector<ids::ProcessId> PeerTable::Registered() const
+{
+  std::vector<ids::ProcessId> processes;
+  for (const auto& [process, peer] : mPeers) {
+    if (peer.mRegistered) {
+      processes.push_back(process);
+    }
+  }
+  return processes;
+}
+
+unsigned PeerTable::InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const
+{
+  const std::uint64_t key = DigestKey(aEndpoint.Str());
+  return std::accumulate(
+    mPeers.begin(), mPeers.end(), 0U, [&](unsigned aSum, const auto& aRow) {
+      const auto& counts = aRow.second.mDigest.mInFlight;
+      const auto it = counts.find(key);
+      return it == counts.end() || !Fresh(aRow.second, aNow) ? aSum : aSum + it->second;
+    });
+}
+
+double PeerTable::ModelDemand(const std::string& aModel, timing::Instant aNow) const
+{
+  const std::uint64_t key = DigestKey(aModel);
+  return std::accumulate(
+    mPeers.begin(), mPeers.end(), 0.0, [&](double aSum, const auto& aRow) {
+      const auto& demand = aRow.second.mDigest.mModelDemand;
+      const auto it = demand.find(key);
+      return it == demand.end() || !Fresh(aRow.second, aNow) ? aSum : aSum + it->second;
+    });
+}
+
+std::vector<double> PeerTable::AccountDemands(const ids::ClientAccountId& aAccount,
+                                              timing::Instant aNow) const
+{
+  const std::uint64_t key = DigestKey(aAccount.Str());
+  std::vector<double> demands;
+  for (const auto& [process, peer] : mPeers) {
+    const auto it = peer.mDigest.mAccountDemand.find(key);
+    const bool known = it != peer.mDigest.mAccountDemand.end() && Fresh(peer, aNow);
+    demands.push_back(known ? it->second : 0.0);
+  }
+  return demands;
+}
+
+}
--- /dev/null
+++ b/components/gateway/peertable.hpp
@@ -0,0 +1,93 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_PEERTABLE_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_PEERTABLE_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "components/ids/ids.hpp"
+#include "components/settings/socketaddress.hpp"
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::gateway {
+
+/// What one entry tells the others several times a second.
+struct PeerDigest
+{
+  ids::ProcessId mProcess;
+  /// Drawn at the start of the process; a larger one replaces a smaller one.
+  std::uint64_t mIncarnation{ 0 };
+  std::uint64_t mNumber{ 0 };
+  /// The sender hears every entry that it knows.
+  bool mHearsAll{ false };
+  /// Requests in flight by endpoint.
+  std::unordered_map<std::uint64_t, unsigned> mInFlight;
+  /// Tokens a second that callers ask for, by client account.
+  std::unordered_map<std::uint64_t, double> mAccountDemand;
+  /// Requests a second by model, and by model and adapter.
+  std::unordered_map<std::uint64_t, double> mModelDemand;
+};
+
+/// Number by which digests name an endpoint, an account or a model.
+std::uint64_t DigestKey(const std::string& aName);
+
+/// Table of the other entries: who is registered in the store, who is heard, what they said.
+class PeerTable
+{
+public:
+  /// A digest older than this says nothing about the present.
+  static constexpr timing::Duration kFresh = std::chrono::milliseconds(1200);
+  /// How long an entry still counts after it is neither registered nor heard.
+  static constexpr timing::Duration kForget = std::chrono::milliseconds(3000);
+
+  explicit PeerTable(ids::ProcessId aOwn)
+    : mOwn(std::move(aOwn))
+  {
+  }
+
+  /// Records the registration of an entry, or that it ended.
+  void Register(const ids::ProcessId& aProcess,
+                const settings::SocketAddress& aAddress,
+                timing::Instant aNow);
+  void Unregister(const ids::ProcessId& aProcess, timing::Instant aNow);
+  /// Takes a digest; returns false if it is older than one that was taken.
+  bool Take(PeerDigest aDigest, timing::Instant aNow);
+  void Tick(timing::Instant aNow);
+
+  /// Entries that may be at work, this one included.
+  std::size_t Entries() const { return mPeers.size() + 1; }
+  /// True if every other entry was heard lately.
+  bool HearsAll(timing::Instant aNow) const;
+  /// True if, beside that, each of them says that it hears all.
+  bool AllHearAll(timing::Instant aNow) const;
+  std::vector<settings::SocketAddress> Addresses() const;
+  /// Entries whose registration is in the store.
+  std::vector<ids::ProcessId> Registered() const;
+
+  /// Sums over the fresh digests of the other entries.
+  unsigned InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
+  double ModelDemand(const std::string& aModel, timing::Instant aNow) const;
+  /// Demands of an account at each other entry that was heard lately.
+  std::vector<double> AccountDemands(const ids::ClientAccountId& aAccount,
+                                     timing::Instant aNow) const;
+
+private:
+  struct Peer
+  {
+    settings::SocketAddress mAddress;
+    bool mRegistered{ false };
+    timing::Instant mSeen{};
+    timing::Instant mHeard{};
+    PeerDigest mDigest;
+  };
+  bool Fresh(const Peer& aPeer, timing::Instant aNow) const;
+
+  ids::ProcessId mOwn;
+  std::map<ids::ProcessId, Peer> mPeers;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/servingconfiguration.hpp
@@ -0,0 +1,138 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_SERVINGCONFIGURATION_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_SERVINGCONFIGURATION_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "components/ids/ids.hpp"
+
+namespace samphiresail::gateway {
+
+/// What may be done twice with a request.
+enum class RequestKind
+{
+  /// May run any number of times.
+  Idempotent,
+  /// Runs at most once for each attempt of the caller.
+  Irreversible,
+  /// Streams events; may run again only where the route is resumable.
+  Stream,
+};
+
+/// Part of a route's requests that goes to one service.
+struct ServiceShare
+{
+  ids::ServiceId mService;
+  double mWeight{ 1.0 };
+};
+
+struct Route
+{
+  std::string mName;
+  std::string mHost;
+  std::string mPathPrefix;
+  RequestKind mKind{ RequestKind::Irreversible };
+  std::chrono::milliseconds mTimeout{ 0 };
+  std::chrono::milliseconds mTargetLatency{ 0 };
+  /// Longest pause between events of an answer that is still on time.
+  std::chrono::milliseconds mGapAim{ 0 };
+  /// Rank of the route; 0 is the most urgent.
+  int mPriority{ 0 };
+  std::vector<ServiceShare> mServices;
+  /// Endpoints to which one attempt of the caller may be sent.
+  unsigned mMaxAttempts{ 1 };
+  bool mPublic{ false };
+  bool mResumable{ false };
+
+  /// True if the request may run more than once.
+  bool Repeatable() const
+  {
+    return mKind == RequestKind::Idempotent ||
+           (mKind == RequestKind::Stream && mResumable);
+  }
+};
+
+struct ModelSpec
+{
+  ids::ModelId mName;
+  double mMemoryMb{ 0.0 };
+  double mAdapterMb{ 0.0 };
+  /// Number of adapters; they are named a1, a2 and so on.
+  unsigned mAdapters{ 0 };
+  std::chrono::milliseconds mLoadTime{ 0 };
+};
+
+/// What every engine of a service has and may be asked for.
+struct EngineSpec
+{
+  unsigned mSlots{ 0 };
+  double mMemoryMb{ 0.0 };
+  unsigned mAdapterSlots{ 0 };
+  /// Loads a second that the weight store allows over all engines.
+  double mLoadsPerSecond{ 0.0 };
+  std::vector<ModelSpec> mModels;
+};
+
+struct Service
+{
+  ids::ServiceId mName;
+  unsigned mMaxConnections{ 0 };
+  /// Requests a second that a cold endpoint bears; 0 for no limit.
+  double mColdPerSecond{ 0.0 };
+  std::optional<EngineSpec> mEngine;
+};
+
+struct ClientAccount
+{
+  ids::ClientAccountId mName;
+  std::vector<std::string> mKeys;
+  std::optional<int> mPriority;
+  /// 0 for no limit.
+  double mTokensPerSecond{ 0.0 };
+  double mBurstTokens{ 0.0 };
+  /// Tokens that a request counts as that states none.
+  double mPlainTokens{ 1.0 };
+};
+
+/// What callers may send and how long they may take.
+struct CallerLimits
+{
+  std::uint32_t mMaxHeaderBytes{ 16384 };
+  std::uint64_t mMaxBodyBytes{ 4194304 };
+  std::chrono::milliseconds mHeaderTimeout{ 3000 };
+  std::chrono::milliseconds mIdleTimeout{ 15000 };
+};
+
+/// One version of the operators' configuration, indexed for look-ups. Immutable once built.
+class ServingConfiguration
+{
+public:
+  std::uint64_t mVersion{ 0 };
+  std::vector<Route> mRoutes;
+  std::vector<Service> mServices;
+  std::vector<ClientAccount> mAccounts;
+  CallerLimits mLimits;
+
+  /// Builds the indexes; call once after the tables are filled.
+  void Index();
+
+  /// Returns the route of the host with the longest prefix of the path, or null.
+  const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
+  const Service* FindService(const ids::ServiceId& aName) const;
+  /// Returns the account that holds the key, or null.
+  const ClientAccount* FindAccountOfKey(const std::string& aKey) const;
+
+private:
+  std::unordered_map<std::string, std::vector<std::size_t>> mRoutesOfHost;
+  std::unordered_map<ids::ServiceId, std::size_t> mServiceByName;
+  std::unordered_map<std::string, std::size_t> mAccountByKey;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/slidingwindow.hpp
@@ -0,0 +1,47 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_SLIDINGWINDOW_HPP
+#define SAMPHIRESAIL_COMPONENTS_GATEWAY_SLIDINGWINDOW_HPP
+
+#include <cstddef>
+#include <deque>
+
+#include "components/timing/clock.hpp"
+
+namespace samphiresail::gateway {
+
+/// Counts the events of the last span of time exactly, so that a bound holds for every
+/// window of that length.
+class SlidingWindow
+{
+public:
+  explicit SlidingWindow(timing::Duration aSpan)
+    : mSpan(aSpan)
+  {
+  }
+
+  void Add(timing::Instant aNow)
+  {
+    Forget(aNow);
+    mEvents.push_back(aNow);
+  }
+
+  std::size_t Count(timing::Instant aNow)
+  {
+    Forget(aNow);
+    return mEvents.size();
+  }
+
+private:
+  void Forget(timing::Instant aNow)
+  {
+    while (!mEvents.empty() && mEvents.front() + mSpan <= aNow) {
+      mEvents.pop_front();
+    }
+  }
+
+  timing::Duration mSpan;
+  std::deque<timing::Instant> mEvents;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/gateway/trafficcontrol.cpp
@@ -0,0 +1,230 @@
+#include "components/gateway/trafficcontrol.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace samphiresail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A caller without a stated patience waits as long as the route allows.
+constexpr milliseconds kDefaultPatience{ 10000 };
+/// Retry-After while the store or the configuration cannot be reached.
+constexpr milliseconds kOutageRetryLeast{ 500 };
+constexpr milliseconds kOutageRetryMost{ 1500 };
+/// Retry-After while all endpoints are full: about the length of a generation.
+constexpr milliseconds kFullRetryLeast{ 400 };
+constexpr milliseconds kFullRetryMost{ 1600 };
+/// Retry-After while a model is loaded: about the time of a load.
+constexpr milliseconds kLoadRetryLeast{ 1000 };
+constexpr milliseconds kLoadRetryMost{ 3000 };
+/// Weight of the latest outcome in the share of failures.
+constexpr double kFailureWeight = 0.12;
+/// How long an endpoint is avoided that could not be reached.
+constexpr milliseconds kUnreachablePause{ 1000 };
+/// Target latency from which a request counts as able to wait.
+constexpr milliseconds kPatientTarget{ 2000 };
+/// Steps of priority by which a patient request goes after an urgent one.
+constexpr int kPatientStep = 4;
+constexpr int kLastPriority = 9;
+
+}
+
+TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
+  : mChooser(mDirectory, mCold, std::move(aOwnZone), aSeed)
+  , mRandom(aSeed)
+{
+}
+
+void TrafficControl::SetConfiguration(
+  std::shared_ptr<const ServingConfiguration> aConfiguration,
+  timing::Instant aNow)
+{
+  mConfiguration = std::move(aConfiguration);
+  mQuotas.Configure(*mConfiguration, aNow);
+}
+
+void TrafficControl::SetEntries(std::size_t aEntries)
+{
+  mEntries = aEntries;
+  mChooser.SetEntries(aEntries);
+}
+
+milliseconds TrafficControl::RetryAfter(milliseconds aLeast, milliseconds aMost)
+{
+  std::uniform_int_distribution<milliseconds::rep> spread(aLeast.count(), aMost.count());
+  return milliseconds(spread(mRandom));
+}
+
+const ids::ServiceId& TrafficControl::PickService(const Route& aRoute)
+{
+  const double total =
+    std::accumulate(aRoute.mServices.begin(),
+                    aRoute.mServices.end(),
+                    0.0,
+                    [](double aSum, const ServiceShare& aShare) { return aSum + aShare.mWeight; });
+  double at = std::uniform_real_distribution<double>(0.0, std::max(total, 1e-9))(mRandom);
+  for (const ServiceShare& share : aRoute.mServices) {
+    at -= share.mWeight;
+    if (at < 0) {
+      return share.mService;
+    }
+  }
+  return aRoute.mServices.back().mService;
+}
+
+std::variant<Admission, Refusal> TrafficControl::Admit(RequestFacts aFacts,
+                                                       timing::Instant aNow)
+{
+  const auto outage = [this](std::string aReason) {
+    return Refusal{
+      503, std::move(aReason), RetryAfter(kOutageRetryLeast, kOutageRetryMost)
+    };
+  };
+  if (!mConfiguration) {
+    return outage("no configuration is known yet");
+  }
+  const bool current = mContact.KeysTrusted(aNow);
+  const Route* route = mConfiguration->FindRoute(aFacts.mHost, aFacts.mPath);
+  if (route == nullptr) {
+    return current ? Refusal{ 404, "no route matches", std::nullopt }
+                   : outage("the configuration may be out of date");
+  }
+  const ClientAccount* account = nullptr;
+  if (!mConfiguration->mAccounts.empty() && !route->mPublic) {
+    if (!current) {
+      return outage("keys may be out of date");
+    }
+    account = mConfiguration->FindAccountOfKey(aFacts.mKey);
+    if (account == nullptr) {
+      return Refusal{ 401, "the key is not known", std::nullopt };
+    }
+  }
+  const Service* service =
+    route->mServices.empty() ? nullptr : mConfiguration->FindService(PickService(*route));
+  if (service == nullptr) {
+    return outage("the route has no service");
+  }
+  Admission admission;
+  admission.mConfiguration = mConfiguration;
+  admission.mRoute = route;
+  admission.mService = service;
+  admission.mAccount = account;
+  admission.mArrived = aNow;
+  admission.mPatienceEnd = aNow + aFacts.mPatience.value_or(kDefaultPatience);
+  admission.mDeadline = route->mTimeout.count() > 0
+                          ? std::min(admission.mPatienceEnd, aNow + route->mTimeout)
+                          : admission.mPatienceEnd;
+  admission.mPriority =
+    account != nullptr && account->mPriority ? *account->mPriority : route->mPriority;
+  if (route->mTargetLatency >= kPatientTarget) {
+    admission.mPriority += kPatientStep;
+  }
+  admission.mPriority = std::clamp(admission.mPriority, 0, kLastPriority);
+  admission.mConfigurationAge = mContact.Age(aNow);
+  if (service->mEngine) {
+    mDemand.Record(aFacts.mModel, aFacts.mAdapter, aNow);
+  }
+  if (account != nullptr) {
+    admission.mTokens =
+      aFacts.mStatesTokens
+        ? static_cast<double>(aFacts.mPromptTokens + aFacts.mOutputTokens)
+        : account->mPlainTokens;
+    const QuotaDecision quota =
+      mQuotas.Take(account->mName, admission.mTokens, aNow);
+    if (!quota.mAdmitted) {
+      const auto wait = std::chrono::ceil<milliseconds>(quota.mRetryAfter);
+      return Refusal{ 429,
+                      "the account is over its rate",
+                      wait + RetryAfter(milliseconds(0), kOutageRetryLeast) };
+    }
+  }
+  mRepeats.RecordFirst(service->mName, aNow);
+  admission.mFacts = std::move(aFacts);
+  return admission;
+}
+
+Choice TrafficControl::Begin(const Admission& aAdmission,
+                             const std::vector<ids::EndpointId>& aTried,
+                             timing::Instant aNow)
+{
+  const Choice choice =
+    mChooser.Choose(*aAdmission.mService, aAdmission.mFacts, aTried, aNow);
+  if (choice.mEndpoint != nullptr) {
+    ++choice.mEndpoint->mInFlight;
+    mCold.Record(choice.mEndpoint->mReport.mId, aNow);
+  }
+  return choice;
+}
+
+void TrafficControl::End(const ids::EndpointId& aEndpoint,
+                         AttemptEnd aEnd,
+                         timing::Instant aNow)
+{
+  Endpoint* endpoint = mDirectory.Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  if (endpoint->mInFlight > 0) {
+    --endpoint->mInFlight;
+  }
+  const auto weigh = [endpoint](double aFailed) {
+    endpoint->mFailureShare += kFailureWeight * (aFailed - endpoint->mFailureShare);
+  };
+  switch (aEnd) {
+    case AttemptEnd::Answered:
+      weigh(0.0);
+      break;
+    case AttemptEnd::Failed:
+      weigh(1.0);
+      break;
+    case AttemptEnd::Unreachable:
+      weigh(1.0);
+      endpoint->mAvoidUntil = aNow + kUnreachablePause;
+      break;
+    case AttemptEnd::Refused:
+    case AttemptEnd::Abandoned:
+      break;
+  }
+}
+
+bool TrafficControl::MayRepeat(const Admission& aAdmission,
+                               std::size_t aSent,
+                               timing::Instant aNow)
+{
+  return aSent < aAdmission.mRoute->mMaxAttempts && aNow < aAdmission.mDeadline &&
+         mRepeats.TrySpend(aAdmission.mService->mName, mEntries, aNow);
+}
+
+Refusal TrafficControl::RefuseNotRun(const Admission& aAdmission, NoEndpoint aReason)
+{
+  if (aAdmission.mAccount != nullptr) {
+    mQuotas.Return(aAdmission.mAccount->mName, aAdmission.mTokens);
+  }
+  switch (aReason) {
+    case NoEndpoint::ModelAbsent:
+      return { 503,
+               "no endpoint holds the model",
+               RetryAfter(kLoadRetryLeast, kLoadRetryMost) };
+    case NoEndpoint::Full:
+      return { 503,
+               "all endpoints are full or in cold start",
+               RetryAfter(kFullRetryLeast, kFullRetryMost) };
+    case NoEndpoint::NoneUsable:
+      break;
+  }
+  return { 503,
+           "no endpoint may get work",
+           RetryAfter(kOutageRetryLeast, kOutageRetryMost) };
+}
+
+void TrafficControl::Tick(timing::Instant aNow)
+{
+  mDirectory.Tick(aNow);
+  mCold.Tick(aNow);
+  mDemand.Tick(aNow);
+}
+
+}
--- a/components/store/keyvaluestore.hpp
+++ b/components/store/keyvaluestore.hpp
@@ -61,7 +61,7 @@
 
 struct LeaseGrantRequest
 {
-  std::chrono::seconds mTimeToLive{ 0 };
+  std::chrono::milliseconds mTimeToLive{ 0 };
 };
 
 struct LeaseKeepAliveRequest
