--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -112,6 +112,7 @@
 {
   mControl.mRepeats.SetLimits(
     { mSettings.mRepeatWindow, mSettings.mRepeatRatio, mSettings.mRepeatSlack });
+  mControl.mQuotas.SetTolerance({ mSettings.mQuotaOverage, mSettings.mQuotaSlack });
 }
 
 void GatewayProcess::Run()
@@ -357,7 +358,7 @@
     case Leadership::Step::None:
       co_return;
   }
-  const store::StoreReply reply = co_await mStore.Execute(request, kStoreLimit);
+  const store::StoreReply reply = co_await mStore.Execute(std::move(request), kStoreLimit);
   const timing::Instant now = mClock.Now();
   if (reply.mOutcome != store::StoreOutcome::Answered) {
     mLeadership.StepFailed(now);
@@ -421,8 +422,8 @@
     asio::co_spawn(
       mIo,
       [this]() -> asio::awaitable<void> {
-        co_await mStore.Execute(store::LeaseRevokeRequest{ mLeadership.Lease() },
-                                kStoreLimit);
+        store::StoreRequest request = store::LeaseRevokeRequest{ mLeadership.Lease() };
+        co_await mStore.Execute(std::move(request), kStoreLimit);
       },
       asio::detached);
   }
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -11,6 +11,23 @@
 
 const gateway::CallerLimits kLimitsBeforeConfiguration;
 
+/// Returns the answer to a request that cannot be read, or none if its connection ended.
+std::optional<gateway::Refusal> RefuseUnreadable(const ErrorCode& aEc)
+{
+  if (aEc == http::error::header_limit) {
+    return gateway::Refusal{ 431, "the head is too large", {} };
+  }
+  if (aEc == http::error::body_limit) {
+    return gateway::Refusal{ 413, "the body is too large", {} };
+  }
+  const auto& category = http::make_error_code(http::error::bad_field).category();
+  if (aEc.category() != category || aEc == http::error::end_of_stream ||
+      aEc == http::error::partial_message) {
+    return std::nullopt;
+  }
+  return gateway::Refusal{ 400, "the request is malformed", {} };
+}
+
 /// True if the caller waits for leave to send the body.
 bool WaitsForLeave(const http::request_header<>& aHeader)
 {
@@ -87,13 +104,9 @@
   }
   mState = State::Serving;
   if (ec) {
-    if (ec == http::error::header_limit) {
-      co_await Refuse({}, { 431, "the head is too large", {} }, false);
-    } else if (ec == http::error::body_limit) {
-      co_await Refuse({}, { 413, "the body is too large", {} }, false);
-    } else if (ec.category() == http::make_error_code(http::error::bad_field).category() &&
-               ec != http::error::end_of_stream && ec != http::error::partial_message) {
-      co_await Refuse({}, { 400, "the request is malformed", {} }, false);
+    const std::optional<gateway::Refusal> refusal = RefuseUnreadable(ec);
+    if (refusal) {
+      co_await Refuse(gateway::RequestFacts(), *refusal, false);
     }
     co_return false;
   }
@@ -104,12 +117,15 @@
   std::optional<gateway::RequestFacts> facts =
     mContext.mDialect.ReadRequest(request.base());
   if (!facts) {
-    co_return co_await Refuse({}, { 400, "the request lacks its identifier", {} }, false);
+    const gateway::Refusal refusal{ 400, "the request lacks its identifier", {} };
+    const bool keep = co_await Refuse(gateway::RequestFacts(), refusal, false);
+    co_return keep;
   }
   auto admitted = mContext.mControl.Admit(*facts, arrived);
   if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
     Report(*facts, nullptr, refusal->mReason, refusal->mStatus, arrived);
-    co_return co_await Refuse(*facts, *refusal, keepAlive);
+    const bool keep = co_await Refuse(*facts, *refusal, keepAlive);
+    co_return keep;
   }
   Exchange exchange(std::move(std::get<gateway::Admission>(admitted)));
   exchange.mCaller = &mSocket;
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 namespace samphiresail::frontend {
@@ -239,7 +240,8 @@
   }
   mExchange.mBackend = connection.get();
   SetAttemptDeadline(kConnectLimit);
-  co_await connection->mSocket.async_connect({ host, aAddress.mPort }, Into(ec));
+  const tcp::endpoint endpoint(host, aAddress.mPort);
+  co_await connection->mSocket.async_connect(endpoint, Into(ec));
   mExchange.mBackend = nullptr;
   mExchange.mAttemptDeadline = timing::Instant::max();
   if (ec || mExchange.mCallerGone || mExchange.mExpired) {
@@ -344,7 +346,7 @@
   ErrorCode ec;
   aParser.emplace();
   aParser->header_limit(kAnswerHeadMost);
-  aParser->body_limit(boost::none);
+  aParser->body_limit(std::numeric_limits<std::uint64_t>::max());
   co_await http::async_read_header(
     aBackend.mSocket, aBackend.mBuffer, *aParser, Into(ec));
   if (ec) {
@@ -403,7 +405,8 @@
     co_return Result::Failed;
   }
   mStatus = status;
-  co_return co_await WriteCaller(std::move(answer)) ? Result::Delivered : Result::Ended;
+  const bool delivered = co_await WriteCaller(std::move(answer));
+  co_return delivered ? Result::Delivered : Result::Ended;
 }
 
 asio::awaitable<Forwarder::Result> Forwarder::DeliverStream(BackendConnection& aBackend,
@@ -464,7 +467,8 @@
   } else {
     out = kLastChunk;
   }
-  co_return co_await WriteCaller(std::move(out)) ? Result::Delivered : Result::Ended;
+  const bool delivered = co_await WriteCaller(std::move(out));
+  co_return delivered ? Result::Delivered : Result::Ended;
 }
 
 asio::awaitable<bool> Forwarder::WriteCaller(std::string aBytes)
@@ -481,9 +485,10 @@
 {
   mStatus = aRefusal.mStatus;
   mContext.mMetrics.mRefusals.Increment();
-  co_return co_await WriteCaller(BuildOwnAnswer(
-    mContext.mDialect, mExchange.mAdmission.mFacts, aRefusal, mKeepAlive)) &&
-    mKeepAlive;
+  std::string answer = BuildOwnAnswer(
+    mContext.mDialect, mExchange.mAdmission.mFacts, aRefusal, mKeepAlive);
+  const bool written = co_await WriteCaller(std::move(answer));
+  co_return written && mKeepAlive;
 }
 
 asio::awaitable<bool> Forwarder::Finish(Result aResult, gateway::NoEndpoint aReason)
@@ -505,21 +510,24 @@
   if (!mFailureAnswer.empty()) {
     Note("endpoint failed");
     mStatus = mFailureStatus;
-    co_return co_await WriteCaller(std::move(mFailureAnswer)) && mKeepAlive;
+    const bool written = co_await WriteCaller(std::move(mFailureAnswer));
+    co_return written && mKeepAlive;
   }
   const bool sent = mExchange.mSent > 0;
   if (aResult == Result::NotRun || (!sent && !mExchange.mMayHaveRun)) {
     gateway::Refusal refusal =
       mContext.mControl.RefuseNotRun(mExchange.mAdmission, aReason);
     Note(refusal.mReason);
-    co_return co_await SendOwn(refusal);
-  }
-  if (mExchange.mExpired) {
-    Note("deadline passed");
-    co_return co_await SendOwn({ 504, "the endpoint did not answer in time", {} });
-  }
-  Note("no whole answer");
-  co_return co_await SendOwn({ 502, "the endpoint gave no whole answer", {} });
+    const bool keep = co_await SendOwn(refusal);
+    co_return keep;
+  }
+  const gateway::Refusal failure =
+    mExchange.mExpired
+      ? gateway::Refusal{ 504, "the endpoint did not answer in time", {} }
+      : gateway::Refusal{ 502, "the endpoint gave no whole answer", {} };
+  Note(failure.mReason);
+  const bool keep = co_await SendOwn(failure);
+  co_return keep;
 }
 
 }
--- a/components/gateway/quotashares.cpp
+++ b/components/gateway/quotashares.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Time constant of the demand's exponential average.
-constexpr double kDemandSeconds = 1.0;
+constexpr double kDemandSeconds = 4.0;
 /// Part of the burst that a process has when it starts.
 constexpr double kFirstLevel = 0.5;
 
@@ -53,8 +53,10 @@
     } else {
       Refill(bucket, aNow);
     }
-    bucket.mRate = account.mTokensPerSecond;
-    bucket.mBurst = account.mBurstTokens;
+    const double overage = 1.0 + kUsedTolerance * mTolerance.mOverage;
+    bucket.mRate = account.mTokensPerSecond * overage;
+    bucket.mBurst =
+      account.mBurstTokens * overage + kUsedTolerance * mTolerance.mSlackTokens;
     bucket.mLevel = std::min(bucket.mLevel, bucket.mBurst * bucket.mPart);
     buckets.emplace(account.mName, bucket);
   }
--- a/components/gateway/quotashares.hpp
+++ b/components/gateway/quotashares.hpp
@@ -17,6 +17,14 @@
   timing::Duration mRetryAfter{ 0 };
 };
 
+/// What a tolerant reading of an account's limits allows over all entries: in any window no
+/// more than (rate x window + burst) x (1 + mOverage) + mSlackTokens.
+struct QuotaTolerance
+{
+  double mOverage{ 0.0 };
+  double mSlackTokens{ 0.0 };
+};
+
 /// Load answered: an account that sends several times its rate through unevenly loaded
 /// entries. Each entry holds a token bucket with its part of each account's rate and burst.
 /// While every entry hears every other one, the parts follow the entries' demands by
@@ -27,6 +35,12 @@
   /// Tokens a second that each entry's callers of an account ask for.
   using Demands = std::vector<double>;
 
+  /// Part of the tolerance that is given out; the rest covers the time that entries need to
+  /// learn of each other's demands.
+  static constexpr double kUsedTolerance = 0.6;
+
+  void SetTolerance(const QuotaTolerance& aTolerance) { mTolerance = aTolerance; }
+
   /// Follows a configuration; the level of a bucket is kept, cut to its new capacity.
   void Configure(const ServingConfiguration& aConfiguration, timing::Instant aNow);
 
@@ -63,6 +77,7 @@
   static void Refill(Bucket& aBucket, timing::Instant aNow);
   static void DecayDemand(Bucket& aBucket, timing::Instant aNow);
 
+  QuotaTolerance mTolerance;
   std::unordered_map<ids::ClientAccountId, Bucket> mBuckets;
 };
 
