End connections after SIGTERM with their answer and keep an account's rate exact

Now the connection ends with the answer, and what comes after the linger is refused. Quota: large requests failed at one entry while others had tokens; the tolerance enlarges the buckets, the rate is exact.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -112,7 +112,8 @@
 {
   mControl.mRepeats.SetLimits(
     { mSettings.mRepeatWindow, mSettings.mRepeatRatio, mSettings.mRepeatSlack });
-  mControl.mQuotas.SetTolerance({ mSettings.mQuotaOverage, mSettings.mQuotaSlack });
+  mControl.mQuotas.SetTolerance(
+    { mSettings.mQuotaWindow, mSettings.mQuotaOverage, mSettings.mQuotaSlack });
 }
 
 void GatewayProcess::Run()
@@ -417,6 +418,7 @@
   }
   mStopBegan = mClock.Now();
   mCallers.Drain(mStopBegan + kStopIdle);
+  mControl.RefuseFrom(mStopBegan + kStopLinger);
   mLogger.Info("stop begins", { { "requests", mExchanges.Size() } });
   if (mLeadership.Lease() != 0) {
     asio::co_spawn(
@@ -464,6 +466,19 @@
                { { "version", aConfiguration->mVersion },
                  { "routes", aConfiguration->mRoutes.size() },
                  { "accounts", aConfiguration->mAccounts.size() } });
+  for (const gateway::ClientAccount& account : aConfiguration->mAccounts) {
+    const gateway::ClientAccount* known =
+      current ? current->FindAccount(account.mName) : nullptr;
+    if (known == nullptr || known->mTokensPerSecond != account.mTokensPerSecond ||
+        known->mKeys != account.mKeys) {
+      mLogger.Info("account",
+                   { { "account", account.mName.Str() },
+                     { "keys", account.mKeys.size() },
+                     { "tokens_per_second", account.mTokensPerSecond },
+                     { "burst_tokens", account.mBurstTokens },
+                     { "version", aConfiguration->mVersion } });
+    }
+  }
   mControl.SetConfiguration(std::move(aConfiguration), mClock.Now());
   UpdateShares(mClock.Now());
 }
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -11,21 +11,26 @@
 
 const gateway::CallerLimits kLimitsBeforeConfiguration;
 
+std::int64_t Millis(timing::Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 /// Returns the answer to a request that cannot be read, or none if its connection ended.
 std::optional<gateway::Refusal> RefuseUnreadable(const ErrorCode& aEc)
 {
   if (aEc == http::error::header_limit) {
-    return gateway::Refusal{ 431, "the head is too large", {} };
+    return OwnAnswer(431, "the head is too large");
   }
   if (aEc == http::error::body_limit) {
-    return gateway::Refusal{ 413, "the body is too large", {} };
+    return OwnAnswer(413, "the body is too large");
   }
   const auto& category = http::make_error_code(http::error::bad_field).category();
   if (aEc.category() != category || aEc == http::error::end_of_stream ||
       aEc == http::error::partial_message) {
     return std::nullopt;
   }
-  return gateway::Refusal{ 400, "the request is malformed", {} };
+  return OwnAnswer(400, "the request is malformed");
 }
 
 /// True if the caller waits for leave to send the body.
@@ -117,13 +122,13 @@
   std::optional<gateway::RequestFacts> facts =
     mContext.mDialect.ReadRequest(request.base());
   if (!facts) {
-    const gateway::Refusal refusal{ 400, "the request lacks its identifier", {} };
+    const gateway::Refusal refusal = OwnAnswer(400, "the request lacks its identifier");
     const bool keep = co_await Refuse(gateway::RequestFacts(), refusal, false);
     co_return keep;
   }
   auto admitted = mContext.mControl.Admit(*facts, arrived);
   if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
-    Report(*facts, nullptr, refusal->mReason, refusal->mStatus, arrived);
+    ReportRefusal(*facts, *refusal);
     const bool keep = co_await Refuse(*facts, *refusal, keepAlive);
     co_return keep;
   }
@@ -141,14 +146,11 @@
   ++mServed;
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
-  Report(exchange.mAdmission.mFacts,
-         &exchange,
-         forwarder.Outcome(),
-         forwarder.Status(),
-         arrived);
+  Report(exchange, forwarder);
   // Ends the watch of this request.
   mSocket.cancel(ec);
-  co_return keep && mSocket.is_open();
+  // The answer may have begun before the process was told to stop.
+  co_return keep && !mDraining && mSocket.is_open();
 }
 
 asio::awaitable<void> CallerSession::WatchCaller(Exchange& aExchange,
@@ -188,40 +190,46 @@
   co_return !ec && aKeepAlive;
 }
 
-void CallerSession::Report(const gateway::RequestFacts& aFacts,
-                           const Exchange* aExchange,
-                           std::string_view aOutcome,
-                           unsigned aStatus,
-                           timing::Instant aArrived)
+void CallerSession::ReportRefusal(const gateway::RequestFacts& aFacts,
+                                  const gateway::Refusal& aRefusal)
 {
-  using std::chrono::milliseconds;
-  const auto millis = [](timing::Duration aTime) {
-    return std::chrono::duration_cast<milliseconds>(aTime).count();
-  };
-  const timing::Instant now = mContext.mClock.Now();
   const auto& configuration = mContext.mControl.Configuration();
+  const timing::Duration age = mContext.mControl.mContact.Age(mContext.mClock.Now());
   mContext.mLogger.Info(
-    "request",
+    "request refused",
     { { "request", aFacts.mId.Str() },
-      { "status", aStatus },
-      { "outcome", aOutcome },
-      { "model", aFacts.mModel.Str() },
-      { "adapter", aFacts.mAdapter },
-      { "route", aExchange != nullptr ? aExchange->mAdmission.mRoute->mName : "" },
-      { "account",
-        aExchange != nullptr && aExchange->mAdmission.mAccount != nullptr
-          ? aExchange->mAdmission.mAccount->mName.Str()
-          : "" },
-      { "endpoint",
-        aExchange != nullptr && !aExchange->mTried.empty()
-          ? aExchange->mTried.back().Str()
-          : "" },
-      { "tried", aExchange != nullptr ? aExchange->mTried.size() : 0 },
-      { "sent", aExchange != nullptr ? aExchange->mSent : 0 },
+      { "status", aRefusal.mStatus },
+      { "reason", aRefusal.mReason },
+      { "retry_after_ms",
+        aRefusal.mRetryAfter.value_or(std::chrono::milliseconds(-1)).count() },
+      { "route", aRefusal.mRoute },
+      { "account", aRefusal.mAccount.Str() },
+      { "tokens", aRefusal.mTokens },
       { "configuration", configuration ? configuration->mVersion : 0 },
-      { "knowledge_age_ms",
-        configuration ? millis(mContext.mControl.mContact.Age(now)) : -1 },
-      { "took_ms", millis(now - aArrived) } });
+      { "configuration_age_ms", configuration ? Millis(age) : -1 } });
+}
+
+void CallerSession::Report(const Exchange& aExchange, const Forwarder& aForwarder)
+{
+  const gateway::Admission& admission = aExchange.mAdmission;
+  const auto& tried = aExchange.mTried;
+  mContext.mLogger.Info(
+    "request",
+    { { "request", admission.mFacts.mId.Str() },
+      { "status", aForwarder.Status() },
+      { "outcome", aForwarder.Outcome() },
+      { "route", admission.mRoute->mName },
+      { "account",
+        admission.mAccount != nullptr ? admission.mAccount->mName.Str() : "" },
+      { "tokens", admission.mTokens },
+      { "model", admission.mFacts.mModel.Str() },
+      { "adapter", admission.mFacts.mAdapter },
+      { "endpoint", tried.empty() ? "" : tried.back().Str() },
+      { "tried", tried.size() },
+      { "sent", aExchange.mSent },
+      { "configuration", admission.mConfiguration->mVersion },
+      { "configuration_age_ms", Millis(admission.mConfigurationAge) },
+      { "took_ms", Millis(mContext.mClock.Now() - admission.mArrived) } });
 }
 
 }
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -35,11 +35,9 @@
                                bool aKeepAlive);
   asio::awaitable<void> WatchCaller(Exchange& aExchange, std::uint64_t aServed);
   const gateway::CallerLimits& Limits() const;
-  void Report(const gateway::RequestFacts& aFacts,
-              const Exchange* aExchange,
-              std::string_view aOutcome,
-              unsigned aStatus,
-              timing::Instant aArrived);
+  void ReportRefusal(const gateway::RequestFacts& aFacts,
+                     const gateway::Refusal& aRefusal);
+  void Report(const Exchange& aExchange, const Forwarder& aForwarder);
 
   FrontendContext& mContext;
   tcp::socket mSocket;
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -106,6 +106,14 @@
 
 }
 
+gateway::Refusal OwnAnswer(unsigned aStatus, std::string aReason)
+{
+  gateway::Refusal answer;
+  answer.mStatus = aStatus;
+  answer.mReason = std::move(aReason);
+  return answer;
+}
+
 std::string BuildOwnAnswer(const Dialect& aDialect,
                            const gateway::RequestFacts& aFacts,
                            const gateway::Refusal& aRefusal,
@@ -523,8 +531,8 @@
   }
   const gateway::Refusal failure =
     mExchange.mExpired
-      ? gateway::Refusal{ 504, "the endpoint did not answer in time", {} }
-      : gateway::Refusal{ 502, "the endpoint gave no whole answer", {} };
+      ? OwnAnswer(504, "the endpoint did not answer in time")
+      : OwnAnswer(502, "the endpoint gave no whole answer");
   Note(failure.mReason);
   const bool keep = co_await SendOwn(failure);
   co_return keep;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -105,6 +105,9 @@
   std::array<char, 8192> mBytes{};
 };
 
+/// Returns an answer of this system's own that promises no return.
+gateway::Refusal OwnAnswer(unsigned aStatus, std::string aReason);
+
 /// Builds an answer of this system's own.
 std::string BuildOwnAnswer(const Dialect& aDialect,
                            const gateway::RequestFacts& aFacts,
--- a/components/gateway/quotashares.cpp
+++ b/components/gateway/quotashares.cpp
@@ -53,10 +53,12 @@
     } else {
       Refill(bucket, aNow);
     }
-    const double overage = 1.0 + kUsedTolerance * mTolerance.mOverage;
-    bucket.mRate = account.mTokensPerSecond * overage;
+    const double window =
+      account.mTokensPerSecond * Seconds(mTolerance.mWindow) + account.mBurstTokens;
+    bucket.mRate = account.mTokensPerSecond;
     bucket.mBurst =
-      account.mBurstTokens * overage + kUsedTolerance * mTolerance.mSlackTokens;
+      account.mBurstTokens +
+      kUsedTolerance * (mTolerance.mOverage * window + mTolerance.mSlackTokens);
     bucket.mLevel = std::min(bucket.mLevel, bucket.mBurst * bucket.mPart);
     buckets.emplace(account.mName, bucket);
   }
--- a/components/gateway/quotashares.hpp
+++ b/components/gateway/quotashares.hpp
@@ -21,6 +21,7 @@
 /// more than (rate x window + burst) x (1 + mOverage) + mSlackTokens.
 struct QuotaTolerance
 {
+  timing::Duration mWindow{ std::chrono::seconds(8) };
   double mOverage{ 0.0 };
   double mSlackTokens{ 0.0 };
 };
@@ -35,9 +36,11 @@
   /// Tokens a second that each entry's callers of an account ask for.
   using Demands = std::vector<double>;
 
-  /// Part of the tolerance that is given out; the rest covers the time that entries need to
-  /// learn of each other's demands.
-  static constexpr double kUsedTolerance = 0.6;
+  /// Part of the tolerance by which the buckets of all entries together are larger than the
+  /// burst: a large request at one entry must not fail while another one has tokens left.
+  /// The rest covers the time that entries need to learn of each other's demands. The rate
+  /// itself is never exceeded.
+  static constexpr double kUsedTolerance = 0.7;
 
   void SetTolerance(const QuotaTolerance& aTolerance) { mTolerance = aTolerance; }
 
--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -43,6 +43,13 @@
   return it == mServiceByName.end() ? nullptr : &mServices[it->second];
 }
 
+const ClientAccount* ServingConfiguration::FindAccount(
+  const ids::ClientAccountId& aName) const
+{
+  const auto it = std::ranges::find(mAccounts, aName, &ClientAccount::mName);
+  return it == mAccounts.end() ? nullptr : &*it;
+}
+
 const ClientAccount* ServingConfiguration::FindAccountOfKey(const std::string& aKey) const
 {
   const auto it = mAccountByKey.find(aKey);
--- a/components/gateway/servingconfiguration.hpp
+++ b/components/gateway/servingconfiguration.hpp
@@ -124,6 +124,7 @@
   /// Returns the route of the host with the longest prefix of the path, or null.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   const Service* FindService(const ids::ServiceId& aName) const;
+  const ClientAccount* FindAccount(const ids::ClientAccountId& aName) const;
   /// Returns the account that holds the key, or null.
   const ClientAccount* FindAccountOfKey(const std::string& aKey) const;
 
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -79,17 +79,21 @@
                                                        timing::Instant aNow)
 {
   const auto outage = [this](std::string aReason) {
-    return Refusal{
-      503, std::move(aReason), RetryAfter(kOutageRetryLeast, kOutageRetryMost)
-    };
+    Refusal refusal;
+    refusal.mReason = std::move(aReason);
+    refusal.mRetryAfter = RetryAfter(kOutageRetryLeast, kOutageRetryMost);
+    return refusal;
   };
+  if (aNow >= mRefuseFrom) {
+    return outage("this entry stops");
+  }
   if (!mConfiguration) {
     return outage("no configuration is known yet");
   }
   const bool current = mContact.KeysTrusted(aNow);
   const Route* route = mConfiguration->FindRoute(aFacts.mHost, aFacts.mPath);
   if (route == nullptr) {
-    return current ? Refusal{ 404, "no route matches", std::nullopt }
+    return current ? Refusal{ 404, "no route matches", {}, {}, {}, 0.0 }
                    : outage("the configuration may be out of date");
   }
   const ClientAccount* account = nullptr;
@@ -99,7 +103,7 @@
     }
     account = mConfiguration->FindAccountOfKey(aFacts.mKey);
     if (account == nullptr) {
-      return Refusal{ 401, "the key is not known", std::nullopt };
+      return Refusal{ 401, "the key is not known", {}, route->mName, {}, 0.0 };
     }
   }
   const Service* service =
@@ -138,7 +142,10 @@
       const auto wait = std::chrono::ceil<milliseconds>(quota.mRetryAfter);
       return Refusal{ 429,
                       "the account is over its rate",
-                      wait + RetryAfter(milliseconds(0), kOutageRetryLeast) };
+                      wait + RetryAfter(milliseconds(0), kOutageRetryLeast),
+                      route->mName,
+                      account->mName,
+                      admission.mTokens };
     }
   }
   mRepeats.RecordFirst(service->mName, aNow);
@@ -203,21 +210,24 @@
   if (aAdmission.mAccount != nullptr) {
     mQuotas.Return(aAdmission.mAccount->mName, aAdmission.mTokens);
   }
+  Refusal refusal;
+  refusal.mRoute = aAdmission.mRoute->mName;
+  refusal.mTokens = aAdmission.mTokens;
   switch (aReason) {
     case NoEndpoint::ModelAbsent:
-      return { 503,
-               "no endpoint holds the model",
-               RetryAfter(kLoadRetryLeast, kLoadRetryMost) };
+      refusal.mReason = "no endpoint holds the model";
+      refusal.mRetryAfter = RetryAfter(kLoadRetryLeast, kLoadRetryMost);
+      break;
     case NoEndpoint::Full:
-      return { 503,
-               "all endpoints are full or in cold start",
-               RetryAfter(kFullRetryLeast, kFullRetryMost) };
+      refusal.mReason = "all endpoints are full or in cold start";
+      refusal.mRetryAfter = RetryAfter(kFullRetryLeast, kFullRetryMost);
+      break;
     case NoEndpoint::NoneUsable:
+      refusal.mReason = "no endpoint may get work";
+      refusal.mRetryAfter = RetryAfter(kOutageRetryLeast, kOutageRetryMost);
       break;
   }
-  return { 503,
-           "no endpoint may get work",
-           RetryAfter(kOutageRetryLeast, kOutageRetryMost) };
+  return refusal;
 }
 
 void TrafficControl::Tick(timing::Instant aNow)
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -25,6 +25,10 @@
   std::string mReason;
   /// When the caller should come back; none if coming back cannot help.
   std::optional<std::chrono::milliseconds> mRetryAfter;
+  /// What the decision rested on, as far as it was known by then.
+  std::string mRoute;
+  ids::ClientAccountId mAccount;
+  double mTokens{ 0.0 };
 };
 
 /// A request that was let in, with all that its route through the system depends on.
@@ -103,6 +107,9 @@
   /// Returns the answer for a request for which no endpoint was found. It never ran.
   Refusal RefuseNotRun(const Admission& aAdmission, NoEndpoint aReason);
 
+  /// From this instant on every new request is refused, since the process stops.
+  void RefuseFrom(timing::Instant aInstant) { mRefuseFrom = aInstant; }
+
   void Tick(timing::Instant aNow);
 
 private:
@@ -115,6 +122,7 @@
   std::shared_ptr<const ServingConfiguration> mConfiguration;
   std::size_t mEntries{ 1 };
   std::mt19937_64 mRandom;
+  timing::Instant mRefuseFrom{ timing::Instant::max() };
 };
 
 }
