Pace only endpoints that are cold or whose zone returns

Ruled out: real fullness, the endpoints ran a tenth of their slots. The pace of cold ones now uses the stated tolerance.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -112,6 +112,7 @@
 {
   mControl.mRepeats.SetLimits(
     { mSettings.mRepeatWindow, mSettings.mRepeatRatio, mSettings.mRepeatSlack });
+  mControl.mCold.SetTolerance(mSettings.mColdOverage, mSettings.mColdSlack);
   mControl.mQuotas.SetTolerance(
     { mSettings.mQuotaWindow, mSettings.mQuotaOverage, mSettings.mQuotaSlack });
 }
--- a/components/gateway/coldlimiter.hpp
+++ b/components/gateway/coldlimiter.hpp
@@ -14,6 +14,17 @@
 class ColdLimiter
 {
 public:
+  /// Part of the tolerated rate that is used; the rest covers requests that bunch up on
+  /// their way.
+  static constexpr double kUsedPart = 0.85;
+
+  /// What is tolerated beyond the rate that an endpoint bears: a factor, and requests.
+  void SetTolerance(double aFactor, double aSlack)
+  {
+    mFactor = aFactor;
+    mSlack = aSlack;
+  }
+
   /// Returns true if this entry, one of aEntries, may send one more request to a cold
   /// endpoint that bears aPerSecond; 0 stands for no limit.
   bool HasRoom(const ids::EndpointId& aEndpoint,
@@ -25,6 +36,8 @@
   void Tick(timing::Instant aNow);
 
 private:
+  double mFactor{ 1.0 };
+  double mSlack{ 0.0 };
   std::unordered_map<ids::EndpointId, SlidingWindow> mSent;
 };
 
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -18,12 +18,9 @@
     endpoint = Endpoint{};
     endpoint.mInFlight = inFlight;
   }
-  if (added || restarted) {
-    endpoint.mRampUntil = aNow + kRampTime;
-  }
   if (aReport.mColdFor.count() > 0) {
     endpoint.mColdUntil = aNow + aReport.mColdFor;
-    endpoint.mRampUntil = std::max(endpoint.mRampUntil, endpoint.mColdUntil + kRampTime);
+    endpoint.mRampUntil = std::max(endpoint.mRampUntil, endpoint.mColdUntil);
   }
   endpoint.mUsableUntil = timing::Instant::max();
   endpoint.mReportedAt = aNow;
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -18,7 +18,8 @@
   /// How long an endpoint stays usable whose record lapsed while the store was away. The
   /// platform promises its return within about two seconds.
   static constexpr timing::Duration kLapseGrace = std::chrono::milliseconds(1700);
-  /// How long an endpoint that just appeared or came back is loaded with care.
+  /// How long an endpoint that was cold, or whose zone comes back, is loaded with care: its
+  /// next report may tell of a cold start.
   static constexpr timing::Duration kRampTime = std::chrono::seconds(3);
 
   /// Records what an endpoint says of itself; reports of earlier incarnations are ignored.
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -79,6 +79,7 @@
   QuotaShares mQuotas;
   RepeatBudget mRepeats;
   DemandMeter mDemand;
+  ColdLimiter mCold;
 
   void SetConfiguration(std::shared_ptr<const ServingConfiguration> aConfiguration,
                         timing::Instant aNow);
@@ -117,7 +118,6 @@
                                        std::chrono::milliseconds aMost);
   const ids::ServiceId& PickService(const Route& aRoute);
 
-  ColdLimiter mCold;
   EndpointChooser mChooser;
   std::shared_ptr<const ServingConfiguration> mConfiguration;
   std::size_t mEntries{ 1 };
