Load adapters on demand while their requests wait

Ruled out: slots and memory, there were free ones. Digests now carry what is wanted at once and what was loaded.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -26,6 +26,10 @@
 constexpr milliseconds kDigestEvery{ 250 };
 /// With more entries digests go out less often, so that each hears as many a second.
 constexpr milliseconds kDigestPerEntry{ 25 };
+/// Pause that is kept between two digests in any case.
+constexpr milliseconds kDigestLeast{ 40 };
+/// How long digests tell of an adapter that was loaded, against lost datagrams.
+constexpr milliseconds kLoadedNews{ 700 };
 constexpr milliseconds kPlacementEvery{ 200 };
 constexpr milliseconds kUpkeepEvery{ 1000 };
 constexpr milliseconds kLeaseLook{ 100 };
@@ -80,8 +84,17 @@
   , mEngines(mClient, mSettings.mName)
   , mFeed(mIo, mStore, *this, aClock, mLogger, DrawSeed())
   , mBackends(mIo)
-  , mFrontend{ mIo,       mClock,     mDialect, mControl,
-               mBackends, mExchanges, mLogger,  mMetrics }
+  , mPlacementChanged(mIo)
+  , mFrontend{ mIo,
+               mClock,
+               mDialect,
+               mControl,
+               mBackends,
+               mExchanges,
+               mLogger,
+               mMetrics,
+               mPlacementChanged,
+               [this] { HurryDigest(); } }
   , mCallers(mFrontend,
              mSettings.mCallers,
              mSettings.mMaxDescriptors > 2 * kOwnDescriptors
@@ -161,6 +174,7 @@
   mCallers.Tick(aNow);
   mControl.Tick(aNow);
   mPeers.Tick(aNow);
+  mPlacementChanged.Notify();
   if (aNow >= mNextDigest) {
     const auto entries = static_cast<std::int64_t>(mPeers.Entries());
     mNextDigest = aNow + std::max(kDigestEvery, kDigestPerEntry * entries);
@@ -226,6 +240,13 @@
   mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
     digest.mModelDemand.emplace(gateway::DigestKey(aName), aRate);
   });
+  std::erase_if(mLoaded, [aNow](const auto& aItem) {
+    return aItem.first + kLoadedNews <= aNow;
+  });
+  std::ranges::transform(mLoaded,
+                         std::back_inserter(digest.mLoaded),
+                         [](const auto& aItem) { return aItem.second; });
+  mLastDigest = aNow;
   const std::string bytes = gateway::EncodeDigest(digest);
   for (const settings::SocketAddress& address : mPeers.Addresses()) {
     ErrorCode ec;
@@ -250,12 +271,54 @@
     if (ec) {
       continue;
     }
-    if (auto digest = gateway::DecodeDigest({ mDatagram.data(), n })) {
-      mPeers.Take(std::move(*digest), mClock.Now());
+    auto digest = gateway::DecodeDigest({ mDatagram.data(), n });
+    if (!digest) {
+      continue;
+    }
+    const timing::Instant now = mClock.Now();
+    const std::vector<gateway::LoadedAdapter> loaded = digest->mLoaded;
+    if (!mPeers.Take(std::move(*digest), now)) {
+      continue;
+    }
+    for (const gateway::LoadedAdapter& item : loaded) {
+      mControl.mDirectory.Announce(item, now);
     }
+    if (!loaded.empty()) {
+      mPlacementChanged.Notify();
+    }
+    if (mLeading) {
+      // What an entry waits for shall not wait for the tick.
+      PlaceModels(now);
+    }
+  }
+}
+
+void GatewayProcess::HurryDigest()
+{
+  const timing::Instant now = mClock.Now();
+  if (mLeading) {
+    PlaceModels(now);
+  }
+  if (now - mLastDigest >= kDigestLeast) {
+    SendDigest(now);
+  } else {
+    mNextDigest = std::min(mNextDigest, mLastDigest + kDigestLeast);
   }
 }
 
+void GatewayProcess::NoteLoaded(const ids::EndpointId& aEndpoint,
+                                const gateway::EngineOrder& aOrder)
+{
+  const gateway::LoadedAdapter loaded{
+    gateway::DigestKey(aEndpoint.Str()),
+    gateway::DigestKey(gateway::DemandMeter::Name(aOrder.mModel, aOrder.mAdapter))
+  };
+  mLoaded.emplace_back(mClock.Now(), loaded);
+  mControl.mDirectory.Announce(loaded, mClock.Now());
+  mPlacementChanged.Notify();
+  HurryDigest();
+}
+
 void GatewayProcess::PlaceModels(timing::Instant aNow)
 {
   const std::optional<std::int64_t> token = mLeadership.Token(aNow);
@@ -308,6 +371,13 @@
       { "precondition", aAction.mPrecondition },
       { "token", aToken },
       { "outcome", static_cast<int>(outcome) } });
+  const bool done = outcome == gateway::OrderOutcome::Accepted ||
+                    outcome == gateway::OrderOutcome::AlreadySo;
+  if (done && order.mKind == gateway::OrderKind::Load && !order.mAdapter.empty()) {
+    NoteLoaded(aEndpoint.mId, order);
+  } else if (done && !order.mAdapter.empty()) {
+    PlaceModels(mClock.Now());
+  }
   if (outcome == gateway::OrderOutcome::Fenced) {
     mLeadership.Fenced(mClock.Now());
   }
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -59,6 +59,9 @@
   frontend::asio::awaitable<void> TakeLeaseStep(gateway::Leadership::Step aStep);
   frontend::asio::awaitable<void> ReceiveDigests();
   void SendDigest(timing::Instant aNow);
+  /// Brings the next digest forward, within kDigestLeast of the last one.
+  void HurryDigest();
+  void NoteLoaded(const ids::EndpointId& aEndpoint, const gateway::EngineOrder& aOrder);
   void UpdateShares(timing::Instant aNow);
   void PlaceModels(timing::Instant aNow);
   frontend::asio::awaitable<void> Act(gateway::EngineAction aAction,
@@ -91,6 +94,7 @@
   platform::Feed mFeed;
   frontend::BackendPool mBackends;
   frontend::ExchangeTable mExchanges;
+  frontend::Signal mPlacementChanged;
   frontend::FrontendContext mFrontend;
   frontend::CallerListener mCallers;
   frontend::StatusListener mReadiness;
@@ -100,6 +104,9 @@
   std::array<char, 65536> mDatagram{};
   std::uint64_t mDigestNumber{ 0 };
   timing::Instant mNextDigest{};
+  timing::Instant mLastDigest{};
+  /// Adapters that were loaded by this leader's orders, with when.
+  std::vector<std::pair<timing::Instant, gateway::LoadedAdapter>> mLoaded;
   timing::Instant mNextPlacement{};
   timing::Instant mNextUpkeep{};
   timing::Instant mStopBegan{ timing::Instant::max() };
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -12,6 +12,9 @@
 
 using std::chrono::milliseconds;
 
+/// Wait for an adapter that the leader loads on demand: a digest, an order to make way, an
+/// order to load, and some milliseconds of loading.
+constexpr milliseconds kAdapterWait{ 600 };
 /// Time to open a connection to an endpoint; two lost packets fit in.
 constexpr milliseconds kConnectLimit{ 450 };
 /// Wait for the head of an answer before a request that may be repeated goes elsewhere.
@@ -159,8 +162,7 @@
   const gateway::Admission& admission = mExchange.mAdmission;
   std::size_t unreachable = 0;
   for (;;) {
-    const gateway::Choice choice =
-      control.Begin(admission, mExchange.mTried, mContext.mClock.Now());
+    const gateway::Choice choice = co_await Choose();
     if (choice.mEndpoint == nullptr) {
       co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
                                 choice.mReason);
@@ -194,6 +196,29 @@
   }
 }
 
+asio::awaitable<gateway::Choice> Forwarder::Choose()
+{
+  const gateway::Admission& admission = mExchange.mAdmission;
+  const timing::Instant until =
+    std::min(admission.mDeadline, mContext.mClock.Now() + kAdapterWait);
+  bool wanted = false;
+  for (;;) {
+    const timing::Instant now = mContext.mClock.Now();
+    gateway::Choice choice =
+      mContext.mControl.Begin(admission, mExchange.mTried, now);
+    if (choice.mEndpoint != nullptr ||
+        choice.mReason != gateway::NoEndpoint::AdapterAbsent || now >= until ||
+        mExchange.mCallerGone) {
+      co_return choice;
+    }
+    if (!wanted) {
+      wanted = true;
+      mContext.mOnAdapterWanted();
+    }
+    co_await mContext.mPlacementChanged.Wait();
+  }
+}
+
 asio::awaitable<Forwarder::Result> Forwarder::Attempt(const gateway::Endpoint& aEndpoint)
 {
   const ids::EndpointId id = aEndpoint.mReport.mId;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_FORWARDER_HPP
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include "components/frontend/dialect.hpp"
 #include "components/frontend/exchange.hpp"
 #include "components/frontend/gatewaymetrics.hpp"
+#include "components/frontend/signal.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 #include "components/logging/logger.hpp"
 
@@ -28,6 +30,10 @@
   ExchangeTable& mExchanges;
   logging::Logger& mLogger;
   GatewayMetrics& mMetrics;
+  /// Comes with each tick and when an endpoint holds something new.
+  Signal& mPlacementChanged;
+  /// Tells the leader that a request waits for an adapter.
+  std::function<void()> mOnAdapterWanted;
 };
 
 /// Carries one admitted request: chooses an endpoint, sends the request, hands the answer to
@@ -62,6 +68,8 @@
     Ended,
   };
 
+  /// Begins an attempt; waits a little if only an adapter is missing.
+  asio::awaitable<gateway::Choice> Choose();
   asio::awaitable<Result> Attempt(const gateway::Endpoint& aEndpoint);
   asio::awaitable<std::unique_ptr<BackendConnection>> Connect(
     const ids::EndpointId& aEndpoint,
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -55,11 +55,22 @@
   /// Milliseconds until the first token, exponentially weighted.
   double mFirstTokenMs{ 0.0 };
 
-  bool Holds(const ids::ModelId& aModel, const std::string& aAdapter) const
+  /// Adapters that the leader had loaded since the last report, by the digest key of model
+  /// and adapter, with the instant at which that was heard.
+  std::unordered_map<std::uint64_t, timing::Instant> mAnnounced;
+
+  bool HoldsModel(const ids::ModelId& aModel) const
+  {
+    return mReport.mModels.contains(aModel);
+  }
+  /// aKey is the digest key of model and adapter.
+  bool HoldsAdapter(const ids::ModelId& aModel,
+                    const std::string& aAdapter,
+                    std::uint64_t aKey) const
   {
     const auto it = mReport.mModels.find(aModel);
     return it != mReport.mModels.end() &&
-           (aAdapter.empty() || it->second.contains(aAdapter));
+           (it->second.contains(aAdapter) || mAnnounced.contains(aKey));
   }
 };
 
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "components/gateway/demandmeter.hpp"
+
 namespace samphiresail::gateway {
 
 namespace {
@@ -48,6 +50,10 @@
 {
   Choice choice;
   double best = 0.0;
+  const std::uint64_t adapter =
+    aFacts.mAdapter.empty()
+      ? 0
+      : DigestKey(DemandMeter::Name(aFacts.mModel, aFacts.mAdapter));
   std::uniform_real_distribution<double> jitter(0.0, kJitter);
   for (auto& [id, endpoint] : mDirectory.All()) {
     if (endpoint.mReport.mService != aService.mName ||
@@ -57,7 +63,14 @@
     if (choice.mReason == NoEndpoint::NoneUsable) {
       choice.mReason = NoEndpoint::ModelAbsent;
     }
-    if (aService.mEngine && !endpoint.Holds(aFacts.mModel, aFacts.mAdapter)) {
+    if (aService.mEngine && !endpoint.HoldsModel(aFacts.mModel)) {
+      continue;
+    }
+    if (aService.mEngine && !aFacts.mAdapter.empty() &&
+        !endpoint.HoldsAdapter(aFacts.mModel, aFacts.mAdapter, adapter)) {
+      if (choice.mReason == NoEndpoint::ModelAbsent) {
+        choice.mReason = NoEndpoint::AdapterAbsent;
+      }
       continue;
     }
     choice.mReason = NoEndpoint::Full;
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -18,6 +18,8 @@
   NoneUsable,
   /// None that may get work holds the model.
   ModelAbsent,
+  /// Some hold the model and none the adapter, which can be had within milliseconds.
+  AdapterAbsent,
   /// All are full or in cold start.
   Full,
 };
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -71,11 +71,26 @@
 
 void EndpointDirectory::Tick(timing::Instant aNow)
 {
+  for (auto& [id, endpoint] : mEndpoints) {
+    std::erase_if(endpoint.mAnnounced, [aNow](const auto& aRow) {
+      return aRow.second + kAnnouncedLife <= aNow;
+    });
+  }
   std::erase_if(mEndpoints, [aNow](const auto& aRow) {
     return aRow.second.mUsableUntil <= aNow && aRow.second.mInFlight == 0;
   });
 }
 
+void EndpointDirectory::Announce(const LoadedAdapter& aLoaded, timing::Instant aNow)
+{
+  const auto it = std::ranges::find_if(mEndpoints, [&](const auto& aRow) {
+    return DigestKey(aRow.first.Str()) == aLoaded.mEndpoint;
+  });
+  if (it != mEndpoints.end()) {
+    it->second.mAnnounced[aLoaded.mAdapter] = aNow;
+  }
+}
+
 void EndpointDirectory::SetPeersInFlight(
   const std::unordered_map<ids::EndpointId, unsigned>& aCounts)
 {
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "components/gateway/endpoint.hpp"
+#include "components/gateway/peertable.hpp"
 
 namespace samphiresail::gateway {
 
@@ -18,6 +19,8 @@
   /// How long an endpoint stays usable whose record lapsed while the store was away. The
   /// platform promises its return within about two seconds.
   static constexpr timing::Duration kLapseGrace = std::chrono::milliseconds(1700);
+  /// How long an announced adapter counts as held; by then the endpoint's report tells.
+  static constexpr timing::Duration kAnnouncedLife = std::chrono::milliseconds(3000);
   /// How long an endpoint that was cold, or whose zone comes back, is loaded with care: its
   /// next report may tell of a cold start.
   static constexpr timing::Duration kRampTime = std::chrono::seconds(3);
@@ -40,6 +43,9 @@
   /// Drops the endpoints whose grace has ended.
   void Tick(timing::Instant aNow);
 
+  /// Records that the leader had an adapter loaded, ahead of the endpoint's own report.
+  void Announce(const LoadedAdapter& aLoaded, timing::Instant aNow);
+
   /// Replaces the counts of requests that the other entries have at the endpoints.
   void SetPeersInFlight(const std::unordered_map<ids::EndpointId, unsigned>& aCounts);
 
--- a/components/gateway/orderbook.cpp
+++ b/components/gateway/orderbook.cpp
@@ -148,6 +148,15 @@
       engine.mNotBefore = aNow + kRetryPause;
       break;
     case OrderOutcome::AlreadySo:
+      if (!ConcernsModel(*engine.mOrder)) {
+        // An adapter that was dropped or there at once; whether it counts shows in the
+        // next report.
+        Apply(engine.mReport.mModels, *engine.mOrder);
+        engine.mReport.mOrdersAccepted = engine.mPrecondition + 1;
+        engine.mOrder.reset();
+        break;
+      }
+      [[fallthrough]];
     case OrderOutcome::Conflict:
     case OrderOutcome::Fenced:
     case OrderOutcome::Rejected:
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -25,6 +25,11 @@
   };
   addRates(aDigest.mAccountDemand, load.mutable_account_demand());
   addRates(aDigest.mModelDemand, load.mutable_model_demand());
+  for (const LoadedAdapter& loaded : aDigest.mLoaded) {
+    auto* item = load.add_loaded();
+    item->set_endpoint(loaded.mEndpoint);
+    item->set_key(loaded.mAdapter);
+  }
   return load.SerializeAsString();
 }
 
@@ -49,6 +54,9 @@
   for (const auto& item : load.model_demand()) {
     digest.mModelDemand.emplace(item.key(), item.rate());
   }
+  for (const auto& item : load.loaded()) {
+    digest.mLoaded.push_back({ item.endpoint(), item.key() });
+  }
   return digest;
 }
 
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -13,6 +13,13 @@
 
 namespace samphiresail::gateway {
 
+/// An adapter that an endpoint now holds, by their digest keys.
+struct LoadedAdapter
+{
+  std::uint64_t mEndpoint{ 0 };
+  std::uint64_t mAdapter{ 0 };
+};
+
 /// What one entry tells the others several times a second.
 struct PeerDigest
 {
@@ -28,6 +35,8 @@
   std::unordered_map<std::uint64_t, double> mAccountDemand;
   /// Requests a second by model, and by model and adapter.
   std::unordered_map<std::uint64_t, double> mModelDemand;
+  /// Adapters that the sender has just had loaded.
+  std::vector<LoadedAdapter> mLoaded;
 };
 
 /// Number by which digests name an endpoint, an account or a model.
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -218,6 +218,10 @@
       refusal.mReason = "no endpoint holds the model";
       refusal.mRetryAfter = RetryAfter(kLoadRetryLeast, kLoadRetryMost);
       break;
+    case NoEndpoint::AdapterAbsent:
+      refusal.mReason = "no endpoint holds the adapter";
+      refusal.mRetryAfter = RetryAfter(kFullRetryLeast, kFullRetryMost);
+      break;
     case NoEndpoint::Full:
       refusal.mReason = "all endpoints are full or in cold start";
       refusal.mRetryAfter = RetryAfter(kFullRetryLeast, kFullRetryMost);
