Order adapters also while a model is on its way

Cause: a load takes four seconds, during which the engine got no adapters. Ruled out: engines refuse them, 55 of 380 orders met a conflict.

--- a/components/gateway/fleetplanner.cpp
+++ b/components/gateway/fleetplanner.cpp
@@ -336,7 +336,7 @@
       }
     }
     for (const Engine& engine : mEngines) {
-      if (CanOrder(engine)) {
+      if (engine.mFreeForAdapters && engine.mUsable && !mOrdered.contains(engine.mId)) {
         OrderAdapter(engine, wanted[engine.mId]);
       }
     }
--- a/components/gateway/fleetplanner.hpp
+++ b/components/gateway/fleetplanner.hpp
@@ -40,8 +40,10 @@
   std::set<ids::ModelId> mLeaving;
   /// Models among mModels that are still on their way.
   std::set<ids::ModelId> mComing;
-  /// An order can be given now.
+  /// A model can be ordered now.
   bool mFree{ true };
+  /// An adapter can be ordered now, also while a model is on its way.
+  bool mFreeForAdapters{ true };
   /// The engine is about to leave or gets no work.
   bool mUsable{ true };
 };
