Count quotas in one token bucket of all entries

Cause: equal parts refused large requests at one entry while others had tokens, and the limit of a window was used by half. Now every entry carries one bucket of all entries forward from digests; it starts nearly empty, so that a restart gives no second burst.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -126,7 +126,7 @@
   mControl.mRepeats.SetLimits(
     { mSettings.mRepeatWindow, mSettings.mRepeatRatio, mSettings.mRepeatSlack });
   mControl.mCold.SetTolerance(mSettings.mColdOverage, mSettings.mColdSlack);
-  mControl.mQuotas.SetTolerance(
+  mControl.mQuotas.SetTerms(
     { mSettings.mQuotaWindow, mSettings.mQuotaOverage, mSettings.mQuotaSlack });
 }
 
@@ -209,11 +209,11 @@
   }
   const bool allHear = mPeers.AllHearAll(aNow);
   for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
-    mControl.mQuotas.SetPart(account.mName,
-                             mPeers.AccountDemands(account.mName, aNow),
-                             mPeers.Entries(),
-                             allHear,
-                             aNow);
+    mControl.mQuotas.SetPeers(account.mName,
+                              mPeers.AccountQuotas(account.mName),
+                              mPeers.Entries(),
+                              allHear,
+                              aNow);
   }
 }
 
@@ -231,10 +231,8 @@
   }
   if (mControl.Configuration()) {
     for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
-      const double demand = mControl.mQuotas.Demand(account.mName, aNow);
-      if (demand >= 1.0) {
-        digest.mAccountDemand.emplace(gateway::DigestKey(account.mName.Str()), demand);
-      }
+      digest.mAdmitted.emplace(gateway::DigestKey(account.mName.Str()),
+                               mControl.mQuotas.Admitted(account.mName));
     }
   }
   mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -16,15 +16,16 @@
     item->set_key(key);
     item->set_count(count);
   }
-  const auto addRates = [](const auto& aRates, auto* aItems) {
-    for (const auto& [key, rate] : aRates) {
-      auto* item = aItems->Add();
-      item->set_key(key);
-      item->set_rate(static_cast<float>(rate));
-    }
-  };
-  addRates(aDigest.mAccountDemand, load.mutable_account_demand());
-  addRates(aDigest.mModelDemand, load.mutable_model_demand());
+  for (const auto& [key, total] : aDigest.mAdmitted) {
+    auto* item = load.add_admitted();
+    item->set_key(key);
+    item->set_total(total);
+  }
+  for (const auto& [key, rate] : aDigest.mModelDemand) {
+    auto* item = load.add_model_demand();
+    item->set_key(key);
+    item->set_rate(static_cast<float>(rate));
+  }
   for (const LoadedAdapter& loaded : aDigest.mLoaded) {
     auto* item = load.add_loaded();
     item->set_endpoint(loaded.mEndpoint);
@@ -48,8 +49,8 @@
   for (const auto& item : load.in_flight()) {
     digest.mInFlight.emplace(item.key(), item.count());
   }
-  for (const auto& item : load.account_demand()) {
-    digest.mAccountDemand.emplace(item.key(), item.rate());
+  for (const auto& item : load.admitted()) {
+    digest.mAdmitted.emplace(item.key(), item.total());
   }
   for (const auto& item : load.model_demand()) {
     digest.mModelDemand.emplace(item.key(), item.rate());
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -120,17 +120,18 @@
     });
 }
 
-std::vector<double> PeerTable::AccountDemands(const ids::ClientAccountId& aAccount,
-                                              timing::Instant aNow) const
+std::vector<PeerQuota> PeerTable::AccountQuotas(
+  const ids::ClientAccountId& aAccount) const
 {
   const std::uint64_t key = DigestKey(aAccount.Str());
-  std::vector<double> demands;
+  std::vector<PeerQuota> quotas;
   for (const auto& [process, peer] : mPeers) {
-    const auto it = peer.mDigest.mAccountDemand.find(key);
-    const bool known = it != peer.mDigest.mAccountDemand.end() && Fresh(peer, aNow);
-    demands.push_back(known ? it->second : 0.0);
+    const auto it = peer.mDigest.mAdmitted.find(key);
+    if (it != peer.mDigest.mAdmitted.end()) {
+      quotas.push_back({ process, peer.mDigest.mIncarnation, peer.mHeard, it->second });
+    }
   }
-  return demands;
+  return quotas;
 }
 
 }
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "components/gateway/quotaledger.hpp"
 #include "components/ids/ids.hpp"
 #include "components/settings/socketaddress.hpp"
 #include "components/timing/clock.hpp"
@@ -31,8 +32,8 @@
   bool mHearsAll{ false };
   /// Requests in flight by endpoint.
   std::unordered_map<std::uint64_t, unsigned> mInFlight;
-  /// Tokens a second that callers ask for, by client account.
-  std::unordered_map<std::uint64_t, double> mAccountDemand;
+  /// Tokens admitted since the start of the process, by client account.
+  std::unordered_map<std::uint64_t, double> mAdmitted;
   /// Requests a second by model, and by model and adapter.
   std::unordered_map<std::uint64_t, double> mModelDemand;
   /// Adapters that the sender has just had loaded.
@@ -78,9 +79,8 @@
   /// Sums over the fresh digests of the other entries.
   unsigned InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
   double ModelDemand(const std::string& aModel, timing::Instant aNow) const;
-  /// Demands of an account at each other entry that was heard lately.
-  std::vector<double> AccountDemands(const ids::ClientAccountId& aAccount,
-                                     timing::Instant aNow) const;
+  /// What each other entry last said of an account, also if that is a while ago.
+  std::vector<PeerQuota> AccountQuotas(const ids::ClientAccountId& aAccount) const;
 
 private:
   struct Peer
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -12,7 +12,7 @@
 #include "components/gateway/demandmeter.hpp"
 #include "components/gateway/endpointchooser.hpp"
 #include "components/gateway/endpointdirectory.hpp"
-#include "components/gateway/quotashares.hpp"
+#include "components/gateway/quotaledger.hpp"
 #include "components/gateway/repeatbudget.hpp"
 #include "components/gateway/storecontact.hpp"
 
@@ -76,7 +76,7 @@
 
   EndpointDirectory mDirectory;
   StoreContact mContact;
-  QuotaShares mQuotas;
+  QuotaLedger mQuotas;
   RepeatBudget mRepeats;
   DemandMeter mDemand;
   ColdLimiter mCold;
