Place models so that a copy on its way replaces none

Now missing models go first, only ready copies allow a drop, an engine's own report ends an order, and equal parts of quotas are larger.

--- a/components/gateway/fleetplanner.cpp
+++ b/components/gateway/fleetplanner.cpp
@@ -53,6 +53,7 @@
                               : spec->mMemoryMb + adapters.size() * spec->mAdapterMb;
       if (aEngine.mUsable && !aEngine.mLeaving.contains(model)) {
         ++mCopies[model];
+        mReady[model] += aEngine.mComing.contains(model) ? 0 : 1;
       }
     }
     mUsed[aEngine.mId] = used;
@@ -76,6 +77,13 @@
     return it == mCopies.end() ? 0 : it->second;
   }
 
+  /// Copies that serve now; one that is on its way replaces none.
+  std::size_t ReadyCopies(const ids::ModelId& aModel) const
+  {
+    const auto it = mReady.find(aModel);
+    return it == mReady.end() ? 0 : it->second;
+  }
+
   bool CanOrder(const Engine& aEngine) const
   {
     return aEngine.mFree && aEngine.mUsable && !mOrdered.contains(aEngine.mId);
@@ -114,6 +122,7 @@
   void Unload(const Engine& aEngine, const ids::ModelId& aModel)
   {
     --mCopies[aModel];
+    --mReady[aModel];
     Order(aEngine, { OrderKind::Unload, aModel, {} });
   }
 
@@ -183,12 +192,12 @@
         continue;
       }
       for (const auto& [victim, adapters] : engine.mModels) {
-        const std::size_t copies = Copies(victim);
-        if (copies < 2 || engine.mComing.contains(victim) ||
+        const std::size_t ready = ReadyCopies(victim);
+        if (ready < 2 || engine.mComing.contains(victim) ||
             !Exchangeable(engine, victim, aModel)) {
           continue;
         }
-        const double left = Demand(victim) / static_cast<double>(copies - 1);
+        const double left = Demand(victim) / static_cast<double>(ready - 1);
         const std::pair rank(left, CopiesInZone(aModel.mName, engine.mZone));
         if (left <= aMost && (bestEngine == nullptr || rank < bestRank)) {
           bestEngine = &engine;
@@ -210,6 +219,7 @@
       mEngines, [](const Engine& aEngine) { return !aEngine.mLeaving.empty(); }));
   }
 
+  /// Loads models that no engine holds, those in demand first, and makes room for them.
   void RestoreMissing()
   {
     std::vector<const ModelSpec*> missing;
@@ -218,23 +228,31 @@
         missing.push_back(&model);
       }
     }
-    std::ranges::sort(missing, std::ranges::greater{}, [this](const ModelSpec* aModel) {
-      return Demand(aModel->mName);
-    });
+    std::ranges::stable_sort(
+      missing, std::ranges::greater{}, [this](const ModelSpec* aModel) {
+        return Demand(aModel->mName);
+      });
     std::size_t making = SwapsUnderWay();
     for (const ModelSpec* model : missing) {
       if (const Engine* engine = Room(*model)) {
         if (mLoads > 0) {
           Load(*engine, *model);
         }
-      } else if (making < missing.size() &&
-                 MakeRoom(*model, std::numeric_limits<double>::max())) {
-        ++making;
+      } else if (making < missing.size()) {
+        const double most = Demand(model->mName) > 0
+                              ? std::numeric_limits<double>::max()
+                              : FleetPlanner::kSpareable;
+        making += MakeRoom(*model, most) ? 1 : 0;
       }
     }
   }
 
-  /// Returns the models by demand for each copy, the largest first.
+  double Need(const ModelSpec& aModel) const
+  {
+    return Demand(aModel.mName) / static_cast<double>(Copies(aModel.mName));
+  }
+
+  /// Returns the models that have copies by demand for each, the largest first.
   std::vector<const ModelSpec*> ByNeed() const
   {
     std::vector<const ModelSpec*> models;
@@ -243,17 +261,13 @@
         models.push_back(&model);
       }
     }
-    std::ranges::sort(models, std::ranges::greater{}, [this](const ModelSpec* aModel) {
-      return Need(*aModel);
-    });
+    std::ranges::stable_sort(
+      models, std::ranges::greater{}, [this](const ModelSpec* aModel) {
+        return Need(*aModel);
+      });
     return models;
   }
 
-  double Need(const ModelSpec& aModel) const
-  {
-    return Demand(aModel.mName) / static_cast<double>(Copies(aModel.mName));
-  }
-
   void FillSpare()
   {
     for (bool placed = true; placed && mLoads > 0;) {
@@ -269,19 +283,37 @@
     }
   }
 
-  void SwapCopies()
+  /// Counts the copies that will be loaded where something is being dropped.
+  void CountExpected()
   {
-    if (mLoads == 0) {
-      return;
+    for (const Engine& engine : mEngines) {
+      if (engine.mLeaving.empty() || !engine.mUsable) {
+        continue;
+      }
+      const auto models = ByNeed();
+      const auto it = std::ranges::find_if(models, [&](const ModelSpec* aModel) {
+        return !engine.mModels.contains(aModel->mName);
+      });
+      if (it != models.end()) {
+        ++mCopies[(*it)->mName];
+      }
     }
+  }
+
+  void SwapCopies()
+  {
+    std::size_t swaps = SwapsUnderWay();
+    CountExpected();
     for (const ModelSpec* model : ByNeed()) {
-      if (Need(*model) < FleetPlanner::kWorthCopying || SwapsUnderWay() >= FleetPlanner::kSwapsAtOnce) {
+      if (swaps >= FleetPlanner::kSwapsAtOnce ||
+          Need(*model) < FleetPlanner::kWorthSwapping) {
         return;
       }
       const double after =
         Demand(model->mName) / static_cast<double>(Copies(model->mName) + 1);
       if (MakeRoom(*model, after / FleetPlanner::kSwapFactor)) {
-        return;
+        ++swaps;
+        ++mCopies[model->mName];
       }
     }
   }
@@ -377,6 +409,7 @@
   std::unordered_map<ids::ModelId, const ModelSpec*> mModels;
   std::unordered_map<ids::ModelId, double> mDemandOf;
   std::unordered_map<ids::ModelId, std::size_t> mCopies;
+  std::unordered_map<ids::ModelId, std::size_t> mReady;
   std::map<ids::EndpointId, double> mUsed;
   std::set<ids::EndpointId> mOrdered;
   std::vector<PlannedOrder> mOrders;
--- a/components/gateway/fleetplanner.hpp
+++ b/components/gateway/fleetplanner.hpp
@@ -67,6 +67,10 @@
 public:
   /// Demand by copy that one more copy must relieve, in requests a second.
   static constexpr double kWorthCopying = 1.0;
+  /// Demand by copy from which another model gives up a copy.
+  static constexpr double kWorthSwapping = 2.5;
+  /// Demand by copy up to which a model gives up a copy for one that nobody asks for.
+  static constexpr double kSpareable = 8.0;
   /// A copy is dropped for another model only if that one's demand by copy is larger by
   /// this factor.
   static constexpr double kSwapFactor = 2.0;
--- a/components/gateway/orderbook.cpp
+++ b/components/gateway/orderbook.cpp
@@ -76,6 +76,20 @@
   return view;
 }
 
+void OrderBook::SettleByReport(Engine& aEngine, const Endpoint& aEndpoint)
+{
+  if (!aEngine.mUnderWay || aEndpoint.mReportedAt <= aEngine.mLastOrder) {
+    return;
+  }
+  const EngineOrder& order = *aEngine.mUnderWay;
+  const bool holds = aEndpoint.HoldsModel(order.mModel);
+  if (holds == (order.mKind == OrderKind::Load)) {
+    Apply(aEngine.mReport.mModels, order);
+    aEngine.mReport.mBusy = false;
+    aEngine.mUnderWay.reset();
+  }
+}
+
 std::vector<EngineAction> OrderBook::Tick(const Service& aService,
                                           const EndpointDirectory& aDirectory,
                                           const DemandOf& aDemand,
@@ -93,6 +107,7 @@
       engine = Engine{};
       engine.mIncarnation = endpoint.mReport.mIncarnation;
     }
+    SettleByReport(engine, endpoint);
     if (!engine.mWaiting && aNow >= engine.mNotBefore && !endpoint.mReport.mDraining) {
       if (engine.mOrder) {
         engine.mWaiting = true;
--- a/components/gateway/orderbook.hpp
+++ b/components/gateway/orderbook.hpp
@@ -95,6 +95,8 @@
     timing::Instant mNotBefore{};
   };
 
+  /// Ends a model order whose effect the endpoint's own report shows.
+  static void SettleByReport(Engine& aEngine, const Endpoint& aEndpoint);
   EngineView View(const Endpoint& aEndpoint,
                   const Engine& aEngine,
                   const EndpointDirectory& aDirectory,
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -51,7 +51,8 @@
     const double rate = kEvenPart * limit / window;
     const auto entries = static_cast<double>(account.mEntries);
     account.mAll.Resize(size, rate);
-    account.mPart.Resize(size / entries, rate / entries);
+    account.mPartsSize = (1.0 - kEvenPart) * limit + kPartTolerance * tolerance;
+    account.mPart.Resize(account.mPartsSize / entries, rate / entries);
     if (known == mAccounts.end()) {
       account.mLast = aNow;
       account.mAll.mLevel = kFirstLevel * size;
@@ -84,7 +85,7 @@
   account.mEntries = std::max<std::size_t>(aEntries, 1);
   account.mAllHeard = aAllHeard;
   const auto entries = static_cast<double>(account.mEntries);
-  account.mPart.Resize(account.mAll.mSize / entries, account.mAll.mRate / entries);
+  account.mPart.Resize(account.mPartsSize / entries, account.mAll.mRate / entries);
 }
 
 void QuotaLedger::Hear(Account& aAccount, const PeerQuota& aQuota, bool aFirst)
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -53,7 +53,9 @@
   /// entries admit before they hear of each other.
   static constexpr double kUsedTolerance = 0.3;
   /// Level of a new bucket as a part of its size.
-  static constexpr double kFirstLevel = 0.25;
+  static constexpr double kFirstLevel = 0.6;
+  /// As kUsedTolerance for the equal parts: what they give out needs no digests.
+  static constexpr double kPartTolerance = 0.8;
 
   void SetTerms(const QuotaTerms& aTerms) { mTerms = aTerms; }
 
@@ -101,6 +103,8 @@
   {
     Bucket mAll;
     Bucket mPart;
+    /// Size of the equal parts of all entries together.
+    double mPartsSize{ 0.0 };
     timing::Instant mLast{};
     double mAdmitted{ 0.0 };
     std::size_t mEntries{ 1 };
