--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -1,6 +1,7 @@
 #include "apps/samphiresail/gateway/gatewayprocess.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <random>
 
@@ -49,6 +50,8 @@
 
 const std::string kMemberPrefix = "samphiresail/entries/";
 const std::string kLeaderKey = "samphiresail/leader";
+/// Most entries that were ever seen at work together; restarted ones share limits by it.
+const std::string kEntryCountKey = "samphiresail/entry-count";
 
 std::uint64_t DrawSeed()
 {
@@ -77,7 +80,7 @@
   , mMetrics(mRegistry)
   , mIncarnation(WallMillis(aClock))
   , mControl(mSettings.mZone, DrawSeed())
-  , mPeers(mSettings.mName)
+  , mPeers(mSettings.mName, aClock.Now())
   , mLeadership(mSettings.mOrderLease + kQuietMargin, mSettings.mFirstStart)
   , mClient(mIo)
   , mStore(mClient, mSettings.mStore)
@@ -85,16 +88,8 @@
   , mFeed(mIo, mStore, *this, aClock, mLogger, DrawSeed())
   , mBackends(mIo)
   , mPlacementChanged(mIo)
-  , mFrontend{ mIo,
-               mClock,
-               mDialect,
-               mControl,
-               mBackends,
-               mExchanges,
-               mLogger,
-               mMetrics,
-               mPlacementChanged,
-               [this] { HurryDigest(); } }
+  , mFrontend{ mIo,        mClock,  mDialect, mControl,          mBackends,
+               mExchanges, mLogger, mMetrics, mPlacementChanged, [this] { HurryDigest(); } }
   , mCallers(mFrontend,
              mSettings.mCallers,
              mSettings.mMaxDescriptors > 2 * kOwnDescriptors
@@ -170,13 +165,15 @@
 
 void GatewayProcess::Tick(timing::Instant aNow)
 {
-  mExchanges.Tick(aNow);
+  mExchanges.Tick(aNow, [&](const frontend::Exchange& aExchange) {
+    return mControl.MayRepeat(aExchange.mAdmission, aExchange.mSent, aNow);
+  });
   mCallers.Tick(aNow);
   mControl.Tick(aNow);
   mPeers.Tick(aNow);
   mPlacementChanged.Notify();
   if (aNow >= mNextDigest) {
-    const auto entries = static_cast<std::int64_t>(mPeers.Entries());
+    const auto entries = static_cast<std::int64_t>(mPeers.Entries(aNow));
     mNextDigest = aNow + std::max(kDigestEvery, kDigestPerEntry * entries);
     UpdateShares(aNow);
     SendDigest(aNow);
@@ -188,6 +185,7 @@
   if (aNow >= mNextUpkeep) {
     mNextUpkeep = aNow + kUpkeepEvery;
     mBackends.Tick(aNow);
+    RecordEntries();
   }
   if (mStopBegan != timing::Instant::max()) {
     const timing::Duration since = aNow - mStopBegan;
@@ -196,9 +194,29 @@
   }
 }
 
+void GatewayProcess::RecordEntries()
+{
+  const std::size_t known = mPeers.Known();
+  if (known <= mPeers.Recorded() || mControl.mContact.AfterOutage(mClock.Now())) {
+    return;
+  }
+  mPeers.SetRecorded(known);
+  asio::co_spawn(
+    mIo,
+    [this, known]() -> asio::awaitable<void> {
+      store::TransactionRequest write;
+      write.mWrites.push_back(
+        store::PutOperation{ kEntryCountKey, std::to_string(known), 0 });
+      store::StoreRequest request = std::move(write);
+      // A write that fails is made good by another entry or after the next restart.
+      co_await mStore.Execute(std::move(request), kStoreLimit);
+    },
+    asio::detached);
+}
+
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
-  mControl.SetEntries(mPeers.Entries());
+  mControl.SetEntries(mPeers.Entries(aNow));
   std::unordered_map<ids::EndpointId, unsigned> counts;
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
     counts.emplace(id, mPeers.InFlight(id, aNow));
@@ -211,7 +229,7 @@
   for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
     mControl.mQuotas.SetPeers(account.mName,
                               mPeers.AccountQuotas(account.mName),
-                              mPeers.Entries(),
+                              mPeers.Entries(aNow),
                               allHear,
                               aNow);
   }
@@ -238,9 +256,8 @@
   mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
     digest.mModelDemand.emplace(gateway::DigestKey(aName), aRate);
   });
-  std::erase_if(mLoaded, [aNow](const auto& aItem) {
-    return aItem.first + kLoadedNews <= aNow;
-  });
+  std::erase_if(mLoaded,
+                [aNow](const auto& aItem) { return aItem.first + kLoadedNews <= aNow; });
   std::ranges::transform(mLoaded,
                          std::back_inserter(digest.mLoaded),
                          [](const auto& aItem) { return aItem.second; });
@@ -261,8 +278,8 @@
   for (;;) {
     ErrorCode ec;
     udp::endpoint sender;
-    const std::size_t n = co_await mPeerSocket.async_receive_from(
-      asio::buffer(mDatagram), sender, Into(ec));
+    const std::size_t n =
+      co_await mPeerSocket.async_receive_from(asio::buffer(mDatagram), sender, Into(ec));
     if (ec == asio::error::operation_aborted) {
       co_return;
     }
@@ -307,10 +324,9 @@
 void GatewayProcess::NoteLoaded(const ids::EndpointId& aEndpoint,
                                 const gateway::EngineOrder& aOrder)
 {
-  const gateway::LoadedAdapter loaded{
-    gateway::DigestKey(aEndpoint.Str()),
-    gateway::DigestKey(gateway::DemandMeter::Name(aOrder.mModel, aOrder.mAdapter))
-  };
+  const gateway::LoadedAdapter loaded{ gateway::DigestKey(aEndpoint.Str()),
+                                       gateway::DigestKey(gateway::DemandMeter::Name(
+                                         aOrder.mModel, aOrder.mAdapter)) };
   mLoaded.emplace_back(mClock.Now(), loaded);
   mControl.mDirectory.Announce(loaded, mClock.Now());
   mPlacementChanged.Notify();
@@ -360,15 +376,14 @@
   const gateway::EngineOrder order = *aAction.mOrder;
   const auto outcome = co_await mEngines.Order(aEndpoint, aAction, aToken);
   mOrders.OnOutcome(aEndpoint.mId, outcome, mClock.Now());
-  mLogger.Info(
-    "order",
-    { { "endpoint", aEndpoint.mId.Str() },
-      { "kind", order.mKind == gateway::OrderKind::Load ? "load" : "unload" },
-      { "model", order.mModel.Str() },
-      { "adapter", order.mAdapter },
-      { "precondition", aAction.mPrecondition },
-      { "token", aToken },
-      { "outcome", static_cast<int>(outcome) } });
+  mLogger.Info("order",
+               { { "endpoint", aEndpoint.mId.Str() },
+                 { "kind", order.mKind == gateway::OrderKind::Load ? "load" : "unload" },
+                 { "model", order.mModel.Str() },
+                 { "adapter", order.mAdapter },
+                 { "precondition", aAction.mPrecondition },
+                 { "token", aToken },
+                 { "outcome", static_cast<int>(outcome) } });
   const bool done = outcome == gateway::OrderOutcome::Accepted ||
                     outcome == gateway::OrderOutcome::AlreadySo;
   if (done && order.mKind == gateway::OrderKind::Load && !order.mAdapter.empty()) {
@@ -414,8 +429,8 @@
         {},
         { store::PutOperation{
           kMemberPrefix + mSettings.mName.Str(),
-          gateway::EncodeMember({ mSettings.mName,
-                                  { mSettings.mIp, mSettings.mFirstPeerPort } }),
+          gateway::EncodeMember(
+            { mSettings.mName, { mSettings.mIp, mSettings.mFirstPeerPort } }),
           lease } }
       };
       break;
@@ -428,7 +443,8 @@
     case Leadership::Step::None:
       co_return;
   }
-  const store::StoreReply reply = co_await mStore.Execute(std::move(request), kStoreLimit);
+  const store::StoreReply reply =
+    co_await mStore.Execute(std::move(request), kStoreLimit);
   const timing::Instant now = mClock.Now();
   if (reply.mOutcome != store::StoreOutcome::Answered) {
     mLeadership.StepFailed(now);
@@ -437,9 +453,8 @@
   if (!reply.mSucceeded) {
     if (aStep == Leadership::Step::CreateLeader && !reply.mRecords.empty()) {
       // Another entry was first; the watch will say so too.
-      mLeadership.LeaderRecord(true,
-                               reply.mRecords.front().mLease,
-                               reply.mRecords.front().mCreateRevision);
+      mLeadership.LeaderRecord(
+        true, reply.mRecords.front().mLease, reply.mRecords.front().mCreateRevision);
     } else {
       mLeadership.LeaseLost();
     }
@@ -598,6 +613,7 @@
       mPeers.Unregister(process, now);
     }
   }
+  UpdateShares(now);
   mEndpointsRead = true;
 }
 
@@ -608,10 +624,14 @@
 {
   const timing::Instant now = mClock.Now();
   if (aKey == kLeaderKey) {
-    mLogger.Info("leader record",
-                 { { "holder", aValue.value_or("none") },
-                   { "revision", aCreateRevision } });
+    mLogger.Info(
+      "leader record",
+      { { "holder", aValue.value_or("none") }, { "revision", aCreateRevision } });
     mLeadership.LeaderRecord(aValue.has_value(), aLease, aCreateRevision);
+  } else if (aKey == kEntryCountKey && aValue) {
+    std::size_t entries = 0;
+    std::from_chars(aValue->data(), aValue->data() + aValue->size(), entries);
+    mPeers.SetRecorded(entries);
   } else if (aKey.starts_with(kMemberPrefix)) {
     const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
@@ -631,12 +651,12 @@
 
 void GatewayProcess::OnContactLost(const std::string& aReason)
 {
-  mLogger.Warn("contact with the store lost",
-               { { "reason", aReason },
-                 { "age_ms",
-                   std::chrono::duration_cast<milliseconds>(
-                     mControl.mContact.Age(mClock.Now()))
-                     .count() } });
+  mLogger.Warn(
+    "contact with the store lost",
+    { { "reason", aReason },
+      { "age_ms",
+        std::chrono::duration_cast<milliseconds>(mControl.mContact.Age(mClock.Now()))
+          .count() } });
 }
 
 }
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -26,8 +26,8 @@
 
 namespace samphiresail::gatewayapp {
 
-/// An entry on the platform: one event loop that carries the callers' requests and runs the
-/// decision cores on a coarse tick.
+/// An entry on the platform: one event loop that carries the callers' requests and runs
+/// the decision cores on a coarse tick.
 class GatewayProcess final : public gateway::PlatformListener
 {
 public:
@@ -63,6 +63,8 @@
   void HurryDigest();
   void NoteLoaded(const ids::EndpointId& aEndpoint, const gateway::EngineOrder& aOrder);
   void UpdateShares(timing::Instant aNow);
+  /// Records in the store how many entries there are, if they are more than ever.
+  void RecordEntries();
   void PlaceModels(timing::Instant aNow);
   frontend::asio::awaitable<void> Act(gateway::EngineAction aAction,
                                       gateway::EndpointReport aEndpoint,
--- a/apps/samphiresail/main.cpp
+++ b/apps/samphiresail/main.cpp
@@ -21,10 +21,12 @@
 
   int status = EXIT_SUCCESS;
   samphiresail::gatewayapp::GatewayOptions options;
-  CLI::App* gateway = app.add_subcommand("gateway", "Run an entry on the users' platform");
+  CLI::App* gateway =
+    app.add_subcommand("gateway", "Run an entry on the users' platform");
   gateway->add_option(
     "--settings", options.mSettings, "Settings file; default: as the platform names it");
-  gateway->add_option("--metrics-port", options.mMetricsPort, "Port of /metrics; 0: none");
+  gateway->add_option(
+    "--metrics-port", options.mMetricsPort, "Port of /metrics; 0: none");
   gateway->add_option("--log-level", options.mLogLevel, "trace, debug, info, warn, error")
     ->check(CLI::IsMember({ "trace", "debug", "info", "warn", "error" }));
   gateway->callback([&] { status = samphiresail::gatewayapp::RunGateway(options); });
--- /dev/null
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -0,0 +1,219 @@
+#include <catch2/catch.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::frontend::testing;
+
+namespace {
+
+constexpr const char* kCommon =
+  " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: r1\r\nApi-Key: secret\r\n";
+
+std::string Get(const std::string& aPath, const std::string& aExtra = {})
+{
+  return "GET " + aPath + kCommon + aExtra + "\r\n";
+}
+
+std::string Post(const std::string& aPath)
+{
+  return "POST " + aPath + kCommon + "Content-Length: 4\r\n\r\nbody";
+}
+
+bool HeadAndBody(const std::string& aText)
+{
+  const std::size_t head = aText.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return false;
+  }
+  const std::size_t length = aText.find("Content-Length: ");
+  return length != std::string::npos &&
+         aText.size() >= head + 4 + std::stoul(aText.substr(length + 16));
+}
+
+bool LastChunk(const std::string& aText)
+{
+  return aText.ends_with("0\r\n\r\n");
+}
+
+bool Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::string StreamHead()
+{
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n"
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& aBytes)
+{
+  std::ostringstream text;
+  text << std::hex << aBytes.size() << "\r\n" << aBytes << "\r\n";
+  return text.str();
+}
+
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: an endpoint's answer reaches the caller",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect({ Sealed("r1", "hello") });
+  const std::string answer =
+    Call(Get("/safe/1", "Tenant: forged\r\nExpect-Instance: forged\r\n"), HeadAndBody);
+  CHECK(answer.starts_with("HTTP/1.1 200 OK"));
+  CHECK(Contains(answer, "Response-Seal: s"));
+  CHECK(answer.ends_with("\r\n\r\nhello"));
+  REQUIRE(endpoint.Requests().size() == 1);
+  const std::string& request = endpoint.Requests()[0];
+  CHECK(Contains(request, "Tenant: club"));
+  CHECK(Contains(request, "Expect-Instance: e1"));
+  CHECK_FALSE(Contains(request, "forged"));
+  CHECK_FALSE(Contains(request, "secret"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: what may run once is sent once and its outcome left open",
+                 "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  first.Expect({ "", true });
+  const std::string answer = Call(Post("/once/1"), HeadAndBody);
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(second.Requests().empty());
+}
+
+TEST_CASE_METHOD(Fixture, "forward: a truncated answer is never handed on", "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  std::string truncated = Sealed("r1", "hello");
+  truncated.resize(truncated.size() - 2);
+  first.Expect({ truncated, true });
+  second.Expect({ Sealed("r1", "whole") });
+  CHECK(Call(Get("/safe/1"), HeadAndBody).ends_with("\r\n\r\nwhole"));
+}
+
+TEST_CASE_METHOD(Fixture, "forward: a success without its digest is none", "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect(
+    { "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 2\r\n\r\nno", true });
+  CHECK(Call(Post("/once/1"), HeadAndBody).starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a request that an endpoint did not run goes to another one",
+                 "[frontend]")
+{
+  const std::string full =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  first.Expect({ full });
+  SECTION("if there is one")
+  {
+    ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+    second.Expect({ Sealed("r1", "done") });
+    CHECK(Call(Post("/once/1"), HeadAndBody).ends_with("done"));
+  }
+  SECTION("else the caller learns that it did not run")
+  {
+    const std::string answer = Call(Post("/once/1"), HeadAndBody);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(Contains(answer, "Retry-After: "));
+  }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: an endpoint out of reach counts as not run",
+                 "[frontend]")
+{
+  gateway::EndpointReport report;
+  report.mId = ids::EndpointId("gone");
+  report.mIncarnation = 1;
+  report.mService = ids::ServiceId("s");
+  report.mAddress = { "127.0.0.1", 1 };
+  report.mZone = ids::AvailabilityZoneId("z1");
+  report.mSlots = 4;
+  mControl.mDirectory.Update(report, timing::Instant{});
+  CHECK(Call(Post("/once/1"), HeadAndBody).starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: an answer to an earlier request is skipped",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect({ Sealed("r0", "late") + Sealed("r1", "mine") });
+  CHECK(Call(Post("/once/1"), HeadAndBody).ends_with("\r\n\r\nmine"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a stream goes on at another endpoint without a seam",
+                 "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  first.Expect(
+    { StreamHead() + Chunk("id: 1\ndata: a\n\n") + Chunk("id: 2\ndata: b\n\nid: 3\nda"),
+      true });
+  second.Expect({ StreamHead() + Chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n" });
+  const std::string answer = Call(Post("/stream/1"), LastChunk);
+  std::string events;
+  for (const char* event :
+       { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n" }) {
+    const std::size_t at = answer.find(event);
+    REQUIRE(at != std::string::npos);
+    CHECK(answer.find(event, at + 1) == std::string::npos);
+  }
+  CHECK_FALSE(Contains(answer, "da\r\n"));
+  REQUIRE(second.Requests().size() == 1);
+  CHECK(Contains(second.Requests()[0], "Last-Event-Id: 2"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a stream that stays broken does not look complete",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect({ StreamHead() + Chunk("id: 1\ndata: a\n\n"), true });
+  const std::string answer =
+    Call(Post("/stream/1"), [](const std::string&) { return false; });
+  CHECK(Contains(answer, "id: 1"));
+  CHECK_FALSE(LastChunk(answer));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: an answer without a length ends with its connection",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect(
+    { "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n\r\nopen", true });
+  CHECK(Call(Get("/safe/1"), HeadAndBody).ends_with("\r\n\r\nopen"));
+}
+
+TEST_CASE_METHOD(Fixture, "forward: a request with two lengths is refused", "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  const std::string answer =
+    Call("POST /once/1" + std::string(kCommon) +
+           "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/2",
+         [](const std::string&) { return false; });
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK(endpoint.Requests().empty());
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: the endpoint learns that the caller has left",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect({ "", false, true });
+  CallAndLeave(Post("/once/1"), [&] { return endpoint.Abandoned() == 1; });
+  CHECK(endpoint.Requests().size() == 1);
+}
--- /dev/null
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -0,0 +1,184 @@
+#include "apps/tests/frontend/frontendfixture.hpp"
+
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace samphiresail::frontend::testing {
+
+namespace {
+
+const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
+const ids::ServiceId kService("s");
+
+/// Returns a port of the loopback address that is free now.
+std::uint16_t FreePort(asio::io_context& aIo)
+{
+  const tcp::acceptor acceptor(aIo, kLoopback);
+  return acceptor.local_endpoint().port();
+}
+
+gateway::Route MakeRoute(const std::string& aPrefix, gateway::RequestKind aKind)
+{
+  gateway::Route route;
+  route.mName = aPrefix;
+  route.mHost = "h.example";
+  route.mPathPrefix = aPrefix;
+  route.mKind = aKind;
+  route.mResumable = aKind == gateway::RequestKind::Stream;
+  route.mTimeout = std::chrono::seconds(20);
+  route.mTargetLatency = std::chrono::seconds(1);
+  route.mMaxAttempts = 2;
+  route.mServices = { { kService, 1.0 } };
+  return route;
+}
+
+std::shared_ptr<gateway::ServingConfiguration> Configuration()
+{
+  auto configuration = std::make_shared<gateway::ServingConfiguration>();
+  configuration->mRoutes = { MakeRoute("/safe/", gateway::RequestKind::Idempotent),
+                             MakeRoute("/once/", gateway::RequestKind::Irreversible),
+                             MakeRoute("/stream/", gateway::RequestKind::Stream) };
+  gateway::Service service;
+  service.mName = kService;
+  configuration->mServices.push_back(service);
+  gateway::ClientAccount account;
+  account.mName = ids::ClientAccountId("club");
+  account.mKeys = { "secret" };
+  configuration->mAccounts.push_back(account);
+  configuration->Index();
+  return configuration;
+}
+
+}
+
+std::string Sealed(const std::string& aRequestId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + aRequestId +
+         "\r\nResponse-Seal: s\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+ScriptedEndpoint::ScriptedEndpoint(asio::io_context& aIo)
+  : mIo(aIo)
+  , mAcceptor(aIo, kLoopback)
+{
+  asio::co_spawn(
+    mIo, [this] { return Accept(); }, asio::detached);
+}
+
+asio::awaitable<void> ScriptedEndpoint::Accept()
+{
+  for (;;) {
+    ErrorCode ec;
+    tcp::socket socket(mIo);
+    co_await mAcceptor.async_accept(socket, Into(ec));
+    if (ec) {
+      co_return;
+    }
+    asio::co_spawn(mIo, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> ScriptedEndpoint::Serve(tcp::socket aSocket)
+{
+  beast::flat_buffer buffer;
+  for (;;) {
+    ErrorCode ec;
+    http::request<http::string_body> request;
+    co_await http::async_read(aSocket, buffer, request, Into(ec));
+    if (ec || mScripts.empty()) {
+      co_return;
+    }
+    std::ostringstream text;
+    text << request;
+    mRequests.push_back(text.str());
+    const Script script = mScripts.front();
+    mScripts.pop_front();
+    if (script.mSilent) {
+      std::array<char, 1> byte{};
+      co_await aSocket.async_read_some(asio::buffer(byte), Into(ec));
+      ++mAbandoned;
+      co_return;
+    }
+    co_await asio::async_write(aSocket, asio::buffer(script.mBytes), Into(ec));
+    if (ec || script.mClose) {
+      co_return;
+    }
+  }
+}
+
+Fixture::Fixture()
+  : mContext{ mIo,        mClock,  mDialect, mControl, mBackends,
+              mExchanges, mLogger, mMetrics, mSignal,  [] {} }
+  , mPort(FreePort(mIo))
+{
+  mControl.SetConfiguration(Configuration(), mClock.Now());
+  mControl.mContact.Confirm(mClock.Now(), mClock.Now());
+  mControl.mRepeats.SetLimits({ std::chrono::seconds(10), 0.2, 50.0 });
+  mListener = std::make_unique<CallerListener>(
+    mContext, settings::SocketAddress{ "127.0.0.1", mPort }, 100);
+  mListener->Start();
+}
+
+ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId, const std::string& aZone)
+{
+  mEndpoints.push_back(std::make_unique<ScriptedEndpoint>(mIo));
+  gateway::EndpointReport report;
+  report.mId = ids::EndpointId(aId);
+  report.mIncarnation = 1;
+  report.mService = kService;
+  report.mAddress = { "127.0.0.1", mEndpoints.back()->Port() };
+  report.mZone = ids::AvailabilityZoneId(aZone);
+  report.mSlots = 4;
+  mControl.mDirectory.Update(report, mClock.Now());
+  return *mEndpoints.back();
+}
+
+std::string Fixture::Call(const std::string& aBytes,
+                          const std::function<bool(const std::string&)>& aEnough)
+{
+  std::string received;
+  bool done = false;
+  const auto caller = [&]() -> asio::awaitable<void> {
+    ErrorCode ec;
+    tcp::socket socket(mIo);
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), mPort);
+    co_await socket.async_connect(endpoint, Into(ec));
+    co_await asio::async_write(socket, asio::buffer(aBytes), Into(ec));
+    std::array<char, 4096> bytes{};
+    while (!ec && !aEnough(received)) {
+      const std::size_t n =
+        co_await socket.async_read_some(asio::buffer(bytes), Into(ec));
+      received.append(bytes.data(), n);
+    }
+    done = true;
+  };
+  asio::co_spawn(mIo, caller, asio::detached);
+  while (!done) {
+    mIo.run_one();
+  }
+  return received;
+}
+
+void Fixture::CallAndLeave(const std::string& aBytes, const std::function<bool()>& aDone)
+{
+  const auto caller = [&]() -> asio::awaitable<void> {
+    ErrorCode ec;
+    tcp::socket socket(mIo);
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), mPort);
+    co_await socket.async_connect(endpoint, Into(ec));
+    co_await asio::async_write(socket, asio::buffer(aBytes), Into(ec));
+    while (mEndpoints.front()->Requests().empty()) {
+      co_await mSignal.Wait();
+    }
+  };
+  asio::co_spawn(mIo, caller, asio::detached);
+  while (!aDone()) {
+    mIo.run_one();
+    mSignal.Notify();
+  }
+}
+
+}
--- /dev/null
+++ b/apps/tests/gateway/endpointdirectorytest.cpp
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include "components/gateway/endpointdirectory.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using namespace samphiresail::gateway;
+
+namespace {
+
+const timing::Instant kNow{ 1h };
+const ids::EndpointId kId("e1");
+const ids::AvailabilityZoneId kZone("z1");
+
+EndpointReport Report(std::int64_t aIncarnation)
+{
+  EndpointReport report;
+  report.mId = kId;
+  report.mIncarnation = aIncarnation;
+  report.mService = ids::ServiceId("s");
+  report.mZone = kZone;
+  report.mSlots = 4;
+  return report;
+}
+
+}
+
+TEST_CASE("directory: a report of an earlier incarnation is ignored", "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(2), kNow);
+  EndpointReport old = Report(1);
+  old.mDraining = true;
+  directory.Update(old, kNow);
+  CHECK(directory.Usable(*directory.Find(kId), kNow));
+}
+
+TEST_CASE("directory: a draining or removed endpoint gets no work", "[gateway]")
+{
+  EndpointDirectory directory;
+  EndpointReport report = Report(1);
+  report.mDraining = true;
+  directory.Update(report, kNow);
+  CHECK_FALSE(directory.Usable(*directory.Find(kId), kNow));
+
+  directory.Update(Report(1), kNow);
+  directory.Remove(kId, false, kNow);
+  CHECK_FALSE(directory.Usable(*directory.Find(kId), kNow));
+}
+
+TEST_CASE("directory: a record that lapsed in an outage keeps its endpoint for a while",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  directory.Remove(kId, true, kNow);
+  CHECK(directory.Usable(*directory.Find(kId), kNow + 1s));
+  CHECK_FALSE(directory.Usable(*directory.Find(kId), kNow + 2s));
+
+  SECTION("unless it comes back")
+  {
+    directory.Update(Report(1), kNow + 1s);
+    CHECK(directory.Usable(*directory.Find(kId), kNow + 10s));
+  }
+  SECTION("and is forgotten afterwards")
+  {
+    directory.Tick(kNow + 2s);
+    CHECK(directory.Find(kId) == nullptr);
+  }
+}
+
+TEST_CASE("directory: a zone that is out gets no work and returns with care", "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  directory.SetZoneOut(kZone, true, kNow);
+  CHECK_FALSE(directory.Usable(*directory.Find(kId), kNow));
+  directory.SetZoneOut(kZone, false, kNow + 5s);
+  CHECK(directory.Usable(*directory.Find(kId), kNow + 5s));
+  CHECK(directory.Find(kId)->mRampUntil > kNow + 5s);
+}
+
+TEST_CASE("directory: an announced adapter counts until the report can tell", "[gateway]")
+{
+  EndpointDirectory directory;
+  EndpointReport report = Report(1);
+  report.mModels[ids::ModelId("m")];
+  directory.Update(report, kNow);
+  const std::uint64_t key = DigestKey("m/a1");
+  directory.Announce({ DigestKey("e1"), key }, kNow);
+  CHECK(directory.Find(kId)->HoldsAdapter(ids::ModelId("m"), "a1", key));
+  directory.Tick(kNow + EndpointDirectory::kAnnouncedLife);
+  CHECK_FALSE(directory.Find(kId)->HoldsAdapter(ids::ModelId("m"), "a1", key));
+}
--- /dev/null
+++ b/apps/tests/gateway/eventsplittertest.cpp
@@ -0,0 +1,35 @@
+#include <catch2/catch.hpp>
+
+#include "components/gateway/eventsplitter.hpp"
+
+using samphiresail::gateway::EventSplitter;
+
+TEST_CASE("events: only whole ones are handed on", "[gateway]")
+{
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 1\ndata: a\n").empty());
+  CHECK(splitter.Partial());
+  CHECK(splitter.Feed("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(splitter.LastId() == "1");
+  CHECK(splitter.Feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(splitter.LastId() == "2");
+  CHECK_FALSE(splitter.Partial());
+}
+
+TEST_CASE("events: a resumed run drops the broken one and keeps the last identifier",
+          "[gateway]")
+{
+  EventSplitter splitter;
+  splitter.Feed("id: 7\ndata: a\n\nid: 8\nda");
+  splitter.Restart();
+  CHECK_FALSE(splitter.Partial());
+  CHECK(splitter.LastId() == "7");
+  CHECK(splitter.Feed("id: 8\ndata: b\n\n") == "id: 8\ndata: b\n\n");
+}
+
+TEST_CASE("events: an identifier inside of data is none", "[gateway]")
+{
+  EventSplitter splitter;
+  splitter.Feed("id: 3\r\ndata: id: 9\r\n\r\n");
+  CHECK(splitter.LastId() == "3");
+}
--- /dev/null
+++ b/apps/tests/gateway/fleetplannertest.cpp
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+#include "components/gateway/fleetplanner.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::gateway;
+
+namespace {
+
+EngineSpec Spec(int aModels, unsigned aAdapters = 0)
+{
+  EngineSpec spec;
+  spec.mMemoryMb = 30;
+  spec.mAdapterSlots = 2;
+  spec.mLoadsPerSecond = 2;
+  for (int i = 0; i < aModels; ++i) {
+    ModelSpec model;
+    model.mName = ids::ModelId("m" + std::to_string(i));
+    model.mMemoryMb = 10;
+    model.mAdapters = aAdapters;
+    spec.mModels.push_back(model);
+  }
+  return spec;
+}
+
+EngineView Engine(const std::string& aName, const std::vector<std::string>& aModels)
+{
+  EngineView engine;
+  engine.mId = ids::EndpointId(aName);
+  engine.mZone = ids::AvailabilityZoneId("z");
+  for (const std::string& model : aModels) {
+    engine.mModels[ids::ModelId(model)];
+  }
+  return engine;
+}
+
+DemandOf Demand(std::map<std::string, double> aRates)
+{
+  return [aRates](const ids::ModelId& aModel, const std::string& aAdapter) {
+    const auto it =
+      aRates.find(aAdapter.empty() ? aModel.Str() : aModel.Str() + "/" + aAdapter);
+    return it == aRates.end() ? 0.0 : it->second;
+  };
+}
+
+bool Has(const std::vector<PlannedOrder>& aOrders,
+         OrderKind aKind,
+         const std::string& aModel,
+         const std::string& aEndpoint)
+{
+  return std::ranges::any_of(aOrders, [&](const PlannedOrder& aOrder) {
+    return aOrder.mOrder.mKind == aKind && aOrder.mOrder.mModel.Str() == aModel &&
+           aOrder.mEndpoint.Str() == aEndpoint;
+  });
+}
+
+const FleetPlanner kPlanner;
+constexpr std::size_t kManyLoads = 10;
+
+}
+
+TEST_CASE("planner: a model that no engine holds is loaded where there is room",
+          "[gateway]")
+{
+  const auto orders = kPlanner.Plan(
+    Spec(2), { Engine("e1", { "m0" }), Engine("e2", { "m0" }) }, Demand({}), kManyLoads);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].mOrder == EngineOrder{ OrderKind::Load, ids::ModelId("m1"), {} });
+}
+
+TEST_CASE("planner: demand that moves gets the copies of a model that fell silent",
+          "[gateway]")
+{
+  const std::vector<EngineView> engines{ Engine("e1", { "m0", "m1", "m2" }),
+                                         Engine("e2", { "m0", "m3", "m4" }),
+                                         Engine("e3", { "m0", "m5", "m6" }) };
+  const auto orders =
+    kPlanner.Plan(Spec(7), engines, Demand({ { "m1", 30.0 } }), kManyLoads);
+  REQUIRE_FALSE(orders.empty());
+  CHECK(std::ranges::all_of(orders, [](const PlannedOrder& aOrder) {
+    return aOrder.mOrder.mKind == OrderKind::Unload && aOrder.mOrder.mModel.Str() == "m0";
+  }));
+}
+
+TEST_CASE("planner: the only ready copy stays while another one is on its way",
+          "[gateway]")
+{
+  std::vector<EngineView> engines{ Engine("e1", { "m0", "m1", "m2" }),
+                                   Engine("e2", { "m0", "m3", "m4" }) };
+  engines[1].mComing.insert(ids::ModelId("m0"));
+  const auto orders =
+    kPlanner.Plan(Spec(5), engines, Demand({ { "m3", 30.0 } }), kManyLoads);
+  CHECK_FALSE(Has(orders, OrderKind::Unload, "m0", "e1"));
+}
+
+TEST_CASE("planner: no engine gets more than its memory holds", "[gateway]")
+{
+  std::vector<EngineView> engines{ Engine("e1", { "m0", "m1", "m2" }) };
+  engines[0].mLeaving.insert(ids::ModelId("m2"));
+  const auto orders =
+    kPlanner.Plan(Spec(4), engines, Demand({ { "m3", 30.0 } }), kManyLoads);
+  CHECK(orders.empty());
+}
+
+TEST_CASE("planner: the ceiling of loads is kept", "[gateway]")
+{
+  const auto orders = kPlanner.Plan(
+    Spec(6), { Engine("e1", {}), Engine("e2", {}), Engine("e3", {}) }, Demand({}), 2);
+  CHECK(orders.size() == 2);
+}
+
+TEST_CASE("planner: the adapter that is asked for most takes the slot", "[gateway]")
+{
+  EngineSpec spec = Spec(1, 3);
+  std::vector<EngineView> engines{ Engine("e1", { "m0" }) };
+  engines[0].mModels[ids::ModelId("m0")] = { "a1", "a2" };
+  const auto demand = Demand({ { "m0", 5.0 }, { "m0/a3", 2.0 }, { "m0/a1", 1.0 } });
+  auto orders = kPlanner.Plan(spec, engines, demand, kManyLoads);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].mOrder == EngineOrder{ OrderKind::Unload, ids::ModelId("m0"), "a2" });
+
+  engines[0].mModels[ids::ModelId("m0")] = { "a1" };
+  orders = kPlanner.Plan(spec, engines, demand, kManyLoads);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].mOrder == EngineOrder{ OrderKind::Load, ids::ModelId("m0"), "a3" });
+}
+
+TEST_CASE("planner: a settled fleet gets no orders", "[gateway]")
+{
+  const std::vector<EngineView> engines{ Engine("e1", { "m0", "m1", "m2" }),
+                                         Engine("e2", { "m0", "m3", "m4" }) };
+  const auto orders =
+    kPlanner.Plan(Spec(5), engines, Demand({ { "m0", 8.0 }, { "m1", 0.5 } }), kManyLoads);
+  CHECK(orders.empty());
+}
--- /dev/null
+++ b/apps/tests/gateway/leadershiptest.cpp
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+
+#include "components/gateway/leadership.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using gateway::Leadership;
+
+namespace {
+
+const timing::Instant kNow{ 1h };
+constexpr std::int64_t kLease = 5;
+constexpr std::int64_t kRevision = 40;
+
+/// Brings a candidate to the point at which it created the leader's record.
+void Lead(Leadership& aLeadership)
+{
+  REQUIRE(aLeadership.Next(kNow) == Leadership::Step::GrantLease);
+  aLeadership.LeaseGranted(kLease, Leadership::kLease, kNow);
+  REQUIRE(aLeadership.Next(kNow) == Leadership::Step::WriteMember);
+  aLeadership.MemberWritten();
+  aLeadership.LeaderRecord(false, 0, 0);
+  REQUIRE(aLeadership.Next(kNow) == Leadership::Step::CreateLeader);
+  aLeadership.LeaderCreated(kRevision, kNow);
+}
+
+}
+
+TEST_CASE("leadership: the first leader of a first start orders at once", "[gateway]")
+{
+  Leadership leadership(3300ms, true);
+  Lead(leadership);
+  CHECK(leadership.Token(kNow) == kRevision);
+}
+
+TEST_CASE("leadership: a later leader waits for the orders of an earlier one",
+          "[gateway]")
+{
+  Leadership leadership(3300ms, false);
+  Lead(leadership);
+  CHECK_FALSE(leadership.Token(kNow + 1s));
+  leadership.LeaseKept(kNow + 3s);
+  CHECK(leadership.Token(kNow + 3400ms) == kRevision);
+}
+
+TEST_CASE("leadership: a holder stops before its lease can have ended", "[gateway]")
+{
+  Leadership leadership(0ms, true);
+  Lead(leadership);
+  CHECK(leadership.Token(kNow + 1s));
+  // A holder that was suspended finds its lease too old when it wakes.
+  CHECK_FALSE(leadership.Token(kNow + Leadership::kLease - Leadership::kMargin));
+}
+
+TEST_CASE("leadership: a lost lease or a newer holder ends it", "[gateway]")
+{
+  Leadership leadership(0ms, true);
+  Lead(leadership);
+  SECTION("lease lost")
+  {
+    leadership.LeaseLost();
+    CHECK(leadership.Next(kNow) == Leadership::Step::GrantLease);
+  }
+  SECTION("record of another holder")
+  {
+    leadership.LeaderRecord(true, kLease + 1, kRevision + 1);
+  }
+  SECTION("an engine has seen a newer token")
+  {
+    leadership.Fenced(kNow);
+    CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  }
+  CHECK_FALSE(leadership.Token(kNow));
+}
+
+TEST_CASE("leadership: nobody becomes leader while the record is there", "[gateway]")
+{
+  Leadership leadership(0ms, true);
+  leadership.LeaseGranted(kLease, Leadership::kLease, kNow);
+  leadership.MemberWritten();
+  CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  leadership.LeaderRecord(true, 99, 12);
+  CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  CHECK(leadership.Next(kNow + Leadership::kKeepEvery) == Leadership::Step::KeepLease);
+}
--- /dev/null
+++ b/apps/tests/gateway/limitstest.cpp
@@ -0,0 +1,71 @@
+#include <catch2/catch.hpp>
+
+#include "components/gateway/coldlimiter.hpp"
+#include "components/gateway/repeatbudget.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using namespace samphiresail::gateway;
+
+namespace {
+
+const timing::Instant kNow{ 1h };
+const ids::EndpointId kEndpoint("e1");
+const ids::ServiceId kService("s");
+
+}
+
+TEST_CASE("cold limit: the shares of all entries add up to less than the bound",
+          "[gateway]")
+{
+  constexpr double kPerSecond = 15.0;
+  constexpr double kFactor = 1.5;
+  constexpr double kSlack = 5.0;
+  for (const std::size_t entries : { 1U, 2U, 4U, 5U, 7U, 20U }) {
+    std::size_t sent = 0;
+    ColdLimiter limiter;
+    limiter.SetTolerance(kFactor, kSlack);
+    for (int step = 0; step < 100; ++step) {
+      const timing::Instant now = kNow + step * 9ms;
+      if (limiter.HasRoom(kEndpoint, kPerSecond, entries, now)) {
+        limiter.Record(kEndpoint, now);
+        ++sent;
+      }
+    }
+    INFO(entries << " entries sent " << sent << " each");
+    CHECK(sent >= 1);
+    CHECK(static_cast<double>(sent * entries) <= kPerSecond * kFactor + kSlack);
+  }
+}
+
+TEST_CASE("cold limit: an endpoint without a stated rate is not limited", "[gateway]")
+{
+  ColdLimiter limiter;
+  for (int i = 0; i < 100; ++i) {
+    CHECK(limiter.HasRoom(kEndpoint, 0.0, 5, kNow));
+    limiter.Record(kEndpoint, kNow);
+  }
+}
+
+TEST_CASE("repeats: in any window they stay below the bound over all entries",
+          "[gateway]")
+{
+  constexpr std::size_t kEntries = 4;
+  constexpr double kRatio = 0.2;
+  constexpr double kSlack = 54.0;
+  std::size_t firsts = 0;
+  std::size_t repeats = 0;
+  for (std::size_t entry = 0; entry < kEntries; ++entry) {
+    RepeatBudget budget;
+    budget.SetLimits({ 10s, kRatio, kSlack });
+    for (int i = 0; i < 200; ++i) {
+      const timing::Instant now = kNow + i * 40ms;
+      budget.RecordFirst(kService, now);
+      ++firsts;
+      repeats += budget.TrySpend(kService, kEntries, now) ? 1 : 0;
+      repeats += budget.TrySpend(kService, kEntries, now) ? 1 : 0;
+    }
+  }
+  CHECK(repeats > 0);
+  CHECK(static_cast<double>(repeats) <= kRatio * static_cast<double>(firsts) + kSlack);
+}
--- /dev/null
+++ b/apps/tests/gateway/quotaledgertest.cpp
@@ -0,0 +1,229 @@
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "components/gateway/quotaledger.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using namespace samphiresail::gateway;
+
+namespace {
+
+const timing::Instant kNow{ 1h };
+const ids::ClientAccountId kAccount("club");
+constexpr double kRate = 20000.0;
+constexpr double kBurst = 20000.0;
+constexpr double kOverage = 0.1;
+constexpr double kSlack = 17000.0;
+constexpr double kWindowSeconds = 8.0;
+constexpr double kBound = (kRate * kWindowSeconds + kBurst) * (1 + kOverage) + kSlack;
+
+ServingConfiguration Configuration()
+{
+  ServingConfiguration configuration;
+  ClientAccount account;
+  account.mName = kAccount;
+  account.mTokensPerSecond = kRate;
+  account.mBurstTokens = kBurst;
+  configuration.mAccounts.push_back(account);
+  return configuration;
+}
+
+/// Entries that share one account and exchange digests every quarter of a second.
+class Fleet
+{
+public:
+  explicit Fleet(std::size_t aEntries)
+  {
+    for (std::size_t i = 0; i < aEntries; ++i) {
+      mEntries.push_back(MakeEntry(kNow));
+      mIncarnations.push_back(1);
+      mCut.push_back(false);
+    }
+  }
+
+  /// Offers tokens at an entry and returns whether they were admitted.
+  bool Offer(std::size_t aEntry, double aTokens, timing::Instant aNow)
+  {
+    mOffered += aTokens;
+    if (!mEntries[aEntry]->Take(kAccount, aTokens, aNow).mAdmitted) {
+      return false;
+    }
+    mAdmitted.emplace_back(aNow, aTokens);
+    mSum += aTokens;
+    mTotal += aTokens;
+    while (mAdmitted.front().first + 8s <= aNow) {
+      mSum -= mAdmitted.front().second;
+      mAdmitted.pop_front();
+    }
+    mMost = std::max(mMost, mSum);
+    return true;
+  }
+
+  void Exchange(timing::Instant aNow)
+  {
+    const bool joining = aNow < mRestarted + 2s;
+    const bool allHeard = std::ranges::count(mCut, true) == 0 && !joining;
+    for (std::size_t i = 0; i < mEntries.size(); ++i) {
+      std::vector<PeerQuota> peers;
+      for (std::size_t j = 0; j < mEntries.size(); ++j) {
+        if (j != i && !mCut[i] && !mCut[j]) {
+          mHeard[{ i, j }] = { ids::ProcessId(std::to_string(j)),
+                               mIncarnations[j],
+                               aNow,
+                               mEntries[j]->Admitted(kAccount) };
+        }
+        if (j != i && mHeard.contains({ i, j })) {
+          peers.push_back(mHeard[{ i, j }]);
+        }
+      }
+      mEntries[i]->SetPeers(kAccount, peers, mEntries.size(), allHeard, aNow);
+    }
+  }
+
+  void Restart(std::size_t aEntry, timing::Instant aNow)
+  {
+    mEntries[aEntry] = MakeEntry(aNow);
+    mEntries[aEntry]->SetPeers(kAccount, {}, mEntries.size(), false, aNow);
+    mRestarted = aNow;
+    ++mIncarnations[aEntry];
+    std::erase_if(mHeard,
+                  [aEntry](const auto& aRow) { return aRow.first.first == aEntry; });
+  }
+
+  void Cut(std::size_t aEntry, bool aCut) { mCut[aEntry] = aCut; }
+  std::size_t Size() const { return mEntries.size(); }
+  double MostInWindow() const { return mMost; }
+  double Total() const { return mTotal; }
+  double Offered() const { return mOffered; }
+
+private:
+  static std::unique_ptr<QuotaLedger> MakeEntry(timing::Instant aNow)
+  {
+    auto ledger = std::make_unique<QuotaLedger>();
+    ledger->SetTerms({ 8s, kOverage, kSlack });
+    ledger->Configure(Configuration(), aNow);
+    return ledger;
+  }
+
+  std::vector<std::unique_ptr<QuotaLedger>> mEntries;
+  std::vector<std::uint64_t> mIncarnations;
+  std::vector<bool> mCut;
+  /// Entries that have just started know neither who else there is nor what they did.
+  timing::Instant mRestarted{};
+  std::map<std::pair<std::size_t, std::size_t>, PeerQuota> mHeard;
+  std::deque<std::pair<timing::Instant, double>> mAdmitted;
+  double mSum{ 0.0 };
+  double mMost{ 0.0 };
+  double mTotal{ 0.0 };
+  double mOffered{ 0.0 };
+};
+
+struct Load
+{
+  double mTokensPerSecond;
+  /// Part of the load that comes to the first entry.
+  double mSkew;
+  bool mRestarts;
+  bool mCuts;
+};
+
+/// Plays half a minute of requests of uneven size.
+void Play(Fleet& aFleet, const Load& aLoad, std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::lognormal_distribution<double> size(6.7, 0.8);
+  std::uniform_real_distribution<double> unit(0.0, 1.0);
+  std::uniform_int_distribution<std::size_t> other(0, aFleet.Size() - 1);
+  double owed = 0.0;
+  for (int step = 0; step < 3000; ++step) {
+    const timing::Instant now = kNow + step * 10ms;
+    if (step % 25 == 0) {
+      aFleet.Exchange(now);
+    }
+    if (aLoad.mRestarts && step == 1300) {
+      for (std::size_t i = 0; i < aFleet.Size(); ++i) {
+        aFleet.Restart(i, now);
+      }
+    }
+    if (aLoad.mCuts && step % 700 == 300) {
+      aFleet.Cut(other(random), true);
+    }
+    if (aLoad.mCuts && step % 700 == 699) {
+      for (std::size_t i = 0; i < aFleet.Size(); ++i) {
+        aFleet.Cut(i, false);
+      }
+    }
+    owed += aLoad.mTokensPerSecond / 100;
+    while (owed > 0) {
+      const double tokens = std::min(size(random) + 100, 4300.0);
+      owed -= tokens;
+      aFleet.Offer(unit(random) < aLoad.mSkew ? 0 : other(random), tokens, now);
+    }
+  }
+}
+
+}
+
+TEST_CASE("quota: no window exceeds the bound, whatever is cut off or restarted",
+          "[gateway]")
+{
+  const std::array<Load, 4> loads{ { { 6 * kRate, 0.5, false, false },
+                                     { 6 * kRate, 0.2, true, false },
+                                     { 6 * kRate, 0.2, false, true },
+                                     { 3 * kRate, 0.9, true, true } } };
+  for (const Load& load : loads) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Fleet fleet(5);
+      Play(fleet, load, seed);
+      INFO("restarts " << load.mRestarts << " cuts " << load.mCuts << " skew "
+                       << load.mSkew << " seed " << seed);
+      CHECK(fleet.MostInWindow() <= kBound);
+    }
+  }
+}
+
+TEST_CASE("quota: an account below its rate is hardly ever refused", "[gateway]")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(5);
+    Play(fleet, { 0.7 * kRate, 0.5, false, false }, seed);
+    INFO("seed " << seed << " admitted " << fleet.Total() << " of " << fleet.Offered());
+    CHECK(fleet.Total() >= 0.98 * fleet.Offered());
+  }
+}
+
+TEST_CASE("quota: an account in excess gets its rate through uneven entries", "[gateway]")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(5);
+    Play(fleet, { 5 * kRate, 0.6, false, false }, seed);
+    INFO("seed " << seed << " admitted " << fleet.Total());
+    CHECK(fleet.Total() >= 0.9 * kRate * 30);
+  }
+}
+
+TEST_CASE("quota: a refusal says when the tokens will be there", "[gateway]")
+{
+  QuotaLedger ledger;
+  ledger.SetTerms({ 8s, kOverage, kSlack });
+  ledger.Configure(Configuration(), kNow);
+  ledger.SetPeers(kAccount, {}, 1, true, kNow);
+  QuotaDecision decision{ true, {} };
+  while (decision.mAdmitted) {
+    decision = ledger.Take(kAccount, 1000, kNow);
+  }
+  REQUIRE(decision.mRetryAfter > 0ms);
+  CHECK(ledger.Take(kAccount, 1000, kNow + decision.mRetryAfter + 1ms).mAdmitted);
+}
+
+TEST_CASE("quota: an account without a limit is always admitted", "[gateway]")
+{
+  QuotaLedger ledger;
+  CHECK(ledger.Take(ids::ClientAccountId("open"), 1e9, kNow).mAdmitted);
+}
--- /dev/null
+++ b/apps/tests/gateway/servingconfigurationtest.cpp
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+
+#include "components/gateway/servingconfiguration.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::gateway;
+
+namespace {
+
+Route MakeRoute(const std::string& aName, const std::string& aPrefix)
+{
+  Route route;
+  route.mName = aName;
+  route.mHost = "h.example";
+  route.mPathPrefix = aPrefix;
+  return route;
+}
+
+}
+
+TEST_CASE("configuration: the longest prefix of a host's routes decides", "[gateway]")
+{
+  ServingConfiguration configuration;
+  configuration.mRoutes = { MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/") };
+  configuration.Index();
+  CHECK(configuration.FindRoute("h.example", "/a/b/c")->mName == "long");
+  CHECK(configuration.FindRoute("h.example", "/a/x")->mName == "short");
+  CHECK(configuration.FindRoute("h.example", "/b") == nullptr);
+  CHECK(configuration.FindRoute("other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("configuration: a key names its account", "[gateway]")
+{
+  ServingConfiguration configuration;
+  ClientAccount account;
+  account.mName = ids::ClientAccountId("club");
+  account.mKeys = { "k1", "k2" };
+  configuration.mAccounts.push_back(account);
+  configuration.Index();
+  REQUIRE(configuration.FindAccountOfKey("k2") != nullptr);
+  CHECK(configuration.FindAccountOfKey("k2")->mName.Str() == "club");
+  CHECK(configuration.FindAccountOfKey("k3") == nullptr);
+}
+
+TEST_CASE("configuration: a stream runs twice only if it may be resumed", "[gateway]")
+{
+  Route route;
+  route.mKind = RequestKind::Stream;
+  CHECK_FALSE(route.Repeatable());
+  route.mResumable = true;
+  CHECK(route.Repeatable());
+  route.mKind = RequestKind::Irreversible;
+  CHECK_FALSE(route.Repeatable());
+  route.mKind = RequestKind::Idempotent;
+  CHECK(route.Repeatable());
+}
--- /dev/null
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -0,0 +1,223 @@
+#include <catch2/catch.hpp>
+
+#include <variant>
+
+#include "components/gateway/trafficcontrol.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using namespace samphiresail::gateway;
+
+namespace {
+
+const timing::Instant kNow{ 1h };
+const ids::ServiceId kEngines("engines");
+
+std::shared_ptr<ServingConfiguration> Configuration()
+{
+  auto configuration = std::make_shared<ServingConfiguration>();
+  configuration->mVersion = 3;
+  Route route;
+  route.mName = "advice";
+  route.mHost = "h.example";
+  route.mPathPrefix = "/advice/";
+  route.mKind = RequestKind::Stream;
+  route.mResumable = true;
+  route.mTimeout = 12s;
+  route.mMaxAttempts = 2;
+  route.mServices = { { kEngines, 1.0 } };
+  configuration->mRoutes.push_back(route);
+  route.mName = "digest";
+  route.mPathPrefix = "/digest/";
+  route.mTargetLatency = 3s;
+  configuration->mRoutes.push_back(route);
+  Service service;
+  service.mName = kEngines;
+  service.mColdPerSecond = 15;
+  service.mEngine = EngineSpec{};
+  configuration->mServices.push_back(service);
+  ClientAccount account;
+  account.mName = ids::ClientAccountId("foremen");
+  account.mKeys = { "key" };
+  configuration->mAccounts.push_back(account);
+  configuration->Index();
+  return configuration;
+}
+
+RequestFacts Facts(const std::string& aPath = "/advice/1")
+{
+  RequestFacts facts;
+  facts.mId = ids::RequestId("r1");
+  facts.mHost = "h.example";
+  facts.mPath = aPath;
+  facts.mKey = "key";
+  facts.mModel = ids::ModelId("m");
+  facts.mPatience = 5s;
+  return facts;
+}
+
+void AddEndpoint(TrafficControl& aControl,
+                 const std::string& aId,
+                 const std::string& aZone,
+                 std::set<std::string> aAdapters = {})
+{
+  EndpointReport report;
+  report.mId = ids::EndpointId(aId);
+  report.mIncarnation = 1;
+  report.mService = kEngines;
+  report.mZone = ids::AvailabilityZoneId(aZone);
+  report.mSlots = 4;
+  report.mModels[ids::ModelId("m")] = std::move(aAdapters);
+  aControl.mDirectory.Update(report, kNow);
+}
+
+struct Fixture
+{
+  Fixture()
+  {
+    mControl.SetConfiguration(Configuration(), kNow);
+    mControl.mContact.Confirm(kNow, kNow);
+    mControl.mRepeats.SetLimits({ 10s, 0.2, 50.0 });
+  }
+  Admission Admit(const RequestFacts& aFacts = Facts())
+  {
+    auto result = mControl.Admit(aFacts, kNow);
+    REQUIRE(std::holds_alternative<Admission>(result));
+    return std::get<Admission>(std::move(result));
+  }
+  Refusal Refuse(const RequestFacts& aFacts, timing::Instant aNow = kNow)
+  {
+    auto result = mControl.Admit(aFacts, aNow);
+    REQUIRE(std::holds_alternative<Refusal>(result));
+    return std::get<Refusal>(std::move(result));
+  }
+  TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 7 };
+};
+
+}
+
+TEST_CASE("control: before any configuration a request is told to come back", "[gateway]")
+{
+  TrafficControl control(ids::AvailabilityZoneId("z1"), 7);
+  const auto result = control.Admit(Facts(), kNow);
+  REQUIRE(std::holds_alternative<Refusal>(result));
+  CHECK(std::get<Refusal>(result).mStatus == 503);
+  CHECK(std::get<Refusal>(result).mRetryAfter);
+}
+
+TEST_CASE_METHOD(Fixture, "control: unknown keys and routes are refused", "[gateway]")
+{
+  RequestFacts facts = Facts();
+  facts.mKey = "other";
+  CHECK(Refuse(facts).mStatus == 401);
+  CHECK(Refuse(Facts("/nothing/")).mStatus == 404);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: without news of the store nothing is said of keys and routes",
+                 "[gateway]")
+{
+  CHECK(Refuse(Facts(), kNow + 5s).mStatus == 503);
+  RequestFacts facts = Facts();
+  facts.mKey = "other";
+  CHECK(Refuse(facts, kNow + 5s).mStatus == 503);
+  CHECK(Refuse(Facts("/nothing/"), kNow + 5s).mStatus == 503);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: the deadline is the nearer of patience and route",
+                 "[gateway]")
+{
+  CHECK(Admit().mDeadline == kNow + 5s);
+  RequestFacts facts = Facts();
+  facts.mPatience = 60s;
+  CHECK(Admit(facts).mDeadline == kNow + 12s);
+}
+
+TEST_CASE_METHOD(Fixture, "control: what can wait goes after what is urgent", "[gateway]")
+{
+  CHECK(Admit(Facts("/digest/1")).mPriority > Admit().mPriority);
+}
+
+TEST_CASE_METHOD(Fixture, "control: a stopping process refuses", "[gateway]")
+{
+  mControl.RefuseFrom(kNow + 1s);
+  Admit();
+  CHECK(Refuse(Facts(), kNow + 1s).mStatus == 503);
+}
+
+TEST_CASE_METHOD(Fixture, "control: requests spread by load and stay near", "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  AddEndpoint(mControl, "far", "z2");
+  const Admission admission = Admit();
+  CHECK(mControl.Begin(admission, {}, kNow).mEndpoint->mReport.mId.Str() == "near");
+  // One more at the near one costs more than the way.
+  CHECK(mControl.Begin(admission, {}, kNow).mEndpoint->mReport.mId.Str() == "far");
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: load that other entries bring counts like one's own",
+                 "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  AddEndpoint(mControl, "far", "z2");
+  mControl.mDirectory.SetPeersInFlight({ { ids::EndpointId("near"), 3 } });
+  CHECK(mControl.Begin(Admit(), {}, kNow).mEndpoint->mReport.mId.Str() == "far");
+}
+
+TEST_CASE_METHOD(Fixture, "control: reasons for finding no endpoint", "[gateway]")
+{
+  CHECK(mControl.Begin(Admit(), {}, kNow).mReason == NoEndpoint::NoneUsable);
+  AddEndpoint(mControl, "near", "z1");
+  RequestFacts other = Facts();
+  other.mModel = ids::ModelId("absent");
+  CHECK(mControl.Begin(Admit(other), {}, kNow).mReason == NoEndpoint::ModelAbsent);
+  RequestFacts adapter = Facts();
+  adapter.mAdapter = "a1";
+  CHECK(mControl.Begin(Admit(adapter), {}, kNow).mReason == NoEndpoint::AdapterAbsent);
+  const Admission admission = Admit();
+  while (mControl.Begin(admission, {}, kNow).mEndpoint != nullptr) {
+  }
+  CHECK(mControl.Begin(admission, {}, kNow).mReason == NoEndpoint::Full);
+  const Refusal refusal = mControl.RefuseNotRun(admission, NoEndpoint::Full);
+  CHECK(refusal.mStatus == 503);
+  CHECK(refusal.mRetryAfter);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: an endpoint that could not be reached is left alone a while",
+                 "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  AddEndpoint(mControl, "far", "z2");
+  const Admission admission = Admit();
+  mControl.Begin(admission, {}, kNow);
+  mControl.End(ids::EndpointId("near"), AttemptEnd::Unreachable, kNow);
+  CHECK(mControl.Begin(admission, {}, kNow).mEndpoint->mReport.mId.Str() == "far");
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "control: an endpoint with good health that fails requests is taken last",
+  "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  AddEndpoint(mControl, "far", "z2");
+  const Admission admission = Admit();
+  for (int i = 0; i < 6; ++i) {
+    mControl.Begin(admission, { ids::EndpointId("far") }, kNow);
+    mControl.End(ids::EndpointId("near"), AttemptEnd::Failed, kNow);
+  }
+  CHECK(mControl.Begin(admission, {}, kNow).mEndpoint->mReport.mId.Str() == "far");
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: repeats keep to the route and the budget",
+                 "[gateway]")
+{
+  const Admission admission = Admit();
+  CHECK(mControl.MayRepeat(admission, 1, kNow));
+  CHECK_FALSE(mControl.MayRepeat(admission, 2, kNow));
+  CHECK_FALSE(mControl.MayRepeat(admission, 1, admission.mDeadline));
+}
--- /dev/null
+++ b/apps/tests/platform/decodetest.cpp
@@ -0,0 +1,104 @@
+#include <catch2/catch.hpp>
+
+#include "platform/decode.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using namespace samphiresail::platform;
+
+TEST_CASE("decode: routes, services, accounts and limits", "[platform]")
+{
+  const auto configuration = DecodeConfiguration(R"({"version":7,
+    "routes":[{"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"stream",
+      "timeoutMs":12000,"targetLatencyMs":300,"priority":2,"maxAttempts":2,"public":false,
+      "canResume":true,"gapAimMs":300,
+      "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+     {"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"unsafe","service":"s2"},
+     {"name":"r3","host":"h.example","pathPrefix":"/c/","kind":"safe","service":"s2"}],
+    "services":[{"name":"s1","coldPerS":15.0,"engine":{"slots":64,"weightsMb":230000.0,
+      "adapterSlots":8,"loadsPerS":1.6,"models":[{"name":"m","weightsMb":65099.9,
+      "loadTimeS":3.8,"adapters":22,"adapterMb":12.0}]}},{"name":"s2"}],
+    "limits":{"maxHeaderBytes":1024,"maxBodyBytes":4096,"headerTimeoutMs":3000,
+      "idleTimeoutMs":15000},
+    "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"unit":"tokens",
+      "plainTokens":200,"ratePerS":66064,"burst":1000}]})");
+  CHECK(configuration->mVersion == 7);
+  const gateway::Route* route = configuration->FindRoute("h.example", "/a/x");
+  REQUIRE(route != nullptr);
+  CHECK(route->mKind == gateway::RequestKind::Stream);
+  CHECK(route->mResumable);
+  CHECK(route->mTimeout == 12s);
+  CHECK(route->mServices.size() == 2);
+  CHECK(configuration->FindRoute("h.example", "/b/")->mKind ==
+        gateway::RequestKind::Irreversible);
+  CHECK(configuration->FindRoute("h.example", "/c/")->mKind ==
+        gateway::RequestKind::Idempotent);
+  const gateway::Service* service = configuration->FindService(ids::ServiceId("s1"));
+  REQUIRE(service != nullptr);
+  REQUIRE(service->mEngine);
+  CHECK(service->mEngine->mModels.at(0).mAdapters == 22);
+  const gateway::ClientAccount* account = configuration->FindAccountOfKey("k");
+  REQUIRE(account != nullptr);
+  CHECK(account->mPlainTokens == 200);
+  CHECK(configuration->mLimits.mIdleTimeout == 15s);
+}
+
+TEST_CASE("decode: an unknown kind may run only once", "[platform]")
+{
+  const auto configuration = DecodeConfiguration(
+    R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","pathPrefix":"/",
+        "kind":"new","service":"s"}]})");
+  CHECK_FALSE(configuration->mRoutes.at(0).Repeatable());
+}
+
+TEST_CASE("decode: an endpoint's record", "[platform]")
+{
+  const auto report = DecodeEndpoint("i-1", R"({"service":"s","address":"10.0.0.9:8080",
+    "zone":"z","version":"v1","slots":64,"state":"draining","coldRemainingMs":1500,
+    "models":[{"name":"m","version":1,"adapters":["a1"]}],"sequence":4,"born":17})");
+  REQUIRE(report);
+  CHECK(report->mId.Str() == "i-1");
+  CHECK(report->mAddress.mPort == 8080);
+  CHECK(report->mDraining);
+  CHECK(report->mColdFor == 1500ms);
+  CHECK(report->mModels.at(ids::ModelId("m")).contains("a1"));
+  CHECK(report->mOrdersAccepted == 4);
+  CHECK(report->mIncarnation == 17);
+}
+
+TEST_CASE("decode: a record of another writer names no endpoint", "[platform]")
+{
+  for (const char* text :
+       { "not json",
+         "[]",
+         "{}",
+         R"({"service":"s","address":"nowhere","zone":"z","slots":1,"state":"ready",
+             "coldRemainingMs":0})",
+         R"({"service":"s","address":"10.0.0.9:1","zone":"z","slots":1,"state":"odd",
+             "coldRemainingMs":0})",
+         R"({"service":7,"address":"10.0.0.9:1","zone":"z","slots":1,"state":"ready",
+             "coldRemainingMs":0})",
+         R"({"service":"s","address":"10.0.0.9:1","zone":"z","slots":"1","state":"ready",
+             "coldRemainingMs":0})" }) {
+    INFO(text);
+    CHECK_FALSE(DecodeEndpoint("i-1", text));
+  }
+}
+
+TEST_CASE("decode: an engine's report and an order", "[platform]")
+{
+  const auto report = DecodeEngineReport(
+    R"({"models":[{"name":"m","version":1,"adapters":[]}],"busy":true,"sequence":2})");
+  REQUIRE(report);
+  CHECK(report->mBusy);
+  CHECK(report->mOrdersAccepted == 2);
+  CHECK_FALSE(DecodeEngineReport("{}"));
+
+  gateway::EngineAction action;
+  action.mOrder =
+    gateway::EngineOrder{ gateway::OrderKind::Load, ids::ModelId("m"), "a3" };
+  action.mPrecondition = 2;
+  CHECK(EncodeOrder(action, "front-1", 41) ==
+        R"({"adapter":"a3","fencingToken":41,"holder":"front-1","model":"m",)"
+        R"("operation":"load","precondition":2})");
+}
--- /dev/null
+++ b/apps/tests/platform/dialecttest.cpp
@@ -0,0 +1,93 @@
+#include <catch2/catch.hpp>
+
+#include "platform/dialect.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+namespace http = frontend::http;
+
+namespace {
+
+const platform::PlatformDialect kDialect;
+
+http::request<http::empty_body> Request()
+{
+  http::request<http::empty_body> request(http::verb::post, "/a/b?c=d", 11);
+  request.set(http::field::host, "H.Example:80");
+  request.set("Attempt-Id", "r1");
+  return request;
+}
+
+}
+
+TEST_CASE("dialect: facts of a request", "[platform]")
+{
+  auto request = Request();
+  request.set("Model", "m/a2");
+  request.set("Token-Count", "1460,80");
+  request.set("Prompt-Prefix", "5c1e:800,91bd:410");
+  request.set("Deadline-Ms", "12000");
+  request.set("Api-Key", "k");
+  const auto facts = kDialect.ReadRequest(request.base());
+  REQUIRE(facts);
+  CHECK(facts->mHost == "h.example");
+  CHECK(facts->mPath == "/a/b");
+  CHECK(facts->mModel.Str() == "m");
+  CHECK(facts->mAdapter == "a2");
+  CHECK(facts->mStatesTokens);
+  CHECK(facts->mPromptTokens == 1460);
+  CHECK(facts->mOutputTokens == 80);
+  CHECK(facts->mSharedPrefix == "5c1e");
+  CHECK(facts->mPatience == 12s);
+  CHECK(facts->mKey == "k");
+}
+
+TEST_CASE("dialect: a request without an identifier is none", "[platform]")
+{
+  auto request = Request();
+  request.erase("Attempt-Id");
+  CHECK_FALSE(kDialect.ReadRequest(request.base()));
+}
+
+TEST_CASE("dialect: malformed numbers state nothing", "[platform]")
+{
+  auto request = Request();
+  request.set("Token-Count", "many");
+  request.set("Deadline-Ms", "soon");
+  const auto facts = kDialect.ReadRequest(request.base());
+  REQUIRE(facts);
+  CHECK_FALSE(facts->mStatesTokens);
+  CHECK_FALSE(facts->mPatience);
+}
+
+TEST_CASE("dialect: headers that only the system sets are reserved", "[platform]")
+{
+  for (const char* name : { "api-key",
+                            "TENANT",
+                            "Expect-Instance",
+                            "Hold",
+                            "Pin-Ms",
+                            "Kv-From",
+                            "Kv-Backup" }) {
+    CHECK(kDialect.Reserved(name));
+  }
+  CHECK_FALSE(kDialect.Reserved("Attempt-Id"));
+  CHECK(kDialect.Essential("attempt-id"));
+}
+
+TEST_CASE("dialect: facts of an answer", "[platform]")
+{
+  http::response<http::empty_body> answer(http::status::misdirected_request, 11);
+  answer.set("Attempt-Id", "r1");
+  answer.set("Server-Load", "3,1,8");
+  answer.set("Keep-Alive", "timeout=10");
+  answer.set("Not-Executed", "1");
+  const auto facts = kDialect.ReadAnswer(answer.base());
+  CHECK(facts.mId.Str() == "r1");
+  CHECK(facts.mNotRun);
+  CHECK(facts.mWrongEndpoint);
+  CHECK_FALSE(facts.mSealed);
+  CHECK(facts.mRunning == 3);
+  CHECK(facts.mWaiting == 1);
+  CHECK(facts.mKeepAlive == 10s);
+}
--- /dev/null
+++ b/apps/tests/platform/settingstest.cpp
@@ -0,0 +1,77 @@
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+#include <unistd.h>
+
+#include "platform/settings.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// File that is removed at the end of the test.
+class TemporaryFile
+{
+public:
+  explicit TemporaryFile(const std::string& aText)
+    : mPath("settingstest-" + std::to_string(getpid()) + ".toml")
+  {
+    std::ofstream(mPath) << aText;
+  }
+  ~TemporaryFile() { std::remove(mPath.c_str()); }
+  TemporaryFile(const TemporaryFile&) = delete;
+  TemporaryFile& operator=(const TemporaryFile&) = delete;
+
+  const std::string mPath;
+};
+
+const std::string kText = R"(nodeName = "front-a-1"
+ip = "10.1.0.25"
+zone = "z-a"
+portRange = [7600,7615]
+bootstrap = true
+newThing = 3
+[listen]
+front = "10.1.0.25:8221"
+readyAddr = "10.1.0.25:8224"
+[limits]
+maxFds = 4100
+[bounds]
+graceS = 8
+leaseMs = 3000
+budgetRatio = 0.2
+budgetSlack = 56
+quotaOverage = 0.1
+coldOverage = 1.5
+[platform]
+address = "10.200.1.7:8225"
+)";
+
+}
+
+TEST_CASE("settings: what the platform states of a process", "[platform]")
+{
+  const TemporaryFile file(kText);
+  const platform::Settings settings = platform::LoadSettings(file.mPath);
+  CHECK(settings.mName.Str() == "front-a-1");
+  CHECK(settings.mZone.Str() == "z-a");
+  CHECK(settings.mCallers.mPort == 8221);
+  CHECK(settings.mStore.mHost == "10.200.1.7");
+  CHECK(settings.mFirstPeerPort == 7600);
+  CHECK(settings.mFirstStart);
+  CHECK(settings.mStopGrace == 8s);
+  CHECK(settings.mRepeatSlack == 56);
+  CHECK(settings.mColdOverage == 1.5);
+}
+
+TEST_CASE("settings: a missing or wrong field is named", "[platform]")
+{
+  std::string text = kText;
+  text.replace(text.find("10.1.0.25:8224"), 14, "nowhere");
+  const TemporaryFile file(text);
+  CHECK_THROWS_WITH(platform::LoadSettings(file.mPath),
+                    Catch::Matchers::Contains("readyAddr"));
+}
--- a/apps/tests/support/memorystore.hpp
+++ b/apps/tests/support/memorystore.hpp
@@ -40,7 +40,7 @@
 private:
   struct Lease
   {
-    std::chrono::seconds mLife{ 0 };
+    std::chrono::milliseconds mLife{ 0 };
     timing::Instant mExpiry;
   };
 
--- a/components/frontend/backendpool.cpp
+++ b/components/frontend/backendpool.cpp
@@ -25,21 +25,12 @@
   aSocket.set_option(asio::socket_base::keep_alive(true), ec);
   const int handle = aSocket.native_handle();
   // A platform without one of the options still works, only slower to notice silence.
-  setsockopt(handle,
-             IPPROTO_TCP,
-             TCP_USER_TIMEOUT,
-             &kUnacknowledgedMs,
-             sizeof(kUnacknowledgedMs));
-  setsockopt(handle,
-             IPPROTO_TCP,
-             TCP_KEEPIDLE,
-             &kProbeAfterSeconds,
-             sizeof(kProbeAfterSeconds));
-  setsockopt(handle,
-             IPPROTO_TCP,
-             TCP_KEEPINTVL,
-             &kProbeEverySeconds,
-             sizeof(kProbeEverySeconds));
+  setsockopt(
+    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
+  setsockopt(
+    handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterSeconds, sizeof(kProbeAfterSeconds));
+  setsockopt(
+    handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeEverySeconds, sizeof(kProbeEverySeconds));
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
 }
 
--- a/components/frontend/backendpool.hpp
+++ b/components/frontend/backendpool.hpp
@@ -28,8 +28,8 @@
   bool mUsedBefore{ false };
 };
 
-/// Idle connections by endpoint. A connection on which bytes or its end arrived while it was
-/// idle is not used again: the bytes belong to no request.
+/// Idle connections by endpoint. A connection on which bytes or its end arrived while it
+/// was idle is not used again: the bytes belong to no request.
 class BackendPool
 {
 public:
@@ -63,8 +63,8 @@
   std::map<ids::EndpointId, std::vector<std::unique_ptr<BackendConnection>>> mIdle;
 };
 
-/// Sets the options of every connection that this system opens: no delay, and an end after
-/// data stays unacknowledged or the peer falls silent.
+/// Sets the options of every connection that this system opens: no delay, and an end
+/// after data stays unacknowledged or the peer falls silent.
 void SetConnectionOptions(tcp::socket& aSocket);
 
 }
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -67,10 +67,9 @@
 
 void CallerSession::Tick(timing::Instant aNow)
 {
-  const bool idleOver = mState == State::Idle &&
-                        (aNow - mSince >= Limits().mIdleTimeout || aNow >= mIdleEnd);
-  const bool slow =
-    mState == State::Reading && aNow - mSince >= Limits().mHeaderTimeout;
+  const bool idleOver =
+    mState == State::Idle && (aNow - mSince >= Limits().mIdleTimeout || aNow >= mIdleEnd);
+  const bool slow = mState == State::Reading && aNow - mSince >= Limits().mHeaderTimeout;
   if (idleOver || slow) {
     CloseSocket(mSocket);
   }
@@ -219,8 +218,7 @@
       { "status", aForwarder.Status() },
       { "outcome", aForwarder.Outcome() },
       { "route", admission.mRoute->mName },
-      { "account",
-        admission.mAccount != nullptr ? admission.mAccount->mName.Str() : "" },
+      { "account", admission.mAccount != nullptr ? admission.mAccount->mName.Str() : "" },
       { "tokens", admission.mTokens },
       { "model", admission.mFacts.mModel.Str() },
       { "adapter", admission.mFacts.mAdapter },
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -2,7 +2,8 @@
 
 namespace samphiresail::frontend {
 
-void ExchangeTable::Tick(timing::Instant aNow)
+void ExchangeTable::Tick(timing::Instant aNow,
+                         const std::function<bool(const Exchange&)>& aMayRepeat)
 {
   for (Exchange* exchange : mExchanges) {
     if (aNow >= exchange->mAdmission.mDeadline) {
@@ -13,8 +14,11 @@
         CloseSocket(*exchange->mCaller);
       }
     } else if (aNow >= exchange->mAttemptDeadline) {
-      exchange->mAttemptTimedOut = true;
-      exchange->BreakAttempt();
+      exchange->mAttemptDeadline = timing::Instant::max();
+      if (exchange->mConnecting || aMayRepeat(*exchange)) {
+        exchange->mRepeatGranted = !exchange->mConnecting;
+        exchange->BreakAttempt();
+      }
     }
   }
 }
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_EXCHANGE_HPP
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_EXCHANGE_HPP
 
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,9 +28,11 @@
   bool mMayHaveRun{ false };
   bool mCallerGone{ false };
   bool mExpired{ false };
-  /// The current attempt ran into mAttemptDeadline.
-  bool mAttemptTimedOut{ false };
+  /// The current attempt ran into mAttemptDeadline, and another one may follow.
+  bool mRepeatGranted{ false };
   timing::Instant mAttemptDeadline{ timing::Instant::max() };
+  /// Nothing was sent yet in the current attempt.
+  bool mConnecting{ false };
   /// Connection of the current attempt, so that it can be closed from outside.
   BackendConnection* mBackend{ nullptr };
   tcp::socket* mCaller{ nullptr };
@@ -47,8 +50,8 @@
   }
 };
 
-/// Table of the exchanges under way. The tick ends those whose time is over, in place of a
-/// timer for each.
+/// Table of the exchanges under way. The tick ends those whose time is over, in place of
+/// a timer for each.
 class ExchangeTable
 {
 public:
@@ -58,7 +61,9 @@
   void Add(Exchange* aExchange) { mExchanges.insert(aExchange); }
   void Remove(Exchange* aExchange) { mExchanges.erase(aExchange); }
   std::size_t Size() const { return mExchanges.size(); }
-  void Tick(timing::Instant aNow);
+  /// Ends what is over. An attempt that takes too long is broken off only if aMayRepeat
+  /// grants another one: an endpoint's silence alone is no reason to end an answer.
+  void Tick(timing::Instant aNow, const std::function<bool(const Exchange&)>& aMayRepeat);
 
 private:
   std::set<Exchange*> mExchanges;
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -12,17 +12,18 @@
 
 using std::chrono::milliseconds;
 
-/// Wait for an adapter that the leader loads on demand: a digest, an order to make way, an
-/// order to load, and some milliseconds of loading.
+/// Wait for an adapter that the leader loads on demand: a digest, an order to make way,
+/// an order to load, and some milliseconds of loading.
 constexpr milliseconds kAdapterWait{ 600 };
 /// Time to open a connection to an endpoint; two lost packets fit in.
 constexpr milliseconds kConnectLimit{ 450 };
 /// Wait for the head of an answer before a request that may be repeated goes elsewhere.
 constexpr milliseconds kHeadLimit{ 900 };
 /// Wait for the first event of a stream that may be resumed, as a multiple of its target.
-constexpr int kFirstEventTargets = 6;
-constexpr milliseconds kFirstEventLeast{ 1500 };
-/// Pause in a stream after which it is resumed elsewhere; callers leave after two seconds.
+constexpr int kFirstEventTargets = 8;
+constexpr milliseconds kFirstEventLeast{ 2200 };
+/// Pause in a stream after which it is resumed elsewhere; callers leave after two
+/// seconds.
 constexpr milliseconds kGapLimit{ 1300 };
 /// Answers that are kept whole before they are handed on, in bytes.
 constexpr std::size_t kWholeAnswerMost = 8U << 20U;
@@ -33,10 +34,15 @@
 /// Head and buffer of an endpoint's answer, in bytes.
 constexpr std::uint32_t kAnswerHeadMost = 16384;
 
-constexpr std::array<std::string_view, 9> kHopHeaders{
-  "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-  "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade"
-};
+constexpr std::array<std::string_view, 9> kHopHeaders{ "Connection",
+                                                       "Keep-Alive",
+                                                       "Proxy-Connection",
+                                                       "Proxy-Authenticate",
+                                                       "Proxy-Authorization",
+                                                       "TE",
+                                                       "Trailer",
+                                                       "Transfer-Encoding",
+                                                       "Upgrade" };
 
 bool Same(std::string_view aLeft, std::string_view aRight)
 {
@@ -82,8 +88,7 @@
 std::string AnswerHead(const http::response_header<>& aHeader)
 {
   std::string head = StatusLine(aHeader.result_int(), View(aHeader.reason()));
-  AppendEndToEnd(
-    aHeader, head, [](std::string_view, bool aNamed) { return aNamed; });
+  AppendEndToEnd(aHeader, head, [](std::string_view, bool aNamed) { return aNamed; });
   return head;
 }
 
@@ -123,9 +128,8 @@
                            bool aKeepAlive)
 {
   const std::string body = "{\"error\":\"" + aRefusal.mReason + "\"}";
-  std::string head =
-    StatusLine(aRefusal.mStatus,
-               View(http::obsolete_reason(http::int_to_status(aRefusal.mStatus))));
+  std::string head = StatusLine(
+    aRefusal.mStatus, View(http::obsolete_reason(http::int_to_status(aRefusal.mStatus))));
   aDialect.WriteOwnAnswer(aFacts, head);
   if (aRefusal.mRetryAfter) {
     std::array<char, 24> seconds{};
@@ -169,7 +173,7 @@
     }
     const ids::EndpointId endpoint = choice.mEndpoint->mReport.mId;
     mExchange.mTried.push_back(endpoint);
-    mExchange.mAttemptTimedOut = false;
+    mExchange.mRepeatGranted = false;
     const Result result = co_await Attempt(*choice.mEndpoint);
     mExchange.mAttemptDeadline = timing::Instant::max();
     const bool over = mExchange.mCallerGone || mExchange.mExpired;
@@ -187,8 +191,9 @@
       mExchange.mMayHaveRun = true;
     }
     const bool repeatable = result == Result::NotRun || !Irreversible();
-    if (!repeatable ||
-        !control.MayRepeat(admission, mExchange.mSent, mContext.mClock.Now())) {
+    if (!mExchange.mRepeatGranted &&
+        (!repeatable ||
+         !control.MayRepeat(admission, mExchange.mSent, mContext.mClock.Now()))) {
       co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
                                 gateway::NoEndpoint::Full);
     }
@@ -204,8 +209,7 @@
   bool wanted = false;
   for (;;) {
     const timing::Instant now = mContext.mClock.Now();
-    gateway::Choice choice =
-      mContext.mControl.Begin(admission, mExchange.mTried, now);
+    gateway::Choice choice = mContext.mControl.Begin(admission, mExchange.mTried, now);
     if (choice.mEndpoint != nullptr ||
         choice.mReason != gateway::NoEndpoint::AdapterAbsent || now >= until ||
         mExchange.mCallerGone) {
@@ -272,15 +276,16 @@
     co_return nullptr;
   }
   mExchange.mBackend = connection.get();
+  mExchange.mConnecting = true;
   SetAttemptDeadline(kConnectLimit);
   const tcp::endpoint endpoint(host, aAddress.mPort);
   co_await connection->mSocket.async_connect(endpoint, Into(ec));
   mExchange.mBackend = nullptr;
+  mExchange.mConnecting = false;
   mExchange.mAttemptDeadline = timing::Instant::max();
   if (ec || mExchange.mCallerGone || mExchange.mExpired) {
     co_return nullptr;
   }
-  mExchange.mAttemptTimedOut = false;
   connection->mSocket.non_blocking(true, ec);
   SetConnectionOptions(connection->mSocket);
   co_return connection;
@@ -301,9 +306,9 @@
   });
   AttemptFacts facts;
   facts.mEndpoint = aEndpoint;
-  facts.mTimeLeft = std::max(milliseconds(1),
-                             std::chrono::floor<milliseconds>(admission.mDeadline -
-                                                              mContext.mClock.Now()));
+  facts.mTimeLeft = std::max(
+    milliseconds(1),
+    std::chrono::floor<milliseconds>(admission.mDeadline - mContext.mClock.Now()));
   if (admission.mAccount != nullptr) {
     facts.mAccount = admission.mAccount->mName;
   }
@@ -329,10 +334,10 @@
   const gateway::Route& route = *mExchange.mAdmission.mRoute;
   const bool stream = route.mKind == gateway::RequestKind::Stream;
   if (!Irreversible()) {
-    SetAttemptDeadline(stream ? std::max<timing::Duration>(
-                                  route.mTargetLatency * kFirstEventTargets,
-                                  kFirstEventLeast)
-                              : timing::Duration(kHeadLimit));
+    SetAttemptDeadline(stream
+                         ? std::max<timing::Duration>(
+                             route.mTargetLatency * kFirstEventTargets, kFirstEventLeast)
+                         : timing::Duration(kHeadLimit));
   }
   std::optional<AnswerParser> parser;
   gateway::AnswerFacts facts;
@@ -518,10 +523,10 @@
 {
   mStatus = aRefusal.mStatus;
   mContext.mMetrics.mRefusals.Increment();
-  std::string answer = BuildOwnAnswer(
-    mContext.mDialect, mExchange.mAdmission.mFacts, aRefusal, mKeepAlive);
+  std::string answer =
+    BuildOwnAnswer(mContext.mDialect, mExchange.mAdmission.mFacts, aRefusal, mKeepAlive);
   const bool written = co_await WriteCaller(std::move(answer));
-  co_return written && mKeepAlive;
+  co_return written&& mKeepAlive;
 }
 
 asio::awaitable<bool> Forwarder::Finish(Result aResult, gateway::NoEndpoint aReason)
@@ -544,7 +549,7 @@
     Note("endpoint failed");
     mStatus = mFailureStatus;
     const bool written = co_await WriteCaller(std::move(mFailureAnswer));
-    co_return written && mKeepAlive;
+    co_return written&& mKeepAlive;
   }
   const bool sent = mExchange.mSent > 0;
   if (aResult == Result::NotRun || (!sent && !mExchange.mMayHaveRun)) {
@@ -555,9 +560,8 @@
     co_return keep;
   }
   const gateway::Refusal failure =
-    mExchange.mExpired
-      ? OwnAnswer(504, "the endpoint did not answer in time")
-      : OwnAnswer(502, "the endpoint gave no whole answer");
+    mExchange.mExpired ? OwnAnswer(504, "the endpoint did not answer in time")
+                       : OwnAnswer(502, "the endpoint gave no whole answer");
   Note(failure.mReason);
   const bool keep = co_await SendOwn(failure);
   co_return keep;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -36,8 +36,8 @@
   std::function<void()> mOnAdapterWanted;
 };
 
-/// Carries one admitted request: chooses an endpoint, sends the request, hands the answer to
-/// the caller, and repeats or resumes it elsewhere where that is allowed.
+/// Carries one admitted request: chooses an endpoint, sends the request, hands the answer
+/// to the caller, and repeats or resumes it elsewhere where that is allowed.
 class Forwarder
 {
 public:
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -131,8 +131,7 @@
     if (ec) {
       co_return;
     }
-    const Answer answer =
-      mHandler({ request.target().data(), request.target().size() });
+    const Answer answer = mHandler({ request.target().data(), request.target().size() });
     http::response<http::string_body> response(http::int_to_status(answer.mStatus),
                                                request.version());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
--- a/components/gateway/coldlimiter.cpp
+++ b/components/gateway/coldlimiter.cpp
@@ -21,9 +21,8 @@
     return true;
   }
   const auto entries = static_cast<double>(std::max<std::size_t>(aEntries, 1));
-  const auto share =
-    std::max<std::size_t>(1, static_cast<std::size_t>(
-                               kUsedPart * (aPerSecond * mFactor + mSlack) / entries));
+  const auto share = std::max<std::size_t>(
+    1, static_cast<std::size_t>(kUsedPart * (aPerSecond * mFactor + mSlack) / entries));
   const auto it = mSent.find(aEndpoint);
   return it == mSent.end() || it->second.Count(aNow) < share;
 }
--- a/components/gateway/coldlimiter.hpp
+++ b/components/gateway/coldlimiter.hpp
@@ -8,9 +8,9 @@
 
 namespace samphiresail::gateway {
 
-/// Load answered: requests that rush to endpoints in cold start. Each entry takes an equal
-/// share of what such an endpoint bears in any second, so that the bound over all entries
-/// holds without any message between them.
+/// Load answered: requests that rush to endpoints in cold start. Each entry takes an
+/// equal share of what such an endpoint bears in any second, so that the bound over all
+/// entries holds without any message between them.
 class ColdLimiter
 {
 public:
--- a/components/gateway/demandmeter.cpp
+++ b/components/gateway/demandmeter.cpp
@@ -50,9 +50,8 @@
 
 void DemandMeter::Tick(timing::Instant aNow)
 {
-  std::erase_if(mCounters, [aNow](const auto& aRow) {
-    return Decayed(aRow.second, aNow) < kForget;
-  });
+  std::erase_if(
+    mCounters, [aNow](const auto& aRow) { return Decayed(aRow.second, aNow) < kForget; });
 }
 
 }
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -55,8 +55,8 @@
   /// Milliseconds until the first token, exponentially weighted.
   double mFirstTokenMs{ 0.0 };
 
-  /// Adapters that the leader had loaded since the last report, by the digest key of model
-  /// and adapter, with the instant at which that was heard.
+  /// Adapters that the leader had loaded since the last report, by the digest key of
+  /// model and adapter, with the instant at which that was heard.
   std::unordered_map<std::uint64_t, timing::Instant> mAnnounced;
 
   bool HoldsModel(const ids::ModelId& aModel) const
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Load by slots that an endpoint with failures must be better by, so that it is taken last.
+/// Load by slots that an endpoint with failures must be better by, so that it is taken
+/// last.
 constexpr double kOutlierPenalty = 4.0;
 constexpr double kAvoidPenalty = 8.0;
 /// Upper end of the random part of a score, which spreads the choices of equals.
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -31,9 +31,9 @@
   NoEndpoint mReason{ NoEndpoint::NoneUsable };
 };
 
-/// Load answered: all days. Sends a request to the endpoint that holds its model and adapter
-/// and has the fewest requests of all entries for its slots, and prefers the entry's own
-/// availability zone while that costs little time.
+/// Load answered: all days. Sends a request to the endpoint that holds its model and
+/// adapter and has the fewest requests of all entries for its slots, and prefers the
+/// entry's own availability zone while that costs little time.
 class EndpointChooser
 {
 public:
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -11,8 +11,7 @@
   if (!added && aReport.mIncarnation < endpoint.mReport.mIncarnation) {
     return;
   }
-  const bool restarted =
-    !added && aReport.mIncarnation > endpoint.mReport.mIncarnation;
+  const bool restarted = !added && aReport.mIncarnation > endpoint.mReport.mIncarnation;
   if (restarted) {
     const unsigned inFlight = endpoint.mInFlight;
     endpoint = Endpoint{};
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -21,11 +21,12 @@
   static constexpr timing::Duration kLapseGrace = std::chrono::milliseconds(1700);
   /// How long an announced adapter counts as held; by then the endpoint's report tells.
   static constexpr timing::Duration kAnnouncedLife = std::chrono::milliseconds(3000);
-  /// How long an endpoint that was cold, or whose zone comes back, is loaded with care: its
-  /// next report may tell of a cold start.
+  /// How long an endpoint that was cold, or whose zone comes back, is loaded with care:
+  /// its next report may tell of a cold start.
   static constexpr timing::Duration kRampTime = std::chrono::seconds(3);
 
-  /// Records what an endpoint says of itself; reports of earlier incarnations are ignored.
+  /// Records what an endpoint says of itself; reports of earlier incarnations are
+  /// ignored.
   void Update(EndpointReport aReport, timing::Instant aNow);
 
   /// Records that an endpoint is no longer listed. With aAfterOutage its record may have
--- a/components/gateway/fleetplanner.cpp
+++ b/components/gateway/fleetplanner.cpp
@@ -101,8 +101,7 @@
 
   bool Fits(const Engine& aEngine, const ModelSpec& aModel) const
   {
-    return mUsed.at(aEngine.mId) + aModel.mMemoryMb + AdapterReserve() <=
-           mSpec.mMemoryMb;
+    return mUsed.at(aEngine.mId) + aModel.mMemoryMb + AdapterReserve() <= mSpec.mMemoryMb;
   }
 
   void Order(const Engine& aEngine, EngineOrder aOrder)
@@ -239,9 +238,8 @@
           Load(*engine, *model);
         }
       } else if (making < missing.size()) {
-        const double most = Demand(model->mName) > 0
-                              ? std::numeric_limits<double>::max()
-                              : FleetPlanner::kSpareable;
+        const double most = Demand(model->mName) > 0 ? std::numeric_limits<double>::max()
+                                                     : FleetPlanner::kSpareable;
         making += MakeRoom(*model, most) ? 1 : 0;
       }
     }
@@ -261,10 +259,9 @@
         models.push_back(&model);
       }
     }
-    std::ranges::stable_sort(
-      models, std::ranges::greater{}, [this](const ModelSpec* aModel) {
-        return Need(*aModel);
-      });
+    std::ranges::stable_sort(models,
+                             std::ranges::greater{},
+                             [this](const ModelSpec* aModel) { return Need(*aModel); });
     return models;
   }
 
@@ -318,8 +315,8 @@
     }
   }
 
-  /// Spreads the adapters of models in demand over the copies, in two rounds so that every
-  /// adapter has one place before any has two.
+  /// Spreads the adapters of models in demand over the copies, in two rounds so that
+  /// every adapter has one place before any has two.
   void PlaceAdapters()
   {
     std::map<ids::EndpointId, std::set<std::pair<ids::ModelId, std::string>>> wanted;
--- a/components/gateway/leadership.hpp
+++ b/components/gateway/leadership.hpp
@@ -8,9 +8,10 @@
 
 namespace samphiresail::gateway {
 
-/// Registration of this entry in the platform's store and the leadership that it may hold:
-/// one lease carries both records. Only the leader orders loads. Its fencing token is the
-/// revision at which its record was created, and it stops before its lease can have ended.
+/// Registration of this entry in the platform's store and the leadership that it may
+/// hold: one lease carries both records. Only the leader orders loads. Its fencing token
+/// is the revision at which its record was created, and it stops before its lease can
+/// have ended.
 class Leadership
 {
 public:
--- a/components/gateway/orderbook.cpp
+++ b/components/gateway/orderbook.cpp
@@ -98,8 +98,7 @@
   std::vector<EngineAction> actions;
   std::vector<EngineView> views;
   for (const auto& [id, endpoint] : aDirectory.All()) {
-    if (endpoint.mReport.mService != aService.mName ||
-        aNow >= endpoint.mUsableUntil) {
+    if (endpoint.mReport.mService != aService.mName || aNow >= endpoint.mUsableUntil) {
       continue;
     }
     Engine& engine = mEngines[id];
@@ -119,12 +118,10 @@
     }
     views.push_back(View(endpoint, engine, aDirectory, aNow));
   }
-  std::erase_if(mEngines, [&](const auto& aRow) {
-    return !aDirectory.All().contains(aRow.first);
-  });
+  std::erase_if(mEngines,
+                [&](const auto& aRow) { return !aDirectory.All().contains(aRow.first); });
   const std::size_t loads = LoadsAllowed(*aService.mEngine, aNow);
-  for (PlannedOrder& planned :
-       mPlanner.Plan(*aService.mEngine, views, aDemand, loads)) {
+  for (PlannedOrder& planned : mPlanner.Plan(*aService.mEngine, views, aDemand, loads)) {
     Engine& engine = mEngines[planned.mEndpoint];
     if (ConcernsModel(planned.mOrder) && planned.mOrder.mKind == OrderKind::Load) {
       mLoads.Add(aNow);
--- a/components/gateway/orderbook.hpp
+++ b/components/gateway/orderbook.hpp
@@ -47,9 +47,9 @@
   std::uint64_t mPrecondition{ 0 };
 };
 
-/// The leader's knowledge of each engine and of the orders under way. Every order states how
-/// many orders the engine must have accepted before, so that one whose answer is lost can be
-/// sent again and only one of the copies is carried out.
+/// The leader's knowledge of each engine and of the orders under way. Every order states
+/// how many orders the engine must have accepted before, so that one whose answer is lost
+/// can be sent again and only one of the copies is carried out.
 class OrderBook
 {
 public:
@@ -59,8 +59,8 @@
   /// Window of the ceiling of loads from the weight store.
   static constexpr timing::Duration kLoadWindow = std::chrono::seconds(5);
 
-  /// Forgets everything; for a new leader. Models are loaded only from aLoadsFrom on, since
-  /// the loads of an earlier leader in the last window are not known here.
+  /// Forgets everything; for a new leader. Models are loaded only from aLoadsFrom on,
+  /// since the loads of an earlier leader in the last window are not known here.
   void Reset(timing::Instant aLoadsFrom);
 
   /// Returns what is to be done now. Each action gets one outcome or report before the
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -67,15 +67,15 @@
 
 bool PeerTable::HearsAll(timing::Instant aNow) const
 {
-  return std::ranges::all_of(
-    mPeers, [&](const auto& aRow) { return Fresh(aRow.second, aNow); });
+  return std::ranges::all_of(mPeers,
+                             [&](const auto& aRow) { return Fresh(aRow.second, aNow); });
 }
 
 bool PeerTable::AllHearAll(timing::Instant aNow) const
 {
-  return std::ranges::all_of(mPeers, [&](const auto& aRow) {
-    return Fresh(aRow.second, aNow) && aRow.second.mDigest.mHearsAll;
-  });
+  return aNow >= mStart + kJoin && std::ranges::all_of(mPeers, [&](const auto& aRow) {
+           return Fresh(aRow.second, aNow) && aRow.second.mDigest.mHearsAll;
+         });
 }
 
 std::vector<settings::SocketAddress> PeerTable::Addresses() const
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_PEERTABLE_HPP
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_PEERTABLE_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,7 +44,8 @@
 /// Number by which digests name an endpoint, an account or a model.
 std::uint64_t DigestKey(const std::string& aName);
 
-/// Table of the other entries: who is registered in the store, who is heard, what they said.
+/// Table of the other entries: who is registered in the store, who is heard, what they
+/// said.
 class PeerTable
 {
 public:
@@ -52,11 +54,22 @@
   /// How long an entry still counts after it is neither registered nor heard.
   static constexpr timing::Duration kForget = std::chrono::milliseconds(3000);
 
-  explicit PeerTable(ids::ProcessId aOwn)
+  /// How long after its start a process may not know all others that started with it.
+  static constexpr timing::Duration kJoin = std::chrono::milliseconds(2000);
+
+  PeerTable(ids::ProcessId aOwn, timing::Instant aStart)
     : mOwn(std::move(aOwn))
+    , mStart(aStart)
   {
   }
 
+  /// Sets how many entries there were at most, as the store's record says. While the
+  /// process joins, as many are taken to be at work.
+  void SetRecorded(std::size_t aEntries) { mRecorded = aEntries; }
+  std::size_t Recorded() const { return mRecorded; }
+  /// Entries that are registered or heard, this one included.
+  std::size_t Known() const { return mPeers.size() + 1; }
+
   /// Records the registration of an entry, or that it ended.
   void Register(const ids::ProcessId& aProcess,
                 const settings::SocketAddress& aAddress,
@@ -67,10 +80,14 @@
   void Tick(timing::Instant aNow);
 
   /// Entries that may be at work, this one included.
-  std::size_t Entries() const { return mPeers.size() + 1; }
+  std::size_t Entries(timing::Instant aNow) const
+  {
+    return aNow < mStart + kJoin ? std::max(Known(), mRecorded) : Known();
+  }
   /// True if every other entry was heard lately.
   bool HearsAll(timing::Instant aNow) const;
-  /// True if, beside that, each of them says that it hears all.
+  /// True if, beside that, each of them says that it hears all, and this process is no
+  /// longer joining.
   bool AllHearAll(timing::Instant aNow) const;
   std::vector<settings::SocketAddress> Addresses() const;
   /// Entries whose registration is in the store.
@@ -94,6 +111,8 @@
   bool Fresh(const Peer& aPeer, timing::Instant aNow) const;
 
   ids::ProcessId mOwn;
+  timing::Instant mStart;
+  std::size_t mRecorded{ 0 };
   std::map<ids::ProcessId, Peer> mPeers;
 };
 
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -10,6 +10,9 @@
 
 /// A peer that fell silent is not carried forward for longer, in seconds.
 constexpr double kCarryMost = 0.6;
+/// Equal shares of the common bucket that one entry may take before it hears of the
+/// others.
+constexpr double kHastyShare = 2.0;
 
 double Seconds(timing::Duration aDuration)
 {
@@ -83,8 +86,14 @@
     return std::ranges::find(aPeers, aRow.first, &PeerQuota::mProcess) == aPeers.end();
   });
   account.mEntries = std::max<std::size_t>(aEntries, 1);
-  account.mAllHeard = aAllHeard;
   const auto entries = static_cast<double>(account.mEntries);
+  if (aAllHeard && !account.mAllHeard) {
+    // What entries admitted before they were first heard is not in the common bucket. If
+    // all had about the same to do, their parts have as much left as this one's.
+    account.mAll.mLevel =
+      std::min(account.mAll.mLevel, std::max(account.mPart.mLevel, 0.0) * entries);
+  }
+  account.mAllHeard = aAllHeard;
   account.mPart.Resize(account.mPartsSize / entries, account.mAll.mRate / entries);
 }
 
@@ -106,7 +115,8 @@
   }
   const double grown = aQuota.mAdmitted - peer.mAdmitted;
   aAccount.mAll.mLevel -= grown - peer.mCharged;
-  peer.mRate = std::max(grown, 0.0) / std::max(Seconds(aQuota.mHeard - peer.mHeard), 0.01);
+  peer.mRate =
+    std::max(grown, 0.0) / std::max(Seconds(aQuota.mHeard - peer.mHeard), 0.01);
   peer.mHeard = aQuota.mHeard;
   peer.mAdmitted = aQuota.mAdmitted;
   peer.mCharged = 0.0;
@@ -139,7 +149,12 @@
   const Bucket& bucket = account.mAllHeard ? account.mAll : account.mPart;
   // A request larger than the bucket passes when the bucket is full.
   const double needed = std::min(aTokens, bucket.mSize);
-  if (bucket.mLevel >= needed) {
+  // The others may be about to use the same tokens: beyond its own part an entry takes a
+  // share of what is left.
+  const double share = std::min(1.0, kHastyShare / static_cast<double>(account.mEntries));
+  const bool early =
+    account.mAllHeard && account.mPart.mLevel < needed && bucket.mLevel * share < needed;
+  if (bucket.mLevel >= needed && !early) {
     account.mAll.mLevel -= aTokens;
     account.mPart.mLevel = std::max(account.mPart.mLevel - aTokens, -account.mPart.mSize);
     account.mAdmitted += aTokens;
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -39,23 +39,23 @@
 };
 
 /// Load answered: an account that sends several times its rate through unevenly loaded
-/// entries. Each entry keeps a token bucket of what all entries together may admit, from its
-/// own count and the counts in the others' digests, carried forward at their last rates. A
-/// second bucket holds an equal part of it, and alone decides while some entry is not heard,
-/// which is safe whoever is cut off. Buckets start nearly empty, so that a restart gives no
-/// second burst.
+/// entries. Each entry keeps a token bucket of what all entries together may admit, from
+/// its own count and the counts in the others' digests, carried forward at their last
+/// rates. A second bucket holds an equal part of it, and alone decides while some entry
+/// is not heard, which is safe whoever is cut off. Buckets start nearly empty, so that a
+/// restart gives no second burst.
 class QuotaLedger
 {
 public:
   /// Part of a window's limit that flows in evenly; the rest may come at once.
-  static constexpr double kEvenPart = 0.93;
+  static constexpr double kEvenPart = 0.9;
   /// Part of the tolerance by which the buckets are larger, for requests that several
   /// entries admit before they hear of each other.
-  static constexpr double kUsedTolerance = 0.3;
+  static constexpr double kUsedTolerance = 0.2;
   /// Level of a new bucket as a part of its size.
-  static constexpr double kFirstLevel = 0.6;
+  static constexpr double kFirstLevel = 0.3;
   /// As kUsedTolerance for the equal parts: what they give out needs no digests.
-  static constexpr double kPartTolerance = 0.8;
+  static constexpr double kPartTolerance = 0.6;
 
   void SetTerms(const QuotaTerms& aTerms) { mTerms = aTerms; }
 
--- a/components/gateway/repeatbudget.cpp
+++ b/components/gateway/repeatbudget.cpp
@@ -7,8 +7,8 @@
 RepeatBudget::Traffic& RepeatBudget::Of(const ids::ServiceId& aService)
 {
   return mTraffic
-    .try_emplace(aService,
-                 Traffic{ SlidingWindow(mLimits.mWindow), SlidingWindow(mLimits.mWindow) })
+    .try_emplace(
+      aService, Traffic{ SlidingWindow(mLimits.mWindow), SlidingWindow(mLimits.mWindow) })
     .first->second;
 }
 
--- a/components/gateway/repeatbudget.hpp
+++ b/components/gateway/repeatbudget.hpp
@@ -18,14 +18,14 @@
 };
 
 /// Load answered: failing endpoints, where repeats would multiply the traffic. Limits the
-/// repeats to each service in any window to a share of its first sends. Every entry uses its
-/// own first sends and an equal part of the free repeats, so that the sum over all entries
-/// keeps the bound without messages.
+/// repeats to each service in any window to a share of its first sends. Every entry uses
+/// its own first sends and an equal part of the free repeats, so that the sum over all
+/// entries keeps the bound without messages.
 class RepeatBudget
 {
 public:
-  /// Part of the bound that is used; the rest covers requests that end a window apart from
-  /// their repeats.
+  /// Part of the bound that is used; the rest covers requests that end a window apart
+  /// from their repeats.
   static constexpr double kUsedPart = 0.75;
 
   void SetLimits(const RepeatBudgetLimits& aLimits) { mLimits = aLimits; }
--- a/components/gateway/servingconfiguration.hpp
+++ b/components/gateway/servingconfiguration.hpp
@@ -108,7 +108,8 @@
   std::chrono::milliseconds mIdleTimeout{ 15000 };
 };
 
-/// One version of the operators' configuration, indexed for look-ups. Immutable once built.
+/// One version of the operators' configuration, indexed for look-ups. Immutable once
+/// built.
 class ServingConfiguration
 {
 public:
--- a/components/gateway/storecontact.hpp
+++ b/components/gateway/storecontact.hpp
@@ -5,8 +5,8 @@
 
 namespace samphiresail::gateway {
 
-/// Knows up to which instant this process has seen the changes in the platform's store. All
-/// bounds on withdrawn keys and on configurations rest on this one instant.
+/// Knows up to which instant this process has seen the changes in the platform's store.
+/// All bounds on withdrawn keys and on configurations rest on this one instant.
 class StoreContact
 {
 public:
@@ -19,8 +19,8 @@
   /// How long after an outage removals are taken as lapses.
   static constexpr timing::Duration kLapseWindow = std::chrono::milliseconds(3000);
 
-  /// Records that all changes up to aAsOf are known. The caller passes an instant at which
-  /// the call was certainly not yet answered, such as the one when it was sent.
+  /// Records that all changes up to aAsOf are known. The caller passes an instant at
+  /// which the call was certainly not yet answered, such as the one when it was sent.
   void Confirm(timing::Instant aAsOf, timing::Instant aNow)
   {
     if (mKnown && aNow - mConfirmed > kOutageGap) {
@@ -43,8 +43,9 @@
   /// True if a record that vanishes now may belong to an owner that is alive.
   bool AfterOutage(timing::Instant aNow) const
   {
-    return mKnown && (aNow - mConfirmed > kOutageGap ||
-                      (mOutageEnd != timing::Instant{} && aNow - mOutageEnd < kLapseWindow));
+    return mKnown &&
+           (aNow - mConfirmed > kOutageGap ||
+            (mOutageEnd != timing::Instant{} && aNow - mOutageEnd < kLapseWindow));
   }
   timing::Duration Age(timing::Instant aNow) const
   {
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -60,11 +60,11 @@
 
 const ids::ServiceId& TrafficControl::PickService(const Route& aRoute)
 {
-  const double total =
-    std::accumulate(aRoute.mServices.begin(),
-                    aRoute.mServices.end(),
-                    0.0,
-                    [](double aSum, const ServiceShare& aShare) { return aSum + aShare.mWeight; });
+  const double total = std::accumulate(
+    aRoute.mServices.begin(),
+    aRoute.mServices.end(),
+    0.0,
+    [](double aSum, const ServiceShare& aShare) { return aSum + aShare.mWeight; });
   double at = std::uniform_real_distribution<double>(0.0, std::max(total, 1e-9))(mRandom);
   for (const ServiceShare& share : aRoute.mServices) {
     at -= share.mWeight;
@@ -136,8 +136,7 @@
       aFacts.mStatesTokens
         ? static_cast<double>(aFacts.mPromptTokens + aFacts.mOutputTokens)
         : account->mPlainTokens;
-    const QuotaDecision quota =
-      mQuotas.Take(account->mName, admission.mTokens, aNow);
+    const QuotaDecision quota = mQuotas.Take(account->mName, admission.mTokens, aNow);
     if (!quota.mAdmitted) {
       const auto wait = std::chrono::ceil<milliseconds>(quota.mRetryAfter);
       return Refusal{ 429,
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -67,8 +67,9 @@
   Abandoned,
 };
 
-/// All decisions on requests, without sockets: who is let in, where a request goes, whether
-/// it may be sent again. Tables change through the public members; the time is passed in.
+/// All decisions on requests, without sockets: who is let in, where a request goes,
+/// whether it may be sent again. Tables change through the public members; the time is
+/// passed in.
 class TrafficControl
 {
 public:
@@ -101,9 +102,7 @@
   void End(const ids::EndpointId& aEndpoint, AttemptEnd aEnd, timing::Instant aNow);
 
   /// True if the request may be sent to one more endpoint; spends from the budget.
-  bool MayRepeat(const Admission& aAdmission,
-                 std::size_t aSent,
-                 timing::Instant aNow);
+  bool MayRepeat(const Admission& aAdmission, std::size_t aSent, timing::Instant aNow);
 
   /// Returns the answer for a request for which no endpoint was found. It never ran.
   Refusal RefuseNotRun(const Admission& aAdmission, NoEndpoint aReason);
--- a/components/store/etcdcodec.cpp
+++ b/components/store/etcdcodec.cpp
@@ -157,8 +157,11 @@
         return WriteTransaction(aTransaction);
       },
       [](const LeaseGrantRequest& aGrant) {
-        const Json body{ { "TTL", std::to_string(
-                           std::chrono::ceil<std::chrono::seconds>(aGrant.mTimeToLive).count()) } };
+        const Json body{
+          { "TTL",
+            std::to_string(
+              std::chrono::ceil<std::chrono::seconds>(aGrant.mTimeToLive).count()) }
+        };
         return EtcdCall{ "/v3/lease/grant", body.dump() };
       },
       [](const LeaseKeepAliveRequest& aKeepAlive) {
