--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -48,14 +48,14 @@
 {
 public:
   /// Part of a window's limit that flows in evenly; the rest may come at once.
-  static constexpr double kEvenPart = 0.9;
+  static constexpr double kEvenPart = 0.88;
   /// Part of the tolerance by which the buckets are larger, for requests that several
   /// entries admit before they hear of each other.
   static constexpr double kUsedTolerance = 0.2;
   /// Level of a new bucket as a part of its size.
-  static constexpr double kFirstLevel = 0.3;
+  static constexpr double kFirstLevel = 0.15;
   /// As kUsedTolerance for the equal parts: what they give out needs no digests.
-  static constexpr double kPartTolerance = 0.6;
+  static constexpr double kPartTolerance = 0.5;
 
   void SetTerms(const QuotaTerms& aTerms) { mTerms = aTerms; }
 
