--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <random>
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -76,7 +78,9 @@
   , mSettingsPath(std::move(aSettingsPath))
   , mSettings(std::move(aSettings))
   , mClock(aClock)
-  , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel))
+  , mLogOutput(STDOUT_FILENO)
+  , mLogStream(&mLogOutput)
+  , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel), mLogStream)
   , mMetrics(mRegistry)
   , mIncarnation(WallMillis(aClock))
   , mControl(mSettings.mZone, DrawSeed())
@@ -149,6 +153,7 @@
     mIo, [this] { return TickLoop(); }, asio::detached);
   mIo.run();
   mLogger.Info("stop", { { "requests_left", mExchanges.Size() } });
+  mLogOutput.Flush();
 }
 
 asio::awaitable<void> GatewayProcess::TickLoop()
@@ -182,9 +187,13 @@
     mNextPlacement = aNow + kPlacementEvery;
     PlaceModels(aNow);
   }
+  mLogOutput.Flush();
   if (aNow >= mNextUpkeep) {
     mNextUpkeep = aNow + kUpkeepEvery;
     mBackends.Tick(aNow);
+    if (const std::size_t dropped = mLogOutput.TakeDropped()) {
+      mLogger.Warn("log lines dropped", { { "lines", dropped } });
+    }
     RecordEntries();
   }
   if (mStopBegan != timing::Instant::max()) {
@@ -205,7 +214,7 @@
     mIo,
     [this, known]() -> asio::awaitable<void> {
       store::TransactionRequest write;
-      write.mWrites.push_back(
+      write.mWrites.emplace_back(
         store::PutOperation{ kEntryCountKey, std::to_string(known), 0 });
       store::StoreRequest request = std::move(write);
       // A write that fails is made good by another entry or after the next restart.
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <memory>
+#include <ostream>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -17,6 +18,7 @@
 #include "components/gateway/peertable.hpp"
 #include "components/gateway/platformport.hpp"
 #include "components/gateway/trafficcontrol.hpp"
+#include "components/logging/boundedoutput.hpp"
 #include "components/logging/logger.hpp"
 #include "components/metrics/registry.hpp"
 #include "platform/dialect.hpp"
@@ -80,6 +82,8 @@
   std::string mSettingsPath;
   platform::Settings mSettings;
   const timing::Clock& mClock;
+  logging::BoundedOutput mLogOutput;
+  std::ostream mLogStream;
   logging::Logger mLogger;
   metrics::Registry mRegistry;
   frontend::GatewayMetrics mMetrics;
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -1,6 +1,7 @@
 #include "apps/tests/frontend/frontendfixture.hpp"
 
 #include <array>
+#include <atomic>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -140,7 +141,7 @@
                           const std::function<bool(const std::string&)>& aEnough)
 {
   std::string received;
-  bool done = false;
+  std::atomic<bool> done = false;
   const auto caller = [&]() -> asio::awaitable<void> {
     ErrorCode ec;
     tcp::socket socket(mIo);
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -31,7 +31,7 @@
 
   explicit ScriptedEndpoint(asio::io_context& aIo);
 
-  void Expect(Script aScript) { mScripts.push_back(std::move(aScript)); }
+  void Expect(const Script& aScript) { mScripts.push_back(aScript); }
   std::uint16_t Port() const { return mAcceptor.local_endpoint().port(); }
   /// Heads and bodies of the requests that came.
   const std::vector<std::string>& Requests() const { return mRequests; }
--- a/apps/tests/gateway/fleetplannertest.cpp
+++ b/apps/tests/gateway/fleetplannertest.cpp
@@ -37,7 +37,7 @@
   return engine;
 }
 
-DemandOf Demand(std::map<std::string, double> aRates)
+DemandOf Demand(const std::map<std::string, double>& aRates)
 {
   return [aRates](const ids::ModelId& aModel, const std::string& aAdapter) {
     const auto it =
