--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -226,6 +226,7 @@
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
   mControl.SetEntries(mPeers.Entries(aNow));
+  mFeed.SetEntries(mPeers.Entries(aNow));
   std::unordered_map<ids::EndpointId, unsigned> counts;
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
     counts.emplace(id, mPeers.InFlight(id, aNow));
--- a/apps/tests/gateway/quotaledgertest.cpp
+++ b/apps/tests/gateway/quotaledgertest.cpp
@@ -198,6 +198,17 @@
   }
 }
 
+TEST_CASE("quota: a large request passes at one of many entries", "[gateway]")
+{
+  constexpr std::size_t kEntries = 23;
+  constexpr double kLarge = 4300.0;
+  Fleet fleet(kEntries);
+  for (int step = 0; step < 24; ++step) {
+    fleet.Exchange(kNow + step * 250ms);
+  }
+  CHECK(fleet.Offer(7, kLarge, kNow + 6s));
+}
+
 TEST_CASE("quota: an account in excess gets its rate through uneven entries", "[gateway]")
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -13,6 +13,8 @@
 /// Equal shares of the common bucket that one entry may take before it hears of the
 /// others.
 constexpr double kHastyShare = 2.0;
+/// Part of its size from which the common bucket counts as full enough for any request.
+constexpr double kAmple = 0.6;
 
 double Seconds(timing::Duration aDuration)
 {
@@ -152,8 +154,9 @@
   // The others may be about to use the same tokens: beyond its own part an entry takes a
   // share of what is left.
   const double share = std::min(1.0, kHastyShare / static_cast<double>(account.mEntries));
-  const bool early =
-    account.mAllHeard && account.mPart.mLevel < needed && bucket.mLevel * share < needed;
+  const bool early = account.mAllHeard && account.mPart.mLevel < needed &&
+                     bucket.mLevel * share < needed &&
+                     bucket.mLevel < kAmple * bucket.mSize;
   if (bucket.mLevel >= needed && !early) {
     account.mAll.mLevel -= aTokens;
     account.mPart.mLevel = std::max(account.mPart.mLevel - aTokens, -account.mPart.mSize);
