--- /dev/null
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -0,0 +1,171 @@
+#include "apps/samphiresail/gateway/gatewayprocess.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "apps/samphiresail/gateway/recordkeys.hpp"
+#include "components/gateway/peercodec.hpp"
+
+namespace samphiresail::gatewayapp {
+
+namespace asio = boost::asio;
+using frontend::ErrorCode;
+using frontend::Into;
+using gateway::Leadership;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kLeaseLook{ 100 };
+/// A new leader does not know the loads that an earlier one began.
+constexpr milliseconds kLoadsPause{ 1000 };
+
+}
+
+void GatewayProcess::PlaceModels(timing::Instant aNow)
+{
+  const std::optional<std::int64_t> token = mLeadership.Token(aNow);
+  if (token.has_value() != mLeading) {
+    mLeading = token.has_value();
+    mLogger.Info(mLeading ? "leadership begins" : "leadership ends",
+                 { { "token", token.value_or(0) } });
+    mOrders.Reset(mSettings.mFirstStart ? aNow : aNow + kLoadsPause);
+  }
+  if (!token || !mControl.Configuration() || mStopBegan != timing::Instant::max()) {
+    return;
+  }
+  const auto demand = [&](const ids::ModelId& aModel, const std::string& aAdapter) {
+    const std::string name = gateway::DemandMeter::Name(aModel, aAdapter);
+    return mControl.mDemand.Rate(name, aNow) + mPeers.ModelDemand(name, aNow);
+  };
+  for (const gateway::Service& service : mControl.Configuration()->mServices) {
+    if (!service.mEngine) {
+      continue;
+    }
+    for (gateway::EngineAction& action :
+         mOrders.Tick(service, mControl.mDirectory, demand, aNow)) {
+      const gateway::Endpoint* endpoint = mControl.mDirectory.Find(action.mEndpoint);
+      if (endpoint != nullptr) {
+        asio::co_spawn(
+          mIo, Act(std::move(action), endpoint->mReport, *token), asio::detached);
+      }
+    }
+  }
+}
+
+asio::awaitable<void> GatewayProcess::Act(gateway::EngineAction aAction,
+                                          gateway::EndpointReport aEndpoint,
+                                          std::int64_t aToken)
+{
+  if (!aAction.mOrder) {
+    const auto report = co_await mEngines.Report(aEndpoint);
+    mOrders.OnReport(aEndpoint.mId, report, mClock.Now());
+    co_return;
+  }
+  const gateway::EngineOrder order = *aAction.mOrder;
+  const auto outcome = co_await mEngines.Order(aEndpoint, aAction, aToken);
+  mOrders.OnOutcome(aEndpoint.mId, outcome, mClock.Now());
+  mLogger.Info("order",
+               { { "endpoint", aEndpoint.mId.Str() },
+                 { "kind", order.mKind == gateway::OrderKind::Load ? "load" : "unload" },
+                 { "model", order.mModel.Str() },
+                 { "adapter", order.mAdapter },
+                 { "precondition", aAction.mPrecondition },
+                 { "token", aToken },
+                 { "outcome", static_cast<int>(outcome) } });
+  const bool done = outcome == gateway::OrderOutcome::Accepted ||
+                    outcome == gateway::OrderOutcome::AlreadySo;
+  if (done && order.mKind == gateway::OrderKind::Load && !order.mAdapter.empty()) {
+    NoteLoaded(aEndpoint.mId, order);
+  } else if (done && !order.mAdapter.empty()) {
+    PlaceModels(mClock.Now());
+  }
+  if (outcome == gateway::OrderOutcome::Fenced) {
+    mLeadership.Fenced(mClock.Now());
+  }
+}
+
+asio::awaitable<void> GatewayProcess::LeaseLoop()
+{
+  asio::steady_timer timer(mIo);
+  for (;;) {
+    const Leadership::Step step = mStopBegan == timing::Instant::max()
+                                    ? mLeadership.Next(mClock.Now())
+                                    : Leadership::Step::None;
+    if (step != Leadership::Step::None) {
+      co_await TakeLeaseStep(step);
+    }
+    ErrorCode ec;
+    timer.expires_after(kLeaseLook);
+    co_await timer.async_wait(Into(ec));
+  }
+}
+
+asio::awaitable<void> GatewayProcess::TakeLeaseStep(Leadership::Step aStep)
+{
+  const timing::Instant sent = mClock.Now();
+  const std::int64_t lease = mLeadership.Lease();
+  store::StoreRequest request;
+  switch (aStep) {
+    case Leadership::Step::GrantLease:
+      request = store::LeaseGrantRequest{ Leadership::kLease };
+      break;
+    case Leadership::Step::KeepLease:
+      request = store::LeaseKeepAliveRequest{ lease };
+      break;
+    case Leadership::Step::WriteMember:
+      request = store::TransactionRequest{
+        {},
+        { store::PutOperation{
+          std::string(kMemberPrefix) + mSettings.mName.Str(),
+          gateway::EncodeMember(
+            { mSettings.mName, { mSettings.mIp, mSettings.mFirstPeerPort } }),
+          lease } }
+      };
+      break;
+    case Leadership::Step::CreateLeader:
+      request = store::TransactionRequest{
+        { { std::string(kLeaderKey), 0 } },
+        { store::PutOperation{ std::string(kLeaderKey), mSettings.mName.Str(), lease } }
+      };
+      break;
+    case Leadership::Step::None:
+      co_return;
+  }
+  const store::StoreReply reply =
+    co_await mStore.Execute(std::move(request), kStoreLimit);
+  const timing::Instant now = mClock.Now();
+  if (reply.mOutcome != store::StoreOutcome::Answered) {
+    mLeadership.StepFailed(now);
+    co_return;
+  }
+  if (!reply.mSucceeded) {
+    if (aStep == Leadership::Step::CreateLeader && !reply.mRecords.empty()) {
+      // Another entry was first; the watch will say so too.
+      mLeadership.LeaderRecord(
+        true, reply.mRecords.front().mLease, reply.mRecords.front().mCreateRevision);
+    } else {
+      mLeadership.LeaseLost();
+    }
+    mLeadership.StepFailed(now);
+    co_return;
+  }
+  switch (aStep) {
+    case Leadership::Step::GrantLease:
+      mLeadership.LeaseGranted(reply.mLease, Leadership::kLease, sent);
+      break;
+    case Leadership::Step::KeepLease:
+      mLeadership.LeaseKept(sent);
+      break;
+    case Leadership::Step::WriteMember:
+      mLeadership.MemberWritten();
+      break;
+    case Leadership::Step::CreateLeader:
+      mLeadership.LeaderCreated(reply.mRevision, now);
+      break;
+    case Leadership::Step::None:
+      break;
+  }
+}
+
+}
--- /dev/null
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -0,0 +1,132 @@
+#include "apps/samphiresail/gateway/gatewayprocess.hpp"
+
+#include <charconv>
+
+#include "apps/samphiresail/gateway/recordkeys.hpp"
+#include "components/gateway/peercodec.hpp"
+
+namespace samphiresail::gatewayapp {
+
+using std::chrono::milliseconds;
+
+void GatewayProcess::OnConfiguration(
+  std::shared_ptr<gateway::ServingConfiguration> aConfiguration)
+{
+  const auto& current = mControl.Configuration();
+  if (current && aConfiguration->mVersion <= current->mVersion) {
+    return;
+  }
+  mLogger.Info("configuration",
+               { { "version", aConfiguration->mVersion },
+                 { "routes", aConfiguration->mRoutes.size() },
+                 { "accounts", aConfiguration->mAccounts.size() } });
+  for (const gateway::ClientAccount& account : aConfiguration->mAccounts) {
+    const gateway::ClientAccount* known =
+      current ? current->FindAccount(account.mName) : nullptr;
+    if (known == nullptr || known->mTokensPerSecond != account.mTokensPerSecond ||
+        known->mKeys != account.mKeys) {
+      mLogger.Info("account",
+                   { { "account", account.mName.Str() },
+                     { "keys", account.mKeys.size() },
+                     { "tokens_per_second", account.mTokensPerSecond },
+                     { "burst_tokens", account.mBurstTokens },
+                     { "version", aConfiguration->mVersion } });
+    }
+  }
+  mControl.SetConfiguration(std::move(aConfiguration), mClock.Now());
+  UpdateShares(mClock.Now());
+}
+
+void GatewayProcess::OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut)
+{
+  mControl.mDirectory.SetZoneOut(aZone, aOut, mClock.Now());
+}
+
+void GatewayProcess::OnEndpoint(gateway::EndpointReport aReport)
+{
+  const gateway::Endpoint* known = mControl.mDirectory.Find(aReport.mId);
+  if (known == nullptr || known->mReport.mDraining != aReport.mDraining ||
+      known->mReport.mIncarnation != aReport.mIncarnation) {
+    mLogger.Info("endpoint",
+                 { { "endpoint", aReport.mId.Str() },
+                   { "zone", aReport.mZone.Str() },
+                   { "draining", aReport.mDraining },
+                   { "cold_ms", aReport.mColdFor.count() },
+                   { "models", aReport.mModels.size() },
+                   { "incarnation", aReport.mIncarnation } });
+  }
+  mControl.mDirectory.Update(std::move(aReport), mClock.Now());
+}
+
+void GatewayProcess::OnEndpointGone(const ids::EndpointId& aId)
+{
+  const timing::Instant now = mClock.Now();
+  const bool lapse = mControl.mContact.AfterOutage(now);
+  mLogger.Info("endpoint gone",
+               { { "endpoint", aId.Str() }, { "may_have_lapsed", lapse } });
+  mControl.mDirectory.Remove(aId, lapse, now);
+}
+
+void GatewayProcess::OnFullReading(const gateway::FullReading& aReading)
+{
+  const timing::Instant now = mClock.Now();
+  mControl.mDirectory.RetainOnly(
+    aReading.mEndpoints, mControl.mContact.AfterOutage(now), now);
+  for (const ids::AvailabilityZoneId& zone : mControl.mDirectory.ZonesOut()) {
+    mControl.mDirectory.SetZoneOut(zone, aReading.mZonesOut.contains(zone), now);
+  }
+  if (!aReading.mOwnKeys.contains(std::string(kLeaderKey))) {
+    mLeadership.LeaderRecord(false, 0, 0);
+  }
+  for (const ids::ProcessId& process : mPeers.Registered()) {
+    if (!aReading.mOwnKeys.contains(std::string(kMemberPrefix) + process.Str())) {
+      mPeers.Unregister(process, now);
+    }
+  }
+  UpdateShares(now);
+  mEndpointsRead = true;
+}
+
+void GatewayProcess::OnOwnRecord(const std::string& aKey,
+                                 const std::optional<std::string>& aValue,
+                                 std::int64_t aCreateRevision,
+                                 std::int64_t aLease)
+{
+  const timing::Instant now = mClock.Now();
+  if (aKey == kLeaderKey) {
+    mLogger.Info(
+      "leader record",
+      { { "holder", aValue.value_or("none") }, { "revision", aCreateRevision } });
+    mLeadership.LeaderRecord(aValue.has_value(), aLease, aCreateRevision);
+  } else if (aKey == kEntryCountKey && aValue) {
+    std::size_t entries = 0;
+    std::from_chars(aValue->data(), aValue->data() + aValue->size(), entries);
+    mPeers.SetRecorded(entries);
+  } else if (aKey.starts_with(kMemberPrefix)) {
+    const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
+    mLogger.Info("entry record",
+                 { { "entry", process.Str() }, { "present", aValue.has_value() } });
+    if (!aValue) {
+      mPeers.Unregister(process, now);
+    } else if (const auto member = gateway::DecodeMember(*aValue)) {
+      mPeers.Register(process, member->mAddress, now);
+    }
+  }
+}
+
+void GatewayProcess::OnConfirmed(timing::Instant aAsOf)
+{
+  mControl.mContact.Confirm(aAsOf, mClock.Now());
+}
+
+void GatewayProcess::OnContactLost(const std::string& aReason)
+{
+  mLogger.Warn(
+    "contact with the store lost",
+    { { "reason", aReason },
+      { "age_ms",
+        std::chrono::duration_cast<milliseconds>(mControl.mContact.Age(mClock.Now()))
+          .count() } });
+}
+
+}
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <limits>
 #include <utility>
 
@@ -34,74 +33,6 @@
 /// Head and buffer of an endpoint's answer, in bytes.
 constexpr std::uint32_t kAnswerHeadMost = 16384;
 
-constexpr std::array<std::string_view, 9> kHopHeaders{ "Connection",
-                                                       "Keep-Alive",
-                                                       "Proxy-Connection",
-                                                       "Proxy-Authenticate",
-                                                       "Proxy-Authorization",
-                                                       "TE",
-                                                       "Trailer",
-                                                       "Transfer-Encoding",
-                                                       "Upgrade" };
-
-bool Same(std::string_view aLeft, std::string_view aRight)
-{
-  return beast::iequals({ aLeft.data(), aLeft.size() }, { aRight.data(), aRight.size() });
-}
-
-bool HopHeader(std::string_view aName)
-{
-  return std::ranges::any_of(
-    kHopHeaders, [aName](std::string_view aHop) { return Same(aHop, aName); });
-}
-
-std::string_view View(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
-void AppendLine(std::string& aHead, std::string_view aName, std::string_view aValue)
-{
-  aHead.append(aName).append(": ").append(aValue).append("\r\n");
-}
-
-/// Appends the header lines of a message that concern more than one connection.
-template<typename Skip>
-void AppendEndToEnd(const http::fields& aFields, std::string& aHead, const Skip& aSkip)
-{
-  http::token_list named(aFields[http::field::connection]);
-  for (const auto& field : aFields) {
-    const std::string_view name = View(field.name_string());
-    if (!HopHeader(name) && !Same(name, "Content-Length") &&
-        !aSkip(name, named.exists(field.name_string()))) {
-      AppendLine(aHead, name, View(field.value()));
-    }
-  }
-}
-
-std::string StatusLine(unsigned aStatus, std::string_view aReason)
-{
-  std::string line = "HTTP/1.1 " + std::to_string(aStatus) + " ";
-  return line.append(aReason).append("\r\n");
-}
-
-std::string AnswerHead(const http::response_header<>& aHeader)
-{
-  std::string head = StatusLine(aHeader.result_int(), View(aHeader.reason()));
-  AppendEndToEnd(aHeader, head, [](std::string_view, bool aNamed) { return aNamed; });
-  return head;
-}
-
-std::string Chunk(std::string_view aBytes)
-{
-  std::array<char, 20> size{};
-  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
-  std::string chunk(size.data(), static_cast<std::size_t>(n));
-  return chunk.append(aBytes).append("\r\n");
-}
-
-constexpr std::string_view kLastChunk = "0\r\n\r\n";
-
 bool Success(unsigned aStatus)
 {
   return aStatus >= 200 && aStatus < 300;
@@ -114,39 +45,6 @@
 
 }
 
-gateway::Refusal OwnAnswer(unsigned aStatus, std::string aReason)
-{
-  gateway::Refusal answer;
-  answer.mStatus = aStatus;
-  answer.mReason = std::move(aReason);
-  return answer;
-}
-
-std::string BuildOwnAnswer(const Dialect& aDialect,
-                           const gateway::RequestFacts& aFacts,
-                           const gateway::Refusal& aRefusal,
-                           bool aKeepAlive)
-{
-  const std::string body = "{\"error\":\"" + aRefusal.mReason + "\"}";
-  std::string head = StatusLine(
-    aRefusal.mStatus, View(http::obsolete_reason(http::int_to_status(aRefusal.mStatus))));
-  aDialect.WriteOwnAnswer(aFacts, head);
-  if (aRefusal.mRetryAfter) {
-    std::array<char, 24> seconds{};
-    std::snprintf(seconds.data(),
-                  seconds.size(),
-                  "%.3f",
-                  std::chrono::duration<double>(*aRefusal.mRetryAfter).count());
-    AppendLine(head, "Retry-After", seconds.data());
-  }
-  AppendLine(head, "Content-Type", "application/json");
-  AppendLine(head, "Content-Length", std::to_string(body.size()));
-  if (!aKeepAlive) {
-    AppendLine(head, "Connection", "close");
-  }
-  return head + "\r\n" + body;
-}
-
 Forwarder::Forwarder(FrontendContext& aContext,
                      tcp::socket& aCaller,
                      const CallerRequest& aRequest,
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -11,6 +11,7 @@
 #include "components/frontend/dialect.hpp"
 #include "components/frontend/exchange.hpp"
 #include "components/frontend/gatewaymetrics.hpp"
+#include "components/frontend/messagetext.hpp"
 #include "components/frontend/signal.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 #include "components/logging/logger.hpp"
@@ -113,15 +114,6 @@
   std::array<char, 8192> mBytes{};
 };
 
-/// Returns an answer of this system's own that promises no return.
-gateway::Refusal OwnAnswer(unsigned aStatus, std::string aReason);
-
-/// Builds an answer of this system's own.
-std::string BuildOwnAnswer(const Dialect& aDialect,
-                           const gateway::RequestFacts& aFacts,
-                           const gateway::Refusal& aRefusal,
-                           bool aKeepAlive);
-
 }
 
 #endif
