Spread requests over endpoints by what the other entries send unseen

Entries know each other's requests by digests that are 0.6 s old there; all took the same least loaded endpoint until the next one. Ruled out: too few places; the busiest engine had 2.5 times the mean. Change: a request takes its endpoint by its part of the requests that are expected before the next digest, spread so that they bring the endpoints to one level. An answer's own statement of load counts for 150 ms, digests take effect when they come.

--- a/apps/samphiresail/gateway/digests.cpp
+++ b/apps/samphiresail/gateway/digests.cpp
@@ -19,6 +19,10 @@
 
 namespace {
 
+/// Every so often the other entries are told this one's load.
+constexpr milliseconds kDigestEvery{ 250 };
+/// With more entries digests go out less often, so that each hears as many a second.
+constexpr milliseconds kDigestPerEntry{ 25 };
 /// Pause that is kept between two digests in any case.
 constexpr milliseconds kDigestLeast{ 40 };
 /// How long digests tell of an adapter that was loaded, against lost datagrams.
@@ -46,15 +50,27 @@
     asio::detached);
 }
 
-void GatewayProcess::UpdateShares(timing::Instant aNow)
+milliseconds GatewayProcess::DigestEvery(timing::Instant aNow) const
 {
-  mControl.SetEntries(mPeers.Entries(aNow));
-  mFeed.SetEntries(mPeers.Entries(aNow));
+  const auto entries = static_cast<std::int64_t>(mPeers.Entries(aNow));
+  return std::max(kDigestEvery, kDigestPerEntry * entries);
+}
+
+void GatewayProcess::UpdateLoads(timing::Instant aNow)
+{
+  mPeersChanged = false;
   std::unordered_map<ids::EndpointId, unsigned> counts;
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
     counts.emplace(id, mPeers.InFlight(id, aNow));
   }
-  mControl.mDirectory.SetPeersInFlight(counts);
+  mControl.mDirectory.SetPeersInFlight(counts, aNow);
+}
+
+void GatewayProcess::UpdateShares(timing::Instant aNow)
+{
+  mControl.SetEntries(mPeers.Entries(aNow), DigestEvery(aNow));
+  mFeed.SetEntries(mPeers.Entries(aNow));
+  UpdateLoads(aNow);
   if (!mControl.Configuration()) {
     return;
   }
@@ -128,6 +144,7 @@
     if (!mPeers.Take(std::move(*digest), now)) {
       continue;
     }
+    mPeersChanged = true;
     for (const gateway::LoadedAdapter& item : loaded) {
       mControl.mDirectory.Announce(item, now);
     }
--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -23,10 +23,6 @@
 
 /// Step of the tables' systems: the resolution of every deadline.
 constexpr milliseconds kTick{ 40 };
-/// Every so often the other entries are told this one's load.
-constexpr milliseconds kDigestEvery{ 250 };
-/// With more entries digests go out less often, so that each hears as many a second.
-constexpr milliseconds kDigestPerEntry{ 25 };
 constexpr milliseconds kPlacementEvery{ 200 };
 constexpr milliseconds kUpkeepEvery{ 1000 };
 /// After the signal to stop the balancer needs two missed probes, a second apart.
@@ -163,10 +159,11 @@
   mPeers.Tick(aNow);
   mPlacementChanged.Notify();
   if (aNow >= mNextDigest) {
-    const auto entries = static_cast<std::int64_t>(mPeers.Entries(aNow));
-    mNextDigest = aNow + std::max(kDigestEvery, kDigestPerEntry * entries);
+    mNextDigest = aNow + DigestEvery(aNow);
     UpdateShares(aNow);
     SendDigest(aNow);
+  } else if (mPeersChanged) {
+    UpdateLoads(aNow);
   }
   if (aNow >= mNextPlacement) {
     mNextPlacement = aNow + kPlacementEvery;
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -64,7 +64,11 @@
   /// Brings the next digest forward, within kDigestLeast of the last one.
   void HurryDigest();
   void NoteLoaded(const ids::EndpointId& aEndpoint, const gateway::EngineOrder& aOrder);
+  /// Pause between two digests when nothing hurries them.
+  std::chrono::milliseconds DigestEvery(timing::Instant aNow) const;
   void UpdateShares(timing::Instant aNow);
+  /// Takes the other entries' requests in flight from their latest digests.
+  void UpdateLoads(timing::Instant aNow);
   /// Records in the store how many entries there are, if they are more than ever.
   void RecordEntries();
   void PlaceModels(timing::Instant aNow);
@@ -117,6 +121,8 @@
   timing::Instant mNextUpkeep{};
   timing::Instant mStopBegan{ timing::Instant::max() };
   bool mLeading{ false };
+  /// Digests came since the loads were last updated.
+  bool mPeersChanged{ false };
   bool mEndpointsRead{ false };
   bool mStopped{ false };
 };
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -162,7 +162,7 @@
 {
   AddEndpoint(mControl, "near", "z1");
   AddEndpoint(mControl, "far", "z2");
-  mControl.mDirectory.SetPeersInFlight({ { ids::EndpointId("near"), 3 } });
+  mControl.mDirectory.SetPeersInFlight({ { ids::EndpointId("near"), 3 } }, kNow);
   CHECK(mControl.Begin(Admit(), {}, kNow).mEndpoint->mReport.mId.Str() == "far");
 }
 
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -252,6 +252,7 @@
       co_return Result::Failed;
     }
   }
+  mContext.mControl.ObserveLoad(aEndpoint, facts, mContext.mClock.Now());
   const unsigned status = parser->get().result_int();
   const bool notRun = facts.mNotRun || facts.mWrongEndpoint;
   Result result = Result::Failed;
--- a/components/gateway/demandmeter.hpp
+++ b/components/gateway/demandmeter.hpp
@@ -20,6 +20,8 @@
   void Record(const ids::ModelId& aModel,
               const std::string& aAdapter,
               timing::Instant aNow);
+  /// Counts one request for something that has a name of its own.
+  void Add(const std::string& aName, timing::Instant aNow);
   double Rate(const std::string& aName, timing::Instant aNow) const;
   /// Calls aVisit(name, rate) for everything that is asked for.
   template<typename Visit>
@@ -38,7 +40,6 @@
     timing::Instant mAt{};
   };
   static double Decayed(const Counter& aCounter, timing::Instant aNow);
-  void Add(const std::string& aName, timing::Instant aNow);
 
   std::unordered_map<std::string, Counter> mCounters;
 };
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -50,8 +50,10 @@
   double mFailureShare{ 0.0 };
   /// Requests of this process that run there.
   unsigned mInFlight{ 0 };
-  /// Requests of the other entries that run there, as they last said.
+  /// Requests of the other entries that run there, as they or the endpoint last said.
   unsigned mPeersInFlight{ 0 };
+  /// When the endpoint itself last told its load.
+  timing::Instant mObservedAt{};
 
   /// Adapters that the leader had loaded since the last report, by the digest key of
   /// model and adapter, with the instant at which that was heard.
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "components/gateway/demandmeter.hpp"
+#include "components/gateway/loadspread.hpp"
 
 namespace samphiresail::gateway {
 
@@ -12,8 +13,6 @@
 /// last.
 constexpr double kOutlierPenalty = 4.0;
 constexpr double kAvoidPenalty = 8.0;
-/// Upper end of the random part of a score, which spreads the choices of equals.
-constexpr double kJitter = 0.02;
 
 }
 
@@ -47,15 +46,16 @@
 Choice EndpointChooser::Choose(const Service& aService,
                                const RequestFacts& aFacts,
                                const std::vector<ids::EndpointId>& aTried,
+                               double aUnseen,
                                timing::Instant aNow)
 {
   Choice choice;
-  double best = 0.0;
+  std::vector<Endpoint*> endpoints;
+  std::vector<SpreadCandidate> candidates;
   const std::uint64_t adapter =
     aFacts.mAdapter.empty()
       ? 0
       : DigestKey(DemandMeter::Name(aFacts.mModel, aFacts.mAdapter));
-  std::uniform_real_distribution<double> jitter(0.0, kJitter);
   for (auto& [id, endpoint] : mDirectory.All()) {
     if (endpoint.mReport.mService != aService.mName ||
         !mDirectory.Usable(endpoint, aNow) || std::ranges::count(aTried, id) > 0) {
@@ -83,11 +83,12 @@
         (careful && !mCold.HasRoom(id, aService.mColdPerSecond, mEntries, aNow))) {
       continue;
     }
-    const double score = Score(endpoint, aNow) + jitter(mRandom);
-    if (choice.mEndpoint == nullptr || score < best) {
-      choice.mEndpoint = &endpoint;
-      best = score;
-    }
+    endpoints.push_back(&endpoint);
+    candidates.push_back({ Score(endpoint, aNow), slots });
+  }
+  if (!endpoints.empty()) {
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    choice.mEndpoint = endpoints[SpreadOver(candidates, aUnseen, draw(mRandom))];
   }
   return choice;
 }
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -31,9 +31,9 @@
   NoEndpoint mReason{ NoEndpoint::NoneUsable };
 };
 
-/// Load answered: all days. Sends a request to the endpoint that holds its model and
-/// adapter and has the fewest requests of all entries for its slots, and prefers the
-/// entry's own availability zone while that costs little time.
+/// Load answered: all days. Sends a request to an endpoint that holds its model and
+/// adapter and has few requests of all entries for its slots, and prefers the entry's own
+/// availability zone while that costs little time.
 class EndpointChooser
 {
 public:
@@ -51,10 +51,12 @@
 
   void SetEntries(std::size_t aEntries) { mEntries = aEntries; }
 
-  /// Chooses among the endpoints of the service that are not in aTried.
+  /// Chooses among the endpoints of the service that are not in aTried. aUnseen counts
+  /// the like requests that the other entries send before they next tell their loads.
   Choice Choose(const Service& aService,
                 const RequestFacts& aFacts,
                 const std::vector<ids::EndpointId>& aTried,
+                double aUnseen,
                 timing::Instant aNow);
 
 private:
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -91,9 +91,13 @@
 }
 
 void EndpointDirectory::SetPeersInFlight(
-  const std::unordered_map<ids::EndpointId, unsigned>& aCounts)
+  const std::unordered_map<ids::EndpointId, unsigned>& aCounts,
+  timing::Instant aNow)
 {
   for (auto& [id, endpoint] : mEndpoints) {
+    if (aNow - endpoint.mObservedAt < kObservedLife) {
+      continue;
+    }
     const auto it = aCounts.find(id);
     endpoint.mPeersInFlight = it == aCounts.end() ? 0 : it->second;
   }
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -47,8 +47,14 @@
   /// Records that the leader had an adapter loaded, ahead of the endpoint's own report.
   void Announce(const LoadedAdapter& aLoaded, timing::Instant aNow);
 
-  /// Replaces the counts of requests that the other entries have at the endpoints.
-  void SetPeersInFlight(const std::unordered_map<ids::EndpointId, unsigned>& aCounts);
+  /// What an endpoint's answer says of its load is newer than the other entries' digests
+  /// for so long.
+  static constexpr timing::Duration kObservedLife = std::chrono::milliseconds(150);
+
+  /// Replaces the counts of requests that the other entries have at the endpoints, but
+  /// for endpoints that have just told their load themselves.
+  void SetPeersInFlight(const std::unordered_map<ids::EndpointId, unsigned>& aCounts,
+                        timing::Instant aNow);
 
   Endpoint* Find(const ids::EndpointId& aId);
   std::map<ids::EndpointId, Endpoint>& All() { return mEndpoints; }
--- /dev/null
+++ b/components/gateway/loadspread.cpp
@@ -0,0 +1,59 @@
+#include "components/gateway/loadspread.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace samphiresail::gateway {
+
+namespace {
+
+/// Requests that are spread at least; so few all go to the least loaded endpoint.
+constexpr double kFewest = 1e-6;
+
+/// Returns the load by slot to which aRequests fill the candidates.
+double Level(const std::vector<SpreadCandidate>& aCandidates, double aRequests)
+{
+  std::vector<std::size_t> order(aCandidates.size());
+  std::iota(order.begin(), order.end(), std::size_t{ 0 });
+  std::ranges::sort(
+    order, {}, [&](std::size_t aIndex) { return aCandidates[aIndex].mLoad; });
+  double slots = 0.0;
+  double held = 0.0;
+  double level = 0.0;
+  for (const std::size_t index : order) {
+    const SpreadCandidate& candidate = aCandidates[index];
+    if (slots > 0.0 && candidate.mLoad >= level) {
+      break;
+    }
+    slots += candidate.mSlots;
+    held += candidate.mLoad * candidate.mSlots;
+    level = (held + aRequests) / slots;
+  }
+  return level;
+}
+
+}
+
+std::size_t SpreadOver(const std::vector<SpreadCandidate>& aCandidates,
+                       double aUnseen,
+                       double aDraw)
+{
+  const double requests = std::max(aUnseen, kFewest);
+  const double level = Level(aCandidates, requests);
+  double at = aDraw * requests;
+  std::size_t chosen = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const double room = (level - aCandidates[i].mLoad) * aCandidates[i].mSlots;
+    if (room <= 0.0) {
+      continue;
+    }
+    chosen = i;
+    at -= room;
+    if (at < 0.0) {
+      break;
+    }
+  }
+  return chosen;
+}
+
+}
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -46,9 +46,10 @@
   mQuotas.Configure(*mConfiguration, aNow);
 }
 
-void TrafficControl::SetEntries(std::size_t aEntries)
+void TrafficControl::SetEntries(std::size_t aEntries, timing::Duration aDigestEvery)
 {
   mEntries = aEntries;
+  mDigestEvery = aDigestEvery;
   mChooser.SetEntries(aEntries);
 }
 
@@ -130,6 +131,8 @@
   admission.mConfigurationAge = mContact.Age(aNow);
   if (service->mEngine) {
     mDemand.Record(aFacts.mModel, aFacts.mAdapter, aNow);
+  } else {
+    mServiceDemand.Add(service->mName.Str(), aNow);
   }
   if (account != nullptr) {
     admission.mTokens =
@@ -156,8 +159,8 @@
                              const std::vector<ids::EndpointId>& aTried,
                              timing::Instant aNow)
 {
-  const Choice choice =
-    mChooser.Choose(*aAdmission.mService, aAdmission.mFacts, aTried, aNow);
+  const Choice choice = mChooser.Choose(
+    *aAdmission.mService, aAdmission.mFacts, aTried, Unseen(aAdmission, aNow), aNow);
   if (choice.mEndpoint != nullptr) {
     ++choice.mEndpoint->mInFlight;
     mCold.Record(choice.mEndpoint->mReport.mId, aNow);
@@ -165,6 +168,31 @@
   return choice;
 }
 
+double TrafficControl::Unseen(const Admission& aAdmission, timing::Instant aNow) const
+{
+  const RequestFacts& facts = aAdmission.mFacts;
+  const double rate =
+    aAdmission.mService->mEngine
+      ? mDemand.Rate(DemandMeter::Name(facts.mModel, facts.mAdapter), aNow)
+      : mServiceDemand.Rate(aAdmission.mService->mName.Str(), aNow);
+  const double others = static_cast<double>(mEntries) - 1.0;
+  return rate * others * std::chrono::duration<double>(mDigestEvery).count();
+}
+
+void TrafficControl::ObserveLoad(const ids::EndpointId& aEndpoint,
+                                 const AnswerFacts& aFacts,
+                                 timing::Instant aNow)
+{
+  Endpoint* endpoint = mDirectory.Find(aEndpoint);
+  if (endpoint == nullptr || !aFacts.mRunning || !aFacts.mWaiting) {
+    return;
+  }
+  const unsigned there = *aFacts.mRunning + *aFacts.mWaiting;
+  endpoint->mPeersInFlight =
+    there > endpoint->mInFlight ? there - endpoint->mInFlight : 0;
+  endpoint->mObservedAt = aNow;
+}
+
 void TrafficControl::End(const ids::EndpointId& aEndpoint,
                          AttemptEnd aEnd,
                          timing::Instant aNow)
@@ -238,6 +266,7 @@
   mDirectory.Tick(aNow);
   mCold.Tick(aNow);
   mDemand.Tick(aNow);
+  mServiceDemand.Tick(aNow);
 }
 
 }
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -88,7 +88,13 @@
   {
     return mConfiguration;
   }
-  void SetEntries(std::size_t aEntries);
+  /// Sets how many entries there are and how often they tell each other their loads.
+  void SetEntries(std::size_t aEntries, timing::Duration aDigestEvery);
+
+  /// Records what an endpoint's own answer said of the requests there.
+  void ObserveLoad(const ids::EndpointId& aEndpoint,
+                   const AnswerFacts& aFacts,
+                   timing::Instant aNow);
 
   /// Lets a request in or refuses it.
   std::variant<Admission, Refusal> Admit(RequestFacts aFacts, timing::Instant aNow);
@@ -116,10 +122,16 @@
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aLeast,
                                        std::chrono::milliseconds aMost);
   const ids::ServiceId& PickService(const Route& aRoute);
+  /// Returns the like requests that the other entries send between two digests, if their
+  /// callers ask for as much as this one's.
+  double Unseen(const Admission& aAdmission, timing::Instant aNow) const;
 
   EndpointChooser mChooser;
   std::shared_ptr<const ServingConfiguration> mConfiguration;
   std::size_t mEntries{ 1 };
+  timing::Duration mDigestEvery{ 0 };
+  /// Requests to each service that has no models.
+  DemandMeter mServiceDemand;
   std::mt19937_64 mRandom;
   timing::Instant mRefuseFrom{ timing::Instant::max() };
 };
