--- a/apps/samphiresail/gateway/digests.cpp
+++ b/apps/samphiresail/gateway/digests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -102,9 +103,7 @@
                                mControl.mQuotas.Admitted(account.mName));
     }
   }
-  mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
-    digest.mModelDemand.emplace(gateway::DigestKey(aName), aRate);
-  });
+  digest.mWaits = std::exchange(mAdapterWanted, false);
   std::erase_if(mLoaded,
                 [aNow](const auto& aItem) { return aItem.first + kLoadedNews <= aNow; });
   std::ranges::transform(mLoaded,
@@ -112,13 +111,26 @@
                          [](const auto& aItem) { return aItem.second; });
   mLastDigest = aNow;
   const std::string bytes = gateway::EncodeDigest(digest);
-  for (const settings::SocketAddress& address : mPeers.Addresses()) {
-    ErrorCode ec;
-    const auto host = asio::ip::make_address_v4(address.mHost, ec);
-    if (!ec) {
-      // A lost digest is followed by the next one.
-      mPeerSocket.send_to(asio::buffer(bytes), udp::endpoint(host, address.mPort), 0, ec);
+  for (const auto& [process, address] : mPeers.Addresses()) {
+    if (process != mLeader) {
+      SendDatagram(bytes, address);
+      continue;
     }
+    mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
+      digest.mModelDemand.emplace(gateway::DigestKey(aName), aRate);
+    });
+    SendDatagram(gateway::EncodeDigest(digest), address);
+  }
+}
+
+void GatewayProcess::SendDatagram(const std::string& aBytes,
+                                  const settings::SocketAddress& aTo)
+{
+  ErrorCode ec;
+  const auto host = asio::ip::make_address_v4(aTo.mHost, ec);
+  if (!ec) {
+    // A lost digest is followed by the next one.
+    mPeerSocket.send_to(asio::buffer(aBytes), udp::endpoint(host, aTo.mPort), 0, ec);
   }
 }
 
@@ -141,6 +153,7 @@
     }
     const timing::Instant now = mClock.Now();
     const std::vector<gateway::LoadedAdapter> loaded = digest->mLoaded;
+    const bool waits = digest->mWaits;
     if (!mPeers.Take(std::move(*digest), now)) {
       continue;
     }
@@ -151,13 +164,19 @@
     if (!loaded.empty()) {
       mPlacementChanged.Notify();
     }
-    if (mLeading) {
+    if (mLeading && waits) {
       // What an entry waits for shall not wait for the tick.
       PlaceModels(now);
     }
   }
 }
 
+void GatewayProcess::AskForAdapter()
+{
+  mAdapterWanted = true;
+  HurryDigest();
+}
+
 void GatewayProcess::HurryDigest()
 {
   const timing::Instant now = mClock.Now();
--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -73,8 +73,16 @@
   , mFeed(mIo, mStore, *this, aClock, mLogger, DrawSeed())
   , mBackends(mIo)
   , mPlacementChanged(mIo)
-  , mFrontend{ mIo,        mClock,  mDialect, mControl,          mBackends,
-               mExchanges, mLogger, mMetrics, mPlacementChanged, [this] { HurryDigest(); } }
+  , mFrontend{ mIo,
+               mClock,
+               mDialect,
+               mControl,
+               mBackends,
+               mExchanges,
+               mLogger,
+               mMetrics,
+               mPlacementChanged,
+               [this] { AskForAdapter(); } }
   , mCallers(mFrontend,
              mSettings.mCallers,
              mSettings.mMaxDescriptors > 2 * kOwnDescriptors
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -61,6 +61,9 @@
   frontend::asio::awaitable<void> TakeLeaseStep(gateway::Leadership::Step aStep);
   frontend::asio::awaitable<void> ReceiveDigests();
   void SendDigest(timing::Instant aNow);
+  void SendDatagram(const std::string& aBytes, const settings::SocketAddress& aTo);
+  /// Tells the leader that a request waits for an adapter.
+  void AskForAdapter();
   /// Brings the next digest forward, within kDigestLeast of the last one.
   void HurryDigest();
   void NoteLoaded(const ids::EndpointId& aEndpoint, const gateway::EngineOrder& aOrder);
@@ -121,6 +124,10 @@
   timing::Instant mNextUpkeep{};
   timing::Instant mStopBegan{ timing::Instant::max() };
   bool mLeading{ false };
+  /// The next digest says that a request waits for an adapter.
+  bool mAdapterWanted{ false };
+  /// Holder of the leader's record.
+  ids::ProcessId mLeader;
   /// Digests came since the loads were last updated.
   bool mPeersChanged{ false };
   bool mEndpointsRead{ false };
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -34,9 +34,11 @@
   if (!token || !mControl.Configuration() || mStopBegan != timing::Instant::max()) {
     return;
   }
+  const auto others = mPeers.ModelDemand(aNow);
   const auto demand = [&](const ids::ModelId& aModel, const std::string& aAdapter) {
     const std::string name = gateway::DemandMeter::Name(aModel, aAdapter);
-    return mControl.mDemand.Rate(name, aNow) + mPeers.ModelDemand(name, aNow);
+    const auto it = others.find(gateway::DigestKey(name));
+    return mControl.mDemand.Rate(name, aNow) + (it == others.end() ? 0.0 : it->second);
   };
   for (const gateway::Service& service : mControl.Configuration()->mServices) {
     if (!service.mEngine) {
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -97,6 +97,7 @@
     mLogger.Info(
       "leader record",
       { { "holder", aValue.value_or("none") }, { "revision", aCreateRevision } });
+    mLeader = ids::ProcessId(aValue.value_or(std::string()));
     mLeadership.LeaderRecord(aValue.has_value(), aLease, aCreateRevision);
   } else if (aKey == kEntryCountKey && aValue) {
     std::size_t entries = 0;
--- a/apps/tests/gateway/peertabletest.cpp
+++ b/apps/tests/gateway/peertabletest.cpp
@@ -23,6 +23,7 @@
   digest.mInFlight.emplace(DigestKey("e1"), 3);
   digest.mAdmitted.emplace(DigestKey("club"), 1250.5);
   digest.mModelDemand.emplace(DigestKey("m/a1"), 2.0);
+  digest.mWaits = true;
   digest.mLoaded.push_back({ DigestKey("e1"), DigestKey("m/a1") });
   return digest;
 }
@@ -41,6 +42,7 @@
   CHECK(decoded->mAdmitted.at(DigestKey("club")) == 1250.5);
   CHECK(decoded->mModelDemand.at(DigestKey("m/a1")) == 2.0);
   CHECK(decoded->mLoaded.size() == 1);
+  CHECK(decoded->mWaits);
   CHECK_FALSE(DecodeDigest("\xff\xff nothing of the kind"));
 }
 
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -11,6 +11,7 @@
   load.set_incarnation(aDigest.mIncarnation);
   load.set_number(aDigest.mNumber);
   load.set_hears_all(aDigest.mHearsAll);
+  load.set_waits(aDigest.mWaits);
   for (const auto& [key, count] : aDigest.mInFlight) {
     auto* item = load.add_in_flight();
     item->set_key(key);
@@ -46,6 +47,7 @@
   digest.mIncarnation = load.incarnation();
   digest.mNumber = load.number();
   digest.mHearsAll = load.hears_all();
+  digest.mWaits = load.waits();
   for (const auto& item : load.in_flight()) {
     digest.mInFlight.emplace(item.key(), item.count());
   }
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -78,11 +78,12 @@
          });
 }
 
-std::vector<settings::SocketAddress> PeerTable::Addresses() const
+std::vector<std::pair<ids::ProcessId, settings::SocketAddress>> PeerTable::Addresses()
+  const
 {
-  std::vector<settings::SocketAddress> addresses;
+  std::vector<std::pair<ids::ProcessId, settings::SocketAddress>> addresses;
   std::ranges::transform(mPeers, std::back_inserter(addresses), [](const auto& aRow) {
-    return aRow.second.mAddress;
+    return std::pair(aRow.first, aRow.second.mAddress);
   });
   return addresses;
 }
@@ -109,15 +110,19 @@
     });
 }
 
-double PeerTable::ModelDemand(const std::string& aModel, timing::Instant aNow) const
+std::unordered_map<std::uint64_t, double> PeerTable::ModelDemand(
+  timing::Instant aNow) const
 {
-  const std::uint64_t key = DigestKey(aModel);
-  return std::accumulate(
-    mPeers.begin(), mPeers.end(), 0.0, [&](double aSum, const auto& aRow) {
-      const auto& demand = aRow.second.mDigest.mModelDemand;
-      const auto it = demand.find(key);
-      return it == demand.end() || !Fresh(aRow.second, aNow) ? aSum : aSum + it->second;
-    });
+  std::unordered_map<std::uint64_t, double> sums;
+  for (const auto& [process, peer] : mPeers) {
+    if (!Fresh(peer, aNow)) {
+      continue;
+    }
+    for (const auto& [key, rate] : peer.mDigest.mModelDemand) {
+      sums[key] += rate;
+    }
+  }
+  return sums;
 }
 
 std::vector<PeerQuota> PeerTable::AccountQuotas(
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -35,8 +35,10 @@
   std::unordered_map<std::uint64_t, unsigned> mInFlight;
   /// Tokens admitted since the start of the process, by client account.
   std::unordered_map<std::uint64_t, double> mAdmitted;
-  /// Requests a second by model, and by model and adapter.
+  /// Requests a second by model, and by model and adapter; only the leader needs them.
   std::unordered_map<std::uint64_t, double> mModelDemand;
+  /// A request waits at the sender for an adapter.
+  bool mWaits{ false };
   /// Adapters that the sender has just had loaded.
   std::vector<LoadedAdapter> mLoaded;
 };
@@ -89,13 +91,14 @@
   /// True if, beside that, each of them says that it hears all, and this process is no
   /// longer joining.
   bool AllHearAll(timing::Instant aNow) const;
-  std::vector<settings::SocketAddress> Addresses() const;
+  std::vector<std::pair<ids::ProcessId, settings::SocketAddress>> Addresses() const;
   /// Entries whose registration is in the store.
   std::vector<ids::ProcessId> Registered() const;
 
   /// Sums over the fresh digests of the other entries.
   unsigned InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
-  double ModelDemand(const std::string& aModel, timing::Instant aNow) const;
+  /// By digest key.
+  std::unordered_map<std::uint64_t, double> ModelDemand(timing::Instant aNow) const;
   /// What each other entry last said of an account, also if that is a while ago.
   std::vector<PeerQuota> AccountQuotas(const ids::ClientAccountId& aAccount) const;
 
