Bound what an entry takes beyond its part of a quota between two exchanges

An account pressed six times its rate just as a third of 23 entries was cut off. Each entry could take from the common bucket until it looked less than 0.6 full to itself, so that all together took it many times over before the next digest, 0.6 s later. Ruled out: equal parts of cut entries alone (a clamp of the part at the change to parts and back changed little); peers carried forward for too short a time (the same). Change: beyond its own part an entry takes at most its hasty share of what is left between two exchanges, in sum; one large request passes while the bucket is ample. The part also follows the common bucket when entries fall silent, and a silent peer is charged its part.

--- a/apps/tests/gateway/quotaledgertest.cpp
+++ b/apps/tests/gateway/quotaledgertest.cpp
@@ -238,3 +238,79 @@
   QuotaLedger ledger;
   CHECK(ledger.Take(ids::ClientAccountId("open"), 1e9, kNow).mAdmitted);
 }
+
+TEST_CASE("quota: entries that are cut off while an account presses keep the bound",
+          "[gateway]")
+{
+  // The account's limit is large beside the tolerance, digests are rare, and an entry
+  // notices only after a while that it no longer hears the others.
+  constexpr std::size_t kEntries = 23;
+  constexpr std::size_t kCut = 8;
+  constexpr double kLargeRate = 230000.0;
+  constexpr double kLargeBurst = 160000.0;
+  constexpr double kLargeBound =
+    (kLargeRate * kWindowSeconds + kLargeBurst) * (1 + kOverage) + kSlack;
+  constexpr int kDigestSteps = 58;
+  constexpr auto kFresh = 1200ms;
+  const std::uint64_t seed = GENERATE(range(std::uint64_t{ 1 }, std::uint64_t{ 11 }));
+  const int pressFrom = GENERATE(300, 500, 800);
+  CAPTURE(seed, pressFrom);
+  std::mt19937_64 random(seed);
+  std::uniform_int_distribution<std::size_t> pick(0, kEntries - 1);
+  std::lognormal_distribution<double> size(7.0, 0.6);
+
+  ServingConfiguration configuration = Configuration();
+  configuration.mAccounts[0].mTokensPerSecond = kLargeRate;
+  configuration.mAccounts[0].mBurstTokens = kLargeBurst;
+  std::array<QuotaLedger, kEntries> entries;
+  std::map<std::pair<std::size_t, std::size_t>, PeerQuota> heard;
+  for (QuotaLedger& entry : entries) {
+    entry.SetTerms({ 8s, kOverage, kSlack });
+    entry.Configure(configuration, kNow);
+  }
+  std::deque<std::pair<timing::Instant, double>> admitted;
+  double sum = 0.0;
+  double most = 0.0;
+  double owed = 0.0;
+  for (int step = 0; step < 2000; ++step) {
+    const timing::Instant now = kNow + step * 10ms;
+    const bool cut = step >= 400 && step < 1600;
+    for (std::size_t i = 0; i < kEntries; ++i) {
+      if ((step + 5 * static_cast<int>(i)) % kDigestSteps != 0) {
+        continue;
+      }
+      for (std::size_t j = 0; j < kEntries; ++j) {
+        if (i != j && !(cut && (i < kCut || j < kCut))) {
+          heard[{ j, i }] = {
+            ids::ProcessId(std::to_string(i)), 1, now, entries[i].Admitted(kAccount)
+          };
+        }
+      }
+      std::vector<PeerQuota> peers;
+      bool allHeard = true;
+      for (std::size_t j = 0; j < kEntries; ++j) {
+        const auto it = heard.find({ i, j });
+        if (it != heard.end()) {
+          peers.push_back(it->second);
+        }
+        allHeard &= i == j || (it != heard.end() && now - it->second.mHeard < kFresh);
+      }
+      entries[i].SetPeers(kAccount, peers, kEntries, allHeard, now);
+    }
+    owed += (step < pressFrom ? 0.5 : 6.0) * kLargeRate / 100;
+    while (owed > 0) {
+      const double tokens = std::min(size(random), 4300.0);
+      owed -= tokens;
+      if (entries[pick(random)].Take(kAccount, tokens, now).mAdmitted) {
+        admitted.emplace_back(now, tokens);
+        sum += tokens;
+      }
+    }
+    while (!admitted.empty() && admitted.front().first + 8s <= now) {
+      sum -= admitted.front().second;
+      admitted.pop_front();
+    }
+    most = std::max(most, sum);
+  }
+  CHECK(most <= kLargeBound);
+}
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -8,12 +8,16 @@
 
 namespace {
 
-/// A peer that fell silent is not carried forward for longer, in seconds.
-constexpr double kCarryMost = 0.6;
+/// A peer that fell silent is not carried forward for longer, in seconds; by then it
+/// counts as not heard.
+constexpr double kCarryMost = 1.2;
+/// A peer that was not heard for so long, in seconds, is taken to use its equal part at
+/// least: it may be cut off.
+constexpr double kSilent = 0.8;
 /// Equal shares of the common bucket that one entry may take before it hears of the
 /// others.
 constexpr double kHastyShare = 2.0;
-/// Part of its size from which the common bucket counts as full enough for any request.
+/// Part of its size from which the common bucket is full enough for one large request.
 constexpr double kAmple = 0.6;
 
 double Seconds(timing::Duration aDuration)
@@ -94,8 +98,12 @@
     // all had about the same to do, their parts have as much left as this one's.
     account.mAll.mLevel =
       std::min(account.mAll.mLevel, std::max(account.mPart.mLevel, 0.0) * entries);
+  } else if (!aAllHeard && account.mAllHeard) {
+    // What the others took from the common bucket is not in this entry's part.
+    account.mPart.mLevel = std::min(account.mPart.mLevel, account.mAll.mLevel / entries);
   }
   account.mAllHeard = aAllHeard;
+  account.mHasty = 0.0;
   account.mPart.Resize(account.mPartsSize / entries, account.mAll.mRate / entries);
 }
 
@@ -130,9 +138,12 @@
   aAccount.mLast = aNow;
   aAccount.mAll.Refill(seconds);
   aAccount.mPart.Refill(seconds);
+  const double partRate = aAccount.mAll.mRate / static_cast<double>(aAccount.mEntries);
   for (auto& [process, peer] : aAccount.mPeers) {
     const double age = std::min(Seconds(aNow - peer.mHeard), kCarryMost);
-    const double expected = peer.mRate * age;
+    const double silent = std::max(age - kSilent, 0.0);
+    const double expected =
+      peer.mRate * (age - silent) + std::max(peer.mRate, partRate) * silent;
     aAccount.mAll.mLevel -= expected - peer.mCharged;
     peer.mCharged = expected;
   }
@@ -152,12 +163,14 @@
   // A request larger than the bucket passes when the bucket is full.
   const double needed = std::min(aTokens, bucket.mSize);
   // The others may be about to use the same tokens: beyond its own part an entry takes a
-  // share of what is left.
+  // share of what is left before it hears of them again.
   const double share = std::min(1.0, kHastyShare / static_cast<double>(account.mEntries));
-  const bool early = account.mAllHeard && account.mPart.mLevel < needed &&
-                     bucket.mLevel * share < needed &&
-                     bucket.mLevel < kAmple * bucket.mSize;
+  const bool beyondPart = account.mAllHeard && account.mPart.mLevel < needed;
+  const bool ample = account.mHasty <= 0 && bucket.mLevel >= kAmple * bucket.mSize;
+  const bool early = beyondPart && !ample &&
+                     account.mHasty + needed > share * (bucket.mLevel + account.mHasty);
   if (bucket.mLevel >= needed && !early) {
+    account.mHasty += beyondPart ? aTokens : 0.0;
     account.mAll.mLevel -= aTokens;
     account.mPart.mLevel = std::max(account.mPart.mLevel - aTokens, -account.mPart.mSize);
     account.mAdmitted += aTokens;
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -107,6 +107,8 @@
     double mPartsSize{ 0.0 };
     timing::Instant mLast{};
     double mAdmitted{ 0.0 };
+    /// Tokens admitted beyond the own part since the last exchange with the others.
+    double mHasty{ 0.0 };
     std::size_t mEntries{ 1 };
     bool mAllHeard{ false };
     std::map<ids::ProcessId, Peer> mPeers;
