Leave the leadership to strong entries and log what endpoints refuse

Planning takes time that callers of a weak entry need, and any entry may lead. Change: entries state their cores in their record; one with less than half of the most leaves a vacant leadership to others for 1.5 s, and all for 1 s while they join. Tests: the yield, the strongest entry, the settings' cores.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -57,6 +57,8 @@
 private:
   frontend::asio::awaitable<void> TickLoop();
   void Tick(timing::Instant aNow);
+  /// How long this entry leaves a vacant leadership to others.
+  std::chrono::milliseconds LeadershipYield(timing::Instant aNow) const;
   frontend::asio::awaitable<void> LeaseLoop();
   frontend::asio::awaitable<void> TakeLeaseStep(gateway::Leadership::Step aStep);
   frontend::asio::awaitable<void> ReceiveDigests();
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -17,6 +17,13 @@
 namespace {
 
 constexpr milliseconds kLeaseLook{ 100 };
+/// Part of the strongest entry's cores below which an entry leaves the leadership to
+/// others: planning takes processor time that its callers need.
+constexpr double kStrongPart = 0.5;
+/// How long a weaker entry waits for a stronger one to lead.
+constexpr milliseconds kWeakYield{ 1500 };
+/// Added while an entry may not know the others yet.
+constexpr milliseconds kJoinYield{ 1000 };
 /// A new leader does not know the loads that an earlier one began.
 constexpr milliseconds kLoadsPause{ 1000 };
 
@@ -87,10 +94,18 @@
   }
 }
 
+milliseconds GatewayProcess::LeadershipYield(timing::Instant aNow) const
+{
+  const bool weak = mSettings.mCores < kStrongPart * mPeers.MostCores();
+  return (weak ? kWeakYield : milliseconds(0)) +
+         (mPeers.Joining(aNow) ? kJoinYield : milliseconds(0));
+}
+
 asio::awaitable<void> GatewayProcess::LeaseLoop()
 {
   asio::steady_timer timer(mIo);
   for (;;) {
+    mLeadership.SetYield(LeadershipYield(mClock.Now()));
     const Leadership::Step step = mStopBegan == timing::Instant::max()
                                     ? mLeadership.Next(mClock.Now())
                                     : Leadership::Step::None;
@@ -120,8 +135,9 @@
         {},
         { store::PutOperation{
           std::string(kMemberPrefix) + mSettings.mName.Str(),
-          gateway::EncodeMember(
-            { mSettings.mName, { mSettings.mIp, mSettings.mFirstPeerPort } }),
+          gateway::EncodeMember({ mSettings.mName,
+                                  { mSettings.mIp, mSettings.mFirstPeerPort },
+                                  mSettings.mCores }),
           lease } }
       };
       break;
--- a/apps/tests/gateway/leadershiptest.cpp
+++ b/apps/tests/gateway/leadershiptest.cpp
@@ -83,3 +83,27 @@
   CHECK(leadership.Next(kNow) == Leadership::Step::None);
   CHECK(leadership.Next(kNow + Leadership::kKeepEvery) == Leadership::Step::KeepLease);
 }
+
+TEST_CASE("leadership: a vacant leadership is left to better suited entries for a while",
+          "[gateway]")
+{
+  Leadership leadership(0ms, true);
+  leadership.SetYield(1500ms);
+  leadership.LeaseGranted(kLease, Leadership::kLease, kNow);
+  leadership.MemberWritten();
+  leadership.LeaderRecord(false, 0, 0);
+  CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  leadership.LeaseKept(kNow + 1400ms);
+  CHECK(leadership.Next(kNow + 1400ms) == Leadership::Step::None);
+  SECTION("taken by this entry if nobody else did")
+  {
+    CHECK(leadership.Next(kNow + 1500ms) == Leadership::Step::CreateLeader);
+  }
+  SECTION("the time begins anew after another holder")
+  {
+    leadership.LeaderRecord(true, kLease + 1, kRevision);
+    CHECK(leadership.Next(kNow + 1450ms) == Leadership::Step::None);
+    leadership.LeaderRecord(false, 0, 0);
+    CHECK(leadership.Next(kNow + 1600ms) == Leadership::Step::None);
+  }
+}
--- a/apps/tests/gateway/peertabletest.cpp
+++ b/apps/tests/gateway/peertabletest.cpp
@@ -46,11 +46,23 @@
   CHECK_FALSE(DecodeDigest("\xff\xff nothing of the kind"));
 }
 
+TEST_CASE("peers: the strongest registered entry is known", "[gateway]")
+{
+  PeerTable peers(kOwn, kNow);
+  CHECK(peers.MostCores() == 0.0);
+  const auto member = DecodeMember(EncodeMember({ kPeer, { "127.0.0.1", 1 }, 0.5 }));
+  REQUIRE(member);
+  peers.Register(kPeer, member->mAddress, member->mCores, kNow);
+  CHECK(peers.MostCores() == 0.5);
+  peers.Unregister(kPeer, kNow);
+  CHECK(peers.MostCores() == 0.0);
+}
+
 TEST_CASE("peers: old and strange digests are dropped", "[gateway]")
 {
   PeerTable peers(kOwn, kNow - 1min);
   CHECK_FALSE(peers.Take(Digest(1, 1), kNow));
-  peers.Register(kPeer, { "127.0.0.1", 1 }, kNow);
+  peers.Register(kPeer, { "127.0.0.1", 1 }, 0.2, kNow);
   CHECK(peers.Take(Digest(2, 5), kNow));
   CHECK_FALSE(peers.Take(Digest(2, 5), kNow));
   CHECK_FALSE(peers.Take(Digest(1, 99), kNow));
@@ -62,9 +74,9 @@
 {
   PeerTable peers(kOwn, kNow - 1min);
   CHECK(peers.AllHearAll(kNow));
-  peers.Register(kOwn, { "127.0.0.1", 1 }, kNow);
+  peers.Register(kOwn, { "127.0.0.1", 1 }, 0.2, kNow);
   CHECK(peers.Entries(kNow) == 1);
-  peers.Register(kPeer, { "127.0.0.1", 1 }, kNow);
+  peers.Register(kPeer, { "127.0.0.1", 1 }, 0.2, kNow);
   CHECK(peers.Entries(kNow) == 2);
   CHECK_FALSE(peers.HearsAll(kNow));
   peers.Take(Digest(1, 1), kNow);
@@ -79,7 +91,7 @@
 TEST_CASE("peers: an entry counts until it is neither registered nor heard", "[gateway]")
 {
   PeerTable peers(kOwn, kNow - 1min);
-  peers.Register(kPeer, { "127.0.0.1", 1 }, kNow);
+  peers.Register(kPeer, { "127.0.0.1", 1 }, 0.2, kNow);
   peers.Take(Digest(1, 1), kNow + 2s);
   peers.Unregister(kPeer, kNow);
   peers.Tick(kNow + 4s);
--- a/apps/tests/platform/settingstest.cpp
+++ b/apps/tests/platform/settingstest.cpp
@@ -39,6 +39,8 @@
 readyAddr = "10.1.0.25:8224"
 [limits]
 maxFds = 4100
+cpuShare = 0.19
+cores = 2
 [bounds]
 graceS = 8
 leaseMs = 3000
@@ -57,6 +59,7 @@
   const TemporaryFile file(kText);
   const platform::Settings settings = platform::LoadSettings(file.mPath);
   CHECK(settings.mName.Str() == "front-a-1");
+  CHECK(settings.mCores == Approx(0.38));
   CHECK(settings.mZone.Str() == "z-a");
   CHECK(settings.mCallers.mPort == 8221);
   CHECK(settings.mStore.mHost == "10.200.1.7");
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_EXCHANGE_HPP
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,10 @@
 
   gateway::Admission mAdmission;
   std::vector<ids::EndpointId> mTried;
+  /// Requests at the endpoint of the current attempt when it was chosen.
+  unsigned mLoadAtChoice{ 0 };
+  /// From arrival to the first event of a stream.
+  std::optional<timing::Duration> mFirstEventAfter;
   /// Attempts whose request was sent.
   std::size_t mSent{ 0 };
   /// Some attempt may have run.
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -71,6 +71,8 @@
     }
     const ids::EndpointId endpoint = choice.mEndpoint->mReport.mId;
     mExchange.mTried.push_back(endpoint);
+    mExchange.mLoadAtChoice =
+      choice.mEndpoint->mInFlight + choice.mEndpoint->mPeersInFlight;
     mExchange.mRepeatGranted = false;
     const Result result = co_await Attempt(*choice.mEndpoint);
     mExchange.mAttemptDeadline = timing::Instant::max();
@@ -252,9 +254,12 @@
       co_return Result::Failed;
     }
   }
-  mContext.mControl.ObserveLoad(aEndpoint, facts, mContext.mClock.Now());
   const unsigned status = parser->get().result_int();
   const bool notRun = facts.mNotRun || facts.mWrongEndpoint;
+  if (notRun) {
+    ReportNotRun(aEndpoint, status, facts);
+  }
+  mContext.mControl.ObserveLoad(aEndpoint, facts, mContext.mClock.Now());
   Result result = Result::Failed;
   if (!notRun && Success(status) && !facts.mSealed) {
     co_return Result::Failed;
@@ -276,6 +281,23 @@
   co_return result;
 }
 
+void Forwarder::ReportNotRun(const ids::EndpointId& aEndpoint,
+                             unsigned aStatus,
+                             const gateway::AnswerFacts& aFacts)
+{
+  const gateway::Endpoint* endpoint = mContext.mControl.mDirectory.Find(aEndpoint);
+  mContext.mLogger.Info(
+    "attempt refused by the endpoint",
+    { { "request", mExchange.mAdmission.mFacts.mId.Str() },
+      { "endpoint", aEndpoint.Str() },
+      { "status", aStatus },
+      { "wrong_endpoint", aFacts.mWrongEndpoint },
+      { "running", aFacts.mRunning ? static_cast<int>(*aFacts.mRunning) : -1 },
+      { "waiting", aFacts.mWaiting ? static_cast<int>(*aFacts.mWaiting) : -1 },
+      { "in_flight", endpoint != nullptr ? endpoint->mInFlight : 0 },
+      { "peers_in_flight", endpoint != nullptr ? endpoint->mPeersInFlight : 0 } });
+}
+
 asio::awaitable<bool> Forwarder::ReadHead(BackendConnection& aBackend,
                                           std::optional<AnswerParser>& aParser,
                                           gateway::AnswerFacts& aFacts)
@@ -366,8 +388,9 @@
         out.append("\r\n");
         mStatus = aParser.get().result_int();
         mExchange.mHeadSent = true;
-        mContext.mMetrics.mFirstEvent.Observe(mContext.mClock.Now() -
-                                              mExchange.mAdmission.mArrived);
+        mExchange.mFirstEventAfter =
+          mContext.mClock.Now() - mExchange.mAdmission.mArrived;
+        mContext.mMetrics.mFirstEvent.Observe(*mExchange.mFirstEventAfter);
       }
       out.append(Chunk(events));
       if (aParser.is_done() && !mExchange.mEvents.Partial()) {
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -95,6 +95,10 @@
   asio::awaitable<bool> Finish(Result aResult, gateway::NoEndpoint aReason);
   asio::awaitable<bool> WriteCaller(std::string aBytes);
 
+  /// Logs that an endpoint did not run the request, with what was known of its load.
+  void ReportNotRun(const ids::EndpointId& aEndpoint,
+                    unsigned aStatus,
+                    const gateway::AnswerFacts& aFacts);
   std::string BuildRequest(const ids::EndpointId& aEndpoint) const;
   bool Irreversible() const { return !mExchange.mAdmission.mRoute->Repeatable(); }
   void SetAttemptDeadline(timing::Duration aLimit);
--- a/components/gateway/leadership.cpp
+++ b/components/gateway/leadership.cpp
@@ -16,6 +16,11 @@
 
 Leadership::Step Leadership::Next(timing::Instant aNow)
 {
+  if (mLeaderPresent || mToken) {
+    mVacantSince.reset();
+  } else if (!mVacantSince) {
+    mVacantSince = aNow;
+  }
   if (aNow < mNotBefore) {
     return Step::None;
   }
@@ -28,7 +33,7 @@
   if (!mMemberWritten) {
     return Step::WriteMember;
   }
-  if (!mLeaderPresent && !mToken && LeaseSurelyRuns(aNow)) {
+  if (mVacantSince && aNow >= *mVacantSince + mYield && LeaseSurelyRuns(aNow)) {
     return Step::CreateLeader;
   }
   return Step::None;
--- a/components/gateway/leadership.hpp
+++ b/components/gateway/leadership.hpp
@@ -42,6 +42,9 @@
   {
   }
 
+  /// Sets for how long a vacant leadership is left to entries that suit it better.
+  void SetYield(timing::Duration aYield) { mYield = aYield; }
+
   /// Records whether some entry's leader record is in the store.
   void LeaderRecord(bool aPresent, std::int64_t aLease, std::int64_t aCreateRevision);
 
@@ -76,6 +79,9 @@
   bool mLeaderPresent{ true };
   bool mSeenOther{ false };
   std::optional<std::int64_t> mToken;
+  timing::Duration mYield{ 0 };
+  /// When this entry first saw that nobody leads.
+  std::optional<timing::Instant> mVacantSince;
   timing::Instant mOrdersFrom{};
 };
 
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -69,6 +69,7 @@
   record.set_name(aMember.mProcess.Str());
   record.set_address(aMember.mAddress.mHost + ":" +
                      std::to_string(aMember.mAddress.mPort));
+  record.set_cores(aMember.mCores);
   return record.SerializeAsString();
 }
 
@@ -82,7 +83,7 @@
   if (!address || record.name().empty()) {
     return std::nullopt;
   }
-  return MemberRecord{ ids::ProcessId(record.name()), *address };
+  return MemberRecord{ ids::ProcessId(record.name()), *address, record.cores() };
 }
 
 }
--- a/components/gateway/peercodec.hpp
+++ b/components/gateway/peercodec.hpp
@@ -18,6 +18,8 @@
 {
   ids::ProcessId mProcess;
   settings::SocketAddress mAddress;
+  /// Cores that the entry may use.
+  double mCores{ 0.0 };
 };
 std::string EncodeMember(const MemberRecord& aMember);
 std::optional<MemberRecord> DecodeMember(const std::string& aBytes);
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -15,6 +15,7 @@
 
 void PeerTable::Register(const ids::ProcessId& aProcess,
                          const settings::SocketAddress& aAddress,
+                         double aCores,
                          timing::Instant aNow)
 {
   if (aProcess == mOwn) {
@@ -22,6 +23,7 @@
   }
   Peer& peer = mPeers[aProcess];
   peer.mAddress = aAddress;
+  peer.mCores = aCores;
   peer.mRegistered = true;
   peer.mSeen = aNow;
 }
@@ -99,6 +101,15 @@
   return processes;
 }
 
+double PeerTable::MostCores() const
+{
+  double most = 0.0;
+  for (const auto& [process, peer] : mPeers) {
+    most = std::max(most, peer.mRegistered ? peer.mCores : 0.0);
+  }
+  return most;
+}
+
 unsigned PeerTable::InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const
 {
   const std::uint64_t key = DigestKey(aEndpoint.Str());
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -75,6 +75,7 @@
   /// Records the registration of an entry, or that it ended.
   void Register(const ids::ProcessId& aProcess,
                 const settings::SocketAddress& aAddress,
+                double aCores,
                 timing::Instant aNow);
   void Unregister(const ids::ProcessId& aProcess, timing::Instant aNow);
   /// Takes a digest; returns false if it is older than one that was taken.
@@ -95,6 +96,11 @@
   /// Entries whose registration is in the store.
   std::vector<ids::ProcessId> Registered() const;
 
+  /// Cores of the registered entry that has most; 0 if there is none.
+  double MostCores() const;
+  /// True while the process may not know all others that started with it.
+  bool Joining(timing::Instant aNow) const { return aNow < mStart + kJoin; }
+
   /// Sums over the fresh digests of the other entries.
   unsigned InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
   /// By digest key.
@@ -106,6 +112,7 @@
   struct Peer
   {
     settings::SocketAddress mAddress;
+    double mCores{ 0.0 };
     bool mRegistered{ false };
     timing::Instant mSeen{};
     timing::Instant mHeard{};
