Do not ask an endpoint again at once for a model that it refused

An order took the model away there and the engine's report did not show it yet; being the least loaded, it was chosen again and again. Ruled out: full engines and the plain service (1 refusal). Change: a model or adapter that an endpoint with free slots refused is not sought there for 1 s or 0.3 s, or until it is loaded there. Test: such an endpoint is passed over, a full one is not. Conclusion: stays, since a refused attempt spends the budget of repeats.

--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -221,3 +221,38 @@
   CHECK_FALSE(mControl.MayRepeat(admission, 2, kNow));
   CHECK_FALSE(mControl.MayRepeat(admission, 1, admission.mDeadline));
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "control: an endpoint that refuses a model is not asked again at once",
+                 "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1", { "a1" });
+  AddEndpoint(mControl, "far", "z2", { "a1" });
+  const ids::EndpointId near("near");
+  RequestFacts facts = Facts();
+  const std::string adapter = GENERATE(std::string(), std::string("a1"));
+  facts.mAdapter = adapter;
+  const Admission admission = Admit(facts);
+  AnswerFacts refusal;
+  refusal.mNotRun = true;
+  refusal.mRunning = 1;
+  refusal.mWaiting = 0;
+  REQUIRE(mControl.Begin(admission, {}, kNow).mEndpoint->mReport.mId == near);
+  mControl.End(near, AttemptEnd::Refused, kNow);
+  const auto next = [&](timing::Instant aNow) {
+    mControl.Tick(aNow);
+    return mControl.Begin(admission, {}, aNow).mEndpoint->mReport.mId.Str();
+  };
+  SECTION("an order takes the model away while slots are free")
+  {
+    mControl.ObserveRefusal(near, admission, refusal, kNow);
+    CHECK(next(kNow + 100ms) == "far");
+    CHECK(next(kNow + EndpointDirectory::kModelDenied) == "near");
+  }
+  SECTION("the endpoint is full, which says nothing of the model")
+  {
+    refusal.mRunning = 4;
+    mControl.ObserveRefusal(near, admission, refusal, kNow);
+    CHECK(next(kNow + 100ms) == "near");
+  }
+}
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -258,6 +258,8 @@
   const bool notRun = facts.mNotRun || facts.mWrongEndpoint;
   if (notRun) {
     ReportNotRun(aEndpoint, status, facts);
+    mContext.mControl.ObserveRefusal(
+      aEndpoint, mExchange.mAdmission, facts, mContext.mClock.Now());
   }
   mContext.mControl.ObserveLoad(aEndpoint, facts, mContext.mClock.Now());
   Result result = Result::Failed;
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -59,6 +59,10 @@
   /// model and adapter, with the instant at which that was heard.
   std::unordered_map<std::uint64_t, timing::Instant> mAnnounced;
 
+  /// Models and adapters, by their digest key, that the endpoint refuses to run until
+  /// then: an order concerns them that its own report does not show yet.
+  std::unordered_map<std::uint64_t, timing::Instant> mDenied;
+
   bool HoldsModel(const ids::ModelId& aModel) const
   {
     return mReport.mModels.contains(aModel);
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -52,6 +52,8 @@
   Choice choice;
   std::vector<Endpoint*> endpoints;
   std::vector<SpreadCandidate> candidates;
+  const std::uint64_t model =
+    aService.mEngine ? DigestKey(DemandMeter::Name(aFacts.mModel, {})) : 0;
   const std::uint64_t adapter =
     aFacts.mAdapter.empty()
       ? 0
@@ -64,11 +66,13 @@
     if (choice.mReason == NoEndpoint::NoneUsable) {
       choice.mReason = NoEndpoint::ModelAbsent;
     }
-    if (aService.mEngine && !endpoint.HoldsModel(aFacts.mModel)) {
+    if (aService.mEngine &&
+        (!endpoint.HoldsModel(aFacts.mModel) || endpoint.mDenied.contains(model))) {
       continue;
     }
     if (aService.mEngine && !aFacts.mAdapter.empty() &&
-        !endpoint.HoldsAdapter(aFacts.mModel, aFacts.mAdapter, adapter)) {
+        (!endpoint.HoldsAdapter(aFacts.mModel, aFacts.mAdapter, adapter) ||
+         endpoint.mDenied.contains(adapter))) {
       if (choice.mReason == NoEndpoint::ModelAbsent) {
         choice.mReason = NoEndpoint::AdapterAbsent;
       }
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "components/gateway/demandmeter.hpp"
+
 namespace samphiresail::gateway {
 
 void EndpointDirectory::Update(EndpointReport aReport, timing::Instant aNow)
@@ -74,6 +76,8 @@
     std::erase_if(endpoint.mAnnounced, [aNow](const auto& aRow) {
       return aRow.second + kAnnouncedLife <= aNow;
     });
+    std::erase_if(endpoint.mDenied,
+                  [aNow](const auto& aRow) { return aRow.second <= aNow; });
   }
   std::erase_if(mEndpoints, [aNow](const auto& aRow) {
     return aRow.second.mUsableUntil <= aNow && aRow.second.mInFlight == 0;
@@ -87,6 +91,18 @@
   });
   if (it != mEndpoints.end()) {
     it->second.mAnnounced[aLoaded.mAdapter] = aNow;
+    it->second.mDenied.erase(aLoaded.mAdapter);
+  }
+}
+
+void EndpointDirectory::Deny(const ids::EndpointId& aId,
+                             const ids::ModelId& aModel,
+                             const std::string& aAdapter,
+                             timing::Instant aNow)
+{
+  if (Endpoint* endpoint = Find(aId)) {
+    const std::uint64_t key = DigestKey(DemandMeter::Name(aModel, aAdapter));
+    endpoint->mDenied[key] = aNow + (aAdapter.empty() ? kModelDenied : kAdapterDenied);
   }
 }
 
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -51,6 +51,19 @@
   /// for so long.
   static constexpr timing::Duration kObservedLife = std::chrono::milliseconds(150);
 
+  /// How long an endpoint is not asked again for a model that it refused to run; by then
+  /// its report tells more.
+  static constexpr timing::Duration kModelDenied = std::chrono::milliseconds(1000);
+  /// The same for an adapter, which can be loaded within milliseconds.
+  static constexpr timing::Duration kAdapterDenied = std::chrono::milliseconds(300);
+
+  /// Records that an endpoint with free slots refused to run the model, or its adapter if
+  /// one is named.
+  void Deny(const ids::EndpointId& aId,
+            const ids::ModelId& aModel,
+            const std::string& aAdapter,
+            timing::Instant aNow);
+
   /// Replaces the counts of requests that the other entries have at the endpoints, but
   /// for endpoints that have just told their load themselves.
   void SetPeersInFlight(const std::unordered_map<ids::EndpointId, unsigned>& aCounts,
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -193,6 +193,22 @@
   endpoint->mObservedAt = aNow;
 }
 
+void TrafficControl::ObserveRefusal(const ids::EndpointId& aEndpoint,
+                                    const Admission& aAdmission,
+                                    const AnswerFacts& aFacts,
+                                    timing::Instant aNow)
+{
+  const Endpoint* endpoint = mDirectory.Find(aEndpoint);
+  if (endpoint == nullptr || !aAdmission.mService->mEngine) {
+    return;
+  }
+  const bool full = aFacts.mRunning && *aFacts.mRunning >= endpoint->mReport.mSlots;
+  if (!full || aFacts.mWrongEndpoint) {
+    mDirectory.Deny(
+      aEndpoint, aAdmission.mFacts.mModel, aAdmission.mFacts.mAdapter, aNow);
+  }
+}
+
 void TrafficControl::End(const ids::EndpointId& aEndpoint,
                          AttemptEnd aEnd,
                          timing::Instant aNow)
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -104,6 +104,13 @@
                const std::vector<ids::EndpointId>& aTried,
                timing::Instant aNow);
 
+  /// Records that an endpoint answered that it did not run the request. One that is not
+  /// full lacks the model or adapter, or an order is about to take it away.
+  void ObserveRefusal(const ids::EndpointId& aEndpoint,
+                      const Admission& aAdmission,
+                      const AnswerFacts& aFacts,
+                      timing::Instant aNow);
+
   /// Records the end of an attempt that Begin started.
   void End(const ids::EndpointId& aEndpoint, AttemptEnd aEnd, timing::Instant aNow);
 
