Keep queues at engines short for urgent requests and spare copies after a crash

Cause, queues: of the requests that found 72 or more others at an engine with 64 slots, 12 to 59 in 100 had their first event within 400 ms; of those with fewer than 64, 83 and more. Up to 96 were let in. Dropping waits for runs to end and refuses requests for 5 s meanwhile. Cause, swaps: three engines at a time follow demand, whatever the size of the fleet. Change: an urgent request does not queue behind more than a tenth of an engine's slots, a patient one behind half of them, one for a plain service behind 2.5 times as many; no copy makes room while busy engines have room for the missing models; a quarter of the engines may swap at a time, three at least. Tests: places of urgent requests, room that comes soon, swaps in a large fleet.

--- a/apps/tests/gateway/fleetplannertest.cpp
+++ b/apps/tests/gateway/fleetplannertest.cpp
@@ -136,3 +136,43 @@
     kPlanner.Plan(Spec(5), engines, Demand({ { "m0", 8.0 }, { "m1", 0.5 } }), kManyLoads);
   CHECK(orders.empty());
 }
+
+TEST_CASE("planner: a large fleet follows demand with many engines at once", "[gateway]")
+{
+  constexpr int kEngines = 40;
+  std::vector<EngineView> engines;
+  std::map<std::string, double> rates;
+  for (int i = 0; i < kEngines; ++i) {
+    // Every engine holds the model that fell silent and one that is in demand.
+    const std::string own = "m" + std::to_string(1 + i);
+    engines.push_back(Engine("e" + std::to_string(i), { "m0", own }));
+    rates[own] = 40.0;
+  }
+  EngineSpec spec = Spec(kEngines + 1);
+  spec.mMemoryMb = 20;
+  const auto orders = kPlanner.Plan(spec, engines, Demand(rates), kManyLoads);
+  CHECK(std::ranges::count_if(orders, [](const PlannedOrder& aOrder) {
+          return aOrder.mOrder.mKind == OrderKind::Unload;
+        }) == kEngines / 4);
+}
+
+TEST_CASE("planner: no copy makes room while an engine with room is only busy",
+          "[gateway]")
+{
+  // The third engine came back empty and loads one model; two more fit.
+  EngineView back = Engine("e3", { "m1" });
+  back.mComing = { ids::ModelId("m1") };
+  back.mFree = false;
+  const std::vector<EngineView> engines{ Engine("e1", { "m0", "m4", "m5" }),
+                                         Engine("e2", { "m0", "m6", "m7" }),
+                                         back };
+  const DemandOf demand =
+    Demand({ { "m0", 30.0 }, { "m2", 5.0 }, { "m3", 4.0 }, { "m8", 3.0 } });
+  CHECK(kPlanner.Plan(Spec(8), engines, demand, kManyLoads).empty());
+  SECTION("but it does for what will not fit there")
+  {
+    const auto orders = kPlanner.Plan(Spec(9), engines, demand, kManyLoads);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].mOrder.mKind == OrderKind::Unload);
+  }
+}
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -256,3 +256,20 @@
     CHECK(next(kNow + 100ms) == "near");
   }
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "control: urgent requests do not queue behind full slots of an engine",
+                 "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  const auto admitted = [&](const Admission& aAdmission) {
+    int count = 0;
+    while (mControl.Begin(aAdmission, {}, kNow).mEndpoint != nullptr) {
+      ++count;
+    }
+    return count;
+  };
+  // Four slots; what waits beyond them is past the target of an urgent request.
+  CHECK(admitted(Admit()) == 5);
+  CHECK(admitted(Admit(Facts("/digest/1"))) == 1);
+}
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -46,9 +46,12 @@
 Choice EndpointChooser::Choose(const Service& aService,
                                const RequestFacts& aFacts,
                                const std::vector<ids::EndpointId>& aTried,
+                               bool aPatient,
                                double aUnseen,
                                timing::Instant aNow)
 {
+  const double engineWaiting = aPatient ? kPatientWaiting : kUrgentWaiting;
+  const double waiting = aService.mEngine ? engineWaiting : kPlainWaiting;
   Choice choice;
   std::vector<Endpoint*> endpoints;
   std::vector<SpreadCandidate> candidates;
@@ -81,7 +84,7 @@
     choice.mReason = NoEndpoint::Full;
     const double slots = std::max(1U, endpoint.mReport.mSlots);
     const bool full =
-      endpoint.mInFlight + endpoint.mPeersInFlight >= slots * (1.0 + kWaitingPart);
+      endpoint.mInFlight + endpoint.mPeersInFlight >= slots * (1.0 + waiting);
     const bool careful = aNow < endpoint.mColdUntil || aNow < endpoint.mRampUntil;
     if (full ||
         (careful && !mCold.HasRoom(id, aService.mColdPerSecond, mEntries, aNow))) {
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -37,8 +37,14 @@
 class EndpointChooser
 {
 public:
-  /// Requests beyond an endpoint's slots that may wait there, as a part of its slots.
-  static constexpr double kWaitingPart = 0.5;
+  // Requests beyond an endpoint's slots that may wait there, as a part of its slots.
+  /// Urgent requests to engines: with more than a few that wait, first events come after
+  /// their target.
+  static constexpr double kUrgentWaiting = 0.1;
+  /// Requests to engines whose target leaves time to wait.
+  static constexpr double kPatientWaiting = 0.5;
+  /// Plain services run for some ten milliseconds, and slots free up as fast.
+  static constexpr double kPlainWaiting = 2.5;
   /// Load by slots that another availability zone's endpoint must be better by.
   static constexpr double kZonePenalty = 0.12;
   /// Share of failed requests above which an endpoint counts as an outlier.
@@ -51,11 +57,13 @@
 
   void SetEntries(std::size_t aEntries) { mEntries = aEntries; }
 
-  /// Chooses among the endpoints of the service that are not in aTried. aUnseen counts
-  /// the like requests that the other entries send before they next tell their loads.
+  /// Chooses among the endpoints of the service that are not in aTried. aPatient says
+  /// that the request may wait for a slot; aUnseen counts the like requests that the
+  /// other entries send before they next tell their loads.
   Choice Choose(const Service& aService,
                 const RequestFacts& aFacts,
                 const std::vector<ids::EndpointId>& aTried,
+                bool aPatient,
                 double aUnseen,
                 timing::Instant aNow);
 
--- a/components/gateway/fleetplanner.hpp
+++ b/components/gateway/fleetplanner.hpp
@@ -74,8 +74,9 @@
   /// A copy is dropped for another model only if that one's demand by copy is larger by
   /// this factor.
   static constexpr double kSwapFactor = 2.0;
-  /// Engines that may drop a copy at a time.
-  static constexpr std::size_t kSwapsAtOnce = 3;
+  /// Engines that may drop a copy at a time, as a part of all, and at least.
+  static constexpr double kSwapsPart = 0.25;
+  static constexpr std::size_t kSwapsLeast = 3;
 
   /// Returns at most one order for each free engine. aLoads bounds the loads of models.
   std::vector<PlannedOrder> Plan(const EngineSpec& aSpec,
--- a/components/gateway/planninground.cpp
+++ b/components/gateway/planninground.cpp
@@ -176,6 +176,22 @@
     mEngines, [](const Engine& aEngine) { return !aEngine.mView->mLeaving.empty(); }));
 }
 
+std::size_t PlanningRound::PlacesSoon() const
+{
+  double largest = 1.0;
+  for (const Model& model : mModels) {
+    largest = std::max(largest, model.mSpec->mMemoryMb);
+  }
+  std::size_t places = 0;
+  for (const Engine& engine : mEngines) {
+    const double free = mSpec.mMemoryMb - mAdapterReserve - engine.mUsed;
+    if (engine.mView->mUsable && !CanOrder(engine) && free > 0) {
+      places += static_cast<std::size_t>(free / largest);
+    }
+  }
+  return places;
+}
+
 void PlanningRound::RestoreMissing()
 {
   std::vector<Model*> missing;
@@ -186,11 +202,15 @@
   }
   std::ranges::stable_sort(missing, std::ranges::greater{}, &Model::mDemand);
   std::size_t making = SwapsUnderWay();
+  std::size_t soon = PlacesSoon();
   for (Model* model : missing) {
     if (Engine* engine = Room(*model)) {
       if (mLoads > 0) {
         Load(*engine, *model);
       }
+    } else if (soon > 0) {
+      // Taking a copy away would cost its callers more than the wait.
+      --soon;
     } else if (making < missing.size()) {
       const double most = model->mDemand > 0 ? std::numeric_limits<double>::max()
                                              : FleetPlanner::kSpareable;
@@ -251,11 +271,13 @@
 
 void PlanningRound::SwapCopies()
 {
+  const auto part = static_cast<std::size_t>(FleetPlanner::kSwapsPart *
+                                             static_cast<double>(mEngines.size()));
+  const std::size_t most = std::max(FleetPlanner::kSwapsLeast, part);
   std::size_t swaps = SwapsUnderWay();
   CountExpected();
   for (Model* model : ByNeed()) {
-    if (swaps >= FleetPlanner::kSwapsAtOnce ||
-        Need(*model) < FleetPlanner::kWorthSwapping) {
+    if (swaps >= most || Need(*model) < FleetPlanner::kWorthSwapping) {
       return;
     }
     const double after = model->mDemand / static_cast<double>(model->mCopies + 1);
--- a/components/gateway/planninground.hpp
+++ b/components/gateway/planninground.hpp
@@ -69,6 +69,8 @@
   /// Copies whose model would be left with more than aMost demand by copy stay.
   bool MakeRoom(const Model& aModel, double aMost);
   std::size_t SwapsUnderWay() const;
+  /// Returns how many more models fit into engines that are busy with an order.
+  std::size_t PlacesSoon() const;
   /// Loads models that no engine holds, those in demand first, and makes room for them.
   void RestoreMissing();
   static double Need(const Model& aModel);
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -30,6 +30,11 @@
 constexpr int kPatientStep = 4;
 constexpr int kLastPriority = 9;
 
+bool Patient(const Route& aRoute)
+{
+  return aRoute.mTargetLatency >= kPatientTarget;
+}
+
 }
 
 TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
@@ -124,7 +129,7 @@
                           : admission.mPatienceEnd;
   admission.mPriority =
     account != nullptr && account->mPriority ? *account->mPriority : route->mPriority;
-  if (route->mTargetLatency >= kPatientTarget) {
+  if (Patient(*route)) {
     admission.mPriority += kPatientStep;
   }
   admission.mPriority = std::clamp(admission.mPriority, 0, kLastPriority);
@@ -159,8 +164,12 @@
                              const std::vector<ids::EndpointId>& aTried,
                              timing::Instant aNow)
 {
-  const Choice choice = mChooser.Choose(
-    *aAdmission.mService, aAdmission.mFacts, aTried, Unseen(aAdmission, aNow), aNow);
+  const Choice choice = mChooser.Choose(*aAdmission.mService,
+                                        aAdmission.mFacts,
+                                        aTried,
+                                        Patient(*aAdmission.mRoute),
+                                        Unseen(aAdmission, aNow),
+                                        aNow);
   if (choice.mEndpoint != nullptr) {
     ++choice.mEndpoint->mInFlight;
     mCold.Record(choice.mEndpoint->mReport.mId, aNow);
