Test the platform's store, feed and engine calls against scripted servers

Writes, failed conditions, busy and silent stores, lost answers, pages, changes, lost history, orders and their outcomes are played over real sockets.

--- /dev/null
+++ b/apps/tests/platform/feedtest.cpp
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "components/store/base64.hpp"
+#include "platform/feed.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using frontend::testing::ScriptedEndpoint;
+
+namespace {
+
+/// Writes down what it is told, one word each.
+class Recorder final : public gateway::PlatformListener
+{
+public:
+  void OnConfiguration(
+    std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override
+  {
+    Add("configuration " + std::to_string(aConfiguration->mVersion));
+  }
+  void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override
+  {
+    Add((aOut ? "out " : "back ") + aZone.Str());
+  }
+  void OnEndpoint(gateway::EndpointReport aReport) override
+  {
+    Add("endpoint " + aReport.mId.Str());
+  }
+  void OnEndpointGone(const ids::EndpointId& aId) override { Add("gone " + aId.Str()); }
+  void OnFullReading(const gateway::FullReading& aReading) override
+  {
+    Add("full " + std::to_string(aReading.mEndpoints.size()) + " " +
+        std::to_string(aReading.mZonesOut.size()) + " " +
+        std::to_string(aReading.mOwnKeys.size()));
+  }
+  void OnOwnRecord(const std::string& aKey,
+                   const std::optional<std::string>& aValue,
+                   std::int64_t,
+                   std::int64_t) override
+  {
+    Add("own " + aKey + " " + aValue.value_or("none"));
+  }
+  void OnConfirmed(timing::Instant) override { Add("confirmed"); }
+  void OnContactLost(const std::string&) override { Add("lost"); }
+
+  std::vector<std::string> mTold;
+
+private:
+  void Add(const std::string& aText) { mTold.push_back(aText); }
+};
+
+std::string Item(const std::string& aKey, const std::string& aValue)
+{
+  return R"({"key":")" + aKey + R"(","revision":3,"value":")" +
+         store::EncodeBase64(aValue) + R"("})";
+}
+
+std::string Answer(unsigned aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string Page(const std::string& aItems, int aRevision, bool aMore = false)
+{
+  return Answer(200,
+                R"({"items":[)" + aItems + R"(],"storeRevision":)" +
+                  std::to_string(aRevision) + R"(,"truncated":)" +
+                  (aMore ? "true" : "false") + "}");
+}
+
+std::string Changes(const std::string& aItems, int aRevision)
+{
+  return Answer(200,
+                R"({"events":[)" + aItems + R"(],"storeRevision":)" +
+                  std::to_string(aRevision) + "}");
+}
+
+const std::string kEndpoint =
+  R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":4,"state":"ready",)"
+  R"("coldRemainingMs":0,"sequence":1,"born":1})";
+const std::string kConfiguration = R"({"version":5,"routes":[],"services":[]})";
+
+struct Fixture
+{
+  /// Runs the feed until the store has had that many calls and the last one is answered.
+  std::vector<std::string> Run(std::size_t aCalls)
+  {
+    platform::Feed feed(mIo, mStore, mRecorder, mClock, mLogger, 3);
+    frontend::asio::co_spawn(
+      mIo, [&feed] { return feed.Run(); }, frontend::asio::detached);
+    while (mServer.Requests().size() <= aCalls) {
+      mIo.run_one();
+    }
+    mIo.stop();
+    return mRecorder.mTold;
+  }
+
+  frontend::asio::io_context mIo{ 1 };
+  ScriptedEndpoint mServer{ mIo };
+  platform::HttpClient mClient{ mIo };
+  platform::PlatformStore mStore{ mClient, { "127.0.0.1", mServer.Port() } };
+  timing::SystemClock mClock;
+  std::ostringstream mLog;
+  logging::Logger mLogger{ "test", logging::Level::Info, mLog };
+  Recorder mRecorder;
+};
+
+using Told = std::vector<std::string>;
+
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "feed: all pages are read before anything is confirmed",
+                 "[platform]")
+{
+  mServer.Expect({ Page(Item("op/config", kConfiguration), 8, true) });
+  mServer.Expect(
+    { Page(Item("op/evacuate/z", "") + "," + Item("servers/e1", kEndpoint) + "," +
+             Item("servers/e2", "not for us") + "," + Item("own/1", "x"),
+           9) });
+  mServer.Expect({ "", false, true });
+  const Told told = Run(2);
+  CHECK(told == Told{ "configuration 5",
+                      "out z",
+                      "endpoint e1",
+                      "own own/1 x",
+                      "full 1 1 1",
+                      "confirmed" });
+  CHECK(mServer.Requests().at(1).find("after=op%2Fconfig") != std::string::npos);
+  // Changes since the first page are watched.
+  CHECK(mServer.Requests().at(2).find("after=8") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture, "feed: changes are passed on in their order", "[platform]")
+{
+  mServer.Expect({ Page(Item("servers/e1", kEndpoint), 8) });
+  mServer.Expect({ Changes(R"({"key":"servers/e1","revision":9,"tombstone":true},)"
+                           R"({"key":"op/evacuate/z","revision":10,"tombstone":true})",
+                           10) });
+  mServer.Expect({ "", false, true });
+  CHECK(
+    Run(2) ==
+    Told{ "endpoint e1", "full 1 0 0", "confirmed", "gone e1", "back z", "confirmed" });
+  CHECK(mServer.Requests().at(2).find("after=10") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "feed: lost history is replaced by a full reading",
+                 "[platform]")
+{
+  mServer.Expect({ Page(Item("servers/e1", kEndpoint), 8) });
+  mServer.Expect({ Answer(410, "") });
+  mServer.Expect({ Page(Item("own/1", "x"), 20) });
+  mServer.Expect({ "", false, true });
+  const Told told = Run(3);
+  REQUIRE(told.size() == 6);
+  CHECK(Told(told.begin() + 3, told.end()) ==
+        Told{ "own own/1 x", "full 0 0 1", "confirmed" });
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "feed: a store that fails is told once and tried again",
+                 "[platform]")
+{
+  mServer.Expect({ Answer(503, "") });
+  mServer.Expect({ Answer(503, "") });
+  mServer.Expect({ Page("", 8) });
+  mServer.Expect({ "", false, true });
+  CHECK(Run(3) == Told{ "lost", "full 0 0 0", "confirmed" });
+  CHECK(mLog.str().find("store regained") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "feed: a configuration that cannot be read changes nothing",
+                 "[platform]")
+{
+  mServer.Expect({ Page(Item("op/config", "{"), 8) });
+  mServer.Expect({ "", false, true });
+  CHECK(Run(1) == Told{ "full 0 0 0", "confirmed" });
+  CHECK(mLog.str().find("configuration ignored") != std::string::npos);
+}
--- /dev/null
+++ b/apps/tests/platform/storetest.cpp
@@ -0,0 +1,193 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "platform/enginecalls.hpp"
+#include "platform/store.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using frontend::testing::ScriptedEndpoint;
+using store::StoreOutcome;
+
+namespace {
+
+/// Far beyond what an answer on the loopback address takes.
+constexpr auto kLong = 20s;
+constexpr auto kShort = 50ms;
+
+std::string Json(unsigned aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+struct Fixture
+{
+  template<typename T>
+  T Await(frontend::asio::awaitable<T> aCall)
+  {
+    std::optional<T> result;
+    frontend::asio::co_spawn(
+      mIo,
+      [&]() -> frontend::asio::awaitable<void> { result = co_await std::move(aCall); },
+      frontend::asio::detached);
+    while (!result) {
+      mIo.run_one();
+    }
+    return std::move(*result);
+  }
+
+  store::StoreReply Write(std::chrono::milliseconds aLimit = kLong)
+  {
+    store::StoreRequest request =
+      store::TransactionRequest{ { { "k", 7 } }, { store::PutOperation{ "k", "v", 3 } } };
+    return Await(mStore.Execute(std::move(request), aLimit));
+  }
+
+  frontend::asio::io_context mIo{ 1 };
+  ScriptedEndpoint mServer{ mIo };
+  platform::HttpClient mClient{ mIo };
+  settings::SocketAddress mAddress{ "127.0.0.1", mServer.Port() };
+  platform::PlatformStore mStore{ mClient, mAddress };
+};
+
+}
+
+TEST_CASE_METHOD(Fixture, "store: a write states its condition and lease", "[platform]")
+{
+  mServer.Expect({ Json(200, R"({"revision":12})") });
+  const store::StoreReply reply = Write();
+  CHECK(reply.mOutcome == StoreOutcome::Answered);
+  CHECK(reply.mSucceeded);
+  CHECK(reply.mRevision == 12);
+  const std::string& sent = mServer.Requests().at(0);
+  CHECK(sent.starts_with("POST /kv-txn "));
+  CHECK(sent.find(R"("precondition":[{"key":"k","revision":7}])") != std::string::npos);
+  CHECK(sent.find(R"("lease":3)") != std::string::npos);
+  CHECK(sent.find(R"("value":"dg==")") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store: a failed condition tells the present state",
+                 "[platform]")
+{
+  mServer.Expect({ Json(
+    412,
+    R"({"items":[{"key":"k","value":"dw==","revision":9,"createRev":5,"lease":4}]})") });
+  const store::StoreReply reply = Write();
+  CHECK(reply.mOutcome == StoreOutcome::Answered);
+  CHECK_FALSE(reply.mSucceeded);
+  REQUIRE(reply.mRecords.size() == 1);
+  CHECK(reply.mRecords[0].mValue == "w");
+  CHECK(reply.mRecords[0].mCreateRevision == 5);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store: what was done stays open only where it may have been done",
+                 "[platform]")
+{
+  SECTION("a busy store did nothing")
+  {
+    mServer.Expect({ Json(GENERATE(429U, 503U), "") });
+    CHECK(Write().mOutcome == StoreOutcome::NotSent);
+  }
+  SECTION("a lost answer")
+  {
+    mServer.Expect({ "", true });
+    CHECK(Write().mOutcome == StoreOutcome::Unknown);
+  }
+  SECTION("silence ends with the limit")
+  {
+    mServer.Expect({ "", false, true });
+    CHECK(Write(kShort).mOutcome == StoreOutcome::Unknown);
+  }
+  SECTION("an answer that cannot be read")
+  {
+    mServer.Expect({ Json(200, "{") });
+    CHECK(Write().mOutcome == StoreOutcome::Unknown);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "store: a call after a lost answer gets its own", "[platform]")
+{
+  mServer.Expect({ "", false, true });
+  CHECK(Write(kShort).mOutcome == StoreOutcome::Unknown);
+  mServer.Expect({ Json(200, R"({"revision":13})") });
+  CHECK(Write().mRevision == 13);
+}
+
+TEST_CASE_METHOD(Fixture, "store: pages and changes are decoded", "[platform]")
+{
+  mServer.Expect(
+    { Json(200,
+           R"({"items":[{"key":"a b","value":"eA==","revision":2}],"truncated":true,)"
+           R"("storeRevision":8})") });
+  const auto page = Await(mStore.ReadPage("a/1", kLong));
+  CHECK(page.mOutcome == platform::StoreReading::Outcome::Answered);
+  CHECK(page.mTruncated);
+  CHECK(page.mRevision == 8);
+  CHECK(page.mEvents.at(0).mRecord.mValue == "x");
+  CHECK(mServer.Requests().at(0).find("after=a%2F1") != std::string::npos);
+
+  mServer.Expect({ Json(
+    200,
+    R"({"events":[{"key":"a b","revision":9,"tombstone":true}],"storeRevision":9})") });
+  const auto changes = Await(mStore.Watch(8, 10ms, kLong));
+  CHECK(changes.mEvents.at(0).mGone);
+  CHECK(changes.mRevision == 9);
+}
+
+TEST_CASE_METHOD(Fixture, "store: a watch tells lost history from failure", "[platform]")
+{
+  using Outcome = platform::StoreReading::Outcome;
+  mServer.Expect({ Json(410, "") });
+  CHECK(Await(mStore.Watch(8, 10ms, kLong)).mOutcome == Outcome::HistoryLost);
+  mServer.Expect({ Json(503, "") });
+  CHECK(Await(mStore.Watch(8, 10ms, kLong)).mOutcome == Outcome::Failed);
+  mServer.Expect({ Json(200, R"({"events":[{"key":5}],"storeRevision":9})") });
+  CHECK(Await(mStore.Watch(8, 10ms, kLong)).mOutcome == Outcome::Failed);
+}
+
+TEST_CASE_METHOD(Fixture, "engine calls: an order names its endpoint", "[platform]")
+{
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"));
+  gateway::EndpointReport endpoint;
+  endpoint.mId = ids::EndpointId("e1");
+  endpoint.mAddress = mAddress;
+  const gateway::EngineAction action{
+    endpoint.mId,
+    gateway::EngineOrder{ gateway::OrderKind::Load, ids::ModelId("m"), "a1" },
+    4
+  };
+  const auto [status, outcome] =
+    GENERATE(std::pair(202U, gateway::OrderOutcome::Accepted),
+             std::pair(200U, gateway::OrderOutcome::AlreadySo),
+             std::pair(409U, gateway::OrderOutcome::Conflict),
+             std::pair(412U, gateway::OrderOutcome::Fenced),
+             std::pair(421U, gateway::OrderOutcome::Rejected));
+  mServer.Expect({ Json(status, "") });
+  CHECK(Await(calls.Order(endpoint, action, 41)) == outcome);
+  const std::string& sent = mServer.Requests().at(0);
+  CHECK(sent.find("Expect-Instance: e1") != std::string::npos);
+  CHECK(sent.find(R"("fencingToken":41)") != std::string::npos);
+  CHECK(sent.find(R"("precondition":4)") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "engine calls: an order without an answer stays open",
+                 "[platform]")
+{
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"));
+  gateway::EndpointReport endpoint;
+  endpoint.mAddress = mAddress;
+  mServer.Expect({ "", true });
+  const gateway::EngineAction action{ endpoint.mId, gateway::EngineOrder{}, 0 };
+  CHECK(Await(calls.Order(endpoint, action, 41)) == gateway::OrderOutcome::Unknown);
+  mServer.Expect({ Json(200, "no report") });
+  CHECK_FALSE(Await(calls.Report(endpoint)));
+}
