Let a request wait half of its target latency for a place at an endpoint

Change: a request for which all endpoints are full waits for half of its target latency and looks again at each tick; then it is refused as before. Test: a place that frees up is taken.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -217,3 +217,17 @@
   CallAndLeave(Post("/once/1"), [&] { return endpoint.Abandoned() == 1; });
   CHECK(endpoint.Requests().size() == 1);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a request waits a little for a place at a full endpoint",
+                 "[frontend]")
+{
+  const ids::EndpointId id("e1");
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.Expect({ Sealed("r1", "served") });
+  mControl.mDirectory.SetPeersInFlight({ { id, 100 } }, timing::SystemClock().Now());
+  Later([&] {
+    mControl.mDirectory.SetPeersInFlight({ { id, 0 } }, timing::SystemClock().Now());
+  });
+  CHECK(Call(Get("/safe/1"), HeadAndBody).ends_with("\r\n\r\nserved"));
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 namespace samphiresail::frontend::testing {
 
@@ -163,6 +164,20 @@
   return received;
 }
 
+void Fixture::Later(const std::function<void()>& aChange)
+{
+  asio::co_spawn(
+    mIo,
+    [this, aChange]() -> asio::awaitable<void> {
+      while (mExchanges.Size() == 0) {
+        co_await asio::post(mIo, asio::use_awaitable);
+      }
+      aChange();
+      mSignal.Notify();
+    },
+    asio::detached);
+}
+
 void Fixture::CallAndLeave(const std::string& aBytes, const std::function<bool()>& aDone)
 {
   const auto caller = [&]() -> asio::awaitable<void> {
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -65,6 +65,9 @@
   /// Sends bytes as a caller that leaves at once, and runs until aDone holds.
   void CallAndLeave(const std::string& aBytes, const std::function<bool()>& aDone);
 
+  /// Does something while a call is under way, as the tick would.
+  void Later(const std::function<void()>& aChange);
+
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
 
 private:
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -14,6 +14,9 @@
 /// Wait for an adapter that the leader loads on demand: a digest, an order to make way,
 /// an order to load, and some milliseconds of loading.
 constexpr milliseconds kAdapterWait{ 600 };
+/// Part of its target latency for which a request waits for a place at an endpoint: after
+/// that its answer would mostly come late.
+constexpr int kFullWaitDivisor = 2;
 /// Time to open a connection to an endpoint; two lost packets fit in.
 constexpr milliseconds kConnectLimit{ 450 };
 /// Wait for the head of an answer before a request that may be repeated goes elsewhere.
@@ -101,21 +104,34 @@
   }
 }
 
+timing::Duration Forwarder::WaitFor(gateway::NoEndpoint aReason) const
+{
+  switch (aReason) {
+    case gateway::NoEndpoint::AdapterAbsent:
+      return kAdapterWait;
+    case gateway::NoEndpoint::Full:
+      return mExchange.mAdmission.mRoute->mTargetLatency / kFullWaitDivisor;
+    case gateway::NoEndpoint::ModelAbsent:
+    case gateway::NoEndpoint::NoneUsable:
+      return timing::Duration::zero();
+  }
+  return timing::Duration::zero();
+}
+
 asio::awaitable<gateway::Choice> Forwarder::Choose()
 {
   const gateway::Admission& admission = mExchange.mAdmission;
-  const timing::Instant until =
-    std::min(admission.mDeadline, mContext.mClock.Now() + kAdapterWait);
+  const timing::Instant begun = mContext.mClock.Now();
   bool wanted = false;
   for (;;) {
     const timing::Instant now = mContext.mClock.Now();
     gateway::Choice choice = mContext.mControl.Begin(admission, mExchange.mTried, now);
-    if (choice.mEndpoint != nullptr ||
-        choice.mReason != gateway::NoEndpoint::AdapterAbsent || now >= until ||
-        mExchange.mCallerGone) {
+    const timing::Instant until =
+      std::min(admission.mDeadline, begun + WaitFor(choice.mReason));
+    if (choice.mEndpoint != nullptr || now >= until || mExchange.mCallerGone) {
       co_return choice;
     }
-    if (!wanted) {
+    if (!wanted && choice.mReason == gateway::NoEndpoint::AdapterAbsent) {
       wanted = true;
       mContext.mOnAdapterWanted();
     }
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -69,7 +69,9 @@
     Ended,
   };
 
-  /// Begins an attempt; waits a little if only an adapter is missing.
+  /// Returns how long a request waits for an endpoint that is missing for that reason.
+  timing::Duration WaitFor(gateway::NoEndpoint aReason) const;
+  /// Begins an attempt; waits a little if only an adapter or a place is missing.
   asio::awaitable<gateway::Choice> Choose();
   asio::awaitable<Result> Attempt(const gateway::Endpoint& aEndpoint);
   asio::awaitable<std::unique_ptr<BackendConnection>> Connect(
