Notice settings that change without a signal and entries whose clock was set back

Two faults that were left. Settings were read again on SIGHUP only: the file's time and size are now looked at each second. An entry that restarted after its time of day was set back had a smaller number and was not heard until the clock caught up: a smaller number now replaces a larger one that fell silent for 1.2 s.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -58,6 +58,7 @@
   : mOptions(aOptions)
   , mSettingsPath(std::move(aSettingsPath))
   , mSettings(std::move(aSettings))
+  , mSettingsWatch(mSettingsPath)
   , mClock(aClock)
   , mLogOutput(STDOUT_FILENO)
   , mLogStream(&mLogOutput)
@@ -185,6 +186,9 @@
       mLogger.Warn("log lines dropped", { { "lines", dropped } });
     }
     RecordEntries();
+    if (mSettingsWatch.Changed()) {
+      Reload();
+    }
   }
   if (mStopBegan != timing::Instant::max()) {
     const timing::Duration since = aNow - mStopBegan;
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -21,6 +21,7 @@
 #include "components/logging/boundedoutput.hpp"
 #include "components/logging/logger.hpp"
 #include "components/metrics/registry.hpp"
+#include "components/settings/filewatch.hpp"
 #include "platform/dialect.hpp"
 #include "platform/enginecalls.hpp"
 #include "platform/feed.hpp"
@@ -90,6 +91,7 @@
   GatewayOptions mOptions;
   std::string mSettingsPath;
   platform::Settings mSettings;
+  settings::FileWatch mSettingsWatch;
   const timing::Clock& mClock;
   logging::BoundedOutput mLogOutput;
   std::ostream mLogStream;
--- a/apps/tests/gateway/peertabletest.cpp
+++ b/apps/tests/gateway/peertabletest.cpp
@@ -110,3 +110,14 @@
   CHECK(peers.Entries(kNow + PeerTable::kJoin) == 1);
   CHECK(peers.AllHearAll(kNow + PeerTable::kJoin));
 }
+
+TEST_CASE("peers: a process whose time of day was set back is heard after its restart",
+          "[gateway]")
+{
+  PeerTable peers(kOwn, kNow - 1min);
+  peers.Register(kPeer, { "127.0.0.1", 1 }, 0.2, kNow);
+  REQUIRE(peers.Take(Digest(9, 5), kNow));
+  CHECK_FALSE(peers.Take(Digest(4, 1), kNow + PeerTable::kFresh - 1ms));
+  CHECK(peers.Take(Digest(4, 2), kNow + PeerTable::kFresh));
+  CHECK_FALSE(peers.Take(Digest(4, 2), kNow + PeerTable::kFresh));
+}
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -45,8 +45,10 @@
   }
   Peer& peer = it->second;
   const PeerDigest& last = peer.mDigest;
-  if (std::pair(aDigest.mIncarnation, aDigest.mNumber) <=
-      std::pair(last.mIncarnation, last.mNumber)) {
+  // A process that restarts after its time of day was set back has a smaller number.
+  const bool replaced = aDigest.mIncarnation != last.mIncarnation && !Fresh(peer, aNow);
+  if (!replaced && std::pair(aDigest.mIncarnation, aDigest.mNumber) <=
+                     std::pair(last.mIncarnation, last.mNumber)) {
     return false;
   }
   peer.mDigest = std::move(aDigest);
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -26,7 +26,8 @@
 struct PeerDigest
 {
   ids::ProcessId mProcess;
-  /// Drawn at the start of the process; a larger one replaces a smaller one.
+  /// Drawn at the start of the process; a larger one replaces a smaller one at once, a
+  /// smaller one a larger one that fell silent.
   std::uint64_t mIncarnation{ 0 };
   std::uint64_t mNumber{ 0 };
   /// The sender hears every entry that it knows.
