Take loads back that an engine rejected and ask it again soon

Change: a load that was surely not begun is taken back from the window, and an engine that rejected an order is asked after 0.2 s. Test: both, and that a load whose first answer was lost stays counted.

--- a/apps/tests/gateway/orderbooktest.cpp
+++ b/apps/tests/gateway/orderbooktest.cpp
@@ -135,3 +135,35 @@
   CHECK(book.Tick(service, directory, NoDemand, kNow).empty());
   CHECK(book.Tick(service, directory, NoDemand, kNow + 1s).size() == 1);
 }
+
+TEST_CASE("orders: a load that did not begin holds no other one back", "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  Service service = EngineService();
+  // One load in the window of five seconds.
+  service.mEngine->mLoadsPerSecond = 0.2;
+  OrderBook book;
+  FirstOrder(book, service, directory);
+  const auto later = kNow + 1s;
+  const auto again = [&] {
+    book.OnReport(kId, EngineReport{ {}, false, 7 }, later);
+    return book.Tick(service, directory, NoDemand, later);
+  };
+  SECTION("rejected: the engine is soon asked and ordered again")
+  {
+    book.OnOutcome(kId, OrderOutcome::Rejected, kNow);
+    REQUIRE(book.Tick(service, directory, NoDemand, kNow + 200ms).size() == 1);
+    const auto actions = again();
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0].mOrder);
+  }
+  SECTION("rejected after a lost answer: the first copy may have begun")
+  {
+    book.OnOutcome(kId, OrderOutcome::Unknown, kNow);
+    REQUIRE(book.Tick(service, directory, NoDemand, kNow + 700ms).size() == 1);
+    book.OnOutcome(kId, OrderOutcome::Rejected, kNow + 700ms);
+    book.Tick(service, directory, NoDemand, kNow + 900ms);
+    CHECK(again().empty());
+  }
+}
--- a/components/gateway/orderbook.cpp
+++ b/components/gateway/orderbook.cpp
@@ -10,6 +10,9 @@
 /// Pause before an engine that did not answer or that was busy is asked again.
 constexpr timing::Duration kRetryPause = std::chrono::milliseconds(700);
 
+/// Pause before an engine that rejected an order, mostly one that restarts, is asked.
+constexpr timing::Duration kRejectedPause = std::chrono::milliseconds(200);
+
 bool ConcernsModel(const EngineOrder& aOrder)
 {
   return aOrder.mAdapter.empty();
@@ -123,8 +126,10 @@
   const std::size_t loads = LoadsAllowed(*aService.mEngine, aNow);
   for (PlannedOrder& planned : mPlanner.Plan(*aService.mEngine, views, aDemand, loads)) {
     Engine& engine = mEngines[planned.mEndpoint];
+    engine.mCountedAt.reset();
     if (ConcernsModel(planned.mOrder) && planned.mOrder.mKind == OrderKind::Load) {
       mLoads.Add(aNow);
+      engine.mCountedAt = aNow;
     }
     engine.mOrder = std::move(planned.mOrder);
     engine.mPrecondition = engine.mReport.mOrdersAccepted;
@@ -159,6 +164,7 @@
     case OrderOutcome::Unknown:
       // Sent again under the same precondition until it is settled.
       engine.mNotBefore = aNow + kRetryPause;
+      engine.mCountedAt.reset();
       break;
     case OrderOutcome::AlreadySo:
       if (!ConcernsModel(*engine.mOrder)) {
@@ -173,9 +179,15 @@
     case OrderOutcome::Conflict:
     case OrderOutcome::Fenced:
     case OrderOutcome::Rejected:
+      if (engine.mCountedAt) {
+        // No load began; it shall not hold others back.
+        mLoads.Remove(*engine.mCountedAt);
+      }
       engine.mOrder.reset();
       engine.mKnown = false;
-      engine.mNotBefore = aNow + kReportLag;
+      // An order that was rejected changed nothing that a report could lag behind.
+      engine.mNotBefore =
+        aNow + (aOutcome == OrderOutcome::Rejected ? kRejectedPause : kReportLag);
       break;
   }
 }
--- a/components/gateway/orderbook.hpp
+++ b/components/gateway/orderbook.hpp
@@ -89,6 +89,8 @@
     /// The order that was sent and not yet settled.
     std::optional<EngineOrder> mOrder;
     std::uint64_t mPrecondition{ 0 };
+    /// When the load that mOrder asks for was counted, unless it may have begun unseen.
+    std::optional<timing::Instant> mCountedAt;
     /// A model order that was accepted and is being carried out.
     std::optional<EngineOrder> mUnderWay;
     timing::Instant mLastOrder{};
--- a/components/gateway/planninground.cpp
+++ b/components/gateway/planninground.cpp
@@ -362,14 +362,14 @@
   }
   std::size_t held = 0;
   std::optional<EngineOrder> spare;
-  for (const auto& [model, adapters] : aEngine.mView->mModels) {
-    held += adapters.size();
-    for (const std::string& adapter : adapters) {
+  for (const auto& row : aEngine.mView->mModels) {
+    held += row.second.size();
+    for (const std::string& adapter : row.second) {
       const bool wanted = std::ranges::any_of(aWanted, [&](const Adapter* aAdapter) {
-        return aAdapter->mName == adapter && nameOf(aAdapter) == model;
+        return aAdapter->mName == adapter && nameOf(aAdapter) == row.first;
       });
       if (!wanted) {
-        spare = EngineOrder{ OrderKind::Unload, model, adapter };
+        spare = EngineOrder{ OrderKind::Unload, row.first, adapter };
       }
     }
   }
--- a/components/gateway/slidingwindow.hpp
+++ b/components/gateway/slidingwindow.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_SLIDINGWINDOW_HPP
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_SLIDINGWINDOW_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 
@@ -24,6 +25,15 @@
     mEvents.push_back(aNow);
   }
 
+  /// Takes back one event of that instant, if it is still counted.
+  void Remove(timing::Instant aInstant)
+  {
+    const auto it = std::ranges::find(mEvents, aInstant);
+    if (it != mEvents.end()) {
+      mEvents.erase(it);
+    }
+  }
+
   std::size_t Count(timing::Instant aNow)
   {
     Forget(aNow);
