--- a/apps/tests/platform/feedtest.cpp
+++ b/apps/tests/platform/feedtest.cpp
@@ -187,3 +187,22 @@
   CHECK(Run(1) == Told{ "full 0 0 0", "confirmed" });
   CHECK(mLog.str().find("configuration ignored") != std::string::npos);
 }
+
+TEST_CASE_METHOD(
+  Fixture,
+  "feed: of many changes of a record that came together the last one counts",
+  "[platform]")
+{
+  mServer.Expect({ Page(Item("op/config", kConfiguration), 8) });
+  mServer.Expect(
+    { Changes(Item("op/config", R"({"version":6,"routes":[],"services":[]})") + "," +
+                Item("servers/e1", kEndpoint) + "," +
+                Item("op/config", R"({"version":7,"routes":[],"services":[]})") + "," +
+                R"({"key":"servers/e1","revision":9,"tombstone":true})",
+              12) });
+  mServer.Expect({ "", false, true });
+  const Told told = Run(2);
+  REQUIRE(told.size() == 6);
+  CHECK(Told(told.begin() + 3, told.end()) ==
+        Told{ "configuration 7", "gone e1", "confirmed" });
+}
