Tell a long answer of the store from an outage

Over 2.2 s lay between two confirmed instants. That counted as an outage of the store; an endpoint whose record was gone was taken to have lapsed (the log says so) and got work for 1.7 s more. Change: an outage is the time from when an answer was read to when the next one began to arrive, and is noted before what the answer says is applied. Test: long answers one after the other; the feed tells when each began. The test of lapses after an outage states the same times through the new call.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -68,7 +68,7 @@
   , mControl(mSettings.mZone, DrawSeed())
   , mPeers(mSettings.mName, aClock.Now())
   , mLeadership(mSettings.mOrderLease + kQuietMargin, mSettings.mFirstStart)
-  , mClient(mIo)
+  , mClient(mIo, aClock)
   , mStore(mClient, mSettings.mStore)
   , mEngines(mClient, mSettings.mName)
   , mFeed(mIo, mStore, *this, aClock, mLogger, DrawSeed())
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -52,6 +52,7 @@
                    const std::optional<std::string>& aValue,
                    std::int64_t aCreateRevision,
                    std::int64_t aLease) override;
+  void OnAnswered(timing::Instant aBegan) override;
   void OnConfirmed(timing::Instant aAsOf) override;
   void OnContactLost(const std::string& aReason) override;
 
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -115,9 +115,14 @@
   }
 }
 
+void GatewayProcess::OnAnswered(timing::Instant aBegan)
+{
+  mControl.mContact.Answered(aBegan, mClock.Now());
+}
+
 void GatewayProcess::OnConfirmed(timing::Instant aAsOf)
 {
-  mControl.mContact.Confirm(aAsOf, mClock.Now());
+  mControl.mContact.Confirm(aAsOf);
 }
 
 void GatewayProcess::OnContactLost(const std::string& aReason)
--- a/components/gateway/platformport.hpp
+++ b/components/gateway/platformport.hpp
@@ -42,6 +42,8 @@
                            const std::optional<std::string>& aValue,
                            std::int64_t aCreateRevision,
                            std::int64_t aLease) = 0;
+  /// An answer began to arrive at aBegan and has been read; what it says follows.
+  virtual void OnAnswered(timing::Instant aBegan) = 0;
   /// All changes up to aAsOf have been passed on.
   virtual void OnConfirmed(timing::Instant aAsOf) = 0;
   virtual void OnContactLost(const std::string& aReason) = 0;
