Build the bytes of an attempt in a file of their own

What is sent to an endpoint depends on the request, the exchange and the time only; behaviour is unchanged.

--- /dev/null
+++ b/components/frontend/attempttext.hpp
@@ -0,0 +1,25 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_ATTEMPTTEXT_HPP
+#define SAMPHIRESAIL_COMPONENTS_FRONTEND_ATTEMPTTEXT_HPP
+
+#include <string>
+
+#include "components/frontend/dialect.hpp"
+#include "components/frontend/exchange.hpp"
+
+namespace samphiresail::frontend {
+
+using CallerRequest = http::request<http::string_body>;
+
+/// Returns the bytes of the caller's request as it is sent to an endpoint: the caller's
+/// end-to-end headers without those that only this system may set, what the attempt tells
+/// the endpoint, and the body with its length. A stream that has begun goes on after its
+/// last event.
+std::string BuildAttempt(const Dialect& aDialect,
+                         const CallerRequest& aRequest,
+                         const Exchange& aExchange,
+                         const ids::EndpointId& aEndpoint,
+                         timing::Instant aNow);
+
+}
+
+#endif
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -207,44 +207,13 @@
   co_return connection;
 }
 
-std::string Forwarder::BuildRequest(const ids::EndpointId& aEndpoint) const
-{
-  const gateway::Admission& admission = mExchange.mAdmission;
-  std::string head;
-  head.append(View(mRequest.method_string()))
-    .append(" ")
-    .append(View(mRequest.target()))
-    .append(" HTTP/1.1\r\n");
-  const bool resumed = mExchange.mHeadSent;
-  AppendEndToEnd(mRequest, head, [&](std::string_view aName, bool aNamed) {
-    return mContext.mDialect.Reserved(aName) || Same(aName, "Expect") ||
-           (aNamed && !mContext.mDialect.Essential(aName));
-  });
-  AttemptFacts facts;
-  facts.mEndpoint = aEndpoint;
-  facts.mTimeLeft = std::max(
-    milliseconds(1),
-    std::chrono::floor<milliseconds>(admission.mDeadline - mContext.mClock.Now()));
-  if (admission.mAccount != nullptr) {
-    facts.mAccount = admission.mAccount->mName;
-  }
-  facts.mPriority = admission.mPriority;
-  facts.mLastEventId = resumed && mExchange.mEvents.LastId()
-                         ? *mExchange.mEvents.LastId()
-                         : admission.mFacts.mLastEventId;
-  mContext.mDialect.WriteAttempt(facts, head);
-  if (!mRequest.body().empty() || mRequest.method() != http::verb::get) {
-    AppendLine(head, "Content-Length", std::to_string(mRequest.body().size()));
-  }
-  return head.append("\r\n").append(mRequest.body());
-}
-
 asio::awaitable<Forwarder::Result> Forwarder::Converse(BackendConnection& aBackend,
                                                        const ids::EndpointId& aEndpoint,
                                                        bool& aReusable)
 {
   ErrorCode written;
-  const std::string request = BuildRequest(aEndpoint);
+  const std::string request = BuildAttempt(
+    mContext.mDialect, mRequest, mExchange, aEndpoint, mContext.mClock.Now());
   ++mExchange.mSent;
   co_await asio::async_write(aBackend.mSocket, asio::buffer(request), Into(written));
   const gateway::Route& route = *mExchange.mAdmission.mRoute;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "components/frontend/attempttext.hpp"
 #include "components/frontend/backendpool.hpp"
 #include "components/frontend/dialect.hpp"
 #include "components/frontend/exchange.hpp"
@@ -18,8 +19,6 @@
 
 namespace samphiresail::frontend {
 
-using CallerRequest = http::request<http::string_body>;
-
 /// What all requests of a process share.
 struct FrontendContext
 {
@@ -101,7 +100,6 @@
   void ReportNotRun(const ids::EndpointId& aEndpoint,
                     unsigned aStatus,
                     const gateway::AnswerFacts& aFacts);
-  std::string BuildRequest(const ids::EndpointId& aEndpoint) const;
   bool Irreversible() const { return !mExchange.mAdmission.mRoute->Repeatable(); }
   void SetAttemptDeadline(timing::Duration aLimit);
   void Note(std::string aOutcome) { mOutcome = std::move(aOutcome); }
