--- a/apps/tests/gateway/fleetplannertest.cpp
+++ b/apps/tests/gateway/fleetplannertest.cpp
@@ -132,8 +132,8 @@
 {
   const std::vector<EngineView> engines{ Engine("e1", { "m0", "m1", "m2" }),
                                          Engine("e2", { "m0", "m3", "m4" }) };
-  const auto orders =
-    kPlanner.Plan(Spec(5), engines, Demand({ { "m0", 8.0 }, { "m1", 0.5 } }), kManyLoads);
+  const auto orders = kPlanner.Plan(
+    Spec(5), engines, Demand({ { "m0", 0.8 }, { "m1", 0.05 } }), kManyLoads);
   CHECK(orders.empty());
 }
 
@@ -167,7 +167,7 @@
                                          Engine("e2", { "m0", "m6", "m7" }),
                                          restarted };
   const DemandLookup demand =
-    Demand({ { "m0", 30.0 }, { "m2", 5.0 }, { "m3", 4.0 }, { "m8", 3.0 } });
+    Demand({ { "m0", 1.5 }, { "m2", 0.25 }, { "m3", 0.2 }, { "m8", 0.15 } });
   CHECK(kPlanner.Plan(Spec(8), engines, demand, kManyLoads).empty());
   SECTION("a model that does not fit there causes an eviction")
   {
@@ -176,3 +176,50 @@
     CHECK(orders[0].mOrder.mKind == OrderKind::Unload);
   }
 }
+
+TEST_CASE("planner: an engine that has the weights stored is loaded first", "[gateway]")
+{
+  std::vector<EngineView> engines{ Engine("e1", {}), Engine("e2", {}), Engine("e3", {}) };
+  engines[2].mStoredModels.insert(ids::ModelId("m0"));
+  const auto orders = kPlanner.Plan(Spec(1), engines, Demand({}), kManyLoads);
+  REQUIRE(orders.size() == 1);
+  CHECK(Has(orders, OrderKind::Load, "m0", "e3"));
+  SECTION("also when no load from the weight store may start")
+  {
+    CHECK(kPlanner.Plan(Spec(1), engines, Demand({}), 0).size() == 1);
+    engines[2].mStoredModels.clear();
+    CHECK(kPlanner.Plan(Spec(1), engines, Demand({}), 0).empty());
+  }
+}
+
+TEST_CASE("planner: loads go to the models without which most work remains unserved",
+          "[gateway]")
+{
+  // Three engines came back empty. m1 and m2 have demand for several replicas, m3 to m5
+  // are not asked for.
+  const std::vector<EngineView> engines{ Engine("e1", { "m0", "m1", "m2" }),
+                                         Engine("e2", {}),
+                                         Engine("e3", {}),
+                                         Engine("e4", {}) };
+  const auto orders =
+    kPlanner.Plan(Spec(6), engines, Demand({ { "m1", 6.0 }, { "m2", 2.5 } }), 3);
+  const auto loads = [&](const std::string& aModel) {
+    return std::ranges::count_if(orders, [&](const PlannedOrder& aOrder) {
+      return aOrder.mOrder == EngineOrder{ OrderKind::Load, ids::ModelId(aModel), {} };
+    });
+  };
+  CHECK(orders.size() == 3);
+  CHECK(loads("m1") >= 1);
+  CHECK(loads("m2") >= 1);
+  CHECK(loads("m1") + loads("m2") == 3);
+}
+
+TEST_CASE("planner: an adapter that is being unloaded keeps its slot", "[gateway]")
+{
+  EngineSpec spec = Spec(1, 3);
+  std::vector<EngineView> engines{ Engine("e1", { "m0" }) };
+  engines[0].mModels[ids::ModelId("m0")] = { "a1", "a2" };
+  engines[0].mUnloadingAdapters[ids::ModelId("m0")] = { "a2" };
+  const auto demand = Demand({ { "m0", 0.5 }, { "m0/a3", 0.2 }, { "m0/a1", 0.1 } });
+  CHECK(kPlanner.Plan(spec, engines, demand, kManyLoads).empty());
+}
--- a/apps/tests/gateway/ordertrackertest.cpp
+++ b/apps/tests/gateway/ordertrackertest.cpp
@@ -51,7 +51,7 @@
   REQUIRE(actions.size() == 1);
   REQUIRE_FALSE(actions[0].mOrder);
   CHECK(aTracker.Tick(aService, aDirectory, NoDemand, kNow).empty());
-  aTracker.OnReport(kId, EngineReport{ {}, false, 7 }, kNow);
+  aTracker.OnReport(kId, EngineReport{ {}, {}, false, 7 }, kNow);
   actions = aTracker.Tick(aService, aDirectory, NoDemand, kNow);
   REQUIRE(actions.size() == 1);
   REQUIRE(actions[0].mOrder);
@@ -147,7 +147,7 @@
   FirstOrder(tracker, service, directory);
   const auto later = kNow + 1s;
   const auto again = [&] {
-    tracker.OnReport(kId, EngineReport{ {}, false, 7 }, later);
+    tracker.OnReport(kId, EngineReport{ {}, {}, false, 7 }, later);
     return tracker.Tick(service, directory, NoDemand, later);
   };
   SECTION("rejected: a report and a new order follow soon")
@@ -167,3 +167,70 @@
     CHECK(again().empty());
   }
 }
+
+TEST_CASE("orders: an adapter in use keeps its slot until a report shows it unloaded",
+          "[gateway]")
+{
+  // The engine has one slot. It accepts the unload of a1 but finishes a1's requests
+  // first, so a load of a2 before that would exceed its slots.
+  Service service = EngineService();
+  service.mEngine->mAdapterSlots = 1;
+  service.mEngine->mModels[0].mAdapters = 2;
+  EndpointDirectory directory;
+  EndpointReport endpoint = Report(1);
+  endpoint.mModels[kModel] = { "a1" };
+  directory.Update(endpoint, kNow);
+  const DemandLookup demand = [](const ids::ModelId&, const std::string& aAdapter) {
+    return aAdapter == "a2" ? 2.0 : 0.1;
+  };
+  OrderTracker tracker;
+  const auto tick = [&](timing::Instant aNow) {
+    return tracker.Tick(service, directory, demand, aNow);
+  };
+  REQUIRE(tick(kNow).size() == 1);
+  const EngineReport held{ { { kModel, { "a1" } } }, {}, false, 7 };
+  tracker.OnReport(kId, held, kNow);
+  auto actions = tick(kNow);
+  REQUIRE(actions.size() == 1);
+  REQUIRE(actions[0].mOrder == EngineOrder{ OrderKind::Unload, kModel, "a1" });
+  tracker.OnOutcome(kId, OrderOutcome::Accepted, kNow + 10ms);
+  CHECK(tick(kNow + 50ms).empty());
+
+  actions = tick(kNow + 800ms);
+  REQUIRE(actions.size() == 1);
+  CHECK_FALSE(actions[0].mOrder);
+  EngineReport report = held;
+  report.mOrdersAccepted = 8;
+  SECTION("the requests still run")
+  {
+    tracker.OnReport(kId, report, kNow + 810ms);
+    CHECK(tick(kNow + 850ms).empty());
+  }
+  SECTION("the slot is free")
+  {
+    report.mModels[kModel].clear();
+    tracker.OnReport(kId, report, kNow + 810ms);
+    actions = tick(kNow + 850ms);
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0].mOrder == EngineOrder{ OrderKind::Load, kModel, "a2" });
+  }
+}
+
+TEST_CASE("orders: a load of stored weights does not count against the limit",
+          "[gateway]")
+{
+  Service service = EngineService();
+  service.mEngine->mLoadsPerSecond = 0.0;
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  OrderTracker tracker;
+  tracker.Tick(service, directory, NoDemand, kNow);
+  tracker.OnReport(kId, EngineReport{ {}, {}, false, 7 }, kNow);
+  CHECK(tracker.Tick(service, directory, NoDemand, kNow).empty());
+  EndpointReport endpoint = Report(1);
+  endpoint.mStoredModels.insert(kModel);
+  directory.Update(endpoint, kNow);
+  const auto actions = tracker.Tick(service, directory, NoDemand, kNow);
+  REQUIRE(actions.size() == 1);
+  CHECK(actions[0].mOrder == EngineOrder{ OrderKind::Load, kModel, {} });
+}
--- a/apps/tests/platform/decodetest.cpp
+++ b/apps/tests/platform/decodetest.cpp
@@ -102,3 +102,14 @@
         R"({"adapter":"a3","fencingToken":41,"holder":"front-1","model":"m",)"
         R"("operation":"load","precondition":2})");
 }
+
+TEST_CASE("decode: adapters on their way to an engine take a slot", "[platform]")
+{
+  const auto report = DecodeEngineReport(
+    R"({"models":[{"name":"m","version":1,"adapters":["a1"]}],"sequence":4,"busy":false,)"
+    R"("coming":["m/a2@3"],"atHand":{"inMemory":["m"],"onDisk":["n"]}})");
+  REQUIRE(report);
+  CHECK(report->mModels.at(ids::ModelId("m")) == std::set<std::string>{ "a1", "a2" });
+  CHECK(report->mStoredModels.contains(ids::ModelId("m")));
+  CHECK(report->mStoredModels.contains(ids::ModelId("n")));
+}
--- a/components/gateway/fleetplanner.hpp
+++ b/components/gateway/fleetplanner.hpp
@@ -42,6 +42,11 @@
   std::set<ids::ModelId> mUnloadingModels;
   /// Models among mModels that are still being loaded.
   std::set<ids::ModelId> mLoadingModels;
+  /// Adapters among mModels that are being unloaded; they still occupy a slot.
+  ResidentModels mUnloadingAdapters;
+  /// Models that the engine can load from its own memory or disk, quickly and without the
+  /// weight store.
+  std::set<ids::ModelId> mStoredModels;
   /// An order for a model can be sent now.
   bool mAcceptsModelOrder{ true };
   /// An order for an adapter can be sent now, also while a model is being loaded.
@@ -50,7 +55,8 @@
   bool mUsable{ true };
 };
 
-/// Returns the requests a second for a model (empty adapter) or for one of its adapters.
+/// Returns the demand for a model (empty adapter) or for one of its adapters, in engines:
+/// the number of whole engines that its requests would use up.
 using DemandLookup =
   std::function<double(const ids::ModelId& aModel, const std::string& aAdapter)>;
 
@@ -62,25 +68,32 @@
 };
 
 /// Workload: demand that moves to other models within seconds, and engines that are lost.
-/// Keeps every model resident on at least one engine, uses free memory to replicate the
-/// models with the highest demand per replica, and evicts replicas of those with the
-/// lowest. Adapters of models in demand are spread over the replicas of the model.
+/// Loads take seconds and only some may start at a time, so those come first without
+/// which the most work remains unserved. Keeps every model resident on at least one
+/// engine, uses free memory to replicate the models with the highest demand per replica,
+/// and evicts replicas of those with the lowest. Adapters of models in demand are spread
+/// over the replicas of the model.
 class FleetPlanner
 {
 public:
-  /// Demand per replica from which free memory is used for another replica, in requests a
-  /// second.
-  static constexpr double kMinDemandToReplicate = 1.0;
-  /// Demand per replica from which a replica of another model is evicted, in requests a
-  /// second.
-  static constexpr double kMinDemandToEvict = 2.5;
+  // All demand is in engines.
+  /// Demand per replica from which free memory is used for another replica.
+  static constexpr double kMinDemandToReplicate = 0.12;
+  /// Demand per replica from which a replica of another model is evicted.
+  static constexpr double kMinDemandToEvict = 0.3;
   /// A replica is evicted for a missing model without demand only if the remaining
-  /// replicas of its own model then have at most this demand each, in requests a second.
-  static constexpr double kMaxDemandAfterIdleEviction = 8.0;
+  /// replicas of its own model then have at most this demand each.
+  static constexpr double kMaxDemandAfterIdleEviction = 0.4;
   /// A replica is evicted for another replicated model only if, after the exchange, that
   /// model's demand per replica is at least this many times the demand per replica of the
   /// evicted replica's model.
   static constexpr double kMinEvictionDemandRatio = 2.0;
+  /// Demand that one replica can serve with short waits; the rest of its engine's time is
+  /// left for its other models and for bursts.
+  static constexpr double kServedPerReplica = 0.7;
+  /// Demand that a missing model without requests counts with, so that models in demand
+  /// that lack replicas come first.
+  static constexpr double kIdleModelDemand = 0.02;
   /// Maximum number of engines that may unload a model at the same time: this fraction of
   /// all engines, or kMinEvictionLimit if that is more.
   static constexpr double kMaxEvictingFraction = 0.25;
--- a/components/gateway/ordertracker.cpp
+++ b/components/gateway/ordertracker.cpp
@@ -34,6 +34,18 @@
   }
 }
 
+/// Removes the adapters that an engine no longer holds.
+void RemoveUnloaded(ResidentModels& aUnloading, const ResidentModels& aHeld)
+{
+  for (auto& [model, adapters] : aUnloading) {
+    const auto held = aHeld.find(model);
+    std::erase_if(adapters, [&](const std::string& aAdapter) {
+      return held == aHeld.end() || !held->second.contains(aAdapter);
+    });
+  }
+  std::erase_if(aUnloading, [](const auto& aRow) { return aRow.second.empty(); });
+}
+
 }
 
 void OrderTracker::Reset(timing::Instant aLoadsAllowedFrom)
@@ -62,6 +74,10 @@
   view.mId = aEndpoint.mReport.mId;
   view.mZone = aEndpoint.mReport.mZone;
   view.mModels = aEngine.mHasReport ? aEngine.mReport.mModels : aEndpoint.mReport.mModels;
+  view.mUnloadingAdapters = aEngine.mUnloadingAdapters;
+  view.mStoredModels = aEndpoint.mReport.mStoredModels;
+  view.mStoredModels.insert(aEngine.mReport.mStoredModels.begin(),
+                            aEngine.mReport.mStoredModels.end());
   view.mUsable = aDirectory.IsUsable(aEndpoint, aNow);
   view.mAcceptsAdapterOrder = aEngine.mHasReport && !aEngine.mActionInFlight &&
                               !aEngine.mOrder &&
@@ -118,7 +134,9 @@
       if (engine.mOrder) {
         engine.mActionInFlight = true;
         actions.push_back({ id, engine.mOrder, engine.mPrecondition });
-      } else if (!engine.mHasReport || engine.mExecutingOrder || engine.mReport.mBusy) {
+      } else if (!engine.mHasReport || engine.mExecutingOrder || engine.mReport.mBusy ||
+                 (!engine.mUnloadingAdapters.empty() &&
+                  aNow >= engine.mAdapterReportDue)) {
         engine.mActionInFlight = true;
         actions.push_back({ id, std::nullopt, 0 });
       }
@@ -131,7 +149,10 @@
   for (PlannedOrder& planned : mPlanner.Plan(*aService.mEngine, views, aDemand, loads)) {
     Engine& engine = mEngines[planned.mEndpoint];
     engine.mLoadCountedAt.reset();
-    if (IsModelOrder(planned.mOrder) && planned.mOrder.mKind == OrderKind::Load) {
+    const Endpoint& endpoint = aDirectory.All().at(planned.mEndpoint);
+    if (IsModelOrder(planned.mOrder) && planned.mOrder.mKind == OrderKind::Load &&
+        !engine.mReport.mStoredModels.contains(planned.mOrder.mModel) &&
+        !endpoint.mReport.mStoredModels.contains(planned.mOrder.mModel)) {
       mLoadStarts.Add(aNow);
       engine.mLoadCountedAt = aNow;
     }
@@ -160,8 +181,11 @@
       if (IsModelOrder(*engine.mOrder)) {
         engine.mExecutingOrder = engine.mOrder;
         engine.mNextActionAt = aNow + kMaxReportLag;
-      } else {
+      } else if (engine.mOrder->mKind == OrderKind::Load) {
         Apply(engine.mReport.mModels, *engine.mOrder);
+      } else {
+        engine.mUnloadingAdapters[engine.mOrder->mModel].insert(engine.mOrder->mAdapter);
+        engine.mAdapterReportDue = aNow + kMaxReportLag;
       }
       engine.mOrder.reset();
       break;
@@ -215,6 +239,8 @@
   }
   engine.mReport = *aReport;
   engine.mHasReport = true;
+  engine.mAdapterReportDue = aNow + kRetryDelay;
+  RemoveUnloaded(engine.mUnloadingAdapters, aReport->mModels);
   if (!aReport->mBusy) {
     engine.mExecutingOrder.reset();
     engine.mNextActionAt = aNow;
--- a/components/gateway/ordertracker.hpp
+++ b/components/gateway/ordertracker.hpp
@@ -15,7 +15,10 @@
 /// An engine's response to a direct request for its state.
 struct EngineReport
 {
+  /// Models with their adapters, including adapters that are still being loaded.
   ResidentModels mModels;
+  /// Models whose weights the engine can load from its own memory or disk.
+  std::set<ids::ModelId> mStoredModels;
   /// A load or unload of a model is in progress.
   bool mBusy{ false };
   std::uint64_t mOrdersAccepted{ 0 };
@@ -91,6 +94,11 @@
     /// The order that was sent and whose outcome is not known yet.
     std::optional<EngineOrder> mOrder;
     std::uint64_t mPrecondition{ 0 };
+    /// Adapters whose unload was accepted and whose slot is not free yet: the engine
+    /// finishes their requests first.
+    ResidentModels mUnloadingAdapters;
+    /// When a report is requested that may show these slots as free.
+    timing::Instant mAdapterReportDue{};
     /// When the load of mOrder was counted against the limit. Empty if a response was
     /// lost, as the load may have started and must stay counted.
     std::optional<timing::Instant> mLoadCountedAt;
--- a/components/gateway/planninground.cpp
+++ b/components/gateway/planninground.cpp
@@ -2,12 +2,25 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "components/random/rendezvous.hpp"
 
 namespace samphiresail::gateway {
 
+namespace {
+
+/// Demand, in engines, from which an engine gets a replica only if all others are busy
+/// too.
+constexpr double kBusyEngineDemand = 0.5;
+/// Weight of the demand for an engine's other models in the choice of a replica to evict.
+constexpr double kOtherDemandWeight = 0.5;
+/// Penalty, in engines, of an engine that has to load the model from the weight store.
+constexpr double kStoreLoadPenalty = 0.2;
+
+}
+
 PlanningRound::PlanningRound(const EngineSpec& aSpec,
                              const std::vector<EngineView>& aEngines,
                              const DemandLookup& aDemand,
@@ -68,7 +81,7 @@
 
 std::vector<PlannedOrder> PlanningRound::Run()
 {
-  LoadMissingModels();
+  LoadUnservedModels();
   ReplicateIntoFreeMemory();
   EvictForDemand();
   PlaceAdapters();
@@ -98,9 +111,21 @@
   mOrders.push_back({ aEngine.mView->mId, std::move(aOrder) });
 }
 
+bool PlanningRound::IsStored(const Engine& aEngine, const Model& aModel)
+{
+  return aEngine.mView->mStoredModels.contains(aModel.mSpec->mName);
+}
+
+bool PlanningRound::MayLoad(const Engine& aEngine, const Model& aModel) const
+{
+  return mRemainingLoads > 0 || IsStored(aEngine, aModel);
+}
+
 void PlanningRound::Load(Engine& aEngine, Model& aModel)
 {
-  --mRemainingLoads;
+  if (!IsStored(aEngine, aModel)) {
+    --mRemainingLoads;
+  }
   ++aModel.mReplicas;
   ++aModel.mReplicasByZone[aEngine.mZone];
   aEngine.mUsedMemoryMb += aModel.mSpec->mMemoryMb;
@@ -127,12 +152,17 @@
 PlanningRound::Engine* PlanningRound::FindFreeEngine(const Model& aModel)
 {
   Engine* best = nullptr;
-  std::pair<std::size_t, double> bestRank;
+  std::tuple<bool, bool, std::size_t, double> bestRank;
   for (Engine& engine : mEngines) {
-    if (!CanOrder(engine) || !Fits(engine, *aModel.mSpec) || Holds(engine, aModel)) {
+    if (!CanOrder(engine) || !Fits(engine, *aModel.mSpec) || Holds(engine, aModel) ||
+        !MayLoad(engine, aModel)) {
       continue;
     }
-    const std::pair rank(aModel.mReplicasByZone[engine.mZone], EngineDemand(engine));
+    const double demand = EngineDemand(engine);
+    const std::tuple rank(!IsStored(engine, aModel),
+                          demand > kBusyEngineDemand,
+                          aModel.mReplicasByZone[engine.mZone],
+                          demand);
     if (best == nullptr || rank < bestRank) {
       best = &engine;
       bestRank = rank;
@@ -151,6 +181,8 @@
         Holds(engine, aModel)) {
       continue;
     }
+    const double engineDemand = EngineDemand(engine);
+    const double loadPenalty = IsStored(engine, aModel) ? 0.0 : kStoreLoadPenalty;
     for (const std::size_t index : engine.mModels) {
       Model& victim = mModels[index];
       const double freed = engine.mUsedMemoryMb - victim.mSpec->mMemoryMb;
@@ -161,7 +193,11 @@
       }
       const double remaining =
         victim.mDemand / static_cast<double>(victim.mReadyReplicas - 1);
-      const std::pair rank(remaining, aModel.mReplicasByZone[engine.mZone]);
+      const double otherDemand =
+        engineDemand -
+        victim.mDemand / static_cast<double>(std::max<std::size_t>(1, victim.mReplicas));
+      const std::pair rank(remaining + kOtherDemandWeight * otherDemand + loadPenalty,
+                           aModel.mReplicasByZone[engine.mZone]);
       if (remaining <= aMaxRemainingDemand &&
           (bestEngine == nullptr || rank < bestRank)) {
         bestEngine = &engine;
@@ -201,31 +237,61 @@
   return capacity;
 }
 
-void PlanningRound::LoadMissingModels()
+double PlanningRound::UnservedDemand(const Model& aModel)
 {
-  std::vector<Model*> missing;
+  const double unserved = aModel.mDemand - FleetPlanner::kServedPerReplica *
+                                             static_cast<double>(aModel.mReplicas);
+  return aModel.mReplicas == 0 ? std::max(unserved, FleetPlanner::kIdleModelDemand)
+                               : unserved;
+}
+
+void PlanningRound::LoadUnservedModels()
+{
+  std::vector<Model*> waiting;
   for (Model& model : mModels) {
-    if (model.mReplicas == 0) {
-      missing.push_back(&model);
+    if (UnservedDemand(model) > 0) {
+      waiting.push_back(&model);
     }
   }
-  std::ranges::stable_sort(missing, std::ranges::greater{}, &Model::mDemand);
+  const auto missing = static_cast<std::size_t>(
+    std::ranges::count(waiting, std::size_t{ 0 }, &Model::mReplicas));
   std::size_t evictions = EvictionsInProgress();
   std::size_t pendingCapacity = ModelCapacityOfBusyEngines();
-  for (Model* model : missing) {
-    if (Engine* engine = FindFreeEngine(*model)) {
-      if (mRemainingLoads > 0) {
-        Load(*engine, *model);
+  while (!waiting.empty()) {
+    const auto it = std::ranges::max_element(waiting, {}, [](const Model* aModel) {
+      // A load serves no more than one replica can; of models that gain alike, the one
+      // with fewer replicas comes first.
+      const double gain =
+        std::min(UnservedDemand(*aModel), FleetPlanner::kServedPerReplica);
+      return std::pair(gain, -static_cast<double>(aModel->mReplicas));
+    });
+    Model& model = **it;
+    if (Engine* engine = FindFreeEngine(model)) {
+      Load(*engine, model);
+      if (UnservedDemand(model) > 0) {
+        continue;
       }
-    } else if (pendingCapacity > 0) {
-      // Evicting a replica costs its callers more than waiting for a busy engine.
-      --pendingCapacity;
-    } else if (evictions < missing.size()) {
-      const double maxRemaining = model->mDemand > 0
-                                    ? std::numeric_limits<double>::max()
-                                    : FleetPlanner::kMaxDemandAfterIdleEviction;
-      evictions += EvictFor(*model, maxRemaining) ? 1 : 0;
+    } else if (model.mReplicas == 0) {
+      EvictForMissing(model, pendingCapacity, evictions, missing);
     }
+    waiting.erase(it);
+  }
+}
+
+void PlanningRound::EvictForMissing(const Model& aModel,
+                                    std::size_t& aPendingCapacity,
+                                    std::size_t& aEvictions,
+                                    std::size_t aMaxEvictions)
+{
+  const bool urgent = aModel.mDemand >= FleetPlanner::kMinDemandToEvict;
+  if (aPendingCapacity > 0 && !urgent) {
+    // Evicting a replica costs its callers more than waiting for a busy engine.
+    --aPendingCapacity;
+  } else if (aEvictions < aMaxEvictions) {
+    const double maxRemaining = aModel.mDemand > 0
+                                  ? std::numeric_limits<double>::max()
+                                  : FleetPlanner::kMaxDemandAfterIdleEviction;
+    aEvictions += EvictFor(aModel, maxRemaining) ? 1 : 0;
   }
 }
 
@@ -250,7 +316,7 @@
 
 void PlanningRound::ReplicateIntoFreeMemory()
 {
-  for (bool placed = true; placed && mRemainingLoads > 0;) {
+  for (bool placed = true; placed;) {
     placed = false;
     for (Model* model : ReplicatedModelsByDemand()) {
       if (DemandPerReplica(*model) < FleetPlanner::kMinDemandToReplicate) {
@@ -382,7 +448,10 @@
       const bool assigned = std::ranges::any_of(aAssigned, [&](const Adapter* aAdapter) {
         return aAdapter->mName == adapter && nameOf(aAdapter) == row.first;
       });
-      if (!assigned) {
+      const auto& unloading = aEngine.mView->mUnloadingAdapters;
+      const auto leaving = unloading.find(row.first);
+      if (!assigned &&
+          (leaving == unloading.end() || !leaving->second.contains(adapter))) {
         spare = EngineOrder{ OrderKind::Unload, row.first, adapter };
       }
     }
--- a/components/gateway/planninground.hpp
+++ b/components/gateway/planninground.hpp
@@ -60,23 +60,36 @@
   static bool CanOrder(const Engine& aEngine);
   bool Fits(const Engine& aEngine, const ModelSpec& aModel) const;
   void Order(Engine& aEngine, EngineOrder aOrder);
+  /// True if the engine can load the model without the weight store.
+  static bool IsStored(const Engine& aEngine, const Model& aModel);
+  /// True if the engine may load the model now.
+  bool MayLoad(const Engine& aEngine, const Model& aModel) const;
   void Load(Engine& aEngine, Model& aModel);
   void Unload(Engine& aEngine, Model& aModel);
   double EngineDemand(const Engine& aEngine) const;
-  /// Returns an engine with enough free memory for the model, from the zone with the
-  /// fewest replicas of it and there the one with the lowest demand, or null.
+  /// Returns an engine with enough free memory for the model, or null. Prefers engines
+  /// that have the model stored, then those with little demand, then zones with few
+  /// replicas of the model.
   Engine* FindFreeEngine(const Model& aModel);
-  /// Evicts the replica whose model keeps the lowest demand per remaining replica, so
-  /// that aModel can be loaded instead. Replicas whose model would be left with more than
-  /// aMaxRemainingDemand stay. Returns whether a replica is evicted.
+  /// Evicts a replica whose model keeps a low demand per remaining replica, on an engine
+  /// with little other demand, so that aModel can be loaded instead. Replicas whose model
+  /// would be left with more than aMaxRemainingDemand stay. Returns whether a replica is
+  /// evicted.
   bool EvictFor(const Model& aModel, double aMaxRemainingDemand);
   std::size_t EvictionsInProgress() const;
   /// Returns how many more models fit into engines that cannot accept an order yet,
   /// counted with the memory of the largest model.
   std::size_t ModelCapacityOfBusyEngines() const;
-  /// Loads models that no engine holds, those with the highest demand first, and evicts
-  /// replicas of other models for them where no memory is free.
-  void LoadMissingModels();
+  /// Demand for the model that its replicas cannot serve.
+  static double UnservedDemand(const Model& aModel);
+  /// Loads the models with the most unserved demand, and those that no engine holds.
+  /// Evicts replicas of other models for missing ones where no memory is free.
+  void LoadUnservedModels();
+  /// Makes room for a model that no engine holds.
+  void EvictForMissing(const Model& aModel,
+                       std::size_t& aPendingCapacity,
+                       std::size_t& aEvictions,
+                       std::size_t aMaxEvictions);
   static double DemandPerReplica(const Model& aModel);
   /// Returns the models that have replicas, ordered by demand per replica, the highest
   /// first.
