--- a/apps/load/trials/trialcommands.cpp
+++ b/apps/load/trials/trialcommands.cpp
@@ -9,6 +9,7 @@
 #include <CLI/CLI.hpp>
 
 #include "apps/load/trials/credittrial.hpp"
+#include "apps/load/trials/enginetrial.hpp"
 #include "apps/load/trials/queuetrial.hpp"
 #include "apps/load/trials/routetrial.hpp"
 #include "components/catalogue/configurationcodec.hpp"
@@ -205,6 +206,71 @@
   }
 }
 
+void PrintEngine(const SeedRange& aSeeds, EngineTrialOptions aOptions, const char* aName)
+{
+  EngineTrialResult total;
+  total.mMedianErrorFactor = 0.0;
+  total.mErrorFactor90 = 0.0;
+  const auto count = static_cast<double>(aSeeds.mCount);
+  for (std::uint64_t it = 0; it < aSeeds.mCount; ++it) {
+    aOptions.mSeed = aSeeds.mFirst + it;
+    const EngineTrialResult result = RunEngineTrial(aOptions);
+    for (std::size_t i = 0; i < kEngineTrialClasses; ++i) {
+      total.mClasses[i].mAsked += result.mClasses[i].mAsked;
+      total.mClasses[i].mOnTime += result.mClasses[i].mOnTime;
+      total.mClasses[i].mLate += result.mClasses[i].mLate;
+    }
+    total.mReturned += result.mReturned;
+    total.mReturnedServed += result.mReturnedServed;
+    total.mMedianErrorFactor += result.mMedianErrorFactor / count;
+    total.mErrorFactor90 += result.mErrorFactor90 / count;
+    total.mKeptFraction += result.mKeptFraction / count;
+  }
+  std::printf(
+    "%-16s load %.1f slow %.0f |", aName, aOptions.mLoad, aOptions.mFirstSlowness);
+  constexpr std::array kNames{ "long prompt", "long response", "tolerant" };
+  for (std::size_t i = 0; i < kEngineTrialClasses; ++i) {
+    std::printf(" %s on time %.1f%% served %.1f%%",
+                kNames[i],
+                100.0 * total.mClasses[i].OnTime(),
+                100.0 * total.mClasses[i].Served());
+  }
+  std::printf(
+    " | returned %zu served %zu | forecast factor p50 %.2f p90 %.2f | kept %.1f%%\n",
+    total.mReturned,
+    total.mReturnedServed,
+    total.mMedianErrorFactor,
+    total.mErrorFactor90,
+    100.0 * total.mKeptFraction);
+}
+
+void RunEngine(const SeedRange& aSeeds)
+{
+  struct Case
+  {
+    const char* mName;
+    gateway::EnginePolicy mPolicy;
+  };
+  constexpr std::array kCases{
+    Case{ "work", {} },
+    Case{ "slots", { false, true, true } },
+    Case{ "no kept parts", { true, false, true } },
+    Case{ "no urgency", { true, true, false } },
+    Case{ "none of them", { false, false, false } },
+  };
+  for (const double slowness : { 1.0, 4.0 }) {
+    for (const double load : { 0.5, 0.8, 1.3 }) {
+      for (const Case& it : kCases) {
+        EngineTrialOptions options;
+        options.mLoad = load;
+        options.mFirstSlowness = slowness;
+        options.mPolicy = it.mPolicy;
+        PrintEngine(aSeeds, options, it.mName);
+      }
+    }
+  }
+}
+
 void AddTrial(CLI::App& aTrial,
               const char* aName,
               const char* aDescription,
@@ -228,6 +294,11 @@
   AddTrial(
     *trial, "credit", "Wrongful refusals against a static split", RunCredit, seeds);
   AddTrial(*trial, "queue", "Fair queue against first in first out", RunQueue, seeds);
+  AddTrial(*trial,
+           "engine",
+           "Engines compared by their work against slots and first in first out",
+           RunEngine,
+           seeds);
   AddTrial(*trial, "route", "Two choices against the baselines", RunRoute, seeds);
 }
 
--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -85,7 +85,7 @@
                mLogger,
                mMetrics,
                mPlacementChanged,
-               [this] { RequestAdapter(); } }
+               [this](const auto& aMetadata) { RequestAdapter(aMetadata); } }
   , mCallers(mFrontend,
              mSettings.mCallerListenAddress,
              mSettings.mMaxDescriptors > 2 * kReservedDescriptors
@@ -163,9 +163,15 @@
 
 void GatewayProcess::Tick(timing::Instant aNow)
 {
-  mExchanges.Tick(aNow, [&](const frontend::Exchange& aExchange) {
-    return mControl.TrySpendRetry(aExchange.mAdmission, aExchange.mAttemptsSent, aNow);
-  });
+  mExchanges.Tick(aNow,
+                  { [&](const frontend::Exchange& aExchange) {
+                     return mControl.IsStalled(
+                       aExchange.mAdmission, aExchange.mAttempt, aNow);
+                   },
+                    [&](const frontend::Exchange& aExchange) {
+                      return mControl.TrySpendRetry(
+                        aExchange.mAdmission, aExchange.mAttemptsSent, aNow);
+                    } });
   mCallers.Tick(aNow);
   mControl.Tick(aNow);
   mPeers.Tick(aNow);
@@ -175,7 +181,7 @@
     UpdateShares(aNow);
     SendPeerReport(aNow);
   } else if (mPeerLoadsChanged) {
-    UpdatePeersInFlight(aNow);
+    UpdatePeersLoad(aNow);
   }
   if (aNow >= mNextPlacement) {
     mNextPlacement = aNow + kPlacementInterval;
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -5,6 +5,8 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -68,7 +70,11 @@
   void SendPeerReport(timing::Instant aNow);
   void SendDatagram(const std::string& aBytes, const settings::SocketAddress& aTo);
   /// Reports to the leader that a request waits for an adapter.
-  void RequestAdapter();
+  void RequestAdapter(const gateway::RequestMetadata& aMetadata);
+  /// Returns the adapters that requests of all entries wait for, by HashName of model and
+  /// adapter.
+  std::unordered_set<std::uint64_t> AwaitedAdapters(timing::Instant aNow);
+  void ForgetOldAwaitedAdapters(timing::Instant aNow);
   /// Sends the next report now, or as soon as kMinPeerReportInterval has passed since the
   /// last one.
   void SendPeerReportSoon();
@@ -80,13 +86,15 @@
   /// Updates what depends on the number of entries and on their reports: this entry's
   /// shares of limits and quotas, and the loads of endpoints.
   void UpdateShares(timing::Instant aNow);
-  /// Updates the other entries' requests in flight at each endpoint from their latest
-  /// reports.
-  void UpdatePeersInFlight(timing::Instant aNow);
+  /// Updates the other entries' load at each endpoint from their latest reports.
+  void UpdatePeersLoad(timing::Instant aNow);
   /// Writes the number of known entries to the store if it exceeds the recorded maximum.
   void StoreEntryCount();
   /// If this entry leads, plans loads and unloads and sends the orders that are due.
   void PlaceModels(timing::Instant aNow);
+  /// Logs the models with the highest demand, with the engines that hold each.
+  void LogPlacement(const gateway::Service& aService,
+                    const gateway::DemandLookup& aDemand);
   /// Requests a report from an engine or sends it an order, and processes the outcome.
   frontend::asio::awaitable<void> ExecuteAction(gateway::EngineAction aAction,
                                                 gateway::EndpointReport aEndpoint,
@@ -135,11 +143,13 @@
   /// Adapters that this leader's orders have loaded recently, with the time of each.
   std::vector<std::pair<timing::Instant, gateway::LoadedAdapter>> mRecentAdapterLoads;
   timing::Instant mNextPlacement{};
+  timing::Instant mNextPlacementLog{};
   timing::Instant mNextMaintenance{};
   timing::Instant mStopStartedAt{ timing::Instant::max() };
   bool mLeading{ false };
-  /// The next report must state that a request waits for an adapter.
-  bool mWaitsForAdapter{ false };
+  /// Adapters that requests wait for, by HashName of model and adapter, with the instant
+  /// at which a request for it last waited.
+  std::unordered_map<std::uint64_t, timing::Instant> mAwaitedAdapters;
   /// Current leader according to the store; empty if there is none or it is not known.
   ids::ProcessId mLeader;
   /// Reports were received since the peers' loads were last updated.
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -1,5 +1,8 @@
 #include "apps/samphiresail/gateway/gatewayprocess.hpp"
 
+#include <algorithm>
+#include <string>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -25,6 +28,13 @@
 constexpr milliseconds kFewCoresTakeoverDelay{ 1500 };
 /// Added to the takeover delay while an entry may not have discovered the others yet.
 constexpr milliseconds kJoiningTakeoverDelay{ 1000 };
+/// Interval of the log line that states demand and replicas.
+constexpr milliseconds kPlacementLogInterval{ 1000 };
+/// Number of models, those with the highest demand, in that line.
+constexpr std::size_t kLoggedModels = 8;
+/// Added to the demand for an adapter, in engines, while requests wait for it, so that it
+/// is loaded before all others.
+constexpr double kAwaitedAdapterDemand = 1000.0;
 /// Delay before a new leader orders loads, since it does not know which loads an earlier
 /// leader has started.
 constexpr milliseconds kNewLeaderLoadDelay{ 1000 };
@@ -44,15 +54,22 @@
     return;
   }
   const auto others = mPeers.ModelDemand(aNow);
+  const auto awaited = AwaitedAdapters(aNow);
   const auto demand = [&](const ids::ModelId& aModel, const std::string& aAdapter) {
     const std::string name = gateway::DemandMeter::Name(aModel, aAdapter);
-    const auto it = others.find(gateway::HashName(name));
-    return mControl.mDemand.Rate(name, aNow) + (it == others.end() ? 0.0 : it->second);
+    const std::uint64_t key = gateway::HashName(name);
+    const auto it = others.find(key);
+    return mControl.mDemand.Rate(name, aNow) + (it == others.end() ? 0.0 : it->second) +
+           (awaited.contains(key) ? kAwaitedAdapterDemand : 0.0);
   };
   for (const gateway::Service& service : mControl.Configuration()->mServices) {
     if (!service.mEngine) {
       continue;
     }
+    if (aNow >= mNextPlacementLog) {
+      mNextPlacementLog = aNow + kPlacementLogInterval;
+      LogPlacement(service, demand);
+    }
     for (gateway::EngineAction& action :
          mOrderTracker.Tick(service, mControl.mDirectory, demand, aNow)) {
       const gateway::Endpoint* endpoint = mControl.mDirectory.Find(action.mEndpoint);
@@ -65,6 +82,36 @@
   }
 }
 
+void GatewayProcess::LogPlacement(const gateway::Service& aService,
+                                  const gateway::DemandLookup& aDemand)
+{
+  struct Row
+  {
+    double mDemand{ 0.0 };
+    ids::ModelId mModel;
+  };
+  std::vector<Row> rows;
+  for (const gateway::ModelSpec& model : aService.mEngine->mModels) {
+    rows.push_back({ aDemand(model.mName, {}), model.mName });
+  }
+  const auto logged = std::min(rows.size(), kLoggedModels);
+  std::ranges::partial_sort(rows,
+                            rows.begin() + static_cast<std::ptrdiff_t>(logged),
+                            std::ranges::greater{},
+                            &Row::mDemand);
+  rows.resize(logged);
+  std::string text;
+  for (const Row& row : rows) {
+    const auto replicas =
+      std::ranges::count_if(mControl.mDirectory.All(), [&row](const auto& aItem) {
+        return aItem.second.HoldsModel(row.mModel);
+      });
+    text += row.mModel.Str() + " " + std::to_string(row.mDemand) + "/" +
+            std::to_string(replicas) + " ";
+  }
+  mLogger.Info("placement", { { "service", aService.mName.Str() }, { "demand", text } });
+}
+
 asio::awaitable<void> GatewayProcess::ExecuteAction(gateway::EngineAction aAction,
                                                     gateway::EndpointReport aEndpoint,
                                                     std::int64_t aToken)
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds kPeerReportIntervalPerEntry{ 25 };
 /// Minimum interval between two reports, also when one is sent early.
 constexpr milliseconds kMinPeerReportInterval{ 40 };
+/// How long a request's wait for an adapter is reported after it was last seen waiting;
+/// waiting requests are seen on each tick.
+constexpr milliseconds kAwaitedAdapterLifetime{ 150 };
 /// How long the load of an adapter is included in reports, since datagrams can be lost.
 constexpr milliseconds kLoadedAdapterReportTime{ 700 };
 
@@ -59,21 +62,17 @@
   return std::max(kPeerReportInterval, kPeerReportIntervalPerEntry * entries);
 }
 
-void GatewayProcess::UpdatePeersInFlight(timing::Instant aNow)
+void GatewayProcess::UpdatePeersLoad(timing::Instant aNow)
 {
   mPeerLoadsChanged = false;
-  std::unordered_map<ids::EndpointId, unsigned> counts;
-  for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
-    counts.emplace(id, mPeers.InFlight(id, aNow));
-  }
-  mControl.mDirectory.SetPeersInFlight(counts, aNow);
+  mControl.mDirectory.SetPeersLoad(mPeers.InFlight(aNow), aNow);
 }
 
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportInterval(aNow));
   mStoreWatcher.SetEntryCount(mPeers.EntryCount(aNow));
-  UpdatePeersInFlight(aNow);
+  UpdatePeersLoad(aNow);
   if (!mControl.Configuration()) {
     return;
   }
@@ -95,8 +94,8 @@
   report.mSequence = ++mPeerReportSequence;
   report.mReceivesFromAll = mPeers.ReceivesFromAll(aNow);
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
-    if (endpoint.mInFlight > 0) {
-      report.mInFlight.emplace(gateway::HashName(id.Str()), endpoint.mInFlight);
+    if (endpoint.mOwnLoad.mRequests > 0) {
+      report.mInFlight.emplace(endpoint.mHash, endpoint.mOwnLoad);
     }
   }
   if (mControl.Configuration()) {
@@ -105,7 +104,11 @@
                                mControl.mQuotas.Admitted(account.mName));
     }
   }
-  report.mWaitsForAdapter = std::exchange(mWaitsForAdapter, false);
+  report.mRefused = mControl.mReturningCallers.Recent(aNow);
+  ForgetOldAwaitedAdapters(aNow);
+  std::ranges::transform(mAwaitedAdapters,
+                         std::back_inserter(report.mAwaitedAdapters),
+                         [](const auto& aRow) { return aRow.first; });
   std::erase_if(mRecentAdapterLoads, [aNow](const auto& aItem) {
     return aItem.first + kLoadedAdapterReportTime <= aNow;
   });
@@ -155,8 +158,9 @@
       continue;
     }
     const timing::Instant now = mClock.Now();
+    mControl.mReturningCallers.AddReported(report->mRefused, now);
     const std::vector<gateway::LoadedAdapter> loaded = report->mLoadedAdapters;
-    const bool waitsForAdapter = report->mWaitsForAdapter;
+    const bool waitsForAdapter = !report->mAwaitedAdapters.empty();
     if (!mPeers.Receive(std::move(*report), now)) {
       continue;
     }
@@ -175,10 +179,32 @@
   }
 }
 
-void GatewayProcess::RequestAdapter()
+void GatewayProcess::RequestAdapter(const gateway::RequestMetadata& aMetadata)
 {
-  mWaitsForAdapter = true;
-  SendPeerReportSoon();
+  const timing::Instant now = mClock.Now();
+  const std::uint64_t key =
+    gateway::HashName(gateway::DemandMeter::Name(aMetadata.mModel, aMetadata.mAdapter));
+  const bool added = mAwaitedAdapters.insert_or_assign(key, now).second;
+  if (added) {
+    SendPeerReportSoon();
+  }
+}
+
+void GatewayProcess::ForgetOldAwaitedAdapters(timing::Instant aNow)
+{
+  std::erase_if(mAwaitedAdapters, [aNow](const auto& aRow) {
+    return aRow.second + kAwaitedAdapterLifetime < aNow;
+  });
+}
+
+std::unordered_set<std::uint64_t> GatewayProcess::AwaitedAdapters(timing::Instant aNow)
+{
+  ForgetOldAwaitedAdapters(aNow);
+  std::unordered_set<std::uint64_t> awaited = mPeers.AwaitedAdapters(aNow);
+  for (const auto& [key, since] : mAwaitedAdapters) {
+    awaited.insert(key);
+  }
+  return awaited;
 }
 
 void GatewayProcess::SendPeerReportSoon()
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -55,6 +55,9 @@
                    { "models", aReport.mModels.size() },
                    { "incarnation", aReport.mIncarnation } });
   }
+  if (known != nullptr && known->mReport.mIncarnation != aReport.mIncarnation) {
+    mControl.ForgetEndpoint(aReport.mId);
+  }
   mControl.mDirectory.Update(std::move(aReport), mClock.Now());
 }
 
--- /dev/null
+++ b/apps/tests/gateway/engineplaytest.cpp
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include "apps/load/trials/enginetrial.hpp"
+
+using namespace samphiresail::load;
+using samphiresail::gateway::EnginePolicy;
+using samphiresail::gateway::Milliseconds;
+
+namespace {
+
+constexpr std::size_t kLongPrompt = 0;
+constexpr std::size_t kLongResponse = 1;
+constexpr std::size_t kTolerant = 2;
+constexpr EnginePolicy kSlots{ false, false, false };
+
+EngineTrialResult Play(double aLoad,
+                       const EnginePolicy& aPolicy = {},
+                       double aSlowness = 1.0)
+{
+  EngineTrialOptions options;
+  options.mSeed = 7;
+  options.mSeconds = 20;
+  options.mLoad = aLoad;
+  options.mPolicy = aPolicy;
+  options.mFirstSlowness = aSlowness;
+  return RunEngineTrial(options);
+}
+
+}
+
+TEST_CASE("play: long prompts at moderate load come in time", "[gateway]")
+{
+  const EngineTrialResult byWork = Play(0.5);
+  const EngineTrialResult bySlots = Play(0.5, kSlots);
+  CHECK(byWork.mClasses[kLongPrompt].OnTime() > bySlots.mClasses[kLongPrompt].OnTime());
+  CHECK(byWork.mClasses[kLongResponse].OnTime() >
+        bySlots.mClasses[kLongResponse].OnTime());
+  CHECK(byWork.mClasses[kLongPrompt].OnTime() >= 0.9);
+  CHECK(byWork.mClasses[kLongResponse].OnTime() >= 0.9);
+}
+
+TEST_CASE("play: under overload callers are served in time or refused, not all late",
+          "[gateway]")
+{
+  const EngineTrialResult byWork = Play(1.3);
+  const EngineTrialResult bySlots = Play(1.3, kSlots);
+  for (const std::size_t kind : { kLongPrompt, kLongResponse }) {
+    CHECK(byWork.mClasses[kind].OnTime() >= 3 * bySlots.mClasses[kind].OnTime());
+    CHECK(byWork.mClasses[kind].mOnTime > byWork.mClasses[kind].mLate);
+  }
+  // The more urgent kinds come in time at least as often as the one that can wait, but
+  // for five in a hundred.
+  CHECK(byWork.mClasses[kLongPrompt].OnTime() >=
+        byWork.mClasses[kTolerant].OnTime() - 0.05);
+  CHECK(byWork.mClasses[kLongResponse].OnTime() >=
+        byWork.mClasses[kTolerant].OnTime() - 0.05);
+}
+
+TEST_CASE("play: a slow engine gets less work", "[gateway]")
+{
+  const EngineTrialResult byWork = Play(0.5, {}, 4.0);
+  const EngineTrialResult bySlots = Play(0.5, kSlots, 4.0);
+  CHECK(byWork.mClasses[kLongPrompt].OnTime() > bySlots.mClasses[kLongPrompt].OnTime());
+}
+
+TEST_CASE("play: forecasts fit engines whose figures are not configured", "[gateway]")
+{
+  EngineTrialOptions options;
+  options.mSeed = 3;
+  options.mSeconds = 20;
+  options.mLoad = 0.6;
+  options.mFigures.mReadTime = GENERATE(Milliseconds(0.02), Milliseconds(0.15));
+  const EngineTrialResult result = RunEngineTrial(options);
+  INFO("read time " << options.mFigures.mReadTime.count());
+  CHECK(result.mMedianErrorFactor < 2.0);
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/callersession.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -150,6 +151,7 @@
   ++mRequestsServed;
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
+  mContext.mMetrics.mQueued.Observe(exchange.mQueued);
   LogRequest(exchange, forwarder);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
@@ -219,6 +221,7 @@
 {
   const gateway::Admission& admission = aExchange.mAdmission;
   const auto& tried = aExchange.mTried;
+  const gateway::Attempt& attempt = aExchange.mAttempt;
   mContext.mLogger.Info(
     "request",
     { { "request", admission.mMetadata.mId.Str() },
@@ -230,7 +233,12 @@
       { "model", admission.mMetadata.mModel.Str() },
       { "adapter", admission.mMetadata.mAdapter },
       { "endpoint", tried.empty() ? "" : tried.back().Str() },
-      { "endpoint_load", aExchange.mEndpointLoadWhenChosen },
+      { "queued_ms", Millis(aExchange.mQueued) },
+      { "earlier_attempts_ms", Millis(admission.mEarlierAttempts) },
+      { "endpoint_load", attempt.mLoadWhenChosen.mRequests },
+      { "unread_ms", std::lround(attempt.mLoadWhenChosen.mUnread.count()) },
+      { "forecast_ms", std::lround(attempt.mForecast.mFirstEvent.count()) },
+      { "kept_tokens", std::lround(attempt.mKeptTokens) },
       { "first_event_ms",
         aExchange.mTimeToFirstEvent ? Millis(*aExchange.mTimeToFirstEvent) : -1 },
       { "tried", tried.size() },
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -2,8 +2,7 @@
 
 namespace samphiresail::frontend {
 
-void ExchangeTable::Tick(timing::Instant aNow,
-                         const std::function<bool(const Exchange&)>& aTrySpendRetry)
+void ExchangeTable::Tick(timing::Instant aNow, const Decisions& aDecisions)
 {
   for (Exchange* exchange : mExchanges) {
     if (aNow >= exchange->mAdmission.mDeadline) {
@@ -13,9 +12,14 @@
           exchange->mCaller != nullptr) {
         CloseSocket(*exchange->mCaller);
       }
-    } else if (aNow >= exchange->mAttemptDeadline) {
+      continue;
+    }
+    const bool overdue = aNow >= exchange->mAttemptDeadline;
+    const bool silent = exchange->mBackend != nullptr && !exchange->mConnecting &&
+                        !exchange->mRetryGranted && aDecisions.mIsSilent(*exchange);
+    if (overdue || silent) {
       exchange->mAttemptDeadline = timing::Instant::max();
-      if (exchange->mConnecting || aTrySpendRetry(*exchange)) {
+      if (exchange->mConnecting || aDecisions.mTrySpendRetry(*exchange)) {
         exchange->mRetryGranted = !exchange->mConnecting;
         exchange->AbortAttempt();
       }
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -24,8 +24,10 @@
 
   gateway::Admission mAdmission;
   std::vector<ids::EndpointId> mTried;
-  /// Requests in flight at the endpoint of the current attempt when it was chosen.
-  unsigned mEndpointLoadWhenChosen{ 0 };
+  /// The current attempt, or the last one.
+  gateway::Attempt mAttempt;
+  /// Time that the request waited at this entry for an endpoint.
+  timing::Duration mQueued{ 0 };
   /// Time from the arrival of the request to the first event of its stream.
   std::optional<timing::Duration> mTimeToFirstEvent;
   /// Number of attempts whose request was sent.
@@ -67,11 +69,20 @@
   void Add(Exchange* aExchange) { mExchanges.insert(aExchange); }
   void Remove(Exchange* aExchange) { mExchanges.erase(aExchange); }
   std::size_t Size() const { return mExchanges.size(); }
-  /// Ends requests past their deadline. An attempt past its own deadline is aborted only
-  /// if it is still connecting or aTrySpendRetry grants another attempt; otherwise it
-  /// continues, since a silent endpoint may still respond.
-  void Tick(timing::Instant aNow,
-            const std::function<bool(const Exchange&)>& aTrySpendRetry);
+  /// Decisions on exchanges in progress.
+  struct Decisions
+  {
+    /// Returns true if the endpoint of the current attempt has been silent for so long
+    /// that another one should be tried.
+    std::function<bool(const Exchange&)> mIsSilent;
+    /// Returns true if the request may be sent to another endpoint, and spends one retry.
+    std::function<bool(const Exchange&)> mTrySpendRetry;
+  };
+
+  /// Ends requests past their deadline. An attempt past its own deadline, or at a silent
+  /// endpoint, is aborted only if it is still connecting or another attempt is granted;
+  /// otherwise it continues, since a silent endpoint may still respond.
+  void Tick(timing::Instant aNow, const Decisions& aDecisions);
 
 private:
   std::set<Exchange*> mExchanges;
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -14,9 +14,6 @@
 /// Longest wait for an adapter that the leader loads on demand. It covers a peer report,
 /// an order to evict another adapter, an order to load, and some milliseconds of loading.
 constexpr milliseconds kMaxAdapterWait{ 600 };
-/// The longest wait for a free slot at an endpoint is the route's target latency divided
-/// by this: after a longer wait most responses would be late.
-constexpr int kFreeSlotWaitDivisor = 2;
 /// Timeout for opening a connection to an endpoint; leaves time for two lost packets.
 constexpr milliseconds kConnectTimeout{ 450 };
 /// Timeout for the head of a response, after which a request that may be retried is sent
@@ -68,28 +65,29 @@
 {
   gateway::TrafficControl& control = mContext.mControl;
   const gateway::Admission& admission = mExchange.mAdmission;
+  const gateway::Choice full{ nullptr, gateway::NoEndpoint::Full, {}, {} };
   std::size_t unreachable = 0;
   for (;;) {
     const gateway::Choice choice = co_await Choose();
     if (choice.mEndpoint == nullptr) {
       co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
-                                choice.mReason);
+                                choice);
     }
-    const ids::EndpointId endpoint = choice.mEndpoint->mReport.mId;
-    mExchange.mTried.push_back(endpoint);
-    mExchange.mEndpointLoadWhenChosen =
-      choice.mEndpoint->mInFlight + choice.mEndpoint->mPeersInFlight;
+    const settings::SocketAddress address = choice.mEndpoint->mReport.mAddress;
+    mExchange.mAttempt = choice.mAttempt;
+    mExchange.mTried.push_back(choice.mAttempt.mEndpoint);
     mExchange.mRetryGranted = false;
-    const Result result = co_await Attempt(*choice.mEndpoint);
+    const Result result = co_await RunAttempt(address);
     mExchange.mAttemptDeadline = timing::Instant::max();
     const bool aborted = mExchange.mCallerDisconnected || mExchange.mDeadlineExceeded;
     if (result == Result::Delivered || result == Result::Ended || aborted) {
-      co_return co_await Finish(result, gateway::NoEndpoint::Full);
+      co_return co_await Finish(result, full);
     }
     if (result == Result::Unreachable) {
       if (++unreachable >= kMaxUnreachableEndpoints) {
-        co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
-                                  gateway::NoEndpoint::NoneUsable);
+        co_return co_await Finish(
+          mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
+          gateway::Choice{ nullptr, gateway::NoEndpoint::NoneUsable, {}, {} });
       }
       continue;
     }
@@ -101,56 +99,66 @@
         (!repeatable || !control.TrySpendRetry(
                           admission, mExchange.mAttemptsSent, mContext.mClock.Now()))) {
       co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
-                                gateway::NoEndpoint::Full);
+                                full);
     }
     mContext.mMetrics.mRetries.Increment();
   }
 }
 
-timing::Duration Forwarder::MaxWaitFor(gateway::NoEndpoint aReason) const
+timing::Instant Forwarder::WaitDeadline(const gateway::Choice& aChoice,
+                                        timing::Instant aStart,
+                                        timing::Instant aNow) const
 {
-  switch (aReason) {
+  const gateway::Admission& admission = mExchange.mAdmission;
+  switch (aChoice.mReason) {
     case gateway::NoEndpoint::AdapterAbsent:
-      return kMaxAdapterWait;
-    case gateway::NoEndpoint::Full:
-      return mExchange.mAdmission.mRoute->mTargetLatency / kFreeSlotWaitDivisor;
+      return std::min(admission.mDeadline, aStart + kMaxAdapterWait);
+    case gateway::NoEndpoint::Full: {
+      const auto longest = std::chrono::duration_cast<timing::Duration>(
+        mContext.mControl.Allowance(admission, aNow).mAtEntry);
+      const timing::Instant deadline =
+        std::min(admission.mDeadline, admission.mArrived + longest);
+      // A request that cannot be sent in time is refused at once.
+      const bool hopeless =
+        aChoice.mFreeAfter &&
+        aNow + std::chrono::duration_cast<timing::Duration>(*aChoice.mFreeAfter) >
+          deadline;
+      return hopeless ? aNow : deadline;
+    }
     case gateway::NoEndpoint::ModelAbsent:
     case gateway::NoEndpoint::NoneUsable:
-      return timing::Duration::zero();
+      return aNow;
   }
-  return timing::Duration::zero();
+  return aNow;
 }
 
 asio::awaitable<gateway::Choice> Forwarder::Choose()
 {
   const gateway::Admission& admission = mExchange.mAdmission;
   const timing::Instant start = mContext.mClock.Now();
-  bool waitReported = false;
   for (;;) {
     const timing::Instant now = mContext.mClock.Now();
     gateway::Choice choice = mContext.mControl.Begin(admission, mExchange.mTried, now);
-    const timing::Instant waitDeadline =
-      std::min(admission.mDeadline, start + MaxWaitFor(choice.mReason));
-    if (choice.mEndpoint != nullptr || now >= waitDeadline ||
-        mExchange.mCallerDisconnected) {
+    if (choice.mEndpoint != nullptr || mExchange.mCallerDisconnected ||
+        now >= WaitDeadline(choice, start, now)) {
+      mExchange.mQueued += now - start;
       co_return choice;
     }
-    if (!waitReported && choice.mReason == gateway::NoEndpoint::AdapterAbsent) {
-      waitReported = true;
-      mContext.mOnWaitingForAdapter();
+    if (choice.mReason == gateway::NoEndpoint::AdapterAbsent) {
+      mContext.mOnWaitingForAdapter(admission.mMetadata);
     }
     co_await mContext.mPlacementChanged.Wait();
   }
 }
 
-asio::awaitable<Forwarder::Result> Forwarder::Attempt(const gateway::Endpoint& aEndpoint)
+asio::awaitable<Forwarder::Result> Forwarder::RunAttempt(
+  const settings::SocketAddress& aAddress)
 {
-  const ids::EndpointId id = aEndpoint.mReport.mId;
-  const settings::SocketAddress address = aEndpoint.mReport.mAddress;
+  const ids::EndpointId id = mExchange.mAttempt.mEndpoint;
   const auto end = [&](gateway::AttemptEnd aEnd) {
-    mContext.mControl.End(id, aEnd, mContext.mClock.Now());
+    mContext.mControl.End(mExchange.mAttempt, aEnd, mContext.mClock.Now());
   };
-  std::unique_ptr<BackendConnection> connection = co_await Connect(id, address);
+  std::unique_ptr<BackendConnection> connection = co_await Connect(id, aAddress);
   if (connection == nullptr) {
     end(mExchange.mCallerDisconnected ? gateway::AttemptEnd::Abandoned
                                       : gateway::AttemptEnd::Unreachable);
@@ -158,7 +166,7 @@
   }
   bool reusable = false;
   mExchange.mBackend = connection.get();
-  const Result result = co_await SendAndReceive(*connection, id, reusable);
+  const Result result = co_await SendAndReceive(*connection, reusable);
   mExchange.mBackend = nullptr;
   if (reusable) {
     mContext.mBackends.Release(id, std::move(connection), mContext.mClock.Now());
@@ -211,14 +219,15 @@
   co_return connection;
 }
 
-asio::awaitable<Forwarder::Result> Forwarder::SendAndReceive(
-  BackendConnection& aBackend,
-  const ids::EndpointId& aEndpoint,
-  bool& aReusable)
+asio::awaitable<Forwarder::Result> Forwarder::SendAndReceive(BackendConnection& aBackend,
+                                                             bool& aReusable)
 {
   ErrorCode written;
-  const std::string request = BuildAttemptRequest(
-    mContext.mDialect, mRequest, mExchange, aEndpoint, mContext.mClock.Now());
+  const std::string request = BuildAttemptRequest(mContext.mDialect,
+                                                  mRequest,
+                                                  mExchange,
+                                                  mExchange.mAttempt.mEndpoint,
+                                                  mContext.mClock.Now());
   ++mExchange.mAttemptsSent;
   co_await asio::async_write(
     aBackend.mSocket, asio::buffer(request), RedirectError(written));
@@ -249,11 +258,11 @@
   const unsigned status = parser->get().result_int();
   const bool notRun = facts.mNotRun || facts.mWrongEndpoint;
   if (notRun) {
-    LogNotRun(aEndpoint, status, facts);
+    LogNotRun(status, facts);
     mContext.mControl.ObserveRefusal(
-      aEndpoint, mExchange.mAdmission, facts, mContext.mClock.Now());
+      mExchange.mAttempt.mEndpoint, mExchange.mAdmission, facts, mContext.mClock.Now());
   }
-  mContext.mControl.ObserveLoad(aEndpoint, facts, mContext.mClock.Now());
+  mContext.mControl.OnResponse(mExchange.mAttempt, facts, mContext.mClock.Now());
   Result result = Result::Failed;
   if (!notRun && IsSuccess(status) && !facts.mHasResponseDigest) {
     co_return Result::Failed;
@@ -275,21 +284,19 @@
   co_return result;
 }
 
-void Forwarder::LogNotRun(const ids::EndpointId& aEndpoint,
-                          unsigned aStatus,
-                          const gateway::ResponseMetadata& aFacts)
+void Forwarder::LogNotRun(unsigned aStatus, const gateway::ResponseMetadata& aFacts)
 {
-  const gateway::Endpoint* endpoint = mContext.mControl.mDirectory.Find(aEndpoint);
+  const gateway::EngineLoad& load = mExchange.mAttempt.mLoadWhenChosen;
   mContext.mLogger.Info(
     "attempt refused by the endpoint",
     { { "request", mExchange.mAdmission.mMetadata.mId.Str() },
-      { "endpoint", aEndpoint.Str() },
+      { "endpoint", mExchange.mAttempt.mEndpoint.Str() },
       { "status", aStatus },
       { "wrong_endpoint", aFacts.mWrongEndpoint },
       { "running", aFacts.mRunning ? static_cast<int>(*aFacts.mRunning) : -1 },
       { "waiting", aFacts.mWaiting ? static_cast<int>(*aFacts.mWaiting) : -1 },
-      { "in_flight", endpoint != nullptr ? endpoint->mInFlight : 0 },
-      { "peers_in_flight", endpoint != nullptr ? endpoint->mPeersInFlight : 0 } });
+      { "load_when_chosen", load.mRequests },
+      { "unread_ms", load.mUnread.count() } });
 }
 
 asio::awaitable<bool> Forwarder::ReadResponseHead(BackendConnection& aBackend,
@@ -369,6 +376,8 @@
   ResponseParser& aParser)
 {
   const bool resumable = !IsIrreversible();
+  bool firstEvent = true;
+  timing::Instant firstEventAt{};
   mExchange.mEvents.Restart();
   while (!aParser.is_done()) {
     std::string_view read;
@@ -389,6 +398,13 @@
           mContext.mClock.Now() - mExchange.mAdmission.mArrived;
         mContext.mMetrics.mFirstEvent.Observe(*mExchange.mTimeToFirstEvent);
       }
+      if (firstEvent) {
+        firstEventAt = mContext.mClock.Now();
+        RecordFirstEvent();
+        firstEvent = false;
+      } else {
+        mContext.mControl.OnProgress(mExchange.mAttempt, mContext.mClock.Now());
+      }
       out.append(EncodeChunk(events));
       if (aParser.is_done() && !mExchange.mEvents.Partial()) {
         out.append(kLastChunk);
@@ -400,6 +416,8 @@
         SetAttemptDeadline(kStreamIdleTimeout);
       }
       if (aParser.is_done() && !mExchange.mEvents.Partial()) {
+        mContext.mControl.OnStreamComplete(
+          mExchange.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
         co_return Result::Delivered;
       }
     }
@@ -427,6 +445,19 @@
   co_return delivered ? Result::Delivered : Result::Ended;
 }
 
+void Forwarder::RecordFirstEvent()
+{
+  const timing::Instant now = mContext.mClock.Now();
+  const gateway::Attempt& attempt = mExchange.mAttempt;
+  if (mExchange.mAdmission.mService->mEngine) {
+    const gateway::Milliseconds error =
+      (now - attempt.mSentAt) - attempt.mForecast.mFirstEvent;
+    mContext.mMetrics.mForecastError.Observe(
+      std::chrono::duration_cast<timing::Duration>(std::chrono::abs(error)));
+  }
+  mContext.mControl.OnFirstEvent(mExchange.mAttempt, mExchange.mAdmission, now);
+}
+
 asio::awaitable<bool> Forwarder::WriteToCaller(std::string aBytes)
 {
   ErrorCode ec;
@@ -447,7 +478,7 @@
   co_return written&& mKeepAlive;
 }
 
-asio::awaitable<bool> Forwarder::Finish(Result aResult, gateway::NoEndpoint aReason)
+asio::awaitable<bool> Forwarder::Finish(Result aResult, const gateway::Choice& aChoice)
 {
   if (aResult == Result::Delivered) {
     SetOutcome("answered");
@@ -473,8 +504,8 @@
   }
   const bool sent = mExchange.mAttemptsSent > 0;
   if (aResult == Result::NotRun || (!sent && !mExchange.mMayHaveRun)) {
-    gateway::Refusal refusal =
-      mContext.mControl.RefuseNotRun(mExchange.mAdmission, aReason);
+    gateway::Refusal refusal = mContext.mControl.RefuseNotRun(
+      mExchange.mAdmission, aChoice, mContext.mClock.Now());
     SetOutcome(refusal.mReason);
     const bool keep = co_await SendLocalResponse(refusal);
     co_return keep;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -32,9 +32,9 @@
   GatewayMetrics& mMetrics;
   /// Notified on each tick and when an endpoint has loaded an adapter.
   Signal& mPlacementChanged;
-  /// Called once when a request starts to wait for an adapter, so that the leader is
-  /// informed.
-  std::function<void()> mOnWaitingForAdapter;
+  /// Called repeatedly while a request waits for an adapter, so that the leader learns of
+  /// it.
+  std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
 };
 
 /// Forwards one admitted request: chooses an endpoint, sends the request, forwards the
@@ -71,18 +71,19 @@
     Ended,
   };
 
-  /// Returns how long a request may wait if no endpoint can be chosen for that reason.
-  timing::Duration MaxWaitFor(gateway::NoEndpoint aReason) const;
-  /// Begins an attempt; waits for up to MaxWaitFor() if only an adapter or a free slot is
+  /// Returns until when the request may wait for an endpoint after a choice without one;
+  /// aNow if it is not to wait. aStart is when it began to wait.
+  timing::Instant WaitDeadline(const gateway::Choice& aChoice,
+                               timing::Instant aStart,
+                               timing::Instant aNow) const;
+  /// Begins an attempt; waits until WaitDeadline() if only an adapter or a free engine is
   /// missing.
   asio::awaitable<gateway::Choice> Choose();
-  asio::awaitable<Result> Attempt(const gateway::Endpoint& aEndpoint);
+  asio::awaitable<Result> RunAttempt(const settings::SocketAddress& aAddress);
   asio::awaitable<std::unique_ptr<BackendConnection>> Connect(
     const ids::EndpointId& aEndpoint,
     const settings::SocketAddress& aAddress);
-  asio::awaitable<Result> SendAndReceive(BackendConnection& aBackend,
-                                         const ids::EndpointId& aEndpoint,
-                                         bool& aReusable);
+  asio::awaitable<Result> SendAndReceive(BackendConnection& aBackend, bool& aReusable);
   using ResponseParser = http::response_parser<http::buffer_body>;
   asio::awaitable<bool> ReadResponseHead(BackendConnection& aBackend,
                                          std::optional<ResponseParser>& aParser,
@@ -97,13 +98,15 @@
   asio::awaitable<Result> ForwardEventStream(BackendConnection& aBackend,
                                              ResponseParser& aParser);
   asio::awaitable<bool> SendLocalResponse(const gateway::Refusal& aRefusal);
-  asio::awaitable<bool> Finish(Result aResult, gateway::NoEndpoint aReason);
+  /// Sends the final response. aChoice is the last choice of an endpoint, for the reason
+  /// and the retry time of a refusal.
+  asio::awaitable<bool> Finish(Result aResult, const gateway::Choice& aChoice);
   asio::awaitable<bool> WriteToCaller(std::string aBytes);
 
   /// Logs that an endpoint did not run the request, with the load reported for it.
-  void LogNotRun(const ids::EndpointId& aEndpoint,
-                 unsigned aStatus,
-                 const gateway::ResponseMetadata& aFacts);
+  void LogNotRun(unsigned aStatus, const gateway::ResponseMetadata& aFacts);
+  /// Records the first event of a stream, for the caller and for the forecasts.
+  void RecordFirstEvent();
   bool IsIrreversible() const { return !mExchange.mAdmission.mRoute->IsRetryable(); }
   void SetAttemptDeadline(timing::Duration aTimeout);
   void SetOutcome(std::string aOutcome) { mOutcome = std::move(aOutcome); }
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -20,6 +20,12 @@
                                       "Time from a whole request to its final answer"))
     , mFirstEvent(aRegistry.AddHistogram("samphiresail_first_event_seconds",
                                          "Time from a whole request to its first event"))
+    , mQueued(aRegistry.AddHistogram("samphiresail_queued_seconds",
+                                     "Time that a request waited for an endpoint"))
+    , mForecastError(
+        aRegistry.AddHistogram("samphiresail_forecast_error_seconds",
+                               "Difference between the forecast of a first event at an "
+                               "engine and its arrival"))
   {
   }
 
@@ -29,6 +35,8 @@
   metrics::Counter mInterruptedStreams;
   metrics::Histogram mLatency;
   metrics::Histogram mFirstEvent;
+  metrics::Histogram mQueued;
+  metrics::Histogram mForecastError;
 };
 
 }
--- a/components/gateway/demandmeter.cpp
+++ b/components/gateway/demandmeter.cpp
@@ -10,8 +10,8 @@
 /// Time constant of the exponential average. It is short because demand moves to other
 /// models within seconds.
 constexpr double kTimeConstantSeconds = 2.0;
-/// Rate below which a counter is erased, in requests a second.
-constexpr double kMinTrackedRate = 0.005;
+/// Rate below which a counter is erased.
+constexpr double kMinTrackedRate = 0.0003;
 
 }
 
@@ -22,18 +22,19 @@
 
 void DemandMeter::Record(const ids::ModelId& aModel,
                          const std::string& aAdapter,
+                         double aEngineSeconds,
                          timing::Instant aNow)
 {
-  Add(Name(aModel, {}), aNow);
+  Add(Name(aModel, {}), aEngineSeconds, aNow);
   if (!aAdapter.empty()) {
-    Add(Name(aModel, aAdapter), aNow);
+    Add(Name(aModel, aAdapter), aEngineSeconds, aNow);
   }
 }
 
-void DemandMeter::Add(const std::string& aName, timing::Instant aNow)
+void DemandMeter::Add(const std::string& aName, double aAmount, timing::Instant aNow)
 {
   Counter& counter = mCounters[aName];
-  counter.mRate = Decayed(counter, aNow) + 1.0 / kTimeConstantSeconds;
+  counter.mRate = Decayed(counter, aNow) + aAmount / kTimeConstantSeconds;
   counter.mUpdatedAt = aNow;
 }
 
--- a/components/gateway/demandmeter.hpp
+++ b/components/gateway/demandmeter.hpp
@@ -9,7 +9,8 @@
 
 namespace samphiresail::gateway {
 
-/// Exponentially averaged request rate of each model and adapter, in requests a second.
+/// Exponentially averaged demand for each model and adapter. A request counts with the
+/// seconds of a whole engine that it would use up, so that demand is a number of engines.
 /// Counts all requests of this entry's callers, also those that are not served.
 class DemandMeter
 {
@@ -19,9 +20,10 @@
 
   void Record(const ids::ModelId& aModel,
               const std::string& aAdapter,
+              double aEngineSeconds,
               timing::Instant aNow);
-  /// Counts one request under aName, which need not be a result of Name.
-  void Add(const std::string& aName, timing::Instant aNow);
+  /// Adds aAmount under aName, which need not be a result of Name.
+  void Add(const std::string& aName, double aAmount, timing::Instant aNow);
   double Rate(const std::string& aName, timing::Instant aNow) const;
   /// Calls aVisit(name, rate) for each counter.
   template<typename Visit>
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "components/gateway/enginemodel.hpp"
 #include "components/ids/ids.hpp"
 #include "components/settings/socketaddress.hpp"
 #include "components/timing/clock.hpp"
@@ -29,6 +30,8 @@
   /// Remaining time of the endpoint's cold start.
   std::chrono::milliseconds mColdRemaining{ 0 };
   ResidentModels mModels;
+  /// Models whose weights the endpoint can load from its own memory or disk.
+  std::set<ids::ModelId> mStoredModels;
   /// Orders that the endpoint accepted since its start.
   std::uint64_t mOrdersAccepted{ 0 };
 };
@@ -38,6 +41,8 @@
 struct Endpoint
 {
   EndpointReport mReport;
+  /// HashName of the endpoint's identifier.
+  std::uint64_t mHash{ 0 };
   timing::Instant mReportedAt{};
   timing::Instant mColdUntil{};
   /// Until this instant the request rate to the endpoint is limited as in a cold start.
@@ -51,10 +56,17 @@
   /// Fraction of recent requests that failed, exponentially weighted.
   double mFailureFraction{ 0.0 };
   /// Requests that this process has in flight there.
-  unsigned mInFlight{ 0 };
+  EngineLoad mOwnLoad;
   /// Requests that the other entries have in flight there, from their reports or from the
   /// endpoint's responses.
-  unsigned mPeersInFlight{ 0 };
+  EngineLoad mPeersLoad;
+  /// Requests of this process that were sent and have no response yet.
+  unsigned mUnanswered{ 0 };
+  /// When the endpoint last sent anything, or when the first of the unanswered requests
+  /// was sent if that is later.
+  timing::Instant mSilentSince{};
+  /// How long the endpoint may be silent by the forecasts of the unanswered requests.
+  Milliseconds mSilenceLimit{ 0 };
   /// When a response of the endpoint last reported its load.
   timing::Instant mObservedAt{};
 
@@ -68,6 +80,18 @@
   /// latest order for them yet.
   std::unordered_map<std::uint64_t, timing::Instant> mUnavailableUntil;
 
+  EngineLoad Load() const
+  {
+    EngineLoad load = mOwnLoad;
+    load += mPeersLoad;
+    return load;
+  }
+  /// True if requests are unanswered for much longer than forecast and nothing at all was
+  /// received meanwhile: the endpoint may have stopped without closing its connections.
+  bool IsSilent(timing::Instant aNow) const
+  {
+    return mUnanswered > 0 && aNow - mSilentSince > mSilenceLimit;
+  }
   bool HoldsModel(const ids::ModelId& aModel) const
   {
     return mReport.mModels.contains(aModel);
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -1,102 +1,191 @@
 #include "components/gateway/endpointchooser.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "components/gateway/demandmeter.hpp"
-#include "components/gateway/loadspread.hpp"
 
 namespace samphiresail::gateway {
 
 namespace {
 
-/// Penalties, in requests per slot, of outliers and of unreachable endpoints, so that
-/// they are chosen last.
+/// Penalties, in requests per slot, of outliers and of unreachable endpoints.
 constexpr double kOutlierPenalty = 4.0;
 constexpr double kUnreachablePenalty = 8.0;
+/// Delay that a penalty of one request per slot stands for when engines are compared by
+/// their forecasts. It also weighs the requests that an engine generates for: they slow
+/// each other down without delaying a first event.
+constexpr Milliseconds kDelayPerSlotUnit{ 100.0 };
+/// Weight of penalties of endpoints that fail, which exceeds every wait that is allowed.
+constexpr double kFailurePenaltyFactor = 10.0;
+
+EngineCapacity CapacityOf(const Endpoint& aEndpoint, const EngineSpec& aSpec)
+{
+  return { std::max(1U, aEndpoint.mReport.mSlots), aSpec.mMemoryTokens };
+}
 
 }
 
 EndpointChooser::EndpointChooser(EndpointDirectory& aDirectory,
                                  ColdLimiter& aCold,
+                                 const EngineModel& aModel,
+                                 const PromptCacheEstimate& aCache,
                                  ids::AvailabilityZoneId aOwnZone,
                                  std::uint64_t aSeed)
   : mDirectory(aDirectory)
   , mCold(aCold)
+  , mModel(aModel)
+  , mCache(aCache)
   , mOwnZone(std::move(aOwnZone))
   , mRandom(aSeed)
 {
 }
 
-double EndpointChooser::Score(const Endpoint& aEndpoint, timing::Instant aNow) const
+double EndpointChooser::Penalty(const Endpoint& aEndpoint, timing::Instant aNow)
+{
+  double penalty = 0.0;
+  if (aEndpoint.mFailureFraction > kOutlierFailureFraction) {
+    penalty += kOutlierPenalty * aEndpoint.mFailureFraction;
+  }
+  if (aNow < aEndpoint.mAvoidUntil || aEndpoint.IsSilent(aNow)) {
+    penalty += kUnreachablePenalty;
+  }
+  return penalty;
+}
+
+bool EndpointChooser::Holds(const Endpoint& aEndpoint,
+                            const RoutingRequest& aRequest,
+                            std::uint64_t aModelHash,
+                            std::uint64_t aAdapterHash,
+                            NoEndpoint& aReason)
 {
+  if (!aRequest.mService.mEngine) {
+    return true;
+  }
+  const RequestMetadata& metadata = aRequest.mMetadata;
+  if (!aEndpoint.HoldsModel(metadata.mModel) ||
+      aEndpoint.mUnavailableUntil.contains(aModelHash)) {
+    return false;
+  }
+  if (metadata.mAdapter.empty()) {
+    return true;
+  }
+  const bool holds =
+    aEndpoint.HoldsAdapter(metadata.mModel, metadata.mAdapter, aAdapterHash) &&
+    !aEndpoint.mUnavailableUntil.contains(aAdapterHash);
+  if (!holds && aReason == NoEndpoint::ModelAbsent) {
+    aReason = NoEndpoint::AdapterAbsent;
+  }
+  return holds;
+}
+
+std::optional<EndpointChooser::Candidate> EndpointChooser::Rate(
+  Endpoint& aEndpoint,
+  const RoutingRequest& aRequest,
+  const std::vector<std::uint64_t>& aLeadingParts,
+  Choice& aChoice,
+  timing::Instant aNow) const
+{
+  const RequestMetadata& metadata = aRequest.mMetadata;
+  const bool engine = aRequest.mService.mEngine.has_value();
+  const EngineLoad load = aEndpoint.Load();
   const double slots = std::max(1U, aEndpoint.mReport.mSlots);
-  double score = (aEndpoint.mInFlight + aEndpoint.mPeersInFlight) / slots;
-  if (aEndpoint.mReport.mZone != mOwnZone) {
-    score += kZonePenalty;
+  const double zonePenalty = aEndpoint.mReport.mZone == mOwnZone ? 0.0 : kZonePenalty;
+  const double penalty = Penalty(aEndpoint, aNow);
+  Candidate candidate;
+  candidate.mEndpoint = &aEndpoint;
+  candidate.mAttempt.mLoadWhenChosen = load;
+  candidate.mAttempt.mLoad.mRequests = 1;
+  if (engine) {
+    const EngineSpec& spec = *aRequest.mService.mEngine;
+    const auto prompt = static_cast<double>(metadata.mPromptTokens);
+    const auto output = static_cast<double>(metadata.mOutputTokens);
+    const double kept = mPolicy.mByKeptParts ? mCache.KeptTokens(aEndpoint.mHash,
+                                                                 aLeadingParts,
+                                                                 metadata.mPromptParts,
+                                                                 spec.mMemoryTokens,
+                                                                 mEntries)
+                                             : 0.0;
+    const EngineWork work{
+      metadata.mModel, std::max(prompt - kept, 0.0), prompt, output
+    };
+    candidate.mAttempt.mKeptTokens = kept;
+    candidate.mAttempt.mForecast = mModel.Predict(
+      aEndpoint.mReport.mId, load, CapacityOf(aEndpoint, spec), work, aNow);
+    candidate.mAttempt.mLoad.mUnread = mModel.ReadTime(work.mModel, work.mUnreadTokens);
+    candidate.mAttempt.mLoad.mMemoryTokens = prompt + output;
   }
-  if (aEndpoint.mFailureFraction > kOutlierFailureFraction) {
-    score += kOutlierPenalty * aEndpoint.mFailureFraction;
+  if (engine && mPolicy.mByWork) {
+    const EngineForecast& forecast = candidate.mAttempt.mForecast;
+    const Milliseconds excess = forecast.mWait - aRequest.mMaxWait;
+    if (excess > Milliseconds(0)) {
+      aChoice.mFreeAfter = std::min(aChoice.mFreeAfter.value_or(excess), excess);
+      return std::nullopt;
+    }
+    const Milliseconds score =
+      forecast.mFirstEvent + kDelayPerSlotUnit * (load.mRequests / slots + zonePenalty +
+                                                  kFailurePenaltyFactor * penalty);
+    const Milliseconds perRequest = forecast.mRead + kDelayPerSlotUnit / slots;
+    candidate.mSpread = { score.count(), 1.0 / std::max(perRequest.count(), 0.1) };
+    return candidate;
   }
-  if (aNow < aEndpoint.mAvoidUntil) {
-    score += kUnreachablePenalty;
+  const double engineQueue =
+    aRequest.mLatencyTolerant ? kLatencyTolerantQueueFraction : kUrgentQueueFraction;
+  const double queue = engine ? engineQueue : kPlainQueueFraction;
+  if (load.mRequests >= slots * (1.0 + queue)) {
+    return std::nullopt;
   }
-  return score;
+  candidate.mSpread = { load.mRequests / slots + zonePenalty + penalty, slots };
+  return candidate;
 }
 
-Choice EndpointChooser::Choose(const Service& aService,
-                               const RequestMetadata& aMetadata,
-                               const std::vector<ids::EndpointId>& aTried,
-                               bool aLatencyTolerant,
-                               double aUnreported,
-                               timing::Instant aNow)
+Choice EndpointChooser::Choose(const RoutingRequest& aRequest, timing::Instant aNow)
 {
-  const double engineWaiting =
-    aLatencyTolerant ? kLatencyTolerantQueueFraction : kUrgentQueueFraction;
-  const double waiting = aService.mEngine ? engineWaiting : kPlainQueueFraction;
-  Choice choice;
-  std::vector<Endpoint*> endpoints;
-  std::vector<SpreadCandidate> candidates;
+  const RequestMetadata& metadata = aRequest.mMetadata;
+  const bool engine = aRequest.mService.mEngine.has_value();
   const std::uint64_t model =
-    aService.mEngine ? HashName(DemandMeter::Name(aMetadata.mModel, {})) : 0;
+    engine ? HashName(DemandMeter::Name(metadata.mModel, {})) : 0;
   const std::uint64_t adapter =
-    aMetadata.mAdapter.empty()
-      ? 0
-      : HashName(DemandMeter::Name(aMetadata.mModel, aMetadata.mAdapter));
+    metadata.mAdapter.empty()
+      ? model
+      : HashName(DemandMeter::Name(metadata.mModel, metadata.mAdapter));
+  const std::vector<std::uint64_t> leadingParts =
+    engine ? PromptCacheEstimate::LeadingParts(adapter, metadata.mPromptParts)
+           : std::vector<std::uint64_t>{};
+  Choice choice;
+  std::vector<Candidate> candidates;
   for (auto& [id, endpoint] : mDirectory.All()) {
-    if (endpoint.mReport.mService != aService.mName ||
-        !mDirectory.IsUsable(endpoint, aNow) || std::ranges::count(aTried, id) > 0) {
+    if (endpoint.mReport.mService != aRequest.mService.mName ||
+        !mDirectory.IsUsable(endpoint, aNow) ||
+        std::ranges::count(aRequest.mTried, id) > 0) {
       continue;
     }
     if (choice.mReason == NoEndpoint::NoneUsable) {
       choice.mReason = NoEndpoint::ModelAbsent;
     }
-    if (aService.mEngine && (!endpoint.HoldsModel(aMetadata.mModel) ||
-                             endpoint.mUnavailableUntil.contains(model))) {
-      continue;
-    }
-    if (aService.mEngine && !aMetadata.mAdapter.empty() &&
-        (!endpoint.HoldsAdapter(aMetadata.mModel, aMetadata.mAdapter, adapter) ||
-         endpoint.mUnavailableUntil.contains(adapter))) {
-      if (choice.mReason == NoEndpoint::ModelAbsent) {
-        choice.mReason = NoEndpoint::AdapterAbsent;
-      }
+    if (!Holds(endpoint, aRequest, model, adapter, choice.mReason)) {
       continue;
     }
     choice.mReason = NoEndpoint::Full;
-    const double slots = std::max(1U, endpoint.mReport.mSlots);
-    const bool full =
-      endpoint.mInFlight + endpoint.mPeersInFlight >= slots * (1.0 + waiting);
     const bool limited = aNow < endpoint.mColdUntil || aNow < endpoint.mRampUntil;
-    if (full ||
-        (limited && !mCold.HasCapacity(id, aService.mColdPerSecond, mEntries, aNow))) {
+    if (limited &&
+        !mCold.HasCapacity(id, aRequest.mService.mColdPerSecond, mEntries, aNow)) {
       continue;
     }
-    endpoints.push_back(&endpoint);
-    candidates.push_back({ Score(endpoint, aNow), slots });
+    if (auto candidate = Rate(endpoint, aRequest, leadingParts, choice, aNow)) {
+      candidates.push_back(std::move(*candidate));
+    }
   }
-  if (!endpoints.empty()) {
+  if (!candidates.empty()) {
+    std::vector<SpreadCandidate> spread;
+    std::ranges::transform(candidates, std::back_inserter(spread), &Candidate::mSpread);
     std::uniform_real_distribution<double> draw(0.0, 1.0);
-    choice.mEndpoint = endpoints[SpreadOver(candidates, aUnreported, draw(mRandom))];
+    Candidate& chosen =
+      candidates[SpreadOver(spread, aRequest.mUnreported, draw(mRandom))];
+    choice.mEndpoint = chosen.mEndpoint;
+    choice.mAttempt = std::move(chosen.mAttempt);
+    choice.mAttempt.mEndpoint = chosen.mEndpoint->mReport.mId;
+    choice.mAttempt.mSentAt = aNow;
   }
   return choice;
 }
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -1,11 +1,15 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTCHOOSER_HPP
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTCHOOSER_HPP
 
+#include <optional>
 #include <random>
 #include <vector>
 
 #include "components/gateway/coldlimiter.hpp"
 #include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/enginemodel.hpp"
+#include "components/gateway/loadspread.hpp"
+#include "components/gateway/promptcacheestimate.hpp"
 #include "components/gateway/requestmetadata.hpp"
 #include "components/gateway/servingconfiguration.hpp"
 
@@ -24,25 +28,74 @@
   Full,
 };
 
+/// An attempt of a request at an endpoint, and what it adds to the endpoint's load.
+struct Attempt
+{
+  ids::EndpointId mEndpoint;
+  timing::Instant mSentAt{};
+  EngineLoad mLoad;
+  /// Only for engines.
+  EngineForecast mForecast;
+  /// Load of all entries at the endpoint when it was chosen, without this attempt.
+  EngineLoad mLoadWhenChosen;
+  /// Tokens at the beginning of the prompt that the engine is expected to keep.
+  double mKeptTokens{ 0.0 };
+  /// No response has begun to arrive.
+  bool mUnanswered{ true };
+};
+
 struct Choice
 {
   /// Null if there is none; then mReason is the reason.
   Endpoint* mEndpoint{ nullptr };
   NoEndpoint mReason{ NoEndpoint::NoneUsable };
+  Attempt mAttempt;
+  /// If mReason is Full: the time until the first engine can take the request, by the
+  /// forecast.
+  std::optional<Milliseconds> mFreeAfter;
+};
+
+/// Which inputs the choice of an engine uses. Experiments compare the alternatives.
+struct EnginePolicy
+{
+  /// Engines are compared and limited by the work that they have queued, else by their
+  /// requests per slot.
+  bool mByWork{ true };
+  /// Parts of the prompt that an engine keeps count as read.
+  bool mByKeptParts{ true };
+  /// Less urgent requests leave room in the engines' queues, see AllowedWait.
+  bool mByUrgency{ true };
 };
 
-/// Workload: ordinary traffic on every day. Chooses an endpoint that holds the request's
-/// model and adapter and has few requests of all entries relative to its slots, and
-/// prefers the entry's own availability zone while that costs little time.
+/// A request for which an endpoint is chosen.
+struct RoutingRequest
+{
+  const Service& mService;
+  const RequestMetadata& mMetadata;
+  /// Endpoints that are not chosen again.
+  const std::vector<ids::EndpointId>& mTried;
+  bool mLatencyTolerant{ false };
+  /// Longest wait at an engine.
+  Milliseconds mMaxWait{ 0 };
+  /// Number of similar requests that the other entries send before their next peer
+  /// reports.
+  double mUnreported{ 0.0 };
+};
+
+/// Workload: ordinary traffic on every day, with prompts of very different lengths.
+/// Chooses an endpoint that holds the request's model and adapter. Among engines it is
+/// the one with the earliest forecast of the first event, and none at which the request
+/// waits longer than it may; among plain services the one with the fewest requests of all
+/// entries relative to its slots. The entry's own availability zone is preferred while
+/// that costs little time.
 class EndpointChooser
 {
 public:
   // Requests that may be queued at an endpoint beyond its slots, as a fraction of its
   // slots.
-  /// Urgent requests to engines: with more than a few in the queue, first events miss
-  /// their target latency.
+  /// Engines, if they are limited by their slots: urgent requests.
   static constexpr double kUrgentQueueFraction = 0.1;
-  /// Requests to engines whose target latency leaves time to wait.
+  /// The same for latency-tolerant requests.
   static constexpr double kLatencyTolerantQueueFraction = 0.5;
   /// Requests to plain services take some ten milliseconds, and slots become free as
   /// fast.
@@ -54,27 +107,48 @@
 
   EndpointChooser(EndpointDirectory& aDirectory,
                   ColdLimiter& aCold,
+                  const EngineModel& aModel,
+                  const PromptCacheEstimate& aCache,
                   ids::AvailabilityZoneId aOwnZone,
                   std::uint64_t aSeed);
 
   void SetEntries(std::size_t aEntries) { mEntries = aEntries; }
+  void SetPolicy(const EnginePolicy& aPolicy) { mPolicy = aPolicy; }
 
-  /// Chooses among the endpoints of the service that are not in aTried. aLatencyTolerant
-  /// is true if the request may wait for a slot. aUnreported is the number of similar
-  /// requests that the other entries send before their next peer reports.
-  Choice Choose(const Service& aService,
-                const RequestMetadata& aMetadata,
-                const std::vector<ids::EndpointId>& aTried,
-                bool aLatencyTolerant,
-                double aUnreported,
-                timing::Instant aNow);
+  Choice Choose(const RoutingRequest& aRequest, timing::Instant aNow);
 
 private:
-  double Score(const Endpoint& aEndpoint, timing::Instant aNow) const;
+  /// An endpoint that holds what the request needs.
+  struct Candidate
+  {
+    Endpoint* mEndpoint{ nullptr };
+    Attempt mAttempt;
+    SpreadCandidate mSpread;
+  };
+
+  /// Returns true if the endpoint holds the request's model and adapter; otherwise
+  /// updates the reason for finding none.
+  static bool Holds(const Endpoint& aEndpoint,
+                    const RoutingRequest& aRequest,
+                    std::uint64_t aModelHash,
+                    std::uint64_t aAdapterHash,
+                    NoEndpoint& aReason);
+  /// Returns the endpoint as a candidate, or none if it is full.
+  std::optional<Candidate> Rate(Endpoint& aEndpoint,
+                                const RoutingRequest& aRequest,
+                                const std::vector<std::uint64_t>& aLeadingParts,
+                                Choice& aChoice,
+                                timing::Instant aNow) const;
+  /// Penalty of outliers and of unreachable or silent endpoints, so that they are chosen
+  /// last.
+  static double Penalty(const Endpoint& aEndpoint, timing::Instant aNow);
 
   EndpointDirectory& mDirectory;
   ColdLimiter& mCold;
+  const EngineModel& mModel;
+  const PromptCacheEstimate& mCache;
   ids::AvailabilityZoneId mOwnZone;
+  EnginePolicy mPolicy;
   std::size_t mEntries{ 1 };
   std::mt19937_64 mRandom;
 };
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -15,14 +15,15 @@
   }
   const bool restarted = !added && aReport.mIncarnation > endpoint.mReport.mIncarnation;
   if (restarted) {
-    const unsigned inFlight = endpoint.mInFlight;
+    const EngineLoad load = endpoint.mOwnLoad;
     endpoint = Endpoint{};
-    endpoint.mInFlight = inFlight;
+    endpoint.mOwnLoad = load;
   }
   if (aReport.mColdRemaining.count() > 0) {
     endpoint.mColdUntil = aNow + aReport.mColdRemaining;
     endpoint.mRampUntil = std::max(endpoint.mRampUntil, endpoint.mColdUntil);
   }
+  endpoint.mHash = HashName(aReport.mId.Str());
   endpoint.mUsableUntil = timing::Instant::max();
   endpoint.mReportedAt = aNow;
   endpoint.mReport = std::move(aReport);
@@ -80,7 +81,7 @@
                   [aNow](const auto& aRow) { return aRow.second <= aNow; });
   }
   std::erase_if(mEndpoints, [aNow](const auto& aRow) {
-    return aRow.second.mUsableUntil <= aNow && aRow.second.mInFlight == 0;
+    return aRow.second.mUsableUntil <= aNow && aRow.second.mOwnLoad.mRequests == 0;
   });
 }
 
@@ -88,7 +89,7 @@
                                             timing::Instant aNow)
 {
   const auto it = std::ranges::find_if(mEndpoints, [&](const auto& aRow) {
-    return HashName(aRow.first.Str()) == aLoaded.mEndpointHash;
+    return aRow.second.mHash == aLoaded.mEndpointHash;
   });
   if (it != mEndpoints.end()) {
     it->second.mLoadedSinceReport[aLoaded.mModelAdapterHash] = aNow;
@@ -108,16 +109,16 @@
   }
 }
 
-void EndpointDirectory::SetPeersInFlight(
-  const std::unordered_map<ids::EndpointId, unsigned>& aCounts,
+void EndpointDirectory::SetPeersLoad(
+  const std::unordered_map<std::uint64_t, EngineLoad>& aLoads,
   timing::Instant aNow)
 {
   for (auto& [id, endpoint] : mEndpoints) {
     if (aNow - endpoint.mObservedAt < kObservedLoadLifetime) {
       continue;
     }
-    const auto it = aCounts.find(id);
-    endpoint.mPeersInFlight = it == aCounts.end() ? 0 : it->second;
+    const auto it = aLoads.find(endpoint.mHash);
+    endpoint.mPeersLoad = it == aLoads.end() ? EngineLoad{} : it->second;
   }
 }
 
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -71,10 +71,10 @@
                        const std::string& aAdapter,
                        timing::Instant aNow);
 
-  /// Replaces the counts of requests that the other entries have in flight at the
-  /// endpoints, except for endpoints that have just reported their load.
-  void SetPeersInFlight(const std::unordered_map<ids::EndpointId, unsigned>& aCounts,
-                        timing::Instant aNow);
+  /// Replaces the loads that the other entries have at the endpoints, by HashName of the
+  /// endpoint, except for endpoints that have just reported their load.
+  void SetPeersLoad(const std::unordered_map<std::uint64_t, EngineLoad>& aLoads,
+                    timing::Instant aNow);
 
   Endpoint* Find(const ids::EndpointId& aId);
   std::map<ids::EndpointId, Endpoint>& All() { return mEndpoints; }
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -11,11 +11,19 @@
   load.set_incarnation(aReport.mIncarnation);
   load.set_number(aReport.mSequence);
   load.set_hears_all(aReport.mReceivesFromAll);
-  load.set_waits(aReport.mWaitsForAdapter);
-  for (const auto& [key, count] : aReport.mInFlight) {
+  load.set_waits(!aReport.mAwaitedAdapters.empty());
+  for (const std::uint64_t key : aReport.mAwaitedAdapters) {
+    load.add_awaited(key);
+  }
+  for (const std::uint64_t key : aReport.mRefused) {
+    load.add_refused(key);
+  }
+  for (const auto& [key, engineLoad] : aReport.mInFlight) {
     auto* item = load.add_in_flight();
     item->set_key(key);
-    item->set_count(count);
+    item->set_count(engineLoad.mRequests);
+    item->set_unread_ms(static_cast<float>(engineLoad.mUnread.count()));
+    item->set_memory_tokens(static_cast<std::uint32_t>(engineLoad.mMemoryTokens));
   }
   for (const auto& [key, total] : aReport.mAdmitted) {
     auto* item = load.add_admitted();
@@ -47,9 +55,13 @@
   report.mIncarnation = load.incarnation();
   report.mSequence = load.number();
   report.mReceivesFromAll = load.hears_all();
-  report.mWaitsForAdapter = load.waits();
+  report.mAwaitedAdapters.assign(load.awaited().begin(), load.awaited().end());
+  report.mRefused.assign(load.refused().begin(), load.refused().end());
   for (const auto& item : load.in_flight()) {
-    report.mInFlight.emplace(item.key(), item.count());
+    report.mInFlight.emplace(item.key(),
+                             EngineLoad{ item.count(),
+                                         Milliseconds(item.unread_ms()),
+                                         static_cast<double>(item.memory_tokens()) });
   }
   for (const auto& item : load.admitted()) {
     report.mAdmitted.emplace(item.key(), item.total());
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -1,7 +1,6 @@
 #include "components/gateway/peertable.hpp"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 #include "components/random/rendezvous.hpp"
@@ -113,15 +112,19 @@
   return most;
 }
 
-unsigned PeerTable::InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const
+std::unordered_map<std::uint64_t, EngineLoad> PeerTable::InFlight(
+  timing::Instant aNow) const
 {
-  const std::uint64_t key = HashName(aEndpoint.Str());
-  return std::accumulate(
-    mPeers.begin(), mPeers.end(), 0U, [&](unsigned aSum, const auto& aRow) {
-      const auto& counts = aRow.second.mReport.mInFlight;
-      const auto it = counts.find(key);
-      return it == counts.end() || !IsFresh(aRow.second, aNow) ? aSum : aSum + it->second;
-    });
+  std::unordered_map<std::uint64_t, EngineLoad> sums;
+  for (const auto& [process, peer] : mPeers) {
+    if (!IsFresh(peer, aNow)) {
+      continue;
+    }
+    for (const auto& [key, load] : peer.mReport.mInFlight) {
+      sums[key] += load;
+    }
+  }
+  return sums;
 }
 
 std::unordered_map<std::uint64_t, double> PeerTable::ModelDemand(
@@ -139,6 +142,18 @@
   return sums;
 }
 
+std::unordered_set<std::uint64_t> PeerTable::AwaitedAdapters(timing::Instant aNow) const
+{
+  std::unordered_set<std::uint64_t> awaited;
+  for (const auto& [process, peer] : mPeers) {
+    if (peer.mReceivedAt + kAwaitedAge > aNow) {
+      awaited.insert(peer.mReport.mAwaitedAdapters.begin(),
+                     peer.mReport.mAwaitedAdapters.end());
+    }
+  }
+  return awaited;
+}
+
 std::vector<PeerQuota> PeerTable::AccountQuotas(
   const ids::ClientAccountId& aAccount) const
 {
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -6,8 +6,10 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
+#include "components/gateway/enginemodel.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/ids/ids.hpp"
 #include "components/settings/socketaddress.hpp"
@@ -35,13 +37,16 @@
   /// The sender has fresh reports of all entries in its table.
   bool mReceivesFromAll{ false };
   /// Requests in flight by endpoint.
-  std::unordered_map<std::uint64_t, unsigned> mInFlight;
+  std::unordered_map<std::uint64_t, EngineLoad> mInFlight;
   /// Tokens admitted since the start of the process, by client account.
   std::unordered_map<std::uint64_t, double> mAdmitted;
-  /// Requests a second by model, and by model and adapter; only the leader needs them.
+  /// Demand in engines by model, and by model and adapter, see DemandMeter; only the
+  /// leader needs it.
   std::unordered_map<std::uint64_t, double> mModelDemand;
-  /// A request at the sender waits for an adapter to be loaded.
-  bool mWaitsForAdapter{ false };
+  /// Adapters that requests at the sender wait for, by HashName of model and adapter.
+  std::vector<std::uint64_t> mAwaitedAdapters;
+  /// Requests that the sender refused recently, see ReturningCallers.
+  std::vector<std::uint64_t> mRefused;
   /// Adapters that were recently loaded on an order of the sender.
   std::vector<LoadedAdapter> mLoadedAdapters;
 };
@@ -64,6 +69,9 @@
   /// time may be missing from the table.
   static constexpr timing::Duration kJoinTime = std::chrono::milliseconds(2000);
 
+  /// How long a reported wait for an adapter counts; a request waits for little longer.
+  static constexpr timing::Duration kAwaitedAge = std::chrono::milliseconds(600);
+
   PeerTable(ids::ProcessId aOwn, timing::Instant aStart)
     : mOwn(std::move(aOwn))
     , mStart(aStart)
@@ -109,12 +117,15 @@
   /// the table.
   bool IsJoining(timing::Instant aNow) const { return aNow < mStart + kJoinTime; }
 
-  /// Requests in flight at the endpoint, summed over the fresh reports of the other
-  /// entries.
-  unsigned InFlight(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
-  /// Requests a second, summed over the same reports, by HashName of the model or of the
+  /// Requests in flight by HashName of the endpoint, summed over the fresh reports of the
+  /// other entries.
+  std::unordered_map<std::uint64_t, EngineLoad> InFlight(timing::Instant aNow) const;
+  /// Demand in engines, summed over the same reports, by HashName of the model or of the
   /// model and adapter.
   std::unordered_map<std::uint64_t, double> ModelDemand(timing::Instant aNow) const;
+  /// Adapters that requests at the other entries wait for, by HashName of model and
+  /// adapter, from reports that are not older than kAwaitedAge.
+  std::unordered_set<std::uint64_t> AwaitedAdapters(timing::Instant aNow) const;
   /// Latest report of each other entry on an account, even if it is stale.
   std::vector<PeerQuota> AccountQuotas(const ids::ClientAccountId& aAccount) const;
 
--- a/components/gateway/requestmetadata.hpp
+++ b/components/gateway/requestmetadata.hpp
@@ -5,11 +5,19 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "components/ids/ids.hpp"
 
 namespace samphiresail::gateway {
 
+/// Part of a prompt that several requests may share.
+struct PromptPart
+{
+  std::uint64_t mId{ 0 };
+  std::int64_t mTokens{ 0 };
+};
+
 /// Values of a caller's request that admission and routing decisions use.
 struct RequestMetadata
 {
@@ -23,8 +31,8 @@
   std::int64_t mPromptTokens{ 0 };
   std::int64_t mOutputTokens{ 0 };
   bool mHasTokenCounts{ false };
-  /// Identifier of the prompt prefix that several requests share.
-  std::string mSharedPrefix;
+  /// Parts of the prompt in order.
+  std::vector<PromptPart> mPromptParts;
   /// How long the caller waits for the response, if the request states it.
   std::optional<std::chrono::milliseconds> mCallerTimeout;
   /// Identifier of the event after which a resumed stream continues.
--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -1,9 +1,23 @@
 #include "components/gateway/servingconfiguration.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
 
 namespace samphiresail::gateway {
 
+namespace {
+
+/// A route is latency-tolerant if its target latency is at least this many times the
+/// shortest one of its services.
+constexpr int kLatencyTolerantFactor = 2;
+
+/// Priority and target latency; the smallest value is the most urgent one.
+using Urgency = std::pair<int, std::chrono::milliseconds>;
+
+}
+
 void ServingConfiguration::Index()
 {
   for (std::size_t i = 0; i < mRoutes.size(); ++i) {
@@ -22,6 +36,45 @@
       mAccountByKey.emplace(key, i);
     }
   }
+  RankRoutes();
+}
+
+void ServingConfiguration::RankRoutes()
+{
+  std::unordered_map<ids::ServiceId, std::set<std::chrono::milliseconds>> targets;
+  for (const Route& route : mRoutes) {
+    for (const ServiceShare& share : route.mServices) {
+      if (route.mTargetLatency.count() > 0) {
+        targets[share.mService].insert(route.mTargetLatency);
+      }
+    }
+  }
+  std::unordered_map<ids::ServiceId, std::set<Urgency>> urgencies;
+  for (Route& route : mRoutes) {
+    route.mTightestTarget = route.mTargetLatency;
+    for (const ServiceShare& share : route.mServices) {
+      if (const auto it = targets.find(share.mService); it != targets.end()) {
+        route.mTightestTarget = std::min(route.mTightestTarget, *it->second.begin());
+      }
+    }
+    route.mLatencyTolerant =
+      route.mTightestTarget.count() > 0 &&
+      route.mTargetLatency >= kLatencyTolerantFactor * route.mTightestTarget;
+    if (!route.mLatencyTolerant) {
+      for (const ServiceShare& share : route.mServices) {
+        urgencies[share.mService].emplace(route.mPriority, route.mTargetLatency);
+      }
+    }
+  }
+  for (Route& route : mRoutes) {
+    route.mUrgencyRank = 0;
+    for (const ServiceShare& share : route.mServices) {
+      const auto& known = urgencies[share.mService];
+      const auto it = known.lower_bound({ route.mPriority, route.mTargetLatency });
+      route.mUrgencyRank = std::max(
+        route.mUrgencyRank, static_cast<unsigned>(std::distance(known.begin(), it)));
+    }
+  }
 }
 
 const Route* ServingConfiguration::FindRoute(std::string_view aHost,
--- a/components/gateway/servingconfiguration.hpp
+++ b/components/gateway/servingconfiguration.hpp
@@ -48,6 +48,15 @@
   unsigned mMaxAttempts{ 1 };
   bool mPublic{ false };
   bool mResumable{ false };
+  // Set by ServingConfiguration::Index().
+  /// The target latency leaves time to wait, compared with the other routes to the same
+  /// services.
+  bool mLatencyTolerant{ false };
+  /// Number of different urgencies (priority and target latency) of the routes to the
+  /// same services that are more urgent and not latency-tolerant.
+  unsigned mUrgencyRank{ 0 };
+  /// Shortest target latency of the routes to the same services; 0 if none states one.
+  std::chrono::milliseconds mTightestTarget{ 0 };
 
   /// True if the request may run more than once.
   bool IsRetryable() const
@@ -73,6 +82,8 @@
   unsigned mSlots{ 0 };
   double mMemoryMb{ 0.0 };
   unsigned mAdapterSlots{ 0 };
+  /// Memory for running requests and kept prompts, in tokens; 0 if it is not known.
+  double mMemoryTokens{ 0.0 };
   /// Loads a second that the weight store allows over all engines.
   double mLoadsPerSecond{ 0.0 };
   std::vector<ModelSpec> mModels;
@@ -130,6 +141,9 @@
   const ClientAccount* FindAccountOfKey(const std::string& aKey) const;
 
 private:
+  /// Sets what a route's urgency is relative to the other routes of its services.
+  void RankRoutes();
+
   std::unordered_map<std::string, std::vector<std::size_t>> mRoutesOfHost;
   std::unordered_map<ids::ServiceId, std::size_t> mServiceByName;
   std::unordered_map<std::string, std::size_t> mAccountByKey;
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -14,32 +14,70 @@
 /// Retry-After while the store or the configuration cannot be reached.
 constexpr milliseconds kMinOutageRetry{ 500 };
 constexpr milliseconds kMaxOutageRetry{ 1500 };
-/// Retry-After while all endpoints are full: about the length of a generation.
+/// Retry-After while all endpoints are full, if no forecast says when one is free: about
+/// the length of a generation.
 constexpr milliseconds kMinFullRetry{ 400 };
 constexpr milliseconds kMaxFullRetry{ 1600 };
-/// Retry-After while a model is being loaded: about the time of a load.
+/// With a forecast, callers return spread over this many times the forecast and the
+/// shortest spread.
+constexpr double kFullRetrySpread = 2.0;
+constexpr milliseconds kMinFullRetrySpread{ 400 };
+/// Callers wait for no more than this fraction of the time that they have left.
+constexpr double kMaxRetryFraction = 0.3;
+/// Retry-After while a model is being loaded, if its load time is not known.
 constexpr milliseconds kMinLoadRetry{ 1000 };
 constexpr milliseconds kMaxLoadRetry{ 3000 };
+/// Fraction of a model's load time after which the first callers retry.
+constexpr double kMinLoadRetryFraction = 0.5;
 /// Weight of the latest outcome in the moving average of failures.
 constexpr double kFailureWeight = 0.12;
 /// How long an unreachable endpoint is avoided.
 constexpr milliseconds kUnreachablePause{ 1000 };
-/// Target latency from which a request counts as latency-tolerant.
-constexpr milliseconds kLatencyTolerantTarget{ 2000 };
+/// Target latency of a route that states none.
+constexpr milliseconds kDefaultTarget{ 1000 };
+/// Shortest silence, with requests unanswered, after which an endpoint is avoided.
+constexpr Milliseconds kMinSilenceLimit{ 1000.0 };
+/// The same as a multiple of the forecast of a first event.
+constexpr double kSilenceLimitForecasts = 3.0;
 /// Added to the priority number of latency-tolerant requests, so that they come after
 /// urgent ones.
 constexpr int kLatencyTolerantPriorityOffset = 4;
 constexpr int kMaxPriority = 9;
 
-bool IsLatencyTolerant(const Route& aRoute)
+Milliseconds ToMilliseconds(timing::Duration aDuration)
 {
-  return aRoute.mTargetLatency >= kLatencyTolerantTarget;
+  return std::chrono::duration_cast<Milliseconds>(aDuration);
+}
+
+milliseconds TargetOf(const Route& aRoute)
+{
+  return aRoute.mTargetLatency.count() > 0 ? aRoute.mTargetLatency : kDefaultTarget;
+}
+
+/// Returns the time to load the request's model, or 0 if it is not known.
+milliseconds LoadTimeOf(const Admission& aAdmission)
+{
+  if (!aAdmission.mService->mEngine) {
+    return milliseconds(0);
+  }
+  const auto& models = aAdmission.mService->mEngine->mModels;
+  const auto it =
+    std::ranges::find(models, aAdmission.mMetadata.mModel, &ModelSpec::mName);
+  return it == models.end() ? milliseconds(0) : it->mLoadTime;
+}
+
+EngineWork WorkOf(const RequestMetadata& aMetadata)
+{
+  const auto prompt = static_cast<double>(aMetadata.mPromptTokens);
+  return {
+    aMetadata.mModel, prompt, prompt, static_cast<double>(aMetadata.mOutputTokens)
+  };
 }
 
 }
 
 TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
-  : mChooser(mDirectory, mCold, std::move(aOwnZone), aSeed)
+  : mChooser(mDirectory, mCold, mEngineModel, mPromptCache, std::move(aOwnZone), aSeed)
   , mRandom(aSeed)
 {
 }
@@ -60,6 +98,12 @@
   mChooser.SetEntries(aEntries);
 }
 
+void TrafficControl::SetEnginePolicy(const EnginePolicy& aPolicy)
+{
+  mEnginePolicy = aPolicy;
+  mChooser.SetPolicy(aPolicy);
+}
+
 milliseconds TrafficControl::RetryAfter(milliseconds aMin, milliseconds aMax)
 {
   std::uniform_int_distribution<milliseconds::rep> spread(aMin.count(), aMax.count());
@@ -132,15 +176,24 @@
                           : admission.mCallerDeadline;
   admission.mPriority =
     account != nullptr && account->mPriority ? *account->mPriority : route->mPriority;
-  if (IsLatencyTolerant(*route)) {
+  if (route->mLatencyTolerant) {
     admission.mPriority += kLatencyTolerantPriorityOffset;
   }
   admission.mPriority = std::clamp(admission.mPriority, 0, kMaxPriority);
   admission.mConfigurationAge = mStoreFreshness.Staleness(aNow);
+  admission.mEarlierAttempts = EarlierAttempts(aMetadata, aNow);
   if (service->mEngine) {
-    mDemand.Record(aMetadata.mModel, aMetadata.mAdapter, aNow);
+    const EngineCapacity capacity{ std::max(1U, service->mEngine->mSlots),
+                                   service->mEngine->mMemoryTokens };
+    const Milliseconds time = mEngineModel.EngineTime(WorkOf(aMetadata), capacity);
+    admission.mEngineSeconds = std::chrono::duration<double>(time).count();
+    if (admission.mEarlierAttempts == timing::Duration(0)) {
+      // The demand of callers that return was recorded when they first asked.
+      mDemand.Record(
+        aMetadata.mModel, aMetadata.mAdapter, admission.mEngineSeconds, aNow);
+    }
   } else {
-    mServiceDemand.Add(service->mName.Str(), aNow);
+    mServiceDemand.Add(service->mName.Str(), 1.0, aNow);
   }
   if (account != nullptr) {
     admission.mTokens =
@@ -150,6 +203,7 @@
     const QuotaDecision quota =
       mQuotas.TryConsume(account->mName, admission.mTokens, aNow);
     if (!quota.mAdmitted) {
+      RecordRefusal(aMetadata, aNow - admission.mEarlierAttempts, aNow);
       const auto wait = std::chrono::ceil<milliseconds>(quota.mRetryAfter);
       return Refusal{ 429,
                       "the account is over its rate",
@@ -164,49 +218,181 @@
   return admission;
 }
 
+timing::Duration TrafficControl::EarlierAttempts(const RequestMetadata& aMetadata,
+                                                 timing::Instant aNow) const
+{
+  const auto key = ReturningCallers::Key(aMetadata);
+  const auto first = key ? mReturningCallers.FirstAttempt(*key) : std::nullopt;
+  return first ? std::max(aNow - *first, timing::Duration(1)) : timing::Duration(0);
+}
+
+void TrafficControl::RecordRefusal(const RequestMetadata& aMetadata,
+                                   timing::Instant aFirst,
+                                   timing::Instant aNow)
+{
+  if (const auto key = ReturningCallers::Key(aMetadata)) {
+    mReturningCallers.Refuse(*key, aFirst, aNow);
+  }
+}
+
+WaitAllowance TrafficControl::Allowance(const Admission& aAdmission,
+                                        timing::Instant aNow) const
+{
+  const Route& route = *aAdmission.mRoute;
+  const timing::Duration waited = aNow - aAdmission.mArrived;
+  RequestUrgency urgency;
+  urgency.mTarget = TargetOf(route);
+  urgency.mTightestTarget =
+    route.mTightestTarget.count() > 0 ? route.mTightestTarget : kDefaultTarget;
+  urgency.mRank = route.mUrgencyRank;
+  urgency.mLatencyTolerant = route.mLatencyTolerant;
+  urgency.mReturned = aAdmission.mEarlierAttempts > timing::Duration(0);
+  urgency.mElapsed = ToMilliseconds(aAdmission.mEarlierAttempts + waited);
+  urgency.mWaited = ToMilliseconds(waited);
+  urgency.mTimeLeft =
+    ToMilliseconds(std::max(aAdmission.mDeadline - aNow, timing::Duration(0)));
+  if (!aAdmission.mService->mEngine || !mEnginePolicy.mByUrgency) {
+    return AllowedWaitWithoutUrgency(urgency);
+  }
+  const RequestMetadata& metadata = aAdmission.mMetadata;
+  return AllowedWait(
+    urgency,
+    mEngineModel.ReadTime(metadata.mModel, static_cast<double>(metadata.mPromptTokens)));
+}
+
 Choice TrafficControl::Begin(const Admission& aAdmission,
                              const std::vector<ids::EndpointId>& aTried,
                              timing::Instant aNow)
 {
-  const Choice choice = mChooser.Choose(*aAdmission.mService,
-                                        aAdmission.mMetadata,
-                                        aTried,
-                                        IsLatencyTolerant(*aAdmission.mRoute),
-                                        UnreportedRequests(aAdmission, aNow),
-                                        aNow);
-  if (choice.mEndpoint != nullptr) {
-    ++choice.mEndpoint->mInFlight;
-    mCold.Record(choice.mEndpoint->mReport.mId, aNow);
+  const RequestMetadata& metadata = aAdmission.mMetadata;
+  const RoutingRequest request{ *aAdmission.mService,
+                                metadata,
+                                aTried,
+                                aAdmission.mRoute->mLatencyTolerant,
+                                Allowance(aAdmission, aNow).mAtEngine,
+                                UnreportedRequests(aAdmission, aNow) };
+  Choice choice = mChooser.Choose(request, aNow);
+  if (choice.mEndpoint == nullptr) {
+    return choice;
+  }
+  RecordStart(*choice.mEndpoint, choice.mAttempt);
+  mCold.Record(choice.mAttempt.mEndpoint, aNow);
+  if (aAdmission.mService->mEngine) {
+    const std::uint64_t key =
+      HashName(DemandMeter::Name(metadata.mModel, metadata.mAdapter));
+    mPromptCache.Record(choice.mEndpoint->mHash,
+                        PromptCacheEstimate::LeadingParts(key, metadata.mPromptParts),
+                        static_cast<double>(metadata.mPromptTokens),
+                        aNow);
   }
   return choice;
 }
 
+void TrafficControl::RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt)
+{
+  const Milliseconds limit =
+    std::max(kMinSilenceLimit, kSilenceLimitForecasts * aAttempt.mForecast.mFirstEvent);
+  aEndpoint.mOwnLoad += aAttempt.mLoad;
+  if (aEndpoint.mUnanswered == 0) {
+    aEndpoint.mSilentSince = aAttempt.mSentAt;
+    aEndpoint.mSilenceLimit = limit;
+  }
+  ++aEndpoint.mUnanswered;
+  aEndpoint.mSilenceLimit = std::max(aEndpoint.mSilenceLimit, limit);
+}
+
 double TrafficControl::UnreportedRequests(const Admission& aAdmission,
                                           timing::Instant aNow) const
 {
   const RequestMetadata& metadata = aAdmission.mMetadata;
-  const double rate =
-    aAdmission.mService->mEngine
-      ? mDemand.Rate(DemandMeter::Name(metadata.mModel, metadata.mAdapter), aNow)
-      : mServiceDemand.Rate(aAdmission.mService->mName.Str(), aNow);
+  const bool engine = aAdmission.mService->mEngine.has_value();
+  const double amount =
+    engine ? mDemand.Rate(DemandMeter::Name(metadata.mModel, metadata.mAdapter), aNow)
+           : mServiceDemand.Rate(aAdmission.mService->mName.Str(), aNow);
+  const double perRequest = engine ? std::max(aAdmission.mEngineSeconds, 1e-6) : 1.0;
   const double others = static_cast<double>(mEntries) - 1.0;
-  return rate * others * std::chrono::duration<double>(mPeerReportInterval).count();
+  return amount / perRequest * others *
+         std::chrono::duration<double>(mPeerReportInterval).count();
 }
 
-void TrafficControl::ObserveLoad(const ids::EndpointId& aEndpoint,
-                                 const ResponseMetadata& aMetadata,
-                                 timing::Instant aNow)
+void TrafficControl::OnResponse(Attempt& aAttempt,
+                                const ResponseMetadata& aMetadata,
+                                timing::Instant aNow)
 {
-  Endpoint* endpoint = mDirectory.Find(aEndpoint);
-  if (endpoint == nullptr || !aMetadata.mRunning || !aMetadata.mWaiting) {
+  Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  endpoint->mSilentSince = aNow;
+  if (aAttempt.mUnanswered) {
+    aAttempt.mUnanswered = false;
+    endpoint->mUnanswered -= std::min(endpoint->mUnanswered, 1U);
+  }
+  if (!aMetadata.mRunning || !aMetadata.mWaiting) {
     return;
   }
   const unsigned reported = *aMetadata.mRunning + *aMetadata.mWaiting;
-  endpoint->mPeersInFlight =
-    reported > endpoint->mInFlight ? reported - endpoint->mInFlight : 0;
+  const unsigned own = endpoint->mOwnLoad.mRequests;
+  const unsigned peers = reported > own ? reported - own : 0;
+  EngineLoad& known = endpoint->mPeersLoad;
+  if (peers <= known.mRequests) {
+    const double left = known.mRequests > 0 ? double(peers) / known.mRequests : 0.0;
+    known.mUnread *= left;
+    known.mMemoryTokens *= left;
+  } else {
+    // Requests that no peer has reported yet are assumed to be like this one, half read.
+    const double unknown = peers - known.mRequests;
+    known.mUnread += aAttempt.mLoad.mUnread * (unknown / 2);
+    known.mMemoryTokens += aAttempt.mLoad.mMemoryTokens * unknown;
+  }
+  known.mRequests = peers;
   endpoint->mObservedAt = aNow;
 }
 
+void TrafficControl::OnFirstEvent(Attempt& aAttempt,
+                                  const Admission& aAdmission,
+                                  timing::Instant aNow)
+{
+  if (Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint)) {
+    endpoint->mOwnLoad -= EngineLoad{ 0, aAttempt.mLoad.mUnread, 0.0 };
+    endpoint->mSilentSince = aNow;
+  }
+  aAttempt.mLoad.mUnread = Milliseconds(0);
+  if (aAdmission.mService->mEngine) {
+    mEngineModel.ObserveFirstEvent(aAttempt.mEndpoint,
+                                   aAdmission.mMetadata.mModel,
+                                   aAttempt.mForecast,
+                                   ToMilliseconds(aNow - aAttempt.mSentAt),
+                                   aNow);
+  }
+}
+
+void TrafficControl::OnProgress(const Attempt& aAttempt, timing::Instant aNow)
+{
+  if (Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint)) {
+    endpoint->mSilentSince = aNow;
+  }
+}
+
+void TrafficControl::OnStreamComplete(const Attempt& aAttempt,
+                                      const Admission& aAdmission,
+                                      timing::Instant aFirstEvent,
+                                      timing::Instant aNow)
+{
+  if (aAdmission.mService->mEngine) {
+    mEngineModel.ObserveCompletion(
+      static_cast<double>(aAdmission.mMetadata.mOutputTokens),
+      ToMilliseconds(aNow - aFirstEvent),
+      ToMilliseconds(aNow - aAttempt.mSentAt));
+  }
+}
+
+void TrafficControl::ForgetEndpoint(const ids::EndpointId& aEndpoint)
+{
+  mEngineModel.Forget(aEndpoint);
+  mPromptCache.Forget(HashName(aEndpoint.Str()));
+}
+
 void TrafficControl::ObserveRefusal(const ids::EndpointId& aEndpoint,
                                     const Admission& aAdmission,
                                     const ResponseMetadata& aMetadata,
@@ -223,16 +409,15 @@
   }
 }
 
-void TrafficControl::End(const ids::EndpointId& aEndpoint,
-                         AttemptEnd aEnd,
-                         timing::Instant aNow)
+void TrafficControl::End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow)
 {
-  Endpoint* endpoint = mDirectory.Find(aEndpoint);
+  Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
   if (endpoint == nullptr) {
     return;
   }
-  if (endpoint->mInFlight > 0) {
-    --endpoint->mInFlight;
+  endpoint->mOwnLoad -= aAttempt.mLoad;
+  if (aAttempt.mUnanswered) {
+    endpoint->mUnanswered -= std::min(endpoint->mUnanswered, 1U);
   }
   const auto recordOutcome = [endpoint](double aFailed) {
     endpoint->mFailureFraction += kFailureWeight * (aFailed - endpoint->mFailureFraction);
@@ -254,6 +439,17 @@
   }
 }
 
+bool TrafficControl::IsStalled(const Admission& aAdmission,
+                               const Attempt& aAttempt,
+                               timing::Instant aNow)
+{
+  if (!aAttempt.mUnanswered || !aAdmission.mRoute->IsRetryable()) {
+    return false;
+  }
+  const Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
+  return endpoint != nullptr && endpoint->IsSilent(aNow);
+}
+
 bool TrafficControl::TrySpendRetry(const Admission& aAdmission,
                                    std::size_t aSent,
                                    timing::Instant aNow)
@@ -262,26 +458,53 @@
          mRetryBudget.TrySpend(aAdmission.mService->mName, mEntries, aNow);
 }
 
-Refusal TrafficControl::RefuseNotRun(const Admission& aAdmission, NoEndpoint aReason)
+milliseconds TrafficControl::RetryAfterFull(const Admission& aAdmission,
+                                            const Choice& aChoice,
+                                            timing::Instant aNow)
+{
+  if (!aChoice.mFreeAfter) {
+    return RetryAfter(kMinFullRetry, kMaxFullRetry);
+  }
+  const auto free = std::chrono::ceil<milliseconds>(*aChoice.mFreeAfter);
+  const auto spread = std::chrono::duration_cast<milliseconds>(free * kFullRetrySpread);
+  const auto most = std::chrono::duration_cast<milliseconds>(
+    kMaxRetryFraction * ToMilliseconds(aAdmission.mCallerDeadline - aNow));
+  const milliseconds first = std::max(std::min(free, most), milliseconds(0));
+  const milliseconds last =
+    std::max(std::min(free + std::max(spread, kMinFullRetrySpread), most), first);
+  return RetryAfter(first, last);
+}
+
+Refusal TrafficControl::RefuseNotRun(const Admission& aAdmission,
+                                     const Choice& aChoice,
+                                     timing::Instant aNow)
 {
   if (aAdmission.mAccount != nullptr) {
     mQuotas.Refund(aAdmission.mAccount->mName, aAdmission.mTokens);
   }
+  RecordRefusal(
+    aAdmission.mMetadata, aAdmission.mArrived - aAdmission.mEarlierAttempts, aNow);
   Refusal refusal;
   refusal.mRoute = aAdmission.mRoute->mName;
   refusal.mTokens = aAdmission.mTokens;
-  switch (aReason) {
-    case NoEndpoint::ModelAbsent:
+  switch (aChoice.mReason) {
+    case NoEndpoint::ModelAbsent: {
       refusal.mReason = "no endpoint holds the model";
-      refusal.mRetryAfter = RetryAfter(kMinLoadRetry, kMaxLoadRetry);
+      const milliseconds load = LoadTimeOf(aAdmission);
+      refusal.mRetryAfter =
+        load.count() > 0 ? RetryAfter(std::chrono::duration_cast<milliseconds>(
+                                        kMinLoadRetryFraction * ToMilliseconds(load)),
+                                      load)
+                         : RetryAfter(kMinLoadRetry, kMaxLoadRetry);
       break;
+    }
     case NoEndpoint::AdapterAbsent:
       refusal.mReason = "no endpoint holds the adapter";
       refusal.mRetryAfter = RetryAfter(kMinFullRetry, kMaxFullRetry);
       break;
     case NoEndpoint::Full:
       refusal.mReason = "all endpoints are full or in cold start";
-      refusal.mRetryAfter = RetryAfter(kMinFullRetry, kMaxFullRetry);
+      refusal.mRetryAfter = RetryAfterFull(aAdmission, aChoice, aNow);
       break;
     case NoEndpoint::NoneUsable:
       refusal.mReason = "no endpoint may get work";
@@ -295,6 +518,8 @@
 {
   mDirectory.Tick(aNow);
   mCold.Tick(aNow);
+  mPromptCache.Tick(aNow);
+  mReturningCallers.Tick(aNow);
   mDemand.Tick(aNow);
   mServiceDemand.Tick(aNow);
 }
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -13,7 +13,9 @@
 #include "components/gateway/endpointchooser.hpp"
 #include "components/gateway/endpointdirectory.hpp"
 #include "components/gateway/quotaledger.hpp"
+#include "components/gateway/returningcallers.hpp"
 #include "components/gateway/storefreshness.hpp"
+#include "components/gateway/waitpolicy.hpp"
 #include "components/gateway/windowedretrybudget.hpp"
 
 namespace samphiresail::gateway {
@@ -48,6 +50,11 @@
   timing::Instant mDeadline{};
   /// When the caller stops waiting.
   timing::Instant mCallerDeadline{};
+  /// Time between the caller's first attempt and the arrival of this one; 0 unless it is
+  /// known to have been refused before.
+  timing::Duration mEarlierAttempts{ 0 };
+  /// Seconds of a whole engine that the request would use up.
+  double mEngineSeconds{ 0.0 };
   /// From 0, the most urgent, to 9.
   int mPriority{ 5 };
   /// Staleness of keys and routes at admission.
@@ -82,6 +89,9 @@
   WindowedRetryBudget mRetryBudget;
   DemandMeter mDemand;
   ColdLimiter mCold;
+  EngineModel mEngineModel;
+  PromptCacheEstimate mPromptCache;
+  ReturningCallers mReturningCallers;
 
   void SetConfiguration(std::shared_ptr<const ServingConfiguration> aConfiguration,
                         timing::Instant aNow);
@@ -92,15 +102,12 @@
   /// Sets the number of entries and the interval between their peer reports.
   void SetEntries(std::size_t aEntries, timing::Duration aPeerReportInterval);
 
-  /// Records the load that an endpoint reported in a response.
-  void ObserveLoad(const ids::EndpointId& aEndpoint,
-                   const ResponseMetadata& aMetadata,
-                   timing::Instant aNow);
+  void SetEnginePolicy(const EnginePolicy& aPolicy);
 
   /// Admits or rejects a request.
   std::variant<Admission, Refusal> Admit(RequestMetadata aMetadata, timing::Instant aNow);
 
-  /// Chooses the endpoint of the next attempt and counts the request as in flight there.
+  /// Chooses the endpoint of the next attempt and adds the attempt to its load.
   Choice Begin(const Admission& aAdmission,
                const std::vector<ids::EndpointId>& aTried,
                timing::Instant aNow);
@@ -112,9 +119,35 @@
                       const ResponseMetadata& aMetadata,
                       timing::Instant aNow);
 
+  /// Returns how long the request may wait, at an engine and at this entry, at this
+  /// moment.
+  WaitAllowance Allowance(const Admission& aAdmission, timing::Instant aNow) const;
+
+  /// Records that the response to an attempt has begun to arrive, and the load that the
+  /// endpoint reported in it.
+  void OnResponse(Attempt& aAttempt,
+                  const ResponseMetadata& aMetadata,
+                  timing::Instant aNow);
+  /// Records that the first event of a streamed response was received.
+  void OnFirstEvent(Attempt& aAttempt, const Admission& aAdmission, timing::Instant aNow);
+  /// Records that more of a response was received.
+  void OnProgress(const Attempt& aAttempt, timing::Instant aNow);
+  /// Records that a streamed response was complete; its first event had come at
+  /// aFirstEvent.
+  void OnStreamComplete(const Attempt& aAttempt,
+                        const Admission& aAdmission,
+                        timing::Instant aFirstEvent,
+                        timing::Instant aNow);
   /// Records the end of an attempt that Begin started.
-  void End(const ids::EndpointId& aEndpoint, AttemptEnd aEnd, timing::Instant aNow);
-
+  void End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow);
+  /// Erases what was observed of an endpoint that has restarted.
+  void ForgetEndpoint(const ids::EndpointId& aEndpoint);
+
+  /// Returns true if an attempt that may be retried has no response and its endpoint has
+  /// been silent for much longer than forecast.
+  bool IsStalled(const Admission& aAdmission,
+                 const Attempt& aAttempt,
+                 timing::Instant aNow);
   /// Returns true if the request may be sent to one more endpoint, and then spends one
   /// retry of the budget.
   bool TrySpendRetry(const Admission& aAdmission,
@@ -123,7 +156,9 @@
 
   /// Returns the response to a request for which no endpoint was found and which never
   /// ran.
-  Refusal RefuseNotRun(const Admission& aAdmission, NoEndpoint aReason);
+  Refusal RefuseNotRun(const Admission& aAdmission,
+                       const Choice& aChoice,
+                       timing::Instant aNow);
 
   /// Rejects every new request from this instant on, since the process is stopping.
   void RefuseFrom(timing::Instant aInstant) { mRefuseFrom = aInstant; }
@@ -133,6 +168,20 @@
 private:
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aMin,
                                        std::chrono::milliseconds aMax);
+  /// Returns when a caller should retry for which all engines are full.
+  std::chrono::milliseconds RetryAfterFull(const Admission& aAdmission,
+                                           const Choice& aChoice,
+                                           timing::Instant aNow);
+  /// Returns how long before this request its caller made its first attempt, if it was
+  /// refused before; else 0.
+  timing::Duration EarlierAttempts(const RequestMetadata& aMetadata,
+                                   timing::Instant aNow) const;
+  /// Remembers a request to an engine that is refused now.
+  void RecordRefusal(const RequestMetadata& aMetadata,
+                     timing::Instant aFirst,
+                     timing::Instant aNow);
+  /// Adds an attempt to the load of its endpoint.
+  static void RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt);
   const ids::ServiceId& PickService(const Route& aRoute);
   /// Returns how many requests for the same model and adapter, or the same service, the
   /// other entries send between two peer reports if each receives them at this entry's
@@ -145,6 +194,7 @@
   timing::Duration mPeerReportInterval{ 0 };
   /// Request rates of the services that have no models.
   DemandMeter mServiceDemand;
+  EnginePolicy mEnginePolicy;
   std::mt19937_64 mRandom;
   timing::Instant mRefuseFrom{ timing::Instant::max() };
 };
