Keep aggregates out of awaited expressions

Change: a named object. Test: a request with five unreachable endpoints, SIGABRT before, passes now.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -239,3 +239,18 @@
     [&] { mControl.mDirectory.SetPeersLoad({}, timing::SystemClock().Now()); });
   CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("\r\n\r\nserved"));
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a request gives up after several unreachable endpoints",
+                 "[frontend]")
+{
+  // Guards against a temporary in the awaited expression, which the compiler destroyed
+  // twice.
+  for (const char* id : { "e1", "e2", "e3", "e4", "e5" }) {
+    AddEndpoint(id);
+    gateway::Endpoint* endpoint = mControl.mDirectory.Find(ids::EndpointId(id));
+    endpoint->mReport.mAddress.mPort = 1;
+  }
+  const std::string response = Call(Post("/once/1"), HasHeadAndBody);
+  CHECK(response.starts_with("HTTP/1.1 503"));
+}
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -65,7 +65,9 @@
 {
   gateway::TrafficControl& control = mContext.mControl;
   const gateway::Admission& admission = mExchange.mAdmission;
+  // Named, because gcc 12 destroys aggregate temporaries of an awaited expression twice.
   const gateway::Choice full{ nullptr, gateway::NoEndpoint::Full, {}, {} };
+  const gateway::Choice noneUsable{ nullptr, gateway::NoEndpoint::NoneUsable, {}, {} };
   std::size_t unreachable = 0;
   for (;;) {
     const gateway::Choice choice = co_await Choose();
@@ -85,9 +87,8 @@
     }
     if (result == Result::Unreachable) {
       if (++unreachable >= kMaxUnreachableEndpoints) {
-        co_return co_await Finish(
-          mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
-          gateway::Choice{ nullptr, gateway::NoEndpoint::NoneUsable, {}, {} });
+        co_return co_await Finish(mExchange.mMayHaveRun ? Result::Failed : Result::NotRun,
+                                  noneUsable);
       }
       continue;
     }
