Report loads and quotas by zone in large fleets; adapters by small notices

Each request that waited for an adapter sent a full report to all entries. An endpoint in cold start could get one request a second from each of 103 entries. Change: above 24 entries each reports to its own zone; the zone's strongest entry sends the sums to two entries of each other zone, whose aggregator passes them on. Quotas stay shared while a tenth of the entries is missing, which are charged with their shares. Notices carry awaited adapters to the leader and loaded ones to all. Cold endpoints are divided among entries by rank. A ledger that was paused no longer takes the common bucket for refilled.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -68,7 +68,7 @@
   , mMetrics(mRegistry)
   , mIncarnation(WallClockMilliseconds(aClock))
   , mControl(mSettings.mZone, RandomSeed())
-  , mPeers(mSettings.mName, aClock.Now())
+  , mPeers(mSettings.mName, aClock.Now(), mSettings.mZone, mSettings.mCores)
   , mLeadership(mSettings.mOrderLease + kOrderExpiryMargin, mSettings.mFirstStart)
   , mClient(mIo, aClock)
   , mStore(mClient, mSettings.mStoreAddress)
@@ -183,6 +183,9 @@
   } else if (mPeerLoadsChanged) {
     UpdatePeersLoad(aNow);
   }
+  if (aNow >= mNextNotice) {
+    SendNotice(aNow);
+  }
   if (aNow >= mNextPlacement) {
     mNextPlacement = aNow + kPlacementInterval;
     PlaceModels(aNow);
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -67,7 +68,16 @@
   frontend::asio::awaitable<void> LeadershipLoop();
   frontend::asio::awaitable<void> ExecuteLeadershipStep(gateway::Leadership::Step aStep);
   frontend::asio::awaitable<void> ReceivePeerReports();
+  void OnPeerReport(gateway::PeerReport aReport, std::string_view aBytes);
+  gateway::PeerReport OwnReport(timing::Instant aNow);
+  /// Adds the adapters that requests wait for, and those that this leader has loaded.
+  void AddAdapters(gateway::PeerReport& aReport, timing::Instant aNow);
+  /// Sends this entry's report and, if it is the aggregator, its zone's sums.
   void SendPeerReport(timing::Instant aNow);
+  void SendZoneReport(const gateway::PeerReport& aOwnReport, timing::Instant aNow);
+  /// Sends the awaited adapters to the leader, or, if this is the leader, the loaded ones
+  /// to all entries.
+  void SendNotice(timing::Instant aNow);
   void SendDatagram(const std::string& aBytes, const settings::SocketAddress& aTo);
   /// Reports to the leader that a request waits for an adapter.
   void RequestAdapter(const gateway::RequestMetadata& aMetadata);
@@ -75,14 +85,16 @@
   /// adapter.
   std::unordered_set<std::uint64_t> AwaitedAdapters(timing::Instant aNow);
   void ForgetOldAwaitedAdapters(timing::Instant aNow);
-  /// Sends the next report now, or as soon as kMinPeerReportInterval has passed since the
-  /// last one.
-  void SendPeerReportSoon();
+  /// Sends a notice now, or as soon as the minimum interval has passed since the last
+  /// one.
+  void SendNoticeSoon();
   /// Publishes that an order of this leader has loaded an adapter.
   void OnAdapterLoaded(const ids::EndpointId& aEndpoint,
                        const gateway::EngineOrder& aOrder);
   /// Returns the interval between two reports, unless one is sent early.
   std::chrono::milliseconds PeerReportInterval(timing::Instant aNow) const;
+  /// Returns how old the loads of other entries are at most, without losses.
+  std::chrono::milliseconds PeerReportAge(timing::Instant aNow) const;
   /// Updates what depends on the number of entries and on their reports: this entry's
   /// shares of limits and quotas, and the loads of endpoints.
   void UpdateShares(timing::Instant aNow);
@@ -139,7 +151,10 @@
   std::array<char, 65536> mDatagram{};
   std::uint64_t mPeerReportSequence{ 0 };
   timing::Instant mNextPeerReport{};
-  timing::Instant mLastPeerReport{};
+  timing::Instant mLastNotice{};
+  timing::Instant mNextNotice{ timing::Instant::max() };
+  /// Quotas are shared with the other entries, rather than divided equally.
+  bool mQuotasShared{ false };
   /// Adapters that this leader's orders have loaded recently, with the time of each.
   std::vector<std::pair<timing::Instant, gateway::LoadedAdapter>> mRecentAdapterLoads;
   timing::Instant mNextPlacement{};
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -187,7 +187,8 @@
           std::string(kMemberPrefix) + mSettings.mName.Str(),
           gateway::EncodeMember({ mSettings.mName,
                                   { mSettings.mIp, mSettings.mFirstPeerPort },
-                                  mSettings.mCores }),
+                                  mSettings.mCores,
+                                  mSettings.mZone }),
           lease } }
       };
       break;
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -25,8 +25,10 @@
 /// Interval for each entry: with many entries reports are sent less often, so that the
 /// rate at which each entry receives reports does not grow.
 constexpr milliseconds kPeerReportIntervalPerEntry{ 25 };
-/// Minimum interval between two reports, also when one is sent early.
-constexpr milliseconds kMinPeerReportInterval{ 40 };
+/// Minimum interval between two notices of adapters, and the same for each entry: in a
+/// large fleet the leader gathers the adapters that it has loaded.
+constexpr milliseconds kMinNoticeInterval{ 40 };
+constexpr milliseconds kNoticeIntervalPerEntry{ 1 };
 /// How long a request's wait for an adapter is reported after it was last seen waiting;
 /// waiting requests are seen on each tick.
 constexpr milliseconds kAwaitedAdapterLifetime{ 150 };
@@ -58,8 +60,17 @@
 
 milliseconds GatewayProcess::PeerReportInterval(timing::Instant aNow) const
 {
-  const auto entries = static_cast<std::int64_t>(mPeers.EntryCount(aNow));
-  return std::max(kPeerReportInterval, kPeerReportIntervalPerEntry * entries);
+  const std::size_t reporting = mPeers.IsGroupedByZone()
+                                  ? mPeers.ReportReceivers().size() + 1
+                                  : mPeers.EntryCount(aNow);
+  return std::max(kPeerReportInterval,
+                  kPeerReportIntervalPerEntry * static_cast<std::int64_t>(reporting));
+}
+
+milliseconds GatewayProcess::PeerReportAge(timing::Instant aNow) const
+{
+  // The loads of another zone are reported twice on their way.
+  return PeerReportInterval(aNow) * (mPeers.IsGroupedByZone() ? 2 : 1);
 }
 
 void GatewayProcess::UpdatePeersLoad(timing::Instant aNow)
@@ -70,23 +81,33 @@
 
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
-  mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportInterval(aNow));
+  mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
+  mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
   mStoreWatcher.SetEntryCount(mPeers.EntryCount(aNow));
   UpdatePeersLoad(aNow);
   if (!mControl.Configuration()) {
     return;
   }
-  const bool allReceiveFromAll = mPeers.AllReceiveFromAll(aNow);
+  const gateway::PeerTable::Coverage coverage = mPeers.CoverageAt(aNow);
+  if (coverage.mComplete != mQuotasShared) {
+    mQuotasShared = coverage.mComplete;
+    mLogger.Info("quota exchange",
+                 { { "shared", mQuotasShared },
+                   { "uncovered", coverage.mUncovered },
+                   { "entries", mPeers.EntryCount(aNow) },
+                   { "aggregator", mPeers.Aggregator(aNow).Str() } });
+  }
   for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
     mControl.mQuotas.SetPeers(account.mName,
                               mPeers.AccountQuotas(account.mName),
                               mPeers.EntryCount(aNow),
-                              allReceiveFromAll,
-                              aNow);
+                              coverage.mComplete,
+                              aNow,
+                              coverage.mUncovered);
   }
 }
 
-void GatewayProcess::SendPeerReport(timing::Instant aNow)
+gateway::PeerReport GatewayProcess::OwnReport(timing::Instant aNow)
 {
   gateway::PeerReport report;
   report.mProcess = mSettings.mName;
@@ -105,27 +126,77 @@
     }
   }
   report.mRefused = mControl.mReturningCallers.Recent(aNow);
+  AddAdapters(report, aNow);
+  return report;
+}
+
+void GatewayProcess::AddAdapters(gateway::PeerReport& aReport, timing::Instant aNow)
+{
   ForgetOldAwaitedAdapters(aNow);
   std::ranges::transform(mAwaitedAdapters,
-                         std::back_inserter(report.mAwaitedAdapters),
+                         std::back_inserter(aReport.mAwaitedAdapters),
                          [](const auto& aRow) { return aRow.first; });
   std::erase_if(mRecentAdapterLoads, [aNow](const auto& aItem) {
     return aItem.first + kLoadedAdapterReportTime <= aNow;
   });
   std::ranges::transform(mRecentAdapterLoads,
-                         std::back_inserter(report.mLoadedAdapters),
+                         std::back_inserter(aReport.mLoadedAdapters),
                          [](const auto& aItem) { return aItem.second; });
-  mLastPeerReport = aNow;
+}
+
+void GatewayProcess::SendPeerReport(timing::Instant aNow)
+{
+  gateway::PeerReport report = OwnReport(aNow);
   const std::string bytes = gateway::EncodePeerReport(report);
-  for (const auto& [process, address] : mPeers.Addresses()) {
-    if (process != mLeader) {
+  mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
+    report.mModelDemand.emplace(gateway::HashName(aName), aRate);
+  });
+  const std::string withDemand = gateway::EncodePeerReport(report);
+  const ids::ProcessId aggregator = mPeers.Aggregator(aNow);
+  const bool grouped = mPeers.IsGroupedByZone();
+  for (const auto& [process, address] : mPeers.ReportReceivers()) {
+    const bool needsDemand = process == mLeader || (grouped && process == aggregator);
+    SendDatagram(needsDemand ? withDemand : bytes, address);
+  }
+  if (grouped && aggregator == mSettings.mName) {
+    SendZoneReport(report, aNow);
+  }
+}
+
+void GatewayProcess::SendZoneReport(const gateway::PeerReport& aOwnReport,
+                                    timing::Instant aNow)
+{
+  gateway::PeerReport sums = mPeers.ZoneReport(aOwnReport, aNow);
+  const std::string bytes = gateway::EncodePeerReport(sums);
+  for (const auto& [process, address] : mPeers.ZoneReceivers()) {
+    SendDatagram(bytes, address);
+  }
+  // The entries of this zone have the loads themselves; they learn whether they count.
+  sums.mInFlight.clear();
+  sums.mAdmitted.clear();
+  sums.mModelDemand.clear();
+  sums.mLoadedAdapters.clear();
+  const std::string covered = gateway::EncodePeerReport(sums);
+  for (const auto& [process, address] : mPeers.ReportReceivers()) {
+    SendDatagram(covered, address);
+  }
+}
+
+void GatewayProcess::SendNotice(timing::Instant aNow)
+{
+  mNextNotice = timing::Instant::max();
+  mLastNotice = aNow;
+  gateway::PeerReport notice;
+  notice.mProcess = mSettings.mName;
+  notice.mIncarnation = mIncarnation;
+  notice.mNotice = true;
+  AddAdapters(notice, aNow);
+  const std::string bytes = gateway::EncodePeerReport(notice);
+  for (const auto& [process, address] : mPeers.AllAddresses()) {
+    // Awaited adapters concern the leader alone, loaded ones everybody.
+    if (mLeading || process == mLeader) {
       SendDatagram(bytes, address);
-      continue;
     }
-    mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
-      report.mModelDemand.emplace(gateway::HashName(aName), aRate);
-    });
-    SendDatagram(gateway::EncodePeerReport(report), address);
   }
 }
 
@@ -153,30 +224,42 @@
     if (ec) {
       continue;
     }
-    auto report = gateway::DecodePeerReport({ mDatagram.data(), n });
-    if (!report) {
-      continue;
-    }
-    const timing::Instant now = mClock.Now();
-    mControl.mReturningCallers.AddReported(report->mRefused, now);
-    const std::vector<gateway::LoadedAdapter> loaded = report->mLoadedAdapters;
-    const bool waitsForAdapter = !report->mAwaitedAdapters.empty();
-    if (!mPeers.Receive(std::move(*report), now)) {
-      continue;
-    }
-    mPeerLoadsChanged = true;
-    for (const gateway::LoadedAdapter& item : loaded) {
-      mControl.mDirectory.RecordLoadedAdapter(item, now);
-    }
-    if (!loaded.empty()) {
-      mPlacementChanged.Notify();
+    if (auto report = gateway::DecodePeerReport({ mDatagram.data(), n })) {
+      OnPeerReport(std::move(*report), { mDatagram.data(), n });
     }
-    if (mLeading && waitsForAdapter) {
-      // Requests of the sender wait for an adapter, so its load is not delayed until the
-      // next tick.
-      PlaceModels(now);
+  }
+}
+
+void GatewayProcess::OnPeerReport(gateway::PeerReport aReport, std::string_view aBytes)
+{
+  const timing::Instant now = mClock.Now();
+  mControl.mReturningCallers.AddReported(aReport.mRefused, now);
+  const std::vector<gateway::LoadedAdapter> loaded = aReport.mLoadedAdapters;
+  const bool waitsForAdapter = !aReport.mAwaitedAdapters.empty();
+  const bool notice = aReport.mNotice;
+  const bool fromOtherZone = !aReport.mZone.Empty() && aReport.mZone != mSettings.mZone;
+  const bool forwarded = aReport.mForwarded;
+  if (!mPeers.Receive(std::move(aReport), now)) {
+    return;
+  }
+  mPeerLoadsChanged = mPeerLoadsChanged || !notice;
+  if (fromOtherZone && !forwarded && mPeers.Aggregator(now) == mSettings.mName) {
+    const std::string bytes = gateway::MarkForwarded(aBytes);
+    for (const auto& [process, address] : mPeers.ReportReceivers()) {
+      SendDatagram(bytes, address);
     }
   }
+  for (const gateway::LoadedAdapter& item : loaded) {
+    mControl.mDirectory.RecordLoadedAdapter(item, now);
+  }
+  if (!loaded.empty()) {
+    mPlacementChanged.Notify();
+  }
+  if (mLeading && waitsForAdapter) {
+    // Requests of the sender wait for an adapter, so its load is not delayed until the
+    // next tick.
+    PlaceModels(now);
+  }
 }
 
 void GatewayProcess::RequestAdapter(const gateway::RequestMetadata& aMetadata)
@@ -186,7 +269,7 @@
     gateway::HashName(gateway::DemandMeter::Name(aMetadata.mModel, aMetadata.mAdapter));
   const bool added = mAwaitedAdapters.insert_or_assign(key, now).second;
   if (added) {
-    SendPeerReportSoon();
+    SendNoticeSoon();
   }
 }
 
@@ -207,16 +290,19 @@
   return awaited;
 }
 
-void GatewayProcess::SendPeerReportSoon()
+void GatewayProcess::SendNoticeSoon()
 {
   const timing::Instant now = mClock.Now();
   if (mLeading) {
     PlaceModels(now);
   }
-  if (now - mLastPeerReport >= kMinPeerReportInterval) {
-    SendPeerReport(now);
+  const milliseconds interval =
+    std::max(kMinNoticeInterval,
+             kNoticeIntervalPerEntry * static_cast<std::int64_t>(mPeers.KnownEntries()));
+  if (now - mLastNotice >= interval) {
+    SendNotice(now);
   } else {
-    mNextPeerReport = std::min(mNextPeerReport, mLastPeerReport + kMinPeerReportInterval);
+    mNextNotice = std::min(mNextNotice, mLastNotice + interval);
   }
 }
 
@@ -229,7 +315,7 @@
   mRecentAdapterLoads.emplace_back(mClock.Now(), loaded);
   mControl.mDirectory.RecordLoadedAdapter(loaded, mClock.Now());
   mPlacementChanged.Notify();
-  SendPeerReportSoon();
+  SendNoticeSoon();
 }
 
 }
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -113,7 +113,7 @@
     if (!aValue) {
       mPeers.Unregister(process, now);
     } else if (const auto member = gateway::DecodeMember(*aValue)) {
-      mPeers.Register(process, member->mAddress, member->mCores, now);
+      mPeers.Register(process, member->mAddress, member->mCores, now, member->mZone);
     }
   }
 }
--- a/apps/tests/gateway/limitstest.cpp
+++ b/apps/tests/gateway/limitstest.cpp
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <string>
+#include <vector>
+
 #include "components/gateway/coldlimiter.hpp"
 #include "components/gateway/windowedretrybudget.hpp"
 
@@ -38,6 +41,44 @@
   }
 }
 
+TEST_CASE("cold limit: more entries than requests a second stay below the bound",
+          "[gateway]")
+{
+  constexpr double kPerSecond = 8.0;
+  constexpr double kBound = kPerSecond * 1.5 + 5.0;
+  constexpr std::size_t kEntries = 103;
+  std::vector<ids::ProcessId> entries;
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    entries.emplace_back("front-" + std::to_string(i));
+  }
+  for (const char* name : { "e1", "e2", "e3" }) {
+    const ids::EndpointId endpoint(name);
+    std::size_t sent = 0;
+    std::size_t sentWhileJoining = 0;
+    for (const ids::ProcessId& own : entries) {
+      ColdLimiter limiter;
+      limiter.SetTolerance(1.5, 5.0);
+      std::vector<ids::ProcessId> others = entries;
+      std::erase(others, own);
+      limiter.SetKnownEntries(own, others);
+      for (int i = 0; i < 5 && limiter.HasCapacity(endpoint, kPerSecond, kEntries, kNow);
+           ++i) {
+        limiter.Record(endpoint, kNow);
+        ++sent;
+      }
+      ColdLimiter joining;
+      joining.SetTolerance(1.5, 5.0);
+      joining.SetKnownEntries(own, {});
+      sentWhileJoining +=
+        joining.HasCapacity(endpoint, kPerSecond, kEntries, kNow) ? 1 : 0;
+    }
+    INFO(name << ": " << sent);
+    CHECK(sent >= 1);
+    CHECK(static_cast<double>(sent) <= kBound);
+    CHECK(sentWhileJoining == 0);
+  }
+}
+
 TEST_CASE("cold limit: an endpoint without a stated rate is not limited", "[gateway]")
 {
   ColdLimiter limiter;
--- a/apps/tests/gateway/quotaledgertest.cpp
+++ b/apps/tests/gateway/quotaledgertest.cpp
@@ -315,3 +315,21 @@
   }
   CHECK(most <= kLargeBound);
 }
+
+TEST_CASE("quota: an entry that was paused uses its share until it hears of the others",
+          "[gateway]")
+{
+  // Paused for four seconds, it must not take the common bucket for refilled.
+  constexpr std::size_t kEntries = 10;
+  QuotaLedger ledger;
+  ledger.SetTerms({ 8s, kOverage, kSlack });
+  ledger.Configure(Configuration(), kNow);
+  ledger.SetPeers(kAccount, {}, kEntries, true, kNow + 2s);
+  while (ledger.TryConsume(kAccount, 500, kNow + 2s).mAdmitted) {
+  }
+  double admitted = 0.0;
+  while (ledger.TryConsume(kAccount, 500, kNow + 6s).mAdmitted) {
+    admitted += 500;
+  }
+  CHECK(admitted <= 4 * kRate / kEntries * (1 + kOverage) + kSlack / kEntries);
+}
--- a/components/gateway/coldlimiter.hpp
+++ b/components/gateway/coldlimiter.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_COLDLIMITER_HPP
 
 #include <unordered_map>
+#include <vector>
 
 #include "components/gateway/slidingwindow.hpp"
 #include "components/ids/ids.hpp"
@@ -9,8 +10,9 @@
 namespace samphiresail::gateway {
 
 /// Workload: many requests at once to endpoints in cold start. Each entry uses an equal
-/// share of the requests that such an endpoint sustains in any second, so that the bound
-/// over all entries holds without any message between them.
+/// share of the requests that such an endpoint sustains in any second; if there are more
+/// entries than such requests, some of them, other ones for each endpoint, send one a
+/// second. So the bound over all entries holds without any message between them.
 class ColdLimiter
 {
 public:
@@ -26,6 +28,10 @@
     mSlack = aSlack;
   }
 
+  /// Sets the known entries of the fleet, so that all of them choose the same ones to
+  /// send to an endpoint that sustains fewer requests a second than there are entries.
+  void SetKnownEntries(ids::ProcessId aOwn, std::vector<ids::ProcessId> aOthers);
+
   /// Returns true if this entry, one of aEntries, may send one more request to a cold
   /// endpoint that sustains aPerSecond; 0 means no limit.
   bool HasCapacity(const ids::EndpointId& aEndpoint,
@@ -37,8 +43,14 @@
   void Tick(timing::Instant aNow);
 
 private:
+  /// Number of known entries that are chosen before this one to send to the endpoint.
+  std::size_t Rank(const ids::EndpointId& aEndpoint);
+
   double mFactor{ 1.0 };
   double mSlack{ 0.0 };
+  ids::ProcessId mOwn;
+  std::vector<ids::ProcessId> mOthers;
+  std::unordered_map<ids::EndpointId, std::size_t> mRanks;
   std::unordered_map<ids::EndpointId, SlidingWindow> mSent;
 };
 
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -11,6 +11,12 @@
   load.set_incarnation(aReport.mIncarnation);
   load.set_number(aReport.mSequence);
   load.set_hears_all(aReport.mReceivesFromAll);
+  load.set_zone(aReport.mZone.Str());
+  for (const std::uint64_t key : aReport.mCovered) {
+    load.add_covered(key);
+  }
+  load.set_forwarded(aReport.mForwarded);
+  load.set_notice(aReport.mNotice);
   load.set_waits(!aReport.mAwaitedAdapters.empty());
   for (const std::uint64_t key : aReport.mAwaitedAdapters) {
     load.add_awaited(key);
@@ -55,6 +61,10 @@
   report.mIncarnation = load.incarnation();
   report.mSequence = load.number();
   report.mReceivesFromAll = load.hears_all();
+  report.mZone = ids::AvailabilityZoneId(load.zone());
+  report.mCovered.assign(load.covered().begin(), load.covered().end());
+  report.mForwarded = load.forwarded();
+  report.mNotice = load.notice();
   report.mAwaitedAdapters.assign(load.awaited().begin(), load.awaited().end());
   report.mRefused.assign(load.refused().begin(), load.refused().end());
   for (const auto& item : load.in_flight()) {
@@ -75,6 +85,14 @@
   return report;
 }
 
+std::string MarkForwarded(std::string_view aBytes)
+{
+  // Fields that are appended to an encoded message replace earlier ones.
+  wire::PeerLoad mark;
+  mark.set_forwarded(true);
+  return std::string(aBytes) + mark.SerializeAsString();
+}
+
 std::string EncodeMember(const MemberRecord& aMember)
 {
   wire::EntryRecord record;
@@ -82,6 +100,7 @@
   record.set_address(aMember.mAddress.mHost + ":" +
                      std::to_string(aMember.mAddress.mPort));
   record.set_cores(aMember.mCores);
+  record.set_availability_zone(aMember.mZone.Str());
   return record.SerializeAsString();
 }
 
@@ -95,7 +114,10 @@
   if (!address || record.name().empty()) {
     return std::nullopt;
   }
-  return MemberRecord{ ids::ProcessId(record.name()), *address, record.cores() };
+  return MemberRecord{ ids::ProcessId(record.name()),
+                       *address,
+                       record.cores(),
+                       ids::AvailabilityZoneId(record.availability_zone()) };
 }
 
 }
--- a/components/gateway/peercodec.hpp
+++ b/components/gateway/peercodec.hpp
@@ -12,6 +12,8 @@
 std::string EncodePeerReport(const PeerReport& aReport);
 /// Returns nothing if the bytes are not a peer report.
 std::optional<PeerReport> DecodePeerReport(std::string_view aBytes);
+/// Returns the encoded report with mForwarded set.
+std::string MarkForwarded(std::string_view aBytes);
 
 /// Registration of an entry in the store.
 struct MemberRecord
@@ -20,6 +22,7 @@
   settings::SocketAddress mAddress;
   /// Cores that the entry may use.
   double mCores{ 0.0 };
+  ids::AvailabilityZoneId mZone;
 };
 std::string EncodeMember(const MemberRecord& aMember);
 std::optional<MemberRecord> DecodeMember(const std::string& aBytes);
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -24,11 +24,19 @@
   std::uint64_t mModelAdapterHash{ 0 };
 };
 
-/// Load that an entry reports to its peers several times a second. Endpoints, client
-/// accounts and models are identified by HashName.
+/// Load that an entry reports to its peers several times a second, or the sums of the
+/// entries of a zone. Endpoints, client accounts and models are identified by HashName.
 struct PeerReport
 {
   ids::ProcessId mProcess;
+  /// Zone whose sums these are; empty for the load of the sender alone.
+  ids::AvailabilityZoneId mZone;
+  /// Entries that the sums of a zone include, by HashName.
+  std::vector<std::uint64_t> mCovered;
+  /// An entry of the receiver's zone passed the report on.
+  bool mForwarded{ false };
+  /// Only mAwaitedAdapters and mLoadedAdapters are set; the message replaces no report.
+  bool mNotice{ false };
   /// Set at the start of the process. A report with a larger incarnation replaces one
   /// with a smaller incarnation at once; the reverse happens only after the last report
   /// has become stale.
@@ -72,8 +80,26 @@
   /// How long a reported wait for an adapter counts; a request waits for little longer.
   static constexpr timing::Duration kAwaitedAge = std::chrono::milliseconds(600);
 
-  PeerTable(ids::ProcessId aOwn, timing::Instant aStart)
+  /// Up to this many entries each reports to every other one. In a larger fleet it
+  /// reports to those of its own availability zone, and one entry of each zone, its
+  /// aggregator, reports the zone's sums to the other zones.
+  static constexpr std::size_t kMaxFullMeshEntries = 24;
+  /// Age of a zone's report from which a report of another aggregator replaces it.
+  static constexpr timing::Duration kAggregatorTimeout = std::chrono::milliseconds(700);
+  /// Number of entries of a zone, those with the most cores, to which the aggregators of
+  /// the other zones report.
+  static constexpr std::size_t kZoneReceivers = 2;
+  /// Largest fraction of the entries that may be missing from the reports while quotas
+  /// are still shared; the missing ones are assumed to use their equal shares.
+  static constexpr double kMaxUncoveredFraction = 0.1;
+
+  PeerTable(ids::ProcessId aOwn,
+            timing::Instant aStart,
+            ids::AvailabilityZoneId aOwnZone = {},
+            double aOwnCores = 0.0)
     : mOwn(std::move(aOwn))
+    , mOwnZone(std::move(aOwnZone))
+    , mOwnCores(aOwnCores)
     , mStart(aStart)
   {
   }
@@ -89,7 +115,8 @@
   void Register(const ids::ProcessId& aProcess,
                 const settings::SocketAddress& aAddress,
                 double aCores,
-                timing::Instant aNow);
+                timing::Instant aNow,
+                const ids::AvailabilityZoneId& aZone = {});
   void Unregister(const ids::ProcessId& aProcess, timing::Instant aNow);
   /// Stores a report. Returns false if the sender is not in the table or if a newer
   /// report was stored before.
@@ -107,7 +134,36 @@
   /// True if, in addition, each of them reports that it receives from all others and
   /// IsJoining is false.
   bool AllReceiveFromAll(timing::Instant aNow) const;
-  std::vector<std::pair<ids::ProcessId, settings::SocketAddress>> Addresses() const;
+  /// What the latest reports cover.
+  struct Coverage
+  {
+    /// The reports suffice for quotas to be shared by all entries.
+    bool mComplete{ false };
+    /// Entries that they do not include.
+    std::size_t mUncovered{ 0 };
+  };
+  Coverage CoverageAt(timing::Instant aNow) const;
+
+  using Addresses = std::vector<std::pair<ids::ProcessId, settings::SocketAddress>>;
+  /// Entries that get this entry's own reports.
+  Addresses ReportReceivers() const;
+  /// Entries of the other zones that get the sums of this entry's zone.
+  Addresses ZoneReceivers() const;
+  /// All other entries.
+  Addresses AllAddresses() const;
+
+  /// True if reports between zones carry sums.
+  bool IsGroupedByZone() const
+  {
+    return !mOwnZone.Empty() && KnownEntries() > kMaxFullMeshEntries;
+  }
+  /// The entry that reports the sums of this entry's zone: of those whose reports are
+  /// fresh, the one with the most cores.
+  ids::ProcessId Aggregator(timing::Instant aNow) const;
+  /// Returns the sums of this entry's zone, including aOwnReport.
+  PeerReport ZoneReport(const PeerReport& aOwnReport, timing::Instant aNow) const;
+  /// All other entries that are registered or send reports.
+  std::vector<ids::ProcessId> Known() const;
   /// Entries whose registration is in the store.
   std::vector<ids::ProcessId> Registered() const;
 
@@ -133,18 +189,44 @@
   struct Peer
   {
     settings::SocketAddress mAddress;
+    ids::AvailabilityZoneId mZone;
     double mCores{ 0.0 };
     bool mRegistered{ false };
     timing::Instant mRegistrationChangedAt{};
     timing::Instant mReceivedAt{};
     PeerReport mReport;
   };
-  bool IsFresh(const Peer& aPeer, timing::Instant aNow) const;
+  /// Latest report of a zone's sums.
+  struct Zone
+  {
+    PeerReport mReport;
+    timing::Instant mReceivedAt{};
+  };
+  static bool IsFresh(const Peer& aPeer, timing::Instant aNow);
+  static bool IsFresh(const Zone& aZone, timing::Instant aNow);
+  /// True if the entry's own reports are used, rather than those of its zone.
+  bool ReportsDirectly(const Peer& aPeer) const;
+  bool ReceiveZone(PeerReport aReport, timing::Instant aNow);
+  /// Adds what a peer admitted since its last report to the sums of this zone.
+  void AddAdmitted(const PeerReport& aLast, const PeerReport& aReport);
+  /// Number of known entries by zone, without this one.
+  std::map<ids::AvailabilityZoneId, std::size_t> EntriesByZone() const;
+  /// Calls aVisit(report) for each fresh report of entries and of other zones.
+  template<typename Visit>
+  void ForEachFresh(timing::Instant aNow, Visit aVisit) const;
 
   ids::ProcessId mOwn;
+  ids::AvailabilityZoneId mOwnZone;
+  double mOwnCores;
   timing::Instant mStart;
   std::size_t mRecordedEntries{ 0 };
   std::map<ids::ProcessId, Peer> mPeers;
+  std::map<ids::AvailabilityZoneId, Zone> mZones;
+  /// Tokens by account that the other entries of this zone admitted since the start of
+  /// this process.
+  std::unordered_map<std::uint64_t, double> mZoneAdmitted;
+  /// Adapters that other entries wait for by their notices, with the time of each.
+  std::unordered_map<std::uint64_t, timing::Instant> mAwaitedByNotice;
 };
 
 }
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -14,6 +14,8 @@
 /// Time without a report after which a peer is assumed to use at least its equal share,
 /// since it may be partitioned.
 constexpr double kSilentAfterSeconds = 0.8;
+/// The same for a zone's sum: all of its entries may have begun to use their shares.
+constexpr double kSilentSumAfterSeconds = 0.3;
 /// Number of equal shares of the common bucket that one entry may use between two reports
 /// of the others.
 constexpr double kMaxSharesBetweenReports = 2.0;
@@ -21,6 +23,10 @@
 /// request.
 constexpr double kAmpleLevelFraction = 0.6;
 
+/// Time after which applied reports no longer allow use of the common bucket; they are
+/// applied at the interval of the reports.
+constexpr timing::Duration kMaxAppliedAge = std::chrono::milliseconds(1300);
+
 double Seconds(timing::Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -79,7 +85,8 @@
                            const std::vector<PeerQuota>& aPeers,
                            std::size_t aEntries,
                            bool aAllPeersFresh,
-                           timing::Instant aNow)
+                           timing::Instant aNow,
+                           std::size_t aUncovered)
 {
   const auto it = mAccounts.find(aAccount);
   if (it == mAccounts.end()) {
@@ -95,6 +102,7 @@
     return std::ranges::find(aPeers, aRow.first, &PeerQuota::mProcess) == aPeers.end();
   });
   account.mEntries = std::max<std::size_t>(aEntries, 1);
+  account.mUncovered = aUncovered;
   const auto entries = static_cast<double>(account.mEntries);
   if (aAllPeersFresh && !account.mAllPeersFresh) {
     // The common bucket was not charged with what entries admitted before their first
@@ -102,11 +110,10 @@
     account.mCommon.mLevel =
       std::min(account.mCommon.mLevel, std::max(account.mShare.mLevel, 0.0) * entries);
   } else if (!aAllPeersFresh && account.mAllPeersFresh) {
-    // This entry's share was not charged with what the others used of the common bucket.
-    account.mShare.mLevel =
-      std::min(account.mShare.mLevel, account.mCommon.mLevel / entries);
+    StopSharing(account);
   }
   account.mAllPeersFresh = aAllPeersFresh;
+  account.mAppliedAt = aNow;
   account.mBeyondShare = 0.0;
   account.mShare.Resize(account.mSharesSize / entries, account.mCommon.mRate / entries);
 }
@@ -117,6 +124,12 @@
 {
   const auto [it, added] = aAccount.mPeers.try_emplace(aQuota.mProcess);
   Peer& peer = it->second;
+  if (aQuota.mIsSum && (added || peer.mIncarnation != aQuota.mIncarnation)) {
+    // Until now the zone was charged at its last rate.
+    peer =
+      Peer{ aQuota.mIncarnation, aQuota.mReceivedAt, aQuota.mAdmitted, peer.mRate, 0.0 };
+    return;
+  }
   if (added || peer.mIncarnation != aQuota.mIncarnation) {
     // What a new entry admitted before its first report has not been charged here.
     // Reports that arrive while this entry knows no peer are not charged: the low initial
@@ -137,22 +150,40 @@
   peer.mReceivedAt = aQuota.mReceivedAt;
   peer.mAdmitted = aQuota.mAdmitted;
   peer.mChargedAhead = 0.0;
+  peer.mEntries = aQuota.mEntries;
+}
+
+void QuotaLedger::StopSharing(Account& aAccount)
+{
+  // This entry's share was not charged with what the others used of the common bucket.
+  aAccount.mAllPeersFresh = false;
+  aAccount.mShare.mLevel =
+    std::min(aAccount.mShare.mLevel,
+             aAccount.mCommon.mLevel / static_cast<double>(aAccount.mEntries));
 }
 
 void QuotaLedger::Advance(Account& aAccount, timing::Instant aNow) const
 {
+  if (aAccount.mAllPeersFresh && aNow - aAccount.mAppliedAt > kMaxAppliedAge) {
+    // The process was paused: what the others used meanwhile is not known.
+    StopSharing(aAccount);
+  }
   const double seconds = Seconds(aNow - aAccount.mLastRefill);
   aAccount.mLastRefill = aNow;
   aAccount.mCommon.Refill(seconds);
   aAccount.mShare.Refill(seconds);
   const double shareRate =
     aAccount.mCommon.mRate / static_cast<double>(aAccount.mEntries);
+  aAccount.mCommon.mLevel -=
+    static_cast<double>(aAccount.mUncovered) * shareRate * seconds;
   for (auto& [process, peer] : aAccount.mPeers) {
     const double age =
       std::min(Seconds(aNow - peer.mReceivedAt), kMaxExtrapolationSeconds);
-    const double silent = std::max(age - kSilentAfterSeconds, 0.0);
+    const double silent =
+      std::max(age - (peer.mIsSum ? kSilentSumAfterSeconds : kSilentAfterSeconds), 0.0);
+    const double shares = shareRate * static_cast<double>(peer.mEntries);
     const double expected =
-      peer.mRate * (age - silent) + std::max(peer.mRate, shareRate) * silent;
+      peer.mRate * (age - silent) + std::max(peer.mRate, shares) * silent;
     aAccount.mCommon.mLevel -= expected - peer.mChargedAhead;
     peer.mChargedAhead = expected;
   }
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -29,7 +29,7 @@
   double mSlackTokens{ 0.0 };
 };
 
-/// Latest report of another entry on an account.
+/// Latest report on an account, of another entry or of the entries of a zone together.
 struct PeerQuota
 {
   ids::ProcessId mProcess;
@@ -37,6 +37,11 @@
   timing::Instant mReceivedAt{};
   /// Tokens that it admitted since its start.
   double mAdmitted{ 0.0 };
+  /// The report is a zone's sum. A change of mIncarnation then only means that another
+  /// entry of the zone reports it, which counts from another start.
+  bool mIsSum{ false };
+  /// Number of entries that the report includes.
+  std::size_t mEntries{ 1 };
 };
 
 /// Workload: an account that sends several times its rate through unevenly loaded
@@ -67,12 +72,14 @@
   void Configure(const ServingConfiguration& aConfiguration, timing::Instant aNow);
 
   /// Applies the other entries' reports on an account. aEntries counts all entries.
-  /// aAllPeersFresh is true if every entry has fresh reports of all others.
+  /// aAllPeersFresh is true if every entry has fresh reports of all others, except for
+  /// aUncovered entries, which are assumed to use their equal shares.
   void SetPeers(const ids::ClientAccountId& aAccount,
                 const std::vector<PeerQuota>& aPeers,
                 std::size_t aEntries,
                 bool aAllPeersFresh,
-                timing::Instant aNow);
+                timing::Instant aNow,
+                std::size_t aUncovered = 0);
 
   /// Admits the tokens, or returns when enough of them will be available.
   QuotaDecision TryConsume(const ids::ClientAccountId& aAccount,
@@ -103,6 +110,8 @@
     double mRate{ 0.0 };
     /// Tokens charged in expectation of its next report.
     double mChargedAhead{ 0.0 };
+    bool mIsSum{ false };
+    std::size_t mEntries{ 1 };
   };
   struct Account
   {
@@ -115,11 +124,16 @@
     /// Tokens admitted beyond this entry's share since reports were last applied.
     double mBeyondShare{ 0.0 };
     std::size_t mEntries{ 1 };
+    std::size_t mUncovered{ 0 };
     bool mAllPeersFresh{ false };
+    /// When reports were last applied.
+    timing::Instant mAppliedAt{};
     std::map<ids::ProcessId, Peer> mPeers;
   };
 
   void Advance(Account& aAccount, timing::Instant aNow) const;
+  /// Begins to use the equal share alone.
+  static void StopSharing(Account& aAccount);
   static void ApplyPeerReport(Account& aAccount,
                               const PeerQuota& aQuota,
                               bool aFirstReports);
