Pause longer between watches where changes have more time

Change: the pause grows to 1.5 s with the time that the deployment gives for a configuration change, and the wait shrinks so that their sum stays below the silence that counts as an outage.

--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -83,7 +83,8 @@
 {
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
   mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
-  mStoreWatcher.SetEntryCount(mPeers.EntryCount(aNow));
+  mStoreWatcher.SetTimes(platform::StoreWatcher::TimesFor(mPeers.EntryCount(aNow),
+                                                          mSettings.mConfigurationTime));
   UpdatePeersLoad(aNow);
   if (!mControl.Configuration()) {
     return;
