Bound what an endpoint can send that is no answer

Cause: bytes without end in a stream that held no event filled the entry's memory, and a rejection with an endless body kept its caller waiting until the deadline though the outcome was known. Change: an event of more than 256 KiB ends the attempt; a body that is read only to reuse its connection is given up after 64 KiB. Test: endless head, endless bytes instead of a head, endless stream, endless rejection; the third did not end before the change.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -254,3 +254,36 @@
   const std::string response = Call(Post("/once/1"), HasHeadAndBody);
   CHECK(response.starts_with("HTTP/1.1 503"));
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: bytes without end that are no answer end the attempt",
+                 "[frontend]")
+{
+  // The endpoint keeps its connection open, so only the limits end the attempt.
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  const std::string endless(600U << 10U, 'x');
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n";
+  SECTION("in a head")
+  {
+    endpoint.AddScript({ head + "Padding: " + endless });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 502"));
+  }
+  SECTION("in a head that never began")
+  {
+    endpoint.AddScript({ endless });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 502"));
+  }
+  SECTION("in a stream without an event")
+  {
+    endpoint.AddScript({ head + "Content-Length: 1000000000\r\n\r\n" + endless });
+    CHECK(Call(Get("/stream/1"), HasHeadAndBody).starts_with("HTTP/1.1 502"));
+  }
+  SECTION("in the body of a rejection, which does not delay the truth")
+  {
+    endpoint.AddScript({ "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                         "Content-Length: 1000000000\r\n\r\n" +
+                         endless });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 503"));
+  }
+  CHECK(endpoint.Requests().size() == 1);
+}
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds kStreamIdleTimeout{ 1300 };
 /// Largest body of a response that is buffered before it is forwarded, in bytes.
 constexpr std::size_t kMaxBufferedResponseBytes = 8U << 20U;
+/// Largest body that is read only to reuse its connection, in bytes; the outcome of the
+/// request does not wait for a longer one.
+constexpr std::size_t kMaxDiscardedBytes = 64U << 10U;
 /// Maximum number of late responses to earlier requests that are discarded on one
 /// connection.
 constexpr int kMaxStaleResponses = 3;
@@ -336,10 +339,12 @@
 {
   ErrorCode ec;
   std::string_view skipped;
-  while (!ec && !aParser.is_done()) {
+  std::size_t discarded = 0;
+  while (!ec && !aParser.is_done() && discarded <= kMaxDiscardedBytes) {
     ec = co_await ReadSome(aBackend, aParser, skipped);
+    discarded += skipped.size();
   }
-  co_return !ec;
+  co_return !ec && aParser.is_done();
 }
 
 asio::awaitable<Forwarder::Result> Forwarder::ForwardBufferedResponse(
@@ -422,7 +427,7 @@
         co_return Result::Delivered;
       }
     }
-    if (ec) {
+    if (ec || mExchange.mEvents.IsOverlong()) {
       co_return Result::Failed;
     }
   }
--- a/components/gateway/eventsplitter.hpp
+++ b/components/gateway/eventsplitter.hpp
@@ -12,6 +12,9 @@
 class EventSplitter
 {
 public:
+  /// Largest event, in bytes. Bytes without end that are no event do not fill the memory.
+  static constexpr std::size_t kMaxEventBytes = 256U << 10U;
+
   /// Appends bytes and returns those of all events that are now complete; the view is
   /// valid until the next call.
   std::string_view Feed(std::string_view aBytes);
@@ -22,6 +25,9 @@
   /// True if an incomplete event is buffered.
   bool Partial() const { return mReturned < mBytes.size(); }
 
+  /// True if the incomplete event exceeds kMaxEventBytes; the stream is then no answer.
+  bool IsOverlong() const { return mBytes.size() - mReturned > kMaxEventBytes; }
+
   /// Discards the incomplete event and keeps the last identifier, for a resumed stream.
   void Restart();
 
