--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -149,15 +149,24 @@
 {
   gateway::PeerReport report = OwnReport(aNow);
   const std::string bytes = gateway::EncodePeerReport(report);
-  mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
-    report.mModelDemand.emplace(gateway::HashName(aName), aRate);
-  });
-  const std::string withDemand = gateway::EncodePeerReport(report);
   const ids::ProcessId aggregator = mPeers.Aggregator(aNow);
   const bool grouped = mPeers.IsGroupedByZone();
+  std::vector<settings::SocketAddress> needDemand;
   for (const auto& [process, address] : mPeers.ReportReceivers()) {
-    const bool needsDemand = process == mLeader || (grouped && process == aggregator);
-    SendDatagram(needsDemand ? withDemand : bytes, address);
+    if (process == mLeader || (grouped && process == aggregator)) {
+      needDemand.push_back(address);
+    } else {
+      SendDatagram(bytes, address);
+    }
+  }
+  mControl.mDemand.ForEach(aNow, [&](const std::string& aName, double aRate) {
+    report.mModelDemand.emplace(gateway::HashName(aName), aRate);
+  });
+  if (!needDemand.empty()) {
+    const std::string withDemand = gateway::EncodePeerReport(report);
+    for (const settings::SocketAddress& address : needDemand) {
+      SendDatagram(withDemand, address);
+    }
   }
   if (grouped && aggregator == mSettings.mName) {
     SendZoneReport(report, aNow);
--- a/components/gateway/enginemodel.hpp
+++ b/components/gateway/enginemodel.hpp
@@ -12,6 +12,11 @@
 /// Time in milliseconds and fractions of them.
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
+inline Milliseconds ToMilliseconds(timing::Duration aDuration)
+{
+  return std::chrono::duration_cast<Milliseconds>(aDuration);
+}
+
 /// Requests in progress at an engine.
 struct EngineLoad
 {
--- /dev/null
+++ b/components/gateway/trafficattempts.cpp
@@ -0,0 +1,212 @@
+#include "components/gateway/trafficcontrol.hpp"
+
+#include <algorithm>
+
+namespace samphiresail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Weight of the latest outcome in the moving average of failures.
+constexpr double kFailureWeight = 0.12;
+/// How long an unreachable endpoint is avoided.
+constexpr milliseconds kUnreachablePause{ 1000 };
+/// Shortest silence, with requests unanswered, after which an endpoint is avoided.
+constexpr Milliseconds kMinSilenceLimit{ 1000.0 };
+/// The same as a multiple of the forecast of a first event.
+constexpr double kSilenceLimitForecasts = 3.0;
+
+}
+
+Choice TrafficControl::Begin(const Admission& aAdmission,
+                             const std::vector<ids::EndpointId>& aTried,
+                             timing::Instant aNow)
+{
+  const RequestMetadata& metadata = aAdmission.mMetadata;
+  const RoutingRequest request{ *aAdmission.mService,
+                                metadata,
+                                aTried,
+                                aAdmission.mRoute->mLatencyTolerant,
+                                Allowance(aAdmission, aNow).mAtEngine,
+                                UnreportedRequests(aAdmission, aNow) };
+  Choice choice = mChooser.Choose(request, aNow);
+  if (choice.mEndpoint == nullptr) {
+    return choice;
+  }
+  RecordStart(*choice.mEndpoint, choice.mAttempt);
+  mCold.Record(choice.mAttempt.mEndpoint, aNow);
+  if (aAdmission.mService->mEngine) {
+    const std::uint64_t key =
+      HashName(DemandMeter::Name(metadata.mModel, metadata.mAdapter));
+    mPromptCache.Record(choice.mEndpoint->mHash,
+                        PromptCacheEstimate::LeadingParts(key, metadata.mPromptParts),
+                        static_cast<double>(metadata.mPromptTokens),
+                        aNow);
+  }
+  return choice;
+}
+
+void TrafficControl::RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt)
+{
+  const Milliseconds limit =
+    std::max(kMinSilenceLimit, kSilenceLimitForecasts * aAttempt.mForecast.mFirstEvent);
+  aEndpoint.mOwnLoad += aAttempt.mLoad;
+  if (aEndpoint.mUnanswered == 0) {
+    aEndpoint.mSilentSince = aAttempt.mSentAt;
+    aEndpoint.mSilenceLimit = limit;
+  }
+  ++aEndpoint.mUnanswered;
+  aEndpoint.mSilenceLimit = std::max(aEndpoint.mSilenceLimit, limit);
+}
+
+double TrafficControl::UnreportedRequests(const Admission& aAdmission,
+                                          timing::Instant aNow) const
+{
+  const RequestMetadata& metadata = aAdmission.mMetadata;
+  const bool engine = aAdmission.mService->mEngine.has_value();
+  const double amount =
+    engine ? mDemand.Rate(DemandMeter::Name(metadata.mModel, metadata.mAdapter), aNow)
+           : mServiceDemand.Rate(aAdmission.mService->mName.Str(), aNow);
+  const double perRequest = engine ? std::max(aAdmission.mEngineSeconds, 1e-6) : 1.0;
+  const double others = static_cast<double>(mEntries) - 1.0;
+  return amount / perRequest * others *
+         std::chrono::duration<double>(mPeerReportInterval).count();
+}
+
+void TrafficControl::OnResponse(Attempt& aAttempt,
+                                const ResponseMetadata& aMetadata,
+                                timing::Instant aNow)
+{
+  Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  endpoint->mSilentSince = aNow;
+  if (aAttempt.mUnanswered) {
+    aAttempt.mUnanswered = false;
+    endpoint->mUnanswered -= std::min(endpoint->mUnanswered, 1U);
+  }
+  if (!aMetadata.mRunning || !aMetadata.mWaiting) {
+    return;
+  }
+  const unsigned reported = *aMetadata.mRunning + *aMetadata.mWaiting;
+  const unsigned own = endpoint->mOwnLoad.mRequests;
+  const unsigned peers = reported > own ? reported - own : 0;
+  EngineLoad& known = endpoint->mPeersLoad;
+  if (peers <= known.mRequests) {
+    const double left = known.mRequests > 0 ? double(peers) / known.mRequests : 0.0;
+    known.mUnread *= left;
+    known.mMemoryTokens *= left;
+  } else {
+    // Requests that no peer has reported yet are assumed to be like this one, half read.
+    const double unknown = peers - known.mRequests;
+    known.mUnread += aAttempt.mLoad.mUnread * (unknown / 2);
+    known.mMemoryTokens += aAttempt.mLoad.mMemoryTokens * unknown;
+  }
+  known.mRequests = peers;
+  endpoint->mObservedAt = aNow;
+}
+
+void TrafficControl::OnFirstEvent(Attempt& aAttempt,
+                                  const Admission& aAdmission,
+                                  timing::Instant aNow)
+{
+  if (Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint)) {
+    endpoint->mOwnLoad -= EngineLoad{ 0, aAttempt.mLoad.mUnread, 0.0 };
+    endpoint->mSilentSince = aNow;
+  }
+  aAttempt.mLoad.mUnread = Milliseconds(0);
+  if (aAdmission.mService->mEngine) {
+    mEngineModel.ObserveFirstEvent(aAttempt.mEndpoint,
+                                   aAdmission.mMetadata.mModel,
+                                   aAttempt.mForecast,
+                                   ToMilliseconds(aNow - aAttempt.mSentAt),
+                                   aNow);
+  }
+}
+
+void TrafficControl::OnProgress(const Attempt& aAttempt, timing::Instant aNow)
+{
+  if (Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint)) {
+    endpoint->mSilentSince = aNow;
+  }
+}
+
+void TrafficControl::OnStreamComplete(const Attempt& aAttempt,
+                                      const Admission& aAdmission,
+                                      timing::Instant aFirstEvent,
+                                      timing::Instant aNow)
+{
+  if (aAdmission.mService->mEngine) {
+    mEngineModel.ObserveCompletion(
+      static_cast<double>(aAdmission.mMetadata.mOutputTokens),
+      ToMilliseconds(aNow - aFirstEvent),
+      ToMilliseconds(aNow - aAttempt.mSentAt));
+  }
+}
+
+void TrafficControl::ForgetEndpoint(const ids::EndpointId& aEndpoint)
+{
+  mEngineModel.Forget(aEndpoint);
+  mPromptCache.Forget(HashName(aEndpoint.Str()));
+}
+
+void TrafficControl::ObserveRefusal(const ids::EndpointId& aEndpoint,
+                                    const Admission& aAdmission,
+                                    const ResponseMetadata& aMetadata,
+                                    timing::Instant aNow)
+{
+  const Endpoint* endpoint = mDirectory.Find(aEndpoint);
+  if (endpoint == nullptr || !aAdmission.mService->mEngine) {
+    return;
+  }
+  const bool full = aMetadata.mRunning && *aMetadata.mRunning >= endpoint->mReport.mSlots;
+  if (!full || aMetadata.mWrongEndpoint) {
+    mDirectory.MarkUnavailable(
+      aEndpoint, aAdmission.mMetadata.mModel, aAdmission.mMetadata.mAdapter, aNow);
+  }
+}
+
+void TrafficControl::End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow)
+{
+  Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  endpoint->mOwnLoad -= aAttempt.mLoad;
+  if (aAttempt.mUnanswered) {
+    endpoint->mUnanswered -= std::min(endpoint->mUnanswered, 1U);
+  }
+  const auto recordOutcome = [endpoint](double aFailed) {
+    endpoint->mFailureFraction += kFailureWeight * (aFailed - endpoint->mFailureFraction);
+  };
+  switch (aEnd) {
+    case AttemptEnd::Answered:
+      recordOutcome(0.0);
+      break;
+    case AttemptEnd::Failed:
+      recordOutcome(1.0);
+      break;
+    case AttemptEnd::Unreachable:
+      recordOutcome(1.0);
+      endpoint->mAvoidUntil = aNow + kUnreachablePause;
+      break;
+    case AttemptEnd::Refused:
+    case AttemptEnd::Abandoned:
+      break;
+  }
+}
+
+bool TrafficControl::IsStalled(const Admission& aAdmission,
+                               const Attempt& aAttempt,
+                               timing::Instant aNow)
+{
+  if (!aAttempt.mUnanswered || !aAdmission.mRoute->IsRetryable()) {
+    return false;
+  }
+  const Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
+  return endpoint != nullptr && endpoint->IsSilent(aNow);
+}
+
+}
