--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -12,10 +12,8 @@
 /// then that report is stale.
 constexpr double kMaxExtrapolationSeconds = 1.2;
 /// Time without a report after which a peer is assumed to use at least its equal share,
-/// since it may be partitioned.
+/// and a zone those of all its entries, since it may be partitioned.
 constexpr double kSilentAfterSeconds = 0.8;
-/// The same for a zone's sum: all of its entries may have begun to use their shares.
-constexpr double kSilentSumAfterSeconds = 0.3;
 /// Number of equal shares of the common bucket that one entry may use between two reports
 /// of the others.
 constexpr double kMaxSharesBetweenReports = 2.0;
@@ -127,7 +125,8 @@
   if (aQuota.mIsSum && (added || peer.mIncarnation != aQuota.mIncarnation)) {
     // Until now the zone was charged at its last rate.
     peer =
-      Peer{ aQuota.mIncarnation, aQuota.mReceivedAt, aQuota.mAdmitted, peer.mRate, 0.0 };
+      Peer{ aQuota.mIncarnation, aQuota.mReceivedAt, aQuota.mAdmitted, peer.mRate, 0.0,
+            aQuota.mEntries };
     return;
   }
   if (added || peer.mIncarnation != aQuota.mIncarnation) {
@@ -179,8 +178,7 @@
   for (auto& [process, peer] : aAccount.mPeers) {
     const double age =
       std::min(Seconds(aNow - peer.mReceivedAt), kMaxExtrapolationSeconds);
-    const double silent =
-      std::max(age - (peer.mIsSum ? kSilentSumAfterSeconds : kSilentAfterSeconds), 0.0);
+    const double silent = std::max(age - kSilentAfterSeconds, 0.0);
     const double shares = shareRate * static_cast<double>(peer.mEntries);
     const double expected =
       peer.mRate * (age - silent) + std::max(peer.mRate, shares) * silent;
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -110,7 +110,6 @@
     double mRate{ 0.0 };
     /// Tokens charged in expectation of its next report.
     double mChargedAhead{ 0.0 };
-    bool mIsSum{ false };
     std::size_t mEntries{ 1 };
   };
   struct Account
