Keep tokens when a fleet changes between direct reports and reports by zone

Cause: 31 entries of which 11 were cut off and lapsed report directly, and by zone again when those came back. Change: after such a change reports start from their current totals. Test: a ledger that changes four times and still admits a request; refused before.

--- a/apps/tests/gateway/quotaledgertest.cpp
+++ b/apps/tests/gateway/quotaledgertest.cpp
@@ -333,3 +333,31 @@
   }
   CHECK(admitted <= 4 * kRate / kEntries * (1 + kOverage) + kSlack / kEntries);
 }
+
+TEST_CASE("quota: a fleet that changes to reports by zone and back keeps its tokens",
+          "[gateway]")
+{
+  QuotaLedger ledger;
+  ledger.SetTerms({ 8s, kOverage, kSlack });
+  ledger.Configure(Configuration(), kNow);
+  std::vector<PeerQuota> direct;
+  for (int i = 0; i < 20; ++i) {
+    direct.push_back({ ids::ProcessId(std::to_string(i)), 1, kNow, 1e6, false, 1 });
+  }
+  std::vector<PeerQuota> byZone{ { ids::ProcessId("zone a"), 1, kNow, 1e7, true, 10 },
+                                 { ids::ProcessId("zone b"), 1, kNow, 1e7, true, 10 } };
+  timing::Instant now = kNow;
+  const auto exchange = [&](std::vector<PeerQuota>& aPeers) {
+    now += 250ms;
+    for (PeerQuota& quota : aPeers) {
+      quota.mReceivedAt = now;
+    }
+    ledger.SetPeers(kAccount, aPeers, 21, true, now);
+  };
+  for (int change = 0; change < 4; ++change) {
+    for (int i = 0; i < 8; ++i) {
+      exchange(change % 2 == 0 ? direct : byZone);
+    }
+  }
+  CHECK(ledger.TryConsume(kAccount, 1000, now).mAdmitted);
+}
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -92,6 +92,14 @@
   }
   Account& account = it->second;
   Advance(account, aNow);
+  const bool sums = std::ranges::any_of(aPeers, &PeerQuota::mIsSum);
+  const bool hadSums = std::ranges::any_of(
+    account.mPeers, [](const auto& aRow) { return aRow.second.mEntries > 1; });
+  if (sums != hadSums && !account.mPeers.empty()) {
+    // The fleet grew or shrank so that entries report by zone, or no longer do. The other
+    // reports that begin now cover what was charged already.
+    account.mPeers.clear();
+  }
   const bool first = account.mPeers.empty();
   for (const PeerQuota& quota : aPeers) {
     ApplyPeerReport(account, quota, first);
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -12,6 +12,8 @@
 constexpr double kFailureWeight = 0.12;
 /// How long an unreachable endpoint is avoided.
 constexpr milliseconds kUnreachablePause{ 1000 };
+/// Fraction of an engine's running requests whose prompts are assumed to be unread.
+constexpr double kUnreadFractionOfRunning = 0.1;
 /// Shortest silence, with requests unanswered, after which an endpoint is avoided.
 constexpr Milliseconds kMinSilenceLimit{ 1000.0 };
 /// The same as a multiple of the forecast of a first event.
@@ -99,9 +101,12 @@
     known.mUnread *= left;
     known.mMemoryTokens *= left;
   } else {
-    // Requests that no peer has reported yet are assumed to be like this one, half read.
+    // Requests that no peer has reported yet are assumed to be like this one. Those that
+    // wait for a slot are unread, most of the running ones are read.
     const double unknown = peers - known.mRequests;
-    known.mUnread += aAttempt.mLoad.mUnread * (unknown / 2);
+    const double waiting = std::min<double>(unknown, *aMetadata.mWaiting);
+    known.mUnread +=
+      aAttempt.mLoad.mUnread * (waiting + kUnreadFractionOfRunning * (unknown - waiting));
     known.mMemoryTokens += aAttempt.mLoad.mMemoryTokens * unknown;
   }
   known.mRequests = peers;
