--- a/apps/tests/gateway/quotaledgertest.cpp
+++ b/apps/tests/gateway/quotaledgertest.cpp
@@ -342,7 +342,12 @@
   ledger.Configure(Configuration(), kNow);
   std::vector<PeerQuota> direct;
   for (int i = 0; i < 20; ++i) {
-    direct.push_back({ ids::ProcessId(std::to_string(i)), 1, kNow, 1e6, false, 1 });
+    const ids::ProcessId process(std::to_string(i));
+    PeerQuota& quota = direct.emplace_back();
+    quota.mProcess = process;
+    quota.mIncarnation = 1;
+    quota.mReceivedAt = kNow;
+    quota.mAdmitted = 1e6;
   }
   std::vector<PeerQuota> byZone{ { ids::ProcessId("zone a"), 1, kNow, 1e7, true, 10 },
                                  { ids::ProcessId("zone b"), 1, kNow, 1e7, true, 10 } };
