--- a/apps/tests/gateway/engineplaytest.cpp
+++ b/apps/tests/gateway/engineplaytest.cpp
@@ -35,8 +35,6 @@
   CHECK(byWork.mClasses[kLongPrompt].OnTime() > bySlots.mClasses[kLongPrompt].OnTime());
   CHECK(byWork.mClasses[kLongResponse].OnTime() >
         bySlots.mClasses[kLongResponse].OnTime());
-  CHECK(byWork.mClasses[kLongPrompt].OnTime() >= 0.9);
-  CHECK(byWork.mClasses[kLongResponse].OnTime() >= 0.9);
 }
 
 TEST_CASE("play: under overload callers are served in time or refused, not all late",
@@ -46,7 +44,6 @@
   const EngineTrialResult bySlots = Play(1.3, kSlots);
   for (const std::size_t kind : { kLongPrompt, kLongResponse }) {
     CHECK(byWork.mClasses[kind].OnTime() >= 3 * bySlots.mClasses[kind].OnTime());
-    CHECK(byWork.mClasses[kind].mOnTime > byWork.mClasses[kind].mLate);
   }
   // The more urgent kinds come in time at least as often as the one that can wait, but
   // for five in a hundred.
@@ -56,6 +53,22 @@
         byWork.mClasses[kTolerant].OnTime() - 0.05);
 }
 
+TEST_CASE("play: at moderate load 95 in 100 urgent requests come in time", "[gateway]")
+{
+  // The users' target for first tokens.
+  const EngineTrialResult byWork = Play(0.5);
+  CHECK(byWork.mClasses[kLongPrompt].OnTime() >= 0.95);
+  CHECK(byWork.mClasses[kLongResponse].OnTime() >= 0.95);
+}
+
+TEST_CASE("play: under overload twice as many come in time as late", "[gateway]")
+{
+  const EngineTrialResult byWork = Play(1.3);
+  for (const std::size_t kind : { kLongPrompt, kLongResponse }) {
+    CHECK(byWork.mClasses[kind].mOnTime >= 2 * byWork.mClasses[kind].mLate);
+  }
+}
+
 TEST_CASE("play: a slow engine gets less work", "[gateway]")
 {
   const EngineTrialResult byWork = Play(0.5, {}, 4.0);
