--- a/apps/tests/platform/storewatchertest.cpp
+++ b/apps/tests/platform/storewatchertest.cpp
@@ -216,6 +216,31 @@
         Calls{ "configuration 7", "gone e1", "confirmed" });
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: the log tells a silent call from a response that was cut",
+                 "[platform]")
+{
+  mServer.AddScript({ "HTTP/1.1 200 X\r\nContent-Length: 100\r\n\r\n{\"it", true });
+  mServer.AddScript({ Response(410, "") });
+  mServer.AddScript({ Page("", 8) });
+  mServer.AddScript({ "", false, true });
+  Run(3);
+  std::istringstream lines(mLog.str());
+  std::vector<std::string> calls;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.find(R"("message":"store call)") != std::string::npos) {
+      calls.push_back(line);
+    }
+  }
+  REQUIRE(calls.size() == 3);
+  CHECK(calls[0].find(R"("message":"store call failed","call":"read","status":200)") !=
+        std::string::npos);
+  CHECK(calls[0].find(R"("bytes":4)") != std::string::npos);
+  CHECK(calls[1].find(R"("status":410)") != std::string::npos);
+  CHECK(calls[2].find(R"("message":"store call","call":"read","status":200)") !=
+        std::string::npos);
+}
+
 TEST_CASE("watch: pauses grow with the fleet and keep the time for changes", "[platform]")
 {
   using platform::StoreWatcher;
