--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -83,8 +83,7 @@
 {
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
   mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
-  mStoreWatcher.SetTimes(platform::StoreWatcher::TimesFor(mPeers.EntryCount(aNow),
-                                                          mSettings.mConfigurationTime));
+  mStoreWatcher.SetFleet(mPeers.EntryCount(aNow), mSettings.mConfigurationTime);
   UpdatePeersLoad(aNow);
   if (!mControl.Configuration()) {
     return;
