Refuse no key and no route for good on a view older than the time for changes

Cause: an unknown key or route was refused for good as long as the view was younger than a constant of 4 s, the bound for revoked keys; the time for changes is 2 s, 3 s or 4 s by deployment. Class: a final decision on a view whose age is bounded by another promise's constant. Change: the settings' times for changes and for revoked keys bound the two decisions. A view is known to hold all changes up to the instant at which its call was sent, so beyond the time for changes the entry answers 503 with Retry-After; the caller comes back, here or elsewhere. The bound for keys is 0.8 of the setting, 4 s as before where the setting is 5 s. Test: 'control: no caller is refused for good by a view older than the time for changes' failed before (401 and 404 at 3.1 s of 3 s).

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -117,6 +117,8 @@
   mControl.mRetryBudget.SetLimits({ mSettings.mRetryBudgetWindow,
                                     mSettings.mRetryBudgetRatio,
                                     mSettings.mRetryBudgetSlack });
+  mControl.mStoreFreshness.SetBounds(mSettings.mConfigurationTime,
+                                     mSettings.mRevocationTime);
   mControl.mCold.SetTolerance(mSettings.mColdOverage, mSettings.mColdSlack);
   mControl.mQuotas.SetTerms(
     { mSettings.mQuotaWindow, mSettings.mQuotaOverage, mSettings.mQuotaSlack });
--- a/apps/tests/gateway/storefreshnesstest.cpp
+++ b/apps/tests/gateway/storefreshnesstest.cpp
@@ -22,6 +22,15 @@
   CHECK_FALSE(freshness.IsReady(kNow + 3s));
 }
 
+TEST_CASE("contact: a shorter time for revoked keys makes them stale sooner", "[gateway]")
+{
+  StoreFreshness freshness;
+  freshness.SetBounds(2s, 2500ms);
+  freshness.ConfirmUpTo(kNow);
+  CHECK(freshness.AreKeysFresh(kNow + 1900ms));
+  CHECK_FALSE(freshness.AreKeysFresh(kNow + 2s));
+}
+
 TEST_CASE("contact: a response is as fresh as its request", "[gateway]")
 {
   StoreFreshness freshness;
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -127,6 +127,24 @@
   CHECK(Refuse(Metadata("/nothing/"), kNow + 5s).mStatus == 503);
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "control: no caller is refused for good by a view older than the time for changes",
+  "[gateway]")
+{
+  mControl.mStoreFreshness.SetBounds(3s, 5s);
+  RequestMetadata unknownKey = Metadata();
+  unknownKey.mKey = "other";
+  const RequestMetadata unknownRoute = Metadata("/nothing/");
+  CHECK(Refuse(unknownKey, kNow + 2900ms).mStatus == 401);
+  CHECK(Refuse(unknownRoute, kNow + 2900ms).mStatus == 404);
+  CHECK(Refuse(unknownKey, kNow + 3100ms).mStatus == 503);
+  CHECK(Refuse(unknownRoute, kNow + 3100ms).mStatus == 503);
+  CHECK(Refuse(unknownRoute, kNow + 3100ms).mRetryAfter);
+  // Requests that the view allows are still served.
+  CHECK(std::holds_alternative<Admission>(mControl.Admit(Metadata(), kNow + 3100ms)));
+}
+
 TEST_CASE_METHOD(Fixture,
                  "control: the deadline is the earlier of the caller's and the route's",
                  "[gateway]")
--- a/components/gateway/storefreshness.hpp
+++ b/components/gateway/storefreshness.hpp
@@ -11,9 +11,9 @@
 class StoreFreshness
 {
 public:
-  /// Staleness from which requests with a key are rejected; a revoked key must stop
-  /// working within 5 s.
-  static constexpr timing::Duration kMaxKeyStaleness = std::chrono::milliseconds(4000);
+  /// Staleness from which requests with a key are rejected, as a fraction of the time
+  /// within which a revoked key must stop working.
+  static constexpr double kMaxKeyStalenessFraction = 0.8;
   /// Staleness from which the process reports that it is not ready.
   static constexpr timing::Duration kMaxReadyStaleness = std::chrono::milliseconds(3000);
   /// Time without a response from the store after which records may have expired although
@@ -22,6 +22,15 @@
   /// How long after an outage a removed record counts as possibly expired.
   static constexpr timing::Duration kLapseWindow = std::chrono::milliseconds(3000);
 
+  /// Sets the time within which a change of the configuration must be in force, and the
+  /// time within which a revoked key must stop working.
+  void SetBounds(timing::Duration aChangeTime, timing::Duration aRevocationTime)
+  {
+    mChangeTime = aChangeTime;
+    mMaxKeyStaleness = std::chrono::duration_cast<timing::Duration>(
+      kMaxKeyStalenessFraction * std::chrono::duration<double>(aRevocationTime));
+  }
+
   /// Records a response from the store that began to arrive at aBegan and was read by
   /// aNow; called before its content is applied. A long response over a slow link does
   /// not count as an outage.
@@ -46,7 +55,13 @@
 
   bool AreKeysFresh(timing::Instant aNow) const
   {
-    return mHasConfirmation && aNow - mFreshAsOf < kMaxKeyStaleness;
+    return mHasConfirmation && aNow - mFreshAsOf < mMaxKeyStaleness;
+  }
+  /// True if every change that must be in force by now is known. Otherwise a key or a
+  /// route that is not known may have been added.
+  bool IsConfigurationCurrent(timing::Instant aNow) const
+  {
+    return mHasConfirmation && aNow - mFreshAsOf < mChangeTime;
   }
   bool IsReady(timing::Instant aNow) const
   {
@@ -66,6 +81,8 @@
   }
 
 private:
+  timing::Duration mChangeTime{ std::chrono::seconds(2) };
+  timing::Duration mMaxKeyStaleness{ std::chrono::seconds(4) };
   bool mHasConfirmation{ false };
   timing::Instant mFreshAsOf{};
   /// When the last response was read.
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -129,18 +129,22 @@
   if (!mConfiguration) {
     return outage("no configuration is known yet");
   }
-  const bool fresh = mStoreFreshness.AreKeysFresh(aNow);
+  // An unknown route or key may have been added by a change that is not known yet.
+  const bool current = mStoreFreshness.IsConfigurationCurrent(aNow);
   const Route* route = mConfiguration->FindRoute(aMetadata.mHost, aMetadata.mPath);
   if (route == nullptr) {
-    return fresh ? Refusal{ 404, "no route matches", {}, {}, {}, 0.0 }
-                 : outage("the configuration may be out of date");
+    return current ? Refusal{ 404, "no route matches", {}, {}, {}, 0.0 }
+                   : outage("the configuration may be out of date");
   }
   const ClientAccount* account = nullptr;
   if (!mConfiguration->mAccounts.empty() && !route->mPublic) {
-    if (!fresh) {
+    if (!mStoreFreshness.AreKeysFresh(aNow)) {
       return outage("keys may be out of date");
     }
     account = mConfiguration->FindAccountOfKey(aMetadata.mKey);
+    if (account == nullptr && !current) {
+      return outage("the configuration may be out of date");
+    }
     if (account == nullptr) {
       return Refusal{ 401, "the key is not known", {}, route->mName, {}, 0.0 };
     }
