Fit pause, a lost call and the transfer of changes into the time within which a change must be in force

Cause: the steps between a change and its effect were each bounded, but not their sum. The pause began when the response before had been read and applied, so two transfers and the pause followed a change; the timeout included the transfer; a response that did not fit was asked for again, with more changes in it; a call without a response cost wait, 700 ms and up to 250 ms beside the pause (3.05 s of 3 s, 2.4 s of 2 s). Class: a time limit spent by several steps in a row that none of them knows. The same limit holds for endpoints that drain and for evacuated zones, which come by the same watch. Change: WatchSchedule plans within the time that is left: the pause counts from the beginning of the response, and pause and wait shrink by the time that responses took lately and by one call without a response. A response may take its time while it arrives (1 s without a byte, 5 s in all). Changes larger than all records are not read; all records are, which bounds the transfer.

--- a/apps/tests/platform/settingstest.cpp
+++ b/apps/tests/platform/settingstest.cpp
@@ -46,6 +46,7 @@
 leaseMs = 3000
 configApplyMs = 3500
 revokeMs = 4500
+drainMs = 2500
 budgetRatio = 0.2
 budgetSlack = 56
 quotaOverage = 0.1
@@ -62,6 +63,8 @@
   const platform::Settings settings = platform::LoadSettings(file.mPath);
   CHECK(settings.mConfigurationTime == 3500ms);
   CHECK(settings.mRevocationTime == 4500ms);
+  CHECK(settings.mDrainTime == 2500ms);
+  CHECK(settings.mEvacuationTime == 5000ms);
   CHECK(settings.mName.Str() == "front-a-1");
   CHECK(settings.mCores == Approx(0.38));
   CHECK(settings.mZone.Str() == "z-a");
--- a/apps/tests/platform/storewatchertest.cpp
+++ b/apps/tests/platform/storewatchertest.cpp
@@ -215,9 +215,43 @@
         Calls{ "configuration 7", "gone e1", "confirmed" });
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "store watcher: changes that are larger than all records are not read one "
+  "by one",
+  "[platform]")
+{
+  mServer.AddScript({ Page(Item("op/config", kConfiguration), 8) });
+  mServer.AddScript({ "HTTP/1.1 200 X\r\nContent-Length: 4000000\r\n\r\n" });
+  mServer.AddScript(
+    { Page(Item("op/config", R"({"version":9,"routes":[],"services":[]})"), 20) });
+  mServer.AddScript({ "", false, true });
+  const Calls calls = Run(3);
+  REQUIRE(calls.size() == 6);
+  CHECK(Calls(calls.begin() + 3, calls.end()) ==
+        Calls{ "configuration 9", "full 0 0 0", "confirmed" });
+  CHECK(mServer.Requests().at(3).find("after=20") != std::string::npos);
+}
+
 TEST_CASE_METHOD(Fixture,
-                 "store watcher: the log tells a silent call from a response that was cut",
+                 "store watcher: a response that was cut is not asked for again",
                  "[platform]")
+{
+  mServer.AddScript({ Page(Item("op/config", kConfiguration), 8) });
+  mServer.AddScript({ "HTTP/1.1 200 X\r\nContent-Length: 100\r\n\r\n{\"ev", true });
+  mServer.AddScript(
+    { Page(Item("op/config", R"({"version":9,"routes":[],"services":[]})"), 20) });
+  mServer.AddScript({ "", false, true });
+  const Calls calls = Run(3);
+  REQUIRE(calls.size() == 7);
+  CHECK(Calls(calls.begin() + 3, calls.end()) ==
+        Calls{ "lost", "configuration 9", "full 0 0 0", "confirmed" });
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "store watcher: the log tells a silent call from a response that was cut",
+  "[platform]")
 {
   mServer.AddScript({ "HTTP/1.1 200 X\r\nContent-Length: 100\r\n\r\n{\"it", true });
   mServer.AddScript({ Response(410, "") });
--- a/components/gateway/watchschedule.hpp
+++ b/components/gateway/watchschedule.hpp
@@ -29,8 +29,24 @@
     timing::Instant mAt{};
     /// Time after which a watch without changes returns.
     std::chrono::milliseconds mWait{ 0 };
-    /// Time after which a call without a complete response fails.
+    /// The call fails if its response has not begun after this time.
+    std::chrono::milliseconds mHeadTimeout{ 0 };
+    /// The call fails if nothing of a response that has begun arrives for this time.
+    std::chrono::milliseconds mStallTimeout{ 0 };
+    /// The call fails if its response is not complete after this time.
     std::chrono::milliseconds mTimeout{ 0 };
+    /// Largest body of the response. Changes that are larger take longer than a reading
+    /// of all records.
+    std::size_t mMaxBytes{ 0 };
+  };
+  /// A response that was read and applied.
+  struct Response
+  {
+    timing::Instant mSentAt{};
+    timing::Instant mBeganAt{};
+    timing::Instant mAppliedAt{};
+    std::size_t mBytes{ 0 };
+    bool mHadChanges{ false };
   };
 
   explicit WatchSchedule(std::uint64_t aSeed);
@@ -41,20 +57,36 @@
 
   Step Next() const;
 
-  /// Records a response that has been read and applied by aNow.
-  void OnApplied(timing::Instant aNow);
-  /// The changes since the last known revision cannot be had any more.
-  void OnHistoryLost(timing::Instant aNow);
-  void OnFailed(timing::Instant aNow);
+  void OnApplied(const Response& aResponse);
+  /// The changes since the last known revision cannot be had any more, or are larger than
+  /// all records.
+  void OnReadNeeded(timing::Instant aNow);
+  /// Records a call without a complete response. aBegan states whether the response had
+  /// begun.
+  void OnFailed(bool aBegan, timing::Instant aNow);
 
-  std::chrono::milliseconds PauseBetweenCalls() const { return mPause; }
-  std::chrono::milliseconds Wait() const { return mWait; }
+  /// Time between the beginning of a response and the next call, in which changes gather.
+  std::chrono::milliseconds Pause() const;
+  /// Time after which a watch without changes returns.
+  std::chrono::milliseconds Wait() const;
 
 private:
+  /// Returns the time that is left for pause and wait together, so that a change is in
+  /// force in time although one call gets no response.
+  std::chrono::milliseconds TimeToSpend() const;
+
   Call mCall{ Call::Read };
   timing::Instant mAt{};
-  std::chrono::milliseconds mPause;
-  std::chrono::milliseconds mWait;
+  std::size_t mEntries{ 1 };
+  std::chrono::milliseconds mChangeTime{ 2000 };
+  /// The longest recent time from the beginning of a response until it was applied.
+  std::chrono::milliseconds mProcessingTime{ 0 };
+  /// Time beyond the wait after which a watch without a response fails.
+  std::chrono::milliseconds mHeadMargin;
+  /// Size of the last reading of all records.
+  std::size_t mReadBytes{ 0 };
+  /// Calls that have failed since the last response.
+  int mFailures{ 0 };
   std::mt19937_64 mRandom;
 };
 
