--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -79,6 +79,7 @@
     if (ec) {
       co_return;
     }
+    ++mConnections;
     asio::co_spawn(mIo, Serve(std::move(socket)), asio::detached);
   }
 }
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -37,6 +37,7 @@
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// Connections that the peer closed while a silent script waited.
   int Disconnects() const { return mDisconnects; }
+  int Connections() const { return mConnections; }
 
 private:
   asio::awaitable<void> Accept();
@@ -47,6 +48,7 @@
   std::deque<Script> mScripts;
   std::vector<std::string> mRequests;
   int mDisconnects{ 0 };
+  int mConnections{ 0 };
 };
 
 /// The HTTP front end of an entry on the loopback address, with one service of scripted
--- a/apps/tests/platform/storetest.cpp
+++ b/apps/tests/platform/storetest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
 #include "platform/enginecalls.hpp"
@@ -55,7 +57,7 @@
 
   frontend::asio::io_context mIo{ 1 };
   ScriptedEndpoint mServer{ mIo };
-  timing::SystemClock mClock;
+  timing::ManualClock mClock;
   platform::HttpClient mClient{ mIo, mClock };
   settings::SocketAddress mAddress{ "127.0.0.1", mServer.Port() };
   platform::PlatformStore mStore{ mClient, mAddress };
@@ -128,6 +130,56 @@
   CHECK(Write().mRevision == 13);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "store: connections that went silent together cost one call only",
+                 "[platform]")
+{
+  for (int i = 0; i < 2; ++i) {
+    mServer.AddScript({ JsonResponse(200, R"({"revision":13})") });
+  }
+  const auto both = [this]() -> frontend::asio::awaitable<bool> {
+    int answered = 0;
+    for (int i = 0; i < 2; ++i) {
+      frontend::asio::co_spawn(
+        mIo,
+        [&]() -> frontend::asio::awaitable<void> {
+          store::StoreRequest request = store::LeaseKeepAliveRequest{ 5 };
+          co_await mStore.Execute(std::move(request), kLongTimeout);
+          ++answered;
+        },
+        frontend::asio::detached);
+    }
+    while (answered < 2) {
+      co_await frontend::asio::post(mIo, frontend::asio::use_awaitable);
+    }
+    co_return true;
+  };
+  CHECK(Await(both()));
+  CHECK(mServer.Connections() == 2);
+  mServer.AddScript({ "", false, true });
+  CHECK(Write(kShortTimeout).mOutcome == StoreOutcome::Unknown);
+  mServer.AddScript({ JsonResponse(200, R"({"revision":14})") });
+  CHECK(Write().mRevision == 14);
+  CHECK(mServer.Connections() == 3);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store: a connection that was idle for long carries no call",
+                 "[platform]")
+{
+  const auto write = [this] {
+    mServer.AddScript({ JsonResponse(200, R"({"revision":13})") });
+    CHECK(Write().mSucceeded);
+  };
+  write();
+  mClock.Advance(1s);
+  write();
+  CHECK(mServer.Connections() == 1);
+  mClock.Advance(10s);
+  write();
+  CHECK(mServer.Connections() == 2);
+}
+
 TEST_CASE_METHOD(Fixture, "store: pages and changes are decoded", "[platform]")
 {
   mServer.AddScript({ JsonResponse(
