Give the memory that an eviction frees to the model that it was freed for

Cause: three steps of a planning round disagreed. EvictForDemand evicts for the model with the highest demand per replica and counts on the freed memory for it (CountExpectedReplicas), but LoadUnservedModels gave the memory to the model with the fewest replicas, since the gain of every busy model is cut at 0.7 engines and ties. The choice of the replica to evict weighed the other models of its engine more than its own callers. Change: missing models that are asked for come first, then replicas by demand per replica as long as more places are free than models are missing, then missing models without demand. The replica that is missed least is evicted.

--- a/apps/tests/gateway/fleetplannertest.cpp
+++ b/apps/tests/gateway/fleetplannertest.cpp
@@ -214,6 +214,74 @@
   CHECK(loads("m1") + loads("m2") == 3);
 }
 
+TEST_CASE("planner: lasting demand beyond all engines moves no replicas back and forth",
+          "[gateway]")
+{
+  constexpr int kEngines = 12;
+  constexpr int kModels = 16;
+  constexpr int kRounds = 200;
+  constexpr int kLoadRounds = 5;
+  constexpr int kUnloadRounds = 2;
+  const EngineSpec spec = Spec(kModels);
+  std::map<std::string, double> demand;
+  for (int i = 0; i < kModels; ++i) {
+    demand["m" + std::to_string(i)] = 1.0 + 0.4 * i;
+  }
+  std::vector<EngineView> engines;
+  for (int i = 0; i < kEngines; ++i) {
+    engines.push_back(Engine("e" + std::to_string(i), {}));
+  }
+  struct Order
+  {
+    int mEnds{ 0 };
+    EngineOrder mOrder;
+  };
+  std::map<std::string, Order> running;
+  int lateUnloads = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (EngineView& engine : engines) {
+      const auto it = running.find(engine.mId.Str());
+      if (it == running.end() || it->second.mEnds > round) {
+        continue;
+      }
+      const ids::ModelId model = it->second.mOrder.mModel;
+      if (engine.mUnloadingModels.erase(model) > 0) {
+        engine.mModels.erase(model);
+      }
+      engine.mLoadingModels.erase(model);
+      engine.mAcceptsModelOrder = true;
+      running.erase(it);
+    }
+    for (const PlannedOrder& planned : kPlanner.Plan(spec, engines, Demand(demand), 2)) {
+      EngineView& engine =
+        *std::ranges::find(engines, planned.mEndpoint, &EngineView::mId);
+      const ids::ModelId& model = planned.mOrder.mModel;
+      const bool load = planned.mOrder.mKind == OrderKind::Load;
+      if (load) {
+        engine.mModels[model];
+        engine.mLoadingModels.insert(model);
+      } else {
+        engine.mUnloadingModels.insert(model);
+        lateUnloads += round >= kRounds / 2 ? 1 : 0;
+      }
+      engine.mAcceptsModelOrder = false;
+      running[engine.mId.Str()] = { round + (load ? kLoadRounds : kUnloadRounds),
+                                    planned.mOrder };
+    }
+  }
+  CHECK(lateUnloads == 0);
+  // Every model is held, and twice the demand has no fewer replicas.
+  const auto replicas = [&](int aModel) {
+    return std::ranges::count_if(engines, [&](const EngineView& aEngine) {
+      return aEngine.mModels.contains(ids::ModelId("m" + std::to_string(aModel)));
+    });
+  };
+  for (int i = 0; i < kModels; ++i) {
+    CHECK(replicas(i) >= 1);
+  }
+  CHECK(replicas(kModels - 1) > replicas(0));
+}
+
 TEST_CASE("planner: an adapter that is being unloaded keeps its slot", "[gateway]")
 {
   EngineSpec spec = Spec(1, 3);
--- a/components/gateway/fleetplanner.hpp
+++ b/components/gateway/fleetplanner.hpp
@@ -68,11 +68,11 @@
 };
 
 /// Workload: demand that moves to other models within seconds, and engines that are lost.
-/// Loads take seconds and only some may start at a time, so those come first without
-/// which the most work remains unserved. Keeps every model resident on at least one
-/// engine, uses free memory to replicate the models with the highest demand per replica,
-/// and evicts replicas of those with the lowest. Adapters of models in demand are spread
-/// over the replicas of the model.
+/// Loads take seconds, only some may start at a time, and an unload refuses the requests
+/// that wait for the model. Keeps every model resident on at least one engine, those that
+/// are asked for first, uses the memory that they leave free to replicate the models with
+/// the highest demand per replica, and evicts replicas of those with the lowest. Adapters
+/// of models in demand are spread over the replicas of the model.
 class FleetPlanner
 {
 public:
@@ -88,12 +88,6 @@
   /// model's demand per replica is at least this many times the demand per replica of the
   /// evicted replica's model.
   static constexpr double kMinEvictionDemandRatio = 2.0;
-  /// Demand that one replica can serve with short waits; the rest of its engine's time is
-  /// left for its other models and for bursts.
-  static constexpr double kServedPerReplica = 0.7;
-  /// Demand that a missing model without requests counts with, so that models in demand
-  /// that lack replicas come first.
-  static constexpr double kIdleModelDemand = 0.02;
   /// Maximum number of engines that may unload a model at the same time: this fraction of
   /// all engines, or kMinEvictionLimit if that is more.
   static constexpr double kMaxEvictingFraction = 0.25;
--- a/components/gateway/planninground.cpp
+++ b/components/gateway/planninground.cpp
@@ -14,8 +14,6 @@
 /// Demand, in engines, from which an engine gets a replica only if all others are busy
 /// too.
 constexpr double kBusyEngineDemand = 0.5;
-/// Weight of the demand for an engine's other models in the choice of a replica to evict.
-constexpr double kOtherDemandWeight = 0.5;
 /// Penalty, in engines, of an engine that has to load the model from the weight store.
 constexpr double kStoreLoadPenalty = 0.2;
 
@@ -81,8 +79,9 @@
 
 std::vector<PlannedOrder> PlanningRound::Run()
 {
-  LoadUnservedModels();
+  LoadMissingModels(true);
   ReplicateIntoFreeMemory();
+  LoadMissingModels(false);
   EvictForDemand();
   PlaceAdapters();
   return std::move(mOrders);
@@ -181,7 +180,6 @@
         Holds(engine, aModel)) {
       continue;
     }
-    const double engineDemand = EngineDemand(engine);
     const double loadPenalty = IsStored(engine, aModel) ? 0.0 : kStoreLoadPenalty;
     for (const std::size_t index : engine.mModels) {
       Model& victim = mModels[index];
@@ -193,11 +191,7 @@
       }
       const double remaining =
         victim.mDemand / static_cast<double>(victim.mReadyReplicas - 1);
-      const double otherDemand =
-        engineDemand -
-        victim.mDemand / static_cast<double>(std::max<std::size_t>(1, victim.mReplicas));
-      const std::pair rank(remaining + kOtherDemandWeight * otherDemand + loadPenalty,
-                           aModel.mReplicasByZone[engine.mZone]);
+      const std::pair rank(remaining + loadPenalty, aModel.mReplicasByZone[engine.mZone]);
       if (remaining <= aMaxRemainingDemand &&
           (bestEngine == nullptr || rank < bestRank)) {
         bestEngine = &engine;
@@ -221,60 +215,46 @@
     }));
 }
 
-std::size_t PlanningRound::ModelCapacityOfBusyEngines() const
+std::size_t PlanningRound::FreePlaces(bool aOnlyBusyEngines) const
 {
   double largest = 1.0;
   for (const Model& model : mModels) {
     largest = std::max(largest, model.mSpec->mMemoryMb);
   }
-  std::size_t capacity = 0;
+  std::size_t places = 0;
   for (const Engine& engine : mEngines) {
     const double free = mSpec.mMemoryMb - mAdapterReserve - engine.mUsedMemoryMb;
-    if (engine.mView->mUsable && !CanOrder(engine) && free > 0) {
-      capacity += static_cast<std::size_t>(free / largest);
+    const bool counts = !aOnlyBusyEngines || !CanOrder(engine);
+    if (engine.mView->mUsable && counts && free > 0) {
+      places += static_cast<std::size_t>(free / largest);
     }
   }
-  return capacity;
+  return places;
 }
 
-double PlanningRound::UnservedDemand(const Model& aModel)
+std::size_t PlanningRound::MissingModels() const
 {
-  const double unserved = aModel.mDemand - FleetPlanner::kServedPerReplica *
-                                             static_cast<double>(aModel.mReplicas);
-  return aModel.mReplicas == 0 ? std::max(unserved, FleetPlanner::kIdleModelDemand)
-                               : unserved;
+  return static_cast<std::size_t>(
+    std::ranges::count(mModels, std::size_t{ 0 }, &Model::mReplicas));
 }
 
-void PlanningRound::LoadUnservedModels()
+void PlanningRound::LoadMissingModels(bool aAskedFor)
 {
-  std::vector<Model*> waiting;
+  std::vector<Model*> missing;
   for (Model& model : mModels) {
-    if (UnservedDemand(model) > 0) {
-      waiting.push_back(&model);
+    if (model.mReplicas == 0 && (model.mDemand > 0) == aAskedFor) {
+      missing.push_back(&model);
     }
   }
-  const auto missing = static_cast<std::size_t>(
-    std::ranges::count(waiting, std::size_t{ 0 }, &Model::mReplicas));
+  std::ranges::stable_sort(missing, std::ranges::greater{}, &Model::mDemand);
   std::size_t evictions = EvictionsInProgress();
-  std::size_t pendingCapacity = ModelCapacityOfBusyEngines();
-  while (!waiting.empty()) {
-    const auto it = std::ranges::max_element(waiting, {}, [](const Model* aModel) {
-      // A load serves no more than one replica can; of models that gain alike, the one
-      // with fewer replicas comes first.
-      const double gain =
-        std::min(UnservedDemand(*aModel), FleetPlanner::kServedPerReplica);
-      return std::pair(gain, -static_cast<double>(aModel->mReplicas));
-    });
-    Model& model = **it;
-    if (Engine* engine = FindFreeEngine(model)) {
-      Load(*engine, model);
-      if (UnservedDemand(model) > 0) {
-        continue;
-      }
-    } else if (model.mReplicas == 0) {
-      EvictForMissing(model, pendingCapacity, evictions, missing);
+  std::size_t pendingCapacity = FreePlaces(true);
+  for (Model* model : missing) {
+    if (Engine* engine = FindFreeEngine(*model)) {
+      Load(*engine, *model);
+    } else {
+      EvictForMissing(*model, pendingCapacity, evictions, missing.size());
     }
-    waiting.erase(it);
   }
 }
 
@@ -316,7 +296,9 @@
 
 void PlanningRound::ReplicateIntoFreeMemory()
 {
-  for (bool placed = true; placed;) {
+  // Places that a missing model needs are left free; one that was evicted for it would be
+  // evicted again.
+  for (bool placed = true; placed && FreePlaces(false) > MissingModels();) {
     placed = false;
     for (Model* model : ReplicatedModelsByDemand()) {
       if (DemandPerReplica(*model) < FleetPlanner::kMinDemandToReplicate) {
--- a/components/gateway/planninground.hpp
+++ b/components/gateway/planninground.hpp
@@ -71,20 +71,19 @@
   /// that have the model stored, then those with little demand, then zones with few
   /// replicas of the model.
   Engine* FindFreeEngine(const Model& aModel);
-  /// Evicts a replica whose model keeps a low demand per remaining replica, on an engine
-  /// with little other demand, so that aModel can be loaded instead. Replicas whose model
-  /// would be left with more than aMaxRemainingDemand stay. Returns whether a replica is
-  /// evicted.
+  /// Evicts the replica that is missed least, by the demand per remaining replica of its
+  /// model, so that aModel can be loaded instead. Replicas whose model would be left with
+  /// more than aMaxRemainingDemand stay. Returns whether a replica is evicted.
   bool EvictFor(const Model& aModel, double aMaxRemainingDemand);
   std::size_t EvictionsInProgress() const;
-  /// Returns how many more models fit into engines that cannot accept an order yet,
-  /// counted with the memory of the largest model.
-  std::size_t ModelCapacityOfBusyEngines() const;
-  /// Demand for the model that its replicas cannot serve.
-  static double UnservedDemand(const Model& aModel);
-  /// Loads the models with the most unserved demand, and those that no engine holds.
-  /// Evicts replicas of other models for missing ones where no memory is free.
-  void LoadUnservedModels();
+  /// Returns how many more models fit into all engines, or into those that cannot accept
+  /// an order yet, counted with the memory of the largest model.
+  std::size_t FreePlaces(bool aOnlyBusyEngines) const;
+  /// Returns the number of models that no engine holds or loads.
+  std::size_t MissingModels() const;
+  /// Loads models that no engine holds, those that are asked for or the others. Evicts
+  /// replicas of other models for them where no memory is free.
+  void LoadMissingModels(bool aAskedFor);
   /// Makes room for a model that no engine holds.
   void EvictForMissing(const Model& aModel,
                        std::size_t& aPendingCapacity,
@@ -95,7 +94,7 @@
   /// first.
   std::vector<Model*> ReplicatedModelsByDemand();
   /// Loads more replicas of the models with the highest demand per replica where memory
-  /// is free.
+  /// is free and no missing model needs it. Evictions for demand count on this order.
   void ReplicateIntoFreeMemory();
   /// Counts one replica for each engine that is unloading a model: the freed memory goes
   /// to the model with the highest demand per replica that the engine does not hold.
