Under overload, keep the engines' queues short for requests that can still come in time

Cause: requests that could no longer meet their target were sent where up to 0.25, after a refusal 0.4, of the shortest target was queued, and requests that can wait up to half of it. What they found queued made the next urgent requests late as well. kTolerantLateFraction was declared and not used. Change: late requests are sent where at most 0.1, after a refusal 0.2, is queued; the limit of those that can wait rises to 0.35 as they approach their target, and the constant is used.

--- a/components/gateway/waitpolicy.cpp
+++ b/components/gateway/waitpolicy.cpp
@@ -20,13 +20,13 @@
 /// Latency-tolerant requests, when they arrive and when they reach their target. They try
 /// for longer than urgent ones, so a higher fraction would serve them more often.
 constexpr double kTolerantFraction = 0.05;
-constexpr double kTolerantLateFraction = 0.2;
-constexpr double kTolerantReturnedBonus = 0.05;
-/// Requests that can no longer meet their target.
-constexpr double kLateFraction = 0.25;
+constexpr double kTolerantLateFraction = 0.35;
+/// Requests that can no longer meet their target. What they find queued at an engine is
+/// time that others would need to come in time.
+constexpr double kLateFraction = 0.1;
 /// The same for callers that were refused before. Under lasting overload a larger
 /// fraction would serve only them, all too late.
-constexpr double kLateReturnedFraction = 0.4;
+constexpr double kLateReturnedFraction = 0.2;
 
 /// Part of the target latency that is kept for the way back and for errors of forecasts.
 constexpr double kTargetMargin = 0.1;
@@ -48,7 +48,7 @@
   if (aUrgency.mLatencyTolerant) {
     const double used = std::clamp(aUrgency.mElapsed / aUrgency.mTarget, 0.0, 1.0);
     const double fraction = kTolerantFraction +
-                            used * (kMinUrgentFraction - kTolerantFraction) +
+                            used * (kTolerantLateFraction - kTolerantFraction) +
                             (aUrgency.mReturned ? kReturnedBonus : 0.0);
     allowance.mAtEngine = fraction * tightest;
     allowance.mAtEntry = kTolerantEntryFraction * aUrgency.mTarget;
