--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -83,10 +83,10 @@
 {
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
   mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
-  mStoreWatcher.SetFleet(mPeers.EntryCount(aNow),
-                         std::min({ mSettings.mConfigurationTime,
-                                    mSettings.mDrainTime,
-                                    mSettings.mEvacuationTime }));
+  mStoreWatcher.SetFleet(
+    mPeers.EntryCount(aNow),
+    std::min(
+      { mSettings.mConfigurationTime, mSettings.mDrainTime, mSettings.mEvacuationTime }));
   UpdatePeersLoad(aNow);
   if (!mControl.Configuration()) {
     return;
--- a/apps/tests/gateway/fleetplannertest.cpp
+++ b/apps/tests/gateway/fleetplannertest.cpp
@@ -228,6 +228,7 @@
     demand["m" + std::to_string(i)] = 1.0 + 0.4 * i;
   }
   std::vector<EngineView> engines;
+  engines.reserve(kEngines);
   for (int i = 0; i < kEngines; ++i) {
     engines.push_back(Engine("e" + std::to_string(i), {}));
   }
