Log each attempt that broke off: after how many events, with which error, what else was there

Cause: the line of a request names its last engine only, so the ends of engines could not be connected with what ran there.

--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -41,6 +41,12 @@
   timing::Instant mAttemptDeadline{ timing::Instant::max() };
   /// The current attempt is still connecting; nothing was sent.
   bool mConnecting{ false };
+  /// The head of a response to the current attempt has arrived.
+  bool mResponseBegan{ false };
+  /// Blocks of events that the current attempt has brought.
+  std::size_t mAttemptEvents{ 0 };
+  /// Error that ended the connection of the current attempt, if any.
+  ErrorCode mAttemptError;
   /// Connection of the current attempt, so that AbortAttempt() can close it.
   BackendConnection* mBackend{ nullptr };
   tcp::socket* mCaller{ nullptr };
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/forwarder.hpp"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace samphiresail::frontend {
@@ -32,6 +33,17 @@
   return aStatus >= 200 && aStatus < 300;
 }
 
+/// Returns the identifiers of the parts in hexadecimal, separated by spaces.
+std::string PromptPartNames(const std::vector<gateway::PromptPart>& aParts)
+{
+  std::ostringstream names;
+  names << std::hex;
+  for (const gateway::PromptPart& part : aParts) {
+    names << (&part == &aParts.front() ? "" : " ") << part.mId;
+  }
+  return names.str();
+}
+
 }
 
 Forwarder::Forwarder(FrontendContext& aContext,
@@ -142,6 +154,9 @@
   const settings::SocketAddress& aAddress)
 {
   const ids::EndpointId id = mExchange.mAttempt.mEndpoint;
+  mExchange.mResponseBegan = false;
+  mExchange.mAttemptEvents = 0;
+  mExchange.mAttemptError = {};
   const auto end = [&](gateway::AttemptEnd aEnd) {
     mContext.mControl.End(mExchange.mAttempt, aEnd, mContext.mClock.Now());
   };
@@ -159,6 +174,10 @@
     mContext.mBackends.Release(id, std::move(connection), mContext.mClock.Now());
   }
   const bool aborted = mExchange.mCallerDisconnected || mExchange.mDeadlineExceeded;
+  if (result == Result::Failed &&
+      (mExchange.mAttemptError || mExchange.mEvents.Partial())) {
+    LogBrokenAttempt();
+  }
   if (result == Result::NotRun) {
     end(gateway::AttemptEnd::Refused);
   } else if (result == Result::Delivered) {
@@ -286,6 +305,26 @@
       { "unread_ms", load.mUnread.count() } });
 }
 
+void Forwarder::LogBrokenAttempt()
+{
+  const timing::Duration since = mContext.mClock.Now() - mExchange.mAttempt.mSentAt;
+  const gateway::Endpoint* endpoint =
+    mContext.mControl.mDirectory.Find(mExchange.mAttempt.mEndpoint);
+  mContext.mLogger.Info(
+    "attempt broke off",
+    { { "request", mExchange.mAdmission.mMetadata.mId.Str() },
+      { "endpoint", mExchange.mAttempt.mEndpoint.Str() },
+      { "attempt", mExchange.mAttemptsSent },
+      { "response_began", mExchange.mResponseBegan },
+      { "events", mExchange.mAttemptEvents },
+      { "aborted", mExchange.mRetryGranted || mExchange.mDeadlineExceeded },
+      { "error", mExchange.mAttemptError.message() },
+      { "own_requests_there", endpoint != nullptr ? endpoint->mOwnLoad.mRequests : 0 },
+      { "prompt_parts", PromptPartNames(mExchange.mAdmission.mMetadata.mPromptParts) },
+      { "took_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count() } });
+}
+
 asio::awaitable<bool> Forwarder::SendLocalResponse(const gateway::Refusal& aRefusal)
 {
   mStatus = aRefusal.mStatus;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -105,6 +105,8 @@
 
   /// Logs that an endpoint did not run the request, with the load reported for it.
   void LogNotRun(unsigned aStatus, const gateway::ResponseMetadata& aFacts);
+  /// Logs that the endpoint's response to an attempt broke off or never came.
+  void LogBrokenAttempt();
   /// Records the first event of a stream, for the caller and for the forecasts.
   void RecordFirstEvent();
   bool IsIrreversible() const { return !mExchange.mAdmission.mRoute->IsRetryable(); }
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -39,8 +39,10 @@
   co_await http::async_read_header(
     aBackend.mSocket, aBackend.mBuffer, *aParser, RedirectError(ec));
   if (ec) {
+    mExchange.mAttemptError = ec;
     co_return false;
   }
+  mExchange.mResponseBegan = true;
   aFacts = mContext.mDialect.ReadResponse(aParser->get().base());
   co_return true;
 }
@@ -56,7 +58,11 @@
   co_await http::async_read_some(
     aBackend.mSocket, aBackend.mBuffer, aParser, RedirectError(ec));
   aRead = { mBytes.data(), mBytes.size() - aParser.get().body().size };
-  co_return ec == http::error::need_buffer ? ErrorCode{} : ec;
+  if (ec == http::error::need_buffer) {
+    ec = {};
+  }
+  mExchange.mAttemptError = ec;
+  co_return ec;
 }
 
 asio::awaitable<bool> Forwarder::DiscardBody(BackendConnection& aBackend,
@@ -115,6 +121,7 @@
     const ErrorCode ec = co_await ReadSome(aBackend, aParser, read);
     const std::string_view events = mExchange.mEvents.Feed(read);
     if (!events.empty()) {
+      ++mExchange.mAttemptEvents;
       std::string out;
       if (!mExchange.mResponseHeadSent) {
         out = ResponseHead(aParser.get().base());
