Test that requests with a part that ends engines are refused after five; it fails

Nine endpoints end one after the other, 20 more requests with the part are sent on and none is refused with 503 while an endpoint is left.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
@@ -20,6 +22,12 @@
   return "POST " + aPath + kCommon + "Content-Length: 4\r\n\r\nbody";
 }
 
+std::string PostWithParts(const std::string& aPath, const std::string& aParts)
+{
+  return "POST " + aPath + kCommon + "Prompt-Prefix: " + aParts +
+         "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
 bool HasHeadAndBody(const std::string& aText)
 {
   const std::size_t head = aText.find("\r\n\r\n");
@@ -36,6 +44,11 @@
   return aText.ends_with("0\r\n\r\n");
 }
 
+bool EndsCall(const std::string& aText)
+{
+  return HasHeadAndBody(aText) || HasLastChunk(aText);
+}
+
 bool Contains(const std::string& aText, const std::string& aPart)
 {
   return aText.find(aPart) != std::string::npos;
@@ -287,3 +300,29 @@
   }
   CHECK(endpoint.Requests().size() == 1);
 }
+
+TEST_CASE_METHOD(
+  Fixture,
+  "forward: requests with a prompt part under which five endpoints ended reach no more",
+  "[frontend]")
+{
+  std::vector<ScriptedEndpoint*> endpoints;
+  for (const char* id : { "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9" }) {
+    endpoints.push_back(&AddEndpoint(id));
+    endpoints.back()->AddScript({ StreamHead(), false, false, true });
+  }
+  const auto crashed = [&] {
+    return std::ranges::count_if(endpoints, &ScriptedEndpoint::Crashed);
+  };
+  for (int i = 0; i < 20 && crashed() < 5; ++i) {
+    Call(PostWithParts("/stream/1", "aa:10,dead:20,b" + std::to_string(i) + ":5"),
+         EndsCall);
+  }
+  const auto atFive = crashed();
+  for (int i = 20; i < 40; ++i) {
+    const std::string response = Call(
+      PostWithParts("/stream/1", "cc:10,dead:20,b" + std::to_string(i) + ":5"), EndsCall);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+  }
+  CHECK(crashed() == atFive);
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -65,6 +65,7 @@
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context& aIo)
   : mIo(aIo)
   , mAcceptor(aIo, kLoopback)
+  , mPort(mAcceptor.local_endpoint().port())
 {
   asio::co_spawn(
     mIo, [this] { return Accept(); }, asio::detached);
@@ -106,6 +107,10 @@
       co_return;
     }
     co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
+    if (script.mCrash) {
+      mAcceptor.close(ec);
+      co_return;
+    }
     if (ec || script.mClose) {
       co_return;
     }
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -27,17 +27,21 @@
     bool mClose{ false };
     /// Sends nothing and waits until the peer closes the connection.
     bool mSilent{ false };
+    /// Ends the endpoint after the bytes: all its connections close, and new ones are
+    /// refused.
+    bool mCrash{ false };
   };
 
   explicit ScriptedEndpoint(asio::io_context& aIo);
 
   void AddScript(const Script& aScript) { mScripts.push_back(aScript); }
-  std::uint16_t Port() const { return mAcceptor.local_endpoint().port(); }
+  std::uint16_t Port() const { return mPort; }
   /// Heads and bodies of the received requests.
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// Connections that the peer closed while a silent script waited.
   int Disconnects() const { return mDisconnects; }
   int Connections() const { return mConnections; }
+  bool Crashed() const { return !mAcceptor.is_open(); }
 
 private:
   asio::awaitable<void> Accept();
@@ -45,6 +49,7 @@
 
   asio::io_context& mIo;
   tcp::acceptor mAcceptor;
+  std::uint16_t mPort;
   std::deque<Script> mScripts;
   std::vector<std::string> mRequests;
   int mDisconnects{ 0 };
