Quarantine parts of prompts under which engines end, at all entries

Cause: each entry held the end of an engine against the engine alone. Nothing related the requests that several engines, at several entries, ended under, so new requests with the part went to the engines that were left. The logs ("attempt broke off") show one and the same part without a single answer in 30 of 30 and 29 of 29 ends; 27 and 26 of them were first attempts, so retries are a small part of it.

Fix: a response that breaks off before its second event has its endpoint probed; a refused connection proves that the engine ended. Entries tell each other these ends with the parts that were there, and which parts were answered meanwhile (CrashEvidence, PromptQuarantine). A part is blamed after three ends of different requests if no answer excuses it and no other part explains the same ends. Requests with it are refused at once (503, Retry-After until the term ends), also in a queue or before a retry. The quarantine is recorded in the store for entries that start later or are cut off, and it is lifted by an answered request: one test after 30 s, then ever more rarely, or any answer elsewhere. Why this works: one end tells little, as up to eight sound requests end with the engine, but sound parts are answered elsewhere within 2 s.

The list of parts was read up to the 16th or the first malformed pair; a deadly part behind these was not seen. It is now read whole.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -192,6 +192,8 @@
     mNextPlacement = aNow + kPlacementInterval;
     PlaceModels(aNow);
   }
+  ReportFindings(aNow);
+  UpdateQuarantineRecords(aNow);
   mLogOutput.Flush();
   if (aNow >= mNextMaintenance) {
     mNextMaintenance = aNow + kMaintenanceInterval;
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -78,6 +78,10 @@
   /// Sends the awaited adapters to the leader, or, if this is the leader, the loaded ones
   /// to all entries.
   void SendNotice(timing::Instant aNow);
+  /// Sends the findings on parts of prompts to all entries and logs what changed.
+  void ReportFindings(timing::Instant aNow);
+  /// Creates and deletes the store's records of the parts in quarantine.
+  void UpdateQuarantineRecords(timing::Instant aNow);
   void SendDatagram(const std::string& aBytes, const settings::SocketAddress& aTo);
   /// Reports to the leader that a request waits for an adapter.
   void RequestAdapter(const gateway::RequestMetadata& aMetadata);
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -212,6 +212,28 @@
   }
 }
 
+void GatewayProcess::ReportFindings(timing::Instant aNow)
+{
+  for (const auto& change : mControl.mQuarantine.TakeChanges()) {
+    mLogger.Warn(change.mBegins ? "prompt part in quarantine" : "quarantine lifted",
+                 { { "part", gateway::PartName(change.mPart) },
+                   { "reason", change.mReason },
+                   { "crashes", change.mCrashes } });
+  }
+  if (!mControl.mQuarantine.IsReportDue(aNow)) {
+    return;
+  }
+  gateway::PeerReport notice;
+  notice.mProcess = mSettings.mName;
+  notice.mIncarnation = mIncarnation;
+  notice.mNotice = true;
+  notice.mFindings = mControl.mQuarantine.Report(aNow);
+  const std::string bytes = gateway::EncodePeerReport(notice);
+  for (const auto& [process, address] : mPeers.AllAddresses()) {
+    SendDatagram(bytes, address);
+  }
+}
+
 void GatewayProcess::SendDatagram(const std::string& aBytes,
                                   const settings::SocketAddress& aTo)
 {
@@ -246,6 +268,7 @@
 {
   const timing::Instant now = mClock.Now();
   mControl.mReturningCallers.AddReported(aReport.mRefused, now);
+  mControl.mQuarantine.Merge(aReport.mFindings, now);
   const std::vector<gateway::LoadedAdapter> loaded = aReport.mLoadedAdapters;
   const bool waitsForAdapter = !aReport.mAwaitedAdapters.empty();
   const bool notice = aReport.mNotice;
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -86,6 +86,13 @@
       mPeers.Unregister(process, now);
     }
   }
+  std::set<std::uint64_t> quarantined;
+  for (const std::string& key : aReading.mOwnKeys) {
+    if (const auto part = QuarantinedPart(key)) {
+      quarantined.insert(*part);
+    }
+  }
+  mControl.mQuarantine.RetainRecords(quarantined, now);
   UpdateShares(now);
   mEndpointsRead = true;
 }
@@ -106,6 +113,9 @@
     std::size_t entries = 0;
     std::from_chars(aValue->data(), aValue->data() + aValue->size(), entries);
     mPeers.SetRecordedEntries(entries);
+  } else if (const auto part = QuarantinedPart(aKey)) {
+    mControl.mQuarantine.OnRecord(
+      *part, aValue.has_value(), aValue == mSettings.mName.Str(), now);
   } else if (aKey.starts_with(kMemberPrefix)) {
     const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
--- a/apps/samphiresail/gateway/recordkeys.hpp
+++ b/apps/samphiresail/gateway/recordkeys.hpp
@@ -2,8 +2,12 @@
 #define SAMPHIRESAIL_APPS_SAMPHIRESAIL_GATEWAY_RECORDKEYS_HPP
 
 #include <chrono>
+#include <optional>
+#include <string>
 #include <string_view>
 
+#include "components/gateway/promptpart.hpp"
+
 namespace samphiresail::gatewayapp {
 
 // Keys of this system's own records in the platform's store.
@@ -18,6 +22,25 @@
 /// time. Entries that restart divide limits by it.
 inline constexpr std::string_view kEntryCountKey = "samphiresail/entry-count";
 
+/// Key prefix of the records of parts of prompts that are in quarantine, followed by the
+/// part's identifier in hexadecimal. The record holds the name of the entry that wrote
+/// it.
+inline constexpr std::string_view kQuarantinePrefix = "samphiresail/quarantine/";
+
+/// Returns the key of a part's record.
+inline std::string QuarantineKey(std::uint64_t aPart)
+{
+  return std::string(kQuarantinePrefix) + gateway::PartName(aPart);
+}
+
+/// Returns the part whose record has the key; none if it is another record.
+inline std::optional<std::uint64_t> QuarantinedPart(std::string_view aKey)
+{
+  return aKey.starts_with(kQuarantinePrefix)
+           ? gateway::ParsePartName(aKey.substr(kQuarantinePrefix.size()))
+           : std::nullopt;
+}
+
 /// Timeout of a call to the store that writes a record or renews the lease.
 inline constexpr std::chrono::milliseconds kStoreTimeout{ 900 };
 
--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -317,6 +317,8 @@
   for (int i = 0; i < 20 && crashed() < 5; ++i) {
     Call(PostWithParts("/stream/1", "aa:10,dead:20,b" + std::to_string(i) + ":5"),
          EndsCall);
+    // Engines that end at the same moment have another cause.
+    RunFor(std::chrono::milliseconds(100));
   }
   const auto atFive = crashed();
   for (int i = 20; i < 40; ++i) {
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -73,6 +73,9 @@
   /// until aDone returns true.
   void CallAndDisconnect(const std::string& aBytes, const std::function<bool()>& aDone);
 
+  /// Lets time pass between calls.
+  void RunFor(std::chrono::milliseconds aTime) { mIo.run_for(aTime); }
+
   /// Runs a change while a call is in progress and then notifies waiting requests, as the
   /// tick does.
   void RunDuringCall(const std::function<void()>& aChange);
--- a/apps/tests/platform/dialecttest.cpp
+++ b/apps/tests/platform/dialecttest.cpp
@@ -61,10 +61,32 @@
   const auto facts = kDialect.ReadRequest(request.base());
   REQUIRE(facts);
   CHECK_FALSE(facts->mHasTokenCounts);
-  CHECK(facts->mPromptParts.size() == 1);
   CHECK_FALSE(facts->mCallerTimeout);
 }
 
+TEST_CASE("dialect: a part behind a malformed one or behind sixteen others is seen",
+          "[platform]")
+{
+  auto request = Request();
+  request.set("Prompt-Prefix", "5c1e:800,zz:1,77,91bd:410,,3:-2,2f:1");
+  const auto malformed = kDialect.ReadRequest(request.base());
+  REQUIRE(malformed);
+  REQUIRE(malformed->mPromptParts.size() == 3);
+  CHECK(malformed->mPromptParts[0].mId == 0x5c1e);
+  CHECK(malformed->mPromptParts[1].mId == 0x91bd);
+  CHECK(malformed->mPromptParts[2].mId == 0x2f);
+
+  std::string parts;
+  for (int i = 0; i < 40; ++i) {
+    parts.append("a:1,");
+  }
+  request.set("Prompt-Prefix", parts + "2f:1");
+  const auto many = kDialect.ReadRequest(request.base());
+  REQUIRE(many);
+  REQUIRE(many->mPromptParts.size() == 41);
+  CHECK(many->mPromptParts.back().mId == 0x2f);
+}
+
 TEST_CASE("dialect: headers that only the system sets are reserved", "[platform]")
 {
   for (const char* name : { "api-key",
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -45,6 +45,8 @@
   bool mResponseBegan{ false };
   /// Blocks of events that the current attempt has brought.
   std::size_t mAttemptEvents{ 0 };
+  /// An attempt was answered beyond its first event.
+  bool mAnswered{ false };
   /// Error that ended the connection of the current attempt, if any.
   ErrorCode mAttemptError;
   /// Connection of the current attempt, so that AbortAttempt() can close it.
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -1,9 +1,13 @@
 #include "components/frontend/forwarder.hpp"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "components/frontend/endpointprobe.hpp"
+
 namespace samphiresail::frontend {
 
 namespace {
@@ -27,6 +31,8 @@
 constexpr int kMaxStaleResponses = 3;
 /// A request fails once no connection could be opened to this many endpoints.
 constexpr std::size_t kMaxUnreachableEndpoints = 4;
+/// Longest list of prompt parts in a log line, in characters.
+constexpr std::size_t kMaxLoggedPartNames = 400;
 
 bool IsSuccess(unsigned aStatus)
 {
@@ -36,12 +42,14 @@
 /// Returns the identifiers of the parts in hexadecimal, separated by spaces.
 std::string PromptPartNames(const std::vector<gateway::PromptPart>& aParts)
 {
-  std::ostringstream names;
-  names << std::hex;
+  std::string names;
   for (const gateway::PromptPart& part : aParts) {
-    names << (&part == &aParts.front() ? "" : " ") << part.mId;
+    if (names.size() > kMaxLoggedPartNames) {
+      return names + " ...";
+    }
+    names.append(names.empty() ? "" : " ").append(gateway::PartName(part.mId));
   }
-  return names.str();
+  return names;
 }
 
 }
@@ -126,6 +134,7 @@
     }
     case gateway::NoEndpoint::ModelAbsent:
     case gateway::NoEndpoint::NoneUsable:
+    case gateway::NoEndpoint::Quarantined:
       return aNow;
   }
   return aNow;
@@ -177,6 +186,10 @@
   if (result == Result::Failed &&
       (mExchange.mAttemptError || mExchange.mEvents.Partial())) {
     LogBrokenAttempt();
+    RecordBrokenAttempt(aAddress);
+  }
+  if (result == Result::Delivered && mFailureResponse.empty()) {
+    RecordAnswered();
   }
   if (result == Result::NotRun) {
     end(gateway::AttemptEnd::Refused);
@@ -325,6 +338,27 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(since).count() } });
 }
 
+void Forwarder::RecordBrokenAttempt(const settings::SocketAddress& aAddress)
+{
+  const bool aborted = mExchange.mRetryGranted || mExchange.mDeadlineExceeded ||
+                       mExchange.mCallerDisconnected;
+  if (aborted || mExchange.mAnswered) {
+    return;
+  }
+  if (mContext.mControl.OnUnansweredBreak(
+        mExchange.mAttempt, mExchange.mAdmission, mContext.mClock.Now())) {
+    asio::co_spawn(mContext.mIo,
+                   ProbeEndpoint(mContext, mExchange.mAttempt.mEndpoint, aAddress),
+                   asio::detached);
+  }
+}
+
+void Forwarder::RecordAnswered()
+{
+  mExchange.mAnswered = true;
+  mContext.mControl.OnAnswered(mExchange.mAdmission, mContext.mClock.Now());
+}
+
 asio::awaitable<bool> Forwarder::SendLocalResponse(const gateway::Refusal& aRefusal)
 {
   mStatus = aRefusal.mStatus;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -107,6 +107,10 @@
   void LogNotRun(unsigned aStatus, const gateway::ResponseMetadata& aFacts);
   /// Logs that the endpoint's response to an attempt broke off or never came.
   void LogBrokenAttempt();
+  /// Learns from a response that broke off whether its endpoint has ended.
+  void RecordBrokenAttempt(const settings::SocketAddress& aAddress);
+  /// Records that the request was answered beyond its first event.
+  void RecordAnswered();
   /// Records the first event of a stream, for the caller and for the forecasts.
   void RecordFirstEvent();
   bool IsIrreversible() const { return !mExchange.mAdmission.mRoute->IsRetryable(); }
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -142,6 +142,9 @@
         firstEvent = false;
       } else {
         mContext.mControl.OnProgress(mExchange.mAttempt, mContext.mClock.Now());
+        if (!mExchange.mAnswered) {
+          RecordAnswered();
+        }
       }
       out.append(EncodeChunk(events));
       if (aParser.is_done() && !mExchange.mEvents.Partial()) {
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -26,6 +26,8 @@
   AdapterAbsent,
   /// All are full or in cold start.
   Full,
+  /// A part of the prompt is in quarantine.
+  Quarantined,
 };
 
 /// An attempt of a request at an endpoint, and what it adds to the endpoint's load.
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -1,9 +1,59 @@
 #include "components/gateway/peercodec.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "components/wire/generated/samphiresail.pb.h"
 
 namespace samphiresail::gateway {
 
+namespace {
+
+std::chrono::milliseconds AgeFrom(std::uint32_t aMilliseconds)
+{
+  return std::chrono::milliseconds(aMilliseconds);
+}
+
+void EncodeFindings(const PromptFindings& aFindings, wire::PeerLoad& aLoad)
+{
+  for (const ReportedCrash& crash : aFindings.mCrashes) {
+    auto* item = aLoad.add_engine_crash();
+    item->set_endpoint(crash.mEndpointHash);
+    item->set_age_ms(static_cast<std::uint32_t>(crash.mAge.count()));
+    for (const SuspectPart& suspect : crash.mSuspects) {
+      item->add_part(suspect.mPart);
+      item->add_request(suspect.mRequest);
+    }
+  }
+  for (const ReportedSoundPart& sound : aFindings.mSound) {
+    auto* item = aLoad.add_sound_part();
+    item->set_part(sound.mPart);
+    item->set_age_ms(static_cast<std::uint32_t>(sound.mAge.count()));
+  }
+  for (const std::uint64_t part : aFindings.mQuarantined) {
+    aLoad.add_quarantined(part);
+  }
+}
+
+PromptFindings DecodeFindings(const wire::PeerLoad& aLoad)
+{
+  PromptFindings findings;
+  for (const auto& item : aLoad.engine_crash()) {
+    ReportedCrash crash{ item.endpoint(), AgeFrom(item.age_ms()), {} };
+    for (int i = 0; i < std::min(item.part_size(), item.request_size()); ++i) {
+      crash.mSuspects.push_back({ item.part(i), item.request(i) });
+    }
+    findings.mCrashes.push_back(std::move(crash));
+  }
+  for (const auto& item : aLoad.sound_part()) {
+    findings.mSound.push_back({ item.part(), AgeFrom(item.age_ms()) });
+  }
+  findings.mQuarantined.assign(aLoad.quarantined().begin(), aLoad.quarantined().end());
+  return findings;
+}
+
+}
+
 std::string EncodePeerReport(const PeerReport& aReport)
 {
   wire::PeerLoad load;
@@ -46,6 +96,7 @@
     item->set_endpoint(loaded.mEndpointHash);
     item->set_key(loaded.mModelAdapterHash);
   }
+  EncodeFindings(aReport.mFindings, load);
   return load.SerializeAsString();
 }
 
@@ -82,6 +133,7 @@
   for (const auto& item : load.loaded()) {
     report.mLoadedAdapters.push_back({ item.endpoint(), item.key() });
   }
+  report.mFindings = DecodeFindings(load);
   return report;
 }
 
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "components/gateway/enginemodel.hpp"
+#include "components/gateway/promptquarantine.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/ids/ids.hpp"
 #include "components/settings/socketaddress.hpp"
@@ -35,7 +36,8 @@
   std::vector<std::uint64_t> mCovered;
   /// An entry of the receiver's zone passed the report on.
   bool mForwarded{ false };
-  /// Only mAwaitedAdapters and mLoadedAdapters are set; the message replaces no report.
+  /// Only mAwaitedAdapters, mLoadedAdapters and mFindings are set; the message replaces
+  /// no report.
   bool mNotice{ false };
   /// Set at the start of the process. A report with a larger incarnation replaces one
   /// with a smaller incarnation at once; the reverse happens only after the last report
@@ -57,6 +59,7 @@
   std::vector<std::uint64_t> mRefused;
   /// Adapters that were recently loaded on an order of the sender.
   std::vector<LoadedAdapter> mLoadedAdapters;
+  PromptFindings mFindings;
 };
 
 /// Returns the hash by which peer reports identify an endpoint, a client account, a
--- a/components/gateway/promptcacheestimate.cpp
+++ b/components/gateway/promptcacheestimate.cpp
@@ -27,9 +27,12 @@
   const std::vector<PromptPart>& aParts)
 {
   std::vector<std::uint64_t> leading;
-  leading.reserve(aParts.size());
+  leading.reserve(std::min(aParts.size(), kMaxLeadingParts));
   std::uint64_t hash = aModelAdapterHash;
   for (const PromptPart& part : aParts) {
+    if (leading.size() == kMaxLeadingParts) {
+      break;
+    }
     hash = Combine(hash, part.mId);
     leading.push_back(hash);
   }
--- a/components/gateway/promptcacheestimate.hpp
+++ b/components/gateway/promptcacheestimate.hpp
@@ -25,6 +25,9 @@
   /// Maximum number of remembered parts over all engines.
   static constexpr std::size_t kMaxParts = 20000;
 
+  /// Number of leading parts that are considered; requests rarely share more.
+  static constexpr std::size_t kMaxLeadingParts = 16;
+
   /// Returns the hashes of the prompt's leading parts: element i identifies the parts up
   /// to the i-th together with the model and adapter (aModelAdapterHash).
   static std::vector<std::uint64_t> LeadingParts(std::uint64_t aModelAdapterHash,
--- a/components/gateway/requestmetadata.hpp
+++ b/components/gateway/requestmetadata.hpp
@@ -7,17 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "components/gateway/promptpart.hpp"
 #include "components/ids/ids.hpp"
 
 namespace samphiresail::gateway {
 
-/// Part of a prompt that several requests may share.
-struct PromptPart
-{
-  std::uint64_t mId{ 0 };
-  std::int64_t mTokens{ 0 };
-};
-
 /// Values of a caller's request that admission and routing decisions use.
 struct RequestMetadata
 {
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -26,6 +26,9 @@
                              timing::Instant aNow)
 {
   const RequestMetadata& metadata = aAdmission.mMetadata;
+  if (IsQuarantined(aAdmission, aTried, aNow)) {
+    return { nullptr, NoEndpoint::Quarantined, {}, {} };
+  }
   const RoutingRequest request{ *aAdmission.mService,
                                 metadata,
                                 aTried,
@@ -49,6 +52,40 @@
   return choice;
 }
 
+bool TrafficControl::IsQuarantined(const Admission& aAdmission,
+                                   const std::vector<ids::EndpointId>& aTried,
+                                   timing::Instant aNow) const
+{
+  const bool test = aAdmission.mTestsQuarantine && aTried.empty();
+  return !test && mQuarantine.BlockedUntil(aAdmission.mMetadata.mPromptParts, aNow);
+}
+
+bool TrafficControl::OnUnansweredBreak(const Attempt& aAttempt,
+                                       const Admission& aAdmission,
+                                       timing::Instant aNow)
+{
+  const std::uint64_t hash = HashName(aAttempt.mEndpoint.Str());
+  mQuarantine.OnBroken(hash, aAdmission.mMetadata.mPromptParts, aNow);
+  return mQuarantine.TryProbe(hash, aNow);
+}
+
+void TrafficControl::OnProbe(const ids::EndpointId& aEndpoint,
+                             bool aRefused,
+                             timing::Instant aNow)
+{
+  const std::uint64_t hash = HashName(aEndpoint.Str());
+  if (aRefused) {
+    mQuarantine.OnConnectionRefused(hash, aNow);
+  } else {
+    mQuarantine.OnConnected(hash);
+  }
+}
+
+void TrafficControl::OnAnswered(const Admission& aAdmission, timing::Instant aNow)
+{
+  mQuarantine.OnSound(aAdmission.mMetadata.mPromptParts, aNow);
+}
+
 void TrafficControl::RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt)
 {
   const Milliseconds limit =
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -64,7 +64,8 @@
 }
 
 TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
-  : mChooser(mDirectory, mCold, mEngineModel, mPromptCache, std::move(aOwnZone), aSeed)
+  : mQuarantine(aSeed)
+  , mChooser(mDirectory, mCold, mEngineModel, mPromptCache, std::move(aOwnZone), aSeed)
   , mRandom(aSeed)
 {
 }
@@ -154,7 +155,13 @@
   if (service == nullptr) {
     return outage("the route has no service");
   }
+  const auto blockedUntil = mQuarantine.BlockedUntil(aMetadata.mPromptParts, aNow);
+  const bool tests = blockedUntil && mQuarantine.TryTest(aMetadata.mPromptParts, aNow);
+  if (blockedUntil && !tests) {
+    return RefuseQuarantined(*route, *blockedUntil, aNow);
+  }
   Admission admission;
+  admission.mTestsQuarantine = tests;
   admission.mConfiguration = mConfiguration;
   admission.mRoute = route;
   admission.mService = service;
@@ -307,6 +314,12 @@
       refusal.mReason = "all endpoints are full or in cold start";
       refusal.mRetryAfter = RetryAfterFull(aAdmission, aChoice, aNow);
       break;
+    case NoEndpoint::Quarantined:
+      refusal = RefuseQuarantined(
+        *aAdmission.mRoute,
+        mQuarantine.BlockedUntil(aAdmission.mMetadata.mPromptParts, aNow).value_or(aNow),
+        aNow);
+      break;
     case NoEndpoint::NoneUsable:
       refusal.mReason = "no endpoint may get work";
       refusal.mRetryAfter = RetryAfter(kMinOutageRetry, kMaxOutageRetry);
@@ -315,8 +328,20 @@
   return refusal;
 }
 
+Refusal TrafficControl::RefuseQuarantined(const Route& aRoute,
+                                          timing::Instant aUntil,
+                                          timing::Instant aNow)
+{
+  Refusal refusal;
+  refusal.mReason = "engines end under a part of the prompt";
+  refusal.mRetryAfter = std::chrono::ceil<milliseconds>(aUntil - aNow);
+  refusal.mRoute = aRoute.mName;
+  return refusal;
+}
+
 void TrafficControl::Tick(timing::Instant aNow)
 {
+  mQuarantine.Tick(aNow);
   mDirectory.Tick(aNow);
   mCold.Tick(aNow);
   mPromptCache.Tick(aNow);
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -12,6 +12,7 @@
 #include "components/gateway/demandmeter.hpp"
 #include "components/gateway/endpointchooser.hpp"
 #include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/promptquarantine.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/returningcallers.hpp"
 #include "components/gateway/storefreshness.hpp"
@@ -57,6 +58,8 @@
   double mEngineSeconds{ 0.0 };
   /// From 0, the most urgent, to 9.
   int mPriority{ 5 };
+  /// The request tests whether a part of its prompt still crashes engines.
+  bool mTestsQuarantine{ false };
   /// Staleness of keys and routes at admission.
   timing::Duration mConfigurationAge{ 0 };
 };
@@ -92,6 +95,7 @@
   EngineModel mEngineModel;
   PromptCacheEstimate mPromptCache;
   ReturningCallers mReturningCallers;
+  PromptQuarantine mQuarantine;
 
   void SetConfiguration(std::shared_ptr<const ServingConfiguration> aConfiguration,
                         timing::Instant aNow);
@@ -138,6 +142,15 @@
                         const Admission& aAdmission,
                         timing::Instant aFirstEvent,
                         timing::Instant aNow);
+  /// Records that the response to an attempt broke off before its second event. Returns
+  /// true if a connection to the endpoint should be tried, to learn whether it has ended.
+  bool OnUnansweredBreak(const Attempt& aAttempt,
+                         const Admission& aAdmission,
+                         timing::Instant aNow);
+  /// Records whether the endpoint of such an attempt accepted a connection.
+  void OnProbe(const ids::EndpointId& aEndpoint, bool aRefused, timing::Instant aNow);
+  /// Records that a request was answered beyond its first event.
+  void OnAnswered(const Admission& aAdmission, timing::Instant aNow);
   /// Records the end of an attempt that Begin started.
   void End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow);
   /// Erases what was observed of an endpoint that has restarted.
@@ -168,6 +181,15 @@
 private:
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aMin,
                                        std::chrono::milliseconds aMax);
+  /// Returns true if the request must not be sent since a part of its prompt is in
+  /// quarantine.
+  bool IsQuarantined(const Admission& aAdmission,
+                     const std::vector<ids::EndpointId>& aTried,
+                     timing::Instant aNow) const;
+  /// Refuses a request with a part of the prompt that is in quarantine until aUntil.
+  static Refusal RefuseQuarantined(const Route& aRoute,
+                                   timing::Instant aUntil,
+                                   timing::Instant aNow);
   /// Returns when a caller should retry for which all engines are full.
   std::chrono::milliseconds RetryAfterFull(const Admission& aAdmission,
                                            const Choice& aChoice,
