Accept a refusal only if it names the request

Callers would see: "not run, try again" for a request that an endpoint had run or was running, or an irreversible request that ran at two endpoints.

Cause: the forwarder took a response with Not-Executed or status 421 as the answer before it compared the identifier. A faulty endpoint that writes an earlier refusal once more on a kept connection so refused the next request on it.

Evidence: the test's first two cases fail without this change (503 to the caller, or the request sent to a second endpoint while the first answers it).

A refusal now needs the identifier like any other response, and one that has none counts only as the first response of its connection. On a used one the outcome is unknown, so an irreversible request is not sent again.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -171,6 +171,36 @@
   CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nmine"));
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "forward: a second copy of an earlier refusal refuses no other request",
+                 "[frontend]")
+{
+  const std::string notRun = "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  SECTION("as full")
+  {
+    first.AddScript({ "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: r0\r\n" + notRun +
+                      ResponseWithDigest("r1", "mine") });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nmine"));
+  }
+  SECTION("as sent to the wrong endpoint")
+  {
+    first.AddScript({ "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: r0\r\n" + notRun +
+                      ResponseWithDigest("r1", "mine") });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nmine"));
+  }
+  SECTION("without an identifier on a connection that was used before")
+  {
+    first.AddScript({ ResponseWithDigest("r1", "earlier") });
+    first.AddScript({ "HTTP/1.1 503 Service Unavailable\r\n" + notRun });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nearlier"));
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 502"));
+    CHECK(first.Connections() == 1);
+  }
+  CHECK(second.Requests().empty());
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "forward: a stream is resumed at another endpoint without gaps or duplicates",
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -265,8 +265,15 @@
         !co_await ReadResponseHead(aBackend, parser, facts)) {
       co_return Result::Failed;
     }
-    if (facts.mNotRun || facts.mWrongEndpoint ||
-        facts.mId == mExchange.mAdmission.mMetadata.mId) {
+    if (facts.mId == mExchange.mAdmission.mMetadata.mId) {
+      break;
+    }
+    if (facts.mId.Empty() && (facts.mNotRun || facts.mWrongEndpoint)) {
+      // Only the first response of a connection belongs to a known request without its
+      // identifier.
+      if (aBackend.mUsedBefore || stale > 0) {
+        co_return Result::Failed;
+      }
       break;
     }
     // A late response to an earlier request on this connection: its body is discarded.
