Write no error response into a stream that has begun

Callers would see: status line, headers and body of an error in the middle of their stream, which then looked complete.

Cause: a stream that broke off is resumed at another endpoint. Its answer with a status below 500 that was no success went the way of a first answer, so that head and body were sent on as they were. A 5xx was kept back.

Evidence: the test fails without this change for 400, 404, 302 and 429 without Not-Executed, and passes for 500.

The error now ends the attempt; the stream is resumed elsewhere or the connection closes without a last chunk.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -237,6 +237,27 @@
   CHECK_FALSE(HasLastChunk(response));
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "forward: a refused resumption leaves no error inside the stream",
+                 "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  first.AddScript({ StreamHead() + Chunk("id: 1\ndata: a\n\n"), true });
+  const std::string status = GENERATE("400 Bad Request",
+                                      "404 Not Found",
+                                      "302 Found",
+                                      "429 Too Many Requests",
+                                      "500 Internal Server Error");
+  second.AddScript(
+    { "HTTP/1.1 " + status + "\r\nAttempt-Id: r1\r\nContent-Length: 4\r\n\r\nerr!" });
+  const std::string response =
+    Call(Post("/stream/1"), [](const auto& aText) { return Contains(aText, "err!"); });
+  REQUIRE(second.Requests().size() == 1);
+  CHECK(response.ends_with(Chunk("id: 1\ndata: a\n\n")));
+  CHECK(response.rfind("HTTP/1.1") == 0);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "forward: a response without a length ends with its connection",
                  "[frontend]")
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -298,6 +298,9 @@
   } else if (notRun) {
     co_await DiscardBody(aBackend, *parser);
     result = Result::NotRun;
+  } else if (mExchange.mResponseHeadSent) {
+    // An error response cannot be forwarded inside a stream that has begun.
+    co_await DiscardBody(aBackend, *parser);
   } else {
     result = co_await ForwardBufferedResponse(aBackend, *parser);
   }
