Take the end of a connection without any body for a response that broke off

Callers would see: 200 with an empty body, framed as whole, or an empty or ended stream, where the endpoint had stopped after its head.

Cause: a response with neither a length nor chunks ends with its connection; the end right behind the head counted as a whole one. For the quarantine it even counted as an answer, which excused the part that had ended the engine.

Evidence: four of five cases of the test fail without this change (a cut head was safe already); with responses without a length the test of the prompt part that ends endpoints failed too: nine of nine ended.

Such a success without content is a failed attempt now.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -258,6 +258,62 @@
   CHECK(response.rfind("HTTP/1.1") == 0);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "forward: a connection that ends before any body is not a whole answer",
+                 "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n";
+  SECTION("after a part of the head")
+  {
+    first.AddScript({ head, true });
+    second.AddScript({ ResponseWithDigest("r1", "whole") });
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("\r\n\r\nwhole"));
+  }
+  SECTION("after a head without a length")
+  {
+    first.AddScript({ head + "\r\n", true });
+    second.AddScript({ ResponseWithDigest("r1", "whole") });
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("\r\n\r\nwhole"));
+  }
+  SECTION("after a head without a length, of a request that may not run twice")
+  {
+    first.AddScript({ head + "\r\n", true });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 502"));
+    CHECK(second.Requests().empty());
+  }
+  SECTION("of a stream without an event")
+  {
+    first.AddScript({ head + "\r\n", true });
+    second.AddScript({ StreamHead() + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n" });
+    CHECK(Contains(Call(Post("/stream/1"), EndsCall), "id: 1\ndata: a"));
+  }
+  SECTION("of a stream that was resumed")
+  {
+    first.AddScript({ StreamHead() + Chunk("id: 1\ndata: a\n\n"), true });
+    second.AddScript({ head + "\r\n", true });
+    const std::string response = Call(Post("/stream/1"), HasLastChunk);
+    CHECK(response.ends_with(Chunk("id: 1\ndata: a\n\n")));
+  }
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "forward: a stream without a length is whole only at the end of an event",
+  "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n"
+                           "Content-Type: text/event-stream\r\n\r\n";
+  endpoint.AddScript({ head + "id: 1\ndata: a\n\n", true });
+  CHECK(HasLastChunk(Call(Post("/stream/1"), HasLastChunk)));
+  endpoint.AddScript({ head + "id: 1\ndata: a\n\nid: 2\nda", true });
+  const std::string cut = Call(Post("/stream/1"), HasLastChunk);
+  CHECK(Contains(cut, "id: 1\ndata: a"));
+  CHECK_FALSE(HasLastChunk(cut));
+}
+
 TEST_CASE_METHOD(Fixture,
                  "forward: a response without a length ends with its connection",
                  "[frontend]")
@@ -357,10 +413,14 @@
   "forward: requests with a prompt part under which five endpoints ended reach no more",
   "[frontend]")
 {
+  const std::string withoutLength =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n\r\n";
+  const std::string written =
+    GENERATE_COPY(StreamHead(), withoutLength, withoutLength + "id: 1\ndata: a\n\n");
   std::vector<ScriptedEndpoint*> endpoints;
   for (const char* id : { "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9" }) {
     endpoints.push_back(&AddEndpoint(id));
-    endpoints.back()->AddScript({ StreamHead(), false, false, true });
+    endpoints.back()->AddScript({ written, false, false, true });
   }
   const auto crashed = [&] {
     return std::ranges::count_if(endpoints, &ScriptedEndpoint::Crashed);
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -43,6 +43,9 @@
   bool mConnecting{ false };
   /// The head of a response to the current attempt has arrived.
   bool mResponseBegan{ false };
+  /// The response to the current attempt has neither a length nor chunks, so that it ends
+  /// with its connection.
+  bool mResponseHasNoLength{ false };
   /// Blocks of events that the current attempt has brought.
   std::size_t mAttemptEvents{ 0 };
   /// An attempt was answered beyond its first event.
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -164,6 +164,7 @@
 {
   const ids::EndpointId id = mExchange.mAttempt.mEndpoint;
   mExchange.mResponseBegan = false;
+  mExchange.mResponseHasNoLength = false;
   mExchange.mAttemptEvents = 0;
   mExchange.mAttemptError = {};
   const auto end = [&](gateway::AttemptEnd aEnd) {
@@ -189,7 +190,12 @@
     RecordBrokenAttempt(aAddress);
   }
   if (result == Result::Delivered && mFailureResponse.empty()) {
-    RecordAnswered();
+    // The end of the endpoint looks like the end of a response without a length.
+    if (mExchange.mResponseHasNoLength && !mExchange.mAnswered) {
+      RecordBrokenAttempt(aAddress);
+    } else {
+      RecordAnswered();
+    }
   }
   if (result == Result::NotRun) {
     end(gateway::AttemptEnd::Refused);
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -43,6 +43,7 @@
     co_return false;
   }
   mExchange.mResponseBegan = true;
+  mExchange.mResponseHasNoLength = aParser->need_eof();
   aFacts = mContext.mDialect.ReadResponse(aParser->get().base());
   co_return true;
 }
@@ -92,6 +93,11 @@
     }
   }
   const unsigned status = aParser.get().result_int();
+  const bool success = http::to_status_class(status) == http::status_class::successful;
+  if (body.empty() && success && mExchange.mResponseHasNoLength) {
+    mExchange.mAttemptError = http::error::end_of_stream;
+    co_return Result::Failed;
+  }
   std::string response = ResponseHead(aParser.get().base());
   AppendHeader(response, "Content-Length", std::to_string(body.size()));
   if (!mKeepAlive) {
@@ -166,7 +172,10 @@
       co_return Result::Failed;
     }
   }
-  if (mExchange.mEvents.Partial()) {
+  if (firstEvent && mExchange.mResponseHasNoLength) {
+    mExchange.mAttemptError = http::error::end_of_stream;
+  }
+  if (mExchange.mEvents.Partial() || mExchange.mAttemptError) {
     co_return Result::Failed;
   }
   // The stream ended after its last event was forwarded, or had no event.
