Send nothing more to an endpoint that says it is leaving

Callers would see: requests sent to an endpoint that is about to exit, although it had said so in its answers (DRAIN).

Cause: whether an endpoint takes new work was read from its record in the store alone, which may still say ready, may have lapsed, or cannot be read while the store is down or the entry cut off.

Evidence: the test of answers, errors, refusals, late answers and resumed streams failed in all five cases: the next request went to the leaving endpoint.

Server-Leaving in any response, also to orders and reports, now marks that incarnation of the endpoint: no request, retry, resumption or order goes there, whatever its record says, until a later start under its id. The row of such an endpoint is kept for an hour after its record is gone, since the record may come back.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -72,7 +72,9 @@
   , mLeadership(mSettings.mOrderLease + kOrderExpiryMargin, mSettings.mFirstStart)
   , mClient(mIo, aClock)
   , mStore(mClient, mSettings.mStoreAddress)
-  , mEngines(mClient, mSettings.mName)
+  , mEngines(mClient,
+             mSettings.mName,
+             [this](const auto& aEndpoint) { OnEndpointLeaving(aEndpoint); })
   , mStoreWatcher(mIo, mStore, *this, aClock, mLogger, RandomSeed())
   , mBackends(mIo)
   , mPlacementChanged(mIo)
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -51,6 +51,8 @@
   void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override;
   void OnEndpoint(gateway::EndpointReport aReport) override;
   void OnEndpointGone(const ids::EndpointId& aId) override;
+  /// Called if an endpoint says in a response to an order or report that it is leaving.
+  void OnEndpointLeaving(const gateway::EndpointReport& aEndpoint);
   void OnFullReading(const gateway::FullReading& aReading) override;
   void OnOwnRecord(const std::string& aKey,
                    const std::optional<std::string>& aValue,
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -70,6 +70,14 @@
   mControl.mDirectory.Remove(aId, lapse, now);
 }
 
+void GatewayProcess::OnEndpointLeaving(const gateway::EndpointReport& aEndpoint)
+{
+  if (mControl.mDirectory.MarkLeaving(
+        aEndpoint.mId, aEndpoint.mIncarnation, mClock.Now())) {
+    mLogger.Info("endpoint is leaving", { { "endpoint", aEndpoint.mId.Str() } });
+  }
+}
+
 void GatewayProcess::OnFullReading(const gateway::FullReading& aReading)
 {
   const timing::Instant now = mClock.Now();
--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -408,6 +408,58 @@
   CHECK(endpoint.Requests().size() == 1);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "forward: an endpoint that says it is leaving gets no further request",
+                 "[frontend]")
+{
+  // The record of the endpoint says that it is ready all the time.
+  const std::string leaving = "\r\nServer-Leaving: 1";
+  const auto withHeader = [&](std::string aResponse) {
+    return aResponse.insert(aResponse.find("\r\n"), leaving);
+  };
+  const std::string full =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  std::size_t sentToSecond = 1;
+  SECTION("in an answer")
+  {
+    first.AddScript({ withHeader(ResponseWithDigest("r1", "hello")) });
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("hello"));
+  }
+  SECTION("in an error")
+  {
+    first.AddScript({ withHeader(
+      "HTTP/1.1 500 Error\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n") });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 500"));
+  }
+  SECTION("in a refusal, after which the request is sent elsewhere")
+  {
+    first.AddScript({ withHeader(full + "Attempt-Id: r1\r\n\r\n") });
+    second.AddScript({ ResponseWithDigest("r1", "done") });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("done"));
+    sentToSecond = 2;
+  }
+  SECTION("in a late answer to an earlier request")
+  {
+    first.AddScript({ withHeader(ResponseWithDigest("r0", "late")) +
+                      ResponseWithDigest("r1", "mine") });
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("mine"));
+  }
+  SECTION("in a stream that breaks off and is resumed")
+  {
+    first.AddScript({ withHeader(StreamHead()) + Chunk("id: 1\ndata: a\n\n"), true });
+    second.AddScript({ StreamHead() + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" });
+    CHECK(HasLastChunk(Call(Post("/stream/1"), HasLastChunk)));
+    sentToSecond = 2;
+  }
+  first.AddScript({ ResponseWithDigest("r1", "again") });
+  second.AddScript({ ResponseWithDigest("r1", "next") });
+  CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("next"));
+  CHECK(first.Requests().size() == 1);
+  CHECK(second.Requests().size() == sentToSecond);
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "forward: requests with a prompt part under which five endpoints ended reach no more",
--- a/apps/tests/gateway/endpointdirectorytest.cpp
+++ b/apps/tests/gateway/endpointdirectorytest.cpp
@@ -48,6 +48,43 @@
   CHECK_FALSE(directory.IsUsable(*directory.Find(kId), kNow));
 }
 
+TEST_CASE("directory: an endpoint that says it is leaving gets no work until it restarts",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  CHECK_FALSE(directory.MarkLeaving(kId, 0, kNow));
+  CHECK(directory.IsUsable(*directory.Find(kId), kNow));
+  CHECK(directory.MarkLeaving(kId, 1, kNow));
+  CHECK_FALSE(directory.MarkLeaving(kId, 1, kNow));
+  CHECK_FALSE(directory.IsUsable(*directory.Find(kId), kNow));
+  SECTION("though its record says that it is ready")
+  {
+    directory.Update(Report(1), kNow + 1s);
+    CHECK_FALSE(directory.IsUsable(*directory.Find(kId), kNow + 1s));
+  }
+  SECTION("though its record expires and comes back")
+  {
+    directory.Remove(kId, GENERATE(true, false), kNow);
+    directory.Tick(kNow + 1min);
+    directory.Update(Report(1), kNow + 1min);
+    CHECK_FALSE(directory.IsUsable(*directory.Find(kId), kNow + 1min));
+  }
+  SECTION("and is forgotten at last")
+  {
+    directory.Remove(kId, false, kNow);
+    directory.Tick(kNow + EndpointDirectory::kLeavingMemory);
+    CHECK(directory.Find(kId) == nullptr);
+  }
+  SECTION("after which it is another process")
+  {
+    directory.Update(Report(2), kNow + 1s);
+    CHECK(directory.IsUsable(*directory.Find(kId), kNow + 1s));
+    CHECK_FALSE(directory.MarkLeaving(kId, 1, kNow + 1s));
+    CHECK(directory.IsUsable(*directory.Find(kId), kNow + 1s));
+  }
+}
+
 TEST_CASE(
   "directory: an endpoint whose record expired in an outage stays usable for a while",
   "[gateway]")
--- a/apps/tests/gateway/ordertrackertest.cpp
+++ b/apps/tests/gateway/ordertrackertest.cpp
@@ -234,3 +234,16 @@
   REQUIRE(actions.size() == 1);
   CHECK(actions[0].mOrder == EngineOrder{ OrderKind::Load, kModel, {} });
 }
+
+TEST_CASE("orders: an engine that says it is leaving gets none, not even a repeated one",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  const Service service = EngineService();
+  OrderTracker tracker;
+  FirstOrder(tracker, service, directory);
+  directory.MarkLeaving(kId, 1, kNow);
+  tracker.OnOutcome(kId, OrderOutcome::Unknown, kNow);
+  CHECK(tracker.Tick(service, directory, NoDemand, kNow + 10s).empty());
+}
--- a/apps/tests/platform/storetest.cpp
+++ b/apps/tests/platform/storetest.cpp
@@ -218,7 +218,7 @@
                  "engine calls: an order carries its endpoint, token and precondition",
                  "[platform]")
 {
-  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"));
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [](const auto&) {});
   gateway::EndpointReport endpoint;
   endpoint.mId = ids::EndpointId("e1");
   endpoint.mAddress = mAddress;
@@ -245,7 +245,7 @@
                  "engine calls: an order without a response has an unknown outcome",
                  "[platform]")
 {
-  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"));
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [](const auto&) {});
   gateway::EndpointReport endpoint;
   endpoint.mAddress = mAddress;
   mServer.AddScript({ "", true });
@@ -254,3 +254,30 @@
   mServer.AddScript({ JsonResponse(200, "no report") });
   CHECK_FALSE(Await(calls.Report(endpoint)));
 }
+
+TEST_CASE_METHOD(
+  Fixture,
+  "engine calls: an endpoint that says it is leaving in any response is noted",
+  "[platform]")
+{
+  std::vector<std::int64_t> leaving;
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [&](const auto& aFrom) {
+    leaving.push_back(aFrom.mIncarnation);
+  });
+  gateway::EndpointReport endpoint;
+  endpoint.mAddress = mAddress;
+  endpoint.mIncarnation = 7;
+  const gateway::EngineAction action{ endpoint.mId, gateway::EngineOrder{}, 0 };
+  const std::string head = "HTTP/1.1 409 Conflict\r\nServer-Leaving: ";
+  mServer.AddScript({ head + "1\r\nContent-Length: 0\r\n\r\n" });
+  Await(calls.Order(endpoint, action, 41));
+  CHECK(leaving == std::vector<std::int64_t>{ 7 });
+  mServer.AddScript({ head + "1\r\nContent-Length: 0\r\n\r\n" });
+  Await(calls.Report(endpoint));
+  CHECK(leaving.size() == 2);
+  mServer.AddScript({ head + "0\r\nContent-Length: 0\r\n\r\n" });
+  mServer.AddScript({ JsonResponse(200, "{}") });
+  Await(calls.Report(endpoint));
+  Await(calls.Order(endpoint, action, 41));
+  CHECK(leaving.size() == 2);
+}
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -45,6 +45,13 @@
   mExchange.mResponseBegan = true;
   mExchange.mResponseHasNoLength = aParser->need_eof();
   aFacts = mContext.mDialect.ReadResponse(aParser->get().base());
+  const gateway::Attempt& attempt = mExchange.mAttempt;
+  if (aFacts.mLeaving &&
+      mContext.mControl.mDirectory.MarkLeaving(
+        attempt.mEndpoint, attempt.mIncarnation, mContext.mClock.Now())) {
+    mContext.mLogger.Info("endpoint is leaving",
+                          { { "endpoint", attempt.mEndpoint.Str() } });
+  }
   co_return true;
 }
 
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINT_HPP
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,8 @@
   /// No new work after this. Set when the record is removed, with a grace period if it
   /// may have expired during an outage of the store.
   timing::Instant mUsableUntil{ timing::Instant::max() };
+  /// When the endpoint itself said that it is leaving, whatever its record says.
+  std::optional<timing::Instant> mLeavingSince;
   /// Penalised until this instant, since it was unreachable.
   timing::Instant mAvoidUntil{};
   unsigned mConsecutiveFailures{ 0 };
@@ -92,6 +95,7 @@
   {
     return mUnanswered > 0 && aNow - mSilentSince > mSilenceLimit;
   }
+  bool IsLeaving() const { return mReport.mDraining || mLeavingSince; }
   bool HoldsModel(const ids::ModelId& aModel) const
   {
     return mReport.mModels.contains(aModel);
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -185,6 +185,7 @@
     choice.mEndpoint = chosen.mEndpoint;
     choice.mAttempt = std::move(chosen.mAttempt);
     choice.mAttempt.mEndpoint = chosen.mEndpoint->mReport.mId;
+    choice.mAttempt.mIncarnation = chosen.mEndpoint->mReport.mIncarnation;
     choice.mAttempt.mSentAt = aNow;
   }
   return choice;
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -34,6 +34,8 @@
 struct Attempt
 {
   ids::EndpointId mEndpoint;
+  /// Incarnation of the endpoint when it was chosen.
+  std::int64_t mIncarnation{ 0 };
   timing::Instant mSentAt{};
   EngineLoad mLoad;
   /// Only for engines.
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -53,6 +53,19 @@
   }
 }
 
+bool EndpointDirectory::MarkLeaving(const ids::EndpointId& aId,
+                                    std::int64_t aIncarnation,
+                                    timing::Instant aNow)
+{
+  Endpoint* endpoint = Find(aId);
+  if (endpoint == nullptr || endpoint->mReport.mIncarnation != aIncarnation ||
+      endpoint->mLeavingSince) {
+    return false;
+  }
+  endpoint->mLeavingSince = aNow;
+  return true;
+}
+
 void EndpointDirectory::SetZoneOut(const ids::AvailabilityZoneId& aZone,
                                    bool aOut,
                                    timing::Instant aNow)
@@ -81,7 +94,11 @@
                   [aNow](const auto& aRow) { return aRow.second <= aNow; });
   }
   std::erase_if(mEndpoints, [aNow](const auto& aRow) {
-    return aRow.second.mUsableUntil <= aNow && aRow.second.mOwnLoad.mRequests == 0;
+    const Endpoint& endpoint = aRow.second;
+    const bool remembered =
+      endpoint.mLeavingSince && aNow < *endpoint.mLeavingSince + kLeavingMemory;
+    return endpoint.mUsableUntil <= aNow && endpoint.mOwnLoad.mRequests == 0 &&
+           !remembered;
   });
 }
 
@@ -130,7 +147,7 @@
 
 bool EndpointDirectory::IsUsable(const Endpoint& aEndpoint, timing::Instant aNow) const
 {
-  return !aEndpoint.mReport.mDraining && aNow < aEndpoint.mUsableUntil &&
+  return !aEndpoint.IsLeaving() && aNow < aEndpoint.mUsableUntil &&
          !mZonesOut.contains(aEndpoint.mReport.mZone);
 }
 
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -11,8 +11,8 @@
 
 namespace samphiresail::gateway {
 
-/// Table of the endpoints that the platform lists. An endpoint that is draining or
-/// removed, or whose availability zone is out, gets no new work.
+/// Table of the endpoints that the platform lists. An endpoint that is draining, leaving
+/// or removed, or whose availability zone is out, gets no new work.
 class EndpointDirectory
 {
 public:
@@ -41,6 +41,16 @@
                   bool aMayHaveLapsed,
                   timing::Instant aNow);
 
+  /// How long an endpoint that said it is leaving is remembered after its record is gone,
+  /// which may come back.
+  static constexpr timing::Duration kLeavingMemory = std::chrono::hours(1);
+
+  /// Records that the given incarnation of an endpoint said that it is leaving. Returns
+  /// true if that was not known.
+  bool MarkLeaving(const ids::EndpointId& aId,
+                   std::int64_t aIncarnation,
+                   timing::Instant aNow);
+
   void SetZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut, timing::Instant aNow);
   std::set<ids::AvailabilityZoneId> ZonesOut() const { return mZonesOut; }
 
--- a/components/gateway/ordertracker.cpp
+++ b/components/gateway/ordertracker.cpp
@@ -130,7 +130,7 @@
     }
     CompleteByReport(engine, endpoint);
     if (!engine.mActionInFlight && aNow >= engine.mNextActionAt &&
-        !endpoint.mReport.mDraining) {
+        !endpoint.IsLeaving()) {
       if (engine.mOrder) {
         engine.mActionInFlight = true;
         actions.push_back({ id, engine.mOrder, engine.mPrecondition });
--- a/components/gateway/requestmetadata.hpp
+++ b/components/gateway/requestmetadata.hpp
@@ -39,6 +39,8 @@
   ids::RequestId mId;
   /// The endpoint states that it did not run the request.
   bool mNotRun{ false };
+  /// The endpoint states that it is leaving and wants no further requests.
+  bool mLeaving{ false };
   /// Another endpoint uses the address now.
   bool mWrongEndpoint{ false };
   /// The response carries the endpoint's digest.
