Send no requests to an endpoint during the pause that it asked for

Cause: the header was not read. A refusal set aside one model for a constant time, and only where the endpoint was not full.

Evidence: the tests of the forwarder failed: the next request went to the pausing endpoint, and with all of them pausing callers were sent on until they ran out of endpoints, with a Retry-After unrelated to the pauses.

The pause covers the whole endpoint for this entry and outlasts the record's expiry, but not a restart. If all that hold the model pause, the caller is refused at once with the time at which the first is free. A value that is no finite number of seconds is ignored, a pause is kept for an hour at most. An endpoint that pauses or leaves while a connection to it is opened gets no request either; that test failed before as well.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -460,6 +460,71 @@
   CHECK(second.Requests().size() == sentToSecond);
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "forward: an endpoint that asks for a pause gets no request before its end",
+  "[frontend]")
+{
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: r1\r\n"
+                              "Not-Executed: 1\r\nContent-Length: 0\r\nRetry-After: ";
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  first.AddScript({ refusal + "1.5\r\n\r\n" });
+  first.AddScript({ ResponseWithDigest("r1", "again") });
+  SECTION("while others serve")
+  {
+    ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+    second.AddScript({ ResponseWithDigest("r1", "other") });
+    second.AddScript({ ResponseWithDigest("r1", "next") });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("other"));
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("next"));
+    CHECK(first.Requests().size() == 1);
+  }
+  SECTION("while all pause, so that callers hear at once when the first is back")
+  {
+    ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+    second.AddScript({ refusal + "30\r\n\r\n" });
+    for (int i = 0; i < 3; ++i) {
+      const std::string response = Call(Get("/safe/1"), HasHeadAndBody);
+      CHECK(response.starts_with("HTTP/1.1 503"));
+      const std::size_t value = response.find("Retry-After: ");
+      REQUIRE(value != std::string::npos);
+      const double seconds = std::stod(response.substr(value + 13));
+      CHECK(seconds > 1.3);
+      CHECK(seconds < 2.0);
+    }
+    CHECK(first.Requests().size() + second.Requests().size() == 2);
+  }
+  SECTION("and gets some again after it")
+  {
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).starts_with("HTTP/1.1 503"));
+    RunFor(std::chrono::milliseconds(1500));
+    CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("again"));
+  }
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "forward: an endpoint withdrawn while it is connected to gets no request",
+  "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  first.AddScript({ ResponseWithDigest("r1", "first") });
+  second.AddScript({ ResponseWithDigest("r1", "second") });
+  const timing::Instant now = timing::SystemClock().Now();
+  const ids::EndpointId id("e1");
+  const bool leaves = GENERATE(true, false);
+  RunDuringCall([&] {
+    if (leaves) {
+      mControl.mDirectory.MarkLeaving(id, 1, now);
+    } else {
+      mControl.mDirectory.Pause(id, 1, now + std::chrono::minutes(1));
+    }
+  });
+  CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("second"));
+  CHECK(first.Requests().empty());
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "forward: requests with a prompt part under which five endpoints ended reach no more",
--- a/apps/tests/gateway/endpointdirectorytest.cpp
+++ b/apps/tests/gateway/endpointdirectorytest.cpp
@@ -85,6 +85,31 @@
   }
 }
 
+TEST_CASE("directory: a pause holds though the record expires, and ends with a restart",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  directory.Pause(kId, 0, kNow + 5s);
+  CHECK(directory.TakesRequests(kId, kNow));
+  directory.Pause(kId, 1, kNow + 5s);
+  directory.Pause(kId, 1, kNow + 1s);
+  CHECK_FALSE(directory.TakesRequests(kId, kNow + 4999ms));
+  CHECK(directory.TakesRequests(kId, kNow + 5s));
+  SECTION("record")
+  {
+    directory.Remove(kId, false, kNow);
+    directory.Tick(kNow + 1s);
+    directory.Update(Report(1), kNow + 1s);
+    CHECK_FALSE(directory.TakesRequests(kId, kNow + 2s));
+  }
+  SECTION("restart")
+  {
+    directory.Update(Report(2), kNow + 1s);
+    CHECK(directory.TakesRequests(kId, kNow + 2s));
+  }
+}
+
 TEST_CASE(
   "directory: an endpoint whose record expired in an outage stays usable for a while",
   "[gateway]")
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -286,6 +286,39 @@
   }
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "control: a pause of some endpoints does not hide that others are full",
+                 "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  AddEndpoint(mControl, "far", "z2");
+  const Admission admission = Admit();
+  mControl.mDirectory.Pause(
+    ids::EndpointId("near"),
+    mControl.mDirectory.Find(ids::EndpointId("near"))->mReport.mIncarnation,
+    kNow + 3s);
+  Choice choice = mControl.Begin(admission, {}, kNow);
+  while (choice.mEndpoint != nullptr) {
+    CHECK(choice.mAttempt.mEndpoint.Str() == "far");
+    choice = mControl.Begin(admission, {}, kNow);
+  }
+  CHECK(choice.mReason == NoEndpoint::Full);
+  SECTION("the one that was tried and paused is named to the caller")
+  {
+    const std::vector<ids::EndpointId> tried{ ids::EndpointId("near"),
+                                              ids::EndpointId("far") };
+    const Choice none = mControl.Begin(admission, tried, kNow + 1s);
+    CHECK(none.mReason == NoEndpoint::Paused);
+    REQUIRE(none.mFreeAfter);
+    CHECK(*none.mFreeAfter == Milliseconds(2000.0));
+    const Refusal refusal = mControl.RefuseNotRun(admission, none, kNow + 1s);
+    CHECK(refusal.mStatus == 503);
+    REQUIRE(refusal.mRetryAfter);
+    CHECK(*refusal.mRetryAfter >= 2s);
+    CHECK(*refusal.mRetryAfter <= 2500ms);
+  }
+}
+
 TEST_CASE_METHOD(Fixture,
                  "control: urgent requests do not queue behind full slots of an engine",
                  "[gateway]")
--- a/apps/tests/platform/dialecttest.cpp
+++ b/apps/tests/platform/dialecttest.cpp
@@ -118,3 +118,31 @@
   CHECK(facts.mWaiting == 1);
   CHECK(facts.mKeepAlive == 10s);
 }
+
+TEST_CASE("dialect: an endpoint's pause is a finite number of seconds", "[platform]")
+{
+  http::response<http::empty_body> response(http::status::service_unavailable, 11);
+  const auto pause = [&](const char* aValue) {
+    response.set("Retry-After", aValue);
+    return kDialect.ReadResponse(response.base()).mPause;
+  };
+  CHECK_FALSE(kDialect.ReadResponse(response.base()).mPause);
+  CHECK(pause("2") == 2s);
+  CHECK(pause("0.25") == 250ms);
+  CHECK(pause("0") == 0ms);
+  CHECK(pause("1e300") == 1h);
+  CHECK(pause("99999999999999999999") == 1h);
+  for (const char* value : { "-1",
+                             "",
+                             "soon",
+                             "2s",
+                             "nan",
+                             "inf",
+                             "1e999",
+                             "Fri, 31 Dec 1999 23:59:59 GMT" }) {
+    CAPTURE(value);
+    CHECK_FALSE(pause(value));
+  }
+  response.result(http::status::too_many_requests);
+  CHECK_FALSE(pause("2"));
+}
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -134,6 +134,7 @@
     }
     case gateway::NoEndpoint::ModelAbsent:
     case gateway::NoEndpoint::NoneUsable:
+    case gateway::NoEndpoint::Paused:
     case gateway::NoEndpoint::Quarantined:
       return aNow;
   }
@@ -176,6 +177,12 @@
                                       : gateway::AttemptEnd::Unreachable);
     co_return Result::Unreachable;
   }
+  if (!mContext.mControl.mDirectory.TakesRequests(id, mContext.mClock.Now())) {
+    // The endpoint was withdrawn while the connection was opened.
+    end(gateway::AttemptEnd::Refused);
+    mContext.mBackends.Release(id, std::move(connection), mContext.mClock.Now());
+    co_return Result::Unreachable;
+  }
   bool reusable = false;
   mExchange.mBackend = connection.get();
   const Result result = co_await SendAndReceive(*connection, reusable);
@@ -287,6 +294,11 @@
       co_return Result::Failed;
     }
   }
+  if (facts.mPause) {
+    mContext.mControl.mDirectory.Pause(mExchange.mAttempt.mEndpoint,
+                                       mExchange.mAttempt.mIncarnation,
+                                       mContext.mClock.Now() + *facts.mPause);
+  }
   const unsigned status = parser->get().result_int();
   const bool notRun = facts.mNotRun || facts.mWrongEndpoint;
   if (notRun) {
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -53,6 +53,8 @@
   timing::Instant mUsableUntil{ timing::Instant::max() };
   /// When the endpoint itself said that it is leaving, whatever its record says.
   std::optional<timing::Instant> mLeavingSince;
+  /// No requests before this instant, as the endpoint asked for a pause.
+  timing::Instant mPausedUntil{};
   /// Penalised until this instant, since it was unreachable.
   timing::Instant mAvoidUntil{};
   unsigned mConsecutiveFailures{ 0 };
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -139,6 +139,17 @@
   return candidate;
 }
 
+void EndpointChooser::ObservePause(const Endpoint& aEndpoint,
+                                   Choice& aChoice,
+                                   timing::Instant aNow)
+{
+  const Milliseconds left = aEndpoint.mPausedUntil - aNow;
+  aChoice.mFreeAfter = std::min(aChoice.mFreeAfter.value_or(left), left);
+  if (aChoice.mReason != NoEndpoint::Full) {
+    aChoice.mReason = NoEndpoint::Paused;
+  }
+}
+
 Choice EndpointChooser::Choose(const RoutingRequest& aRequest, timing::Instant aNow)
 {
   const RequestMetadata& metadata = aRequest.mMetadata;
@@ -156,8 +167,12 @@
   std::vector<Candidate> candidates;
   for (auto& [id, endpoint] : mDirectory.All()) {
     if (endpoint.mReport.mService != aRequest.mService.mName ||
-        !mDirectory.IsUsable(endpoint, aNow) ||
-        std::ranges::count(aRequest.mTried, id) > 0) {
+        !mDirectory.IsUsable(endpoint, aNow)) {
+      continue;
+    }
+    const bool tried = std::ranges::count(aRequest.mTried, id) > 0;
+    const bool paused = aNow < endpoint.mPausedUntil;
+    if (tried && !paused) {
       continue;
     }
     if (choice.mReason == NoEndpoint::NoneUsable) {
@@ -166,6 +181,10 @@
     if (!Holds(endpoint, aRequest, model, adapter, choice.mReason)) {
       continue;
     }
+    if (paused) {
+      ObservePause(endpoint, choice, aNow);
+      continue;
+    }
     choice.mReason = NoEndpoint::Full;
     const bool limited = aNow < endpoint.mColdUntil || aNow < endpoint.mRampUntil;
     if (limited &&
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -24,6 +24,8 @@
   ModelAbsent,
   /// Some hold the model but none the adapter, which can be loaded within milliseconds.
   AdapterAbsent,
+  /// All that hold what the request needs asked for a pause.
+  Paused,
   /// All are full or in cold start.
   Full,
   /// A part of the prompt is in quarantine.
@@ -54,8 +56,8 @@
   Endpoint* mEndpoint{ nullptr };
   NoEndpoint mReason{ NoEndpoint::NoneUsable };
   Attempt mAttempt;
-  /// If mReason is Full: the time until the first engine can take the request, by the
-  /// forecast.
+  /// If mReason is Full or Paused: the time until the first endpoint can take the
+  /// request, by the forecast or by the end of its pause.
   std::optional<Milliseconds> mFreeAfter;
 };
 
@@ -137,6 +139,10 @@
                     std::uint64_t aModelHash,
                     std::uint64_t aAdapterHash,
                     NoEndpoint& aReason);
+  /// Updates the reason for finding no endpoint by one that asked for a pause.
+  static void ObservePause(const Endpoint& aEndpoint,
+                           Choice& aChoice,
+                           timing::Instant aNow);
   /// Returns the endpoint as a candidate, or none if it is full.
   std::optional<Candidate> Rate(Endpoint& aEndpoint,
                                 const RoutingRequest& aRequest,
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -66,6 +66,16 @@
   return true;
 }
 
+void EndpointDirectory::Pause(const ids::EndpointId& aId,
+                              std::int64_t aIncarnation,
+                              timing::Instant aUntil)
+{
+  Endpoint* endpoint = Find(aId);
+  if (endpoint != nullptr && endpoint->mReport.mIncarnation == aIncarnation) {
+    endpoint->mPausedUntil = std::max(endpoint->mPausedUntil, aUntil);
+  }
+}
+
 void EndpointDirectory::SetZoneOut(const ids::AvailabilityZoneId& aZone,
                                    bool aOut,
                                    timing::Instant aNow)
@@ -96,7 +106,8 @@
   std::erase_if(mEndpoints, [aNow](const auto& aRow) {
     const Endpoint& endpoint = aRow.second;
     const bool remembered =
-      endpoint.mLeavingSince && aNow < *endpoint.mLeavingSince + kLeavingMemory;
+      aNow < endpoint.mPausedUntil ||
+      (endpoint.mLeavingSince && aNow < *endpoint.mLeavingSince + kLeavingMemory);
     return endpoint.mUsableUntil <= aNow && endpoint.mOwnLoad.mRequests == 0 &&
            !remembered;
   });
@@ -151,4 +162,12 @@
          !mZonesOut.contains(aEndpoint.mReport.mZone);
 }
 
+bool EndpointDirectory::TakesRequests(const ids::EndpointId& aId,
+                                      timing::Instant aNow) const
+{
+  const auto it = mEndpoints.find(aId);
+  return it != mEndpoints.end() && IsUsable(it->second, aNow) &&
+         aNow >= it->second.mPausedUntil;
+}
+
 }
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -51,6 +51,11 @@
                    std::int64_t aIncarnation,
                    timing::Instant aNow);
 
+  /// Records that the given incarnation of an endpoint asked for a pause.
+  void Pause(const ids::EndpointId& aId,
+             std::int64_t aIncarnation,
+             timing::Instant aUntil);
+
   void SetZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut, timing::Instant aNow);
   std::set<ids::AvailabilityZoneId> ZonesOut() const { return mZonesOut; }
 
@@ -92,6 +97,8 @@
 
   /// True if the endpoint may get new work at all.
   bool IsUsable(const Endpoint& aEndpoint, timing::Instant aNow) const;
+  /// True if the endpoint may get new work and did not ask for a pause.
+  bool TakesRequests(const ids::EndpointId& aId, timing::Instant aNow) const;
 
 private:
   std::map<ids::EndpointId, Endpoint> mEndpoints;
--- a/components/gateway/requestmetadata.hpp
+++ b/components/gateway/requestmetadata.hpp
@@ -41,6 +41,8 @@
   bool mNotRun{ false };
   /// The endpoint states that it is leaving and wants no further requests.
   bool mLeaving{ false };
+  /// How long an endpoint that turns a request away wants no further ones.
+  std::optional<std::chrono::milliseconds> mPause;
   /// Another endpoint uses the address now.
   bool mWrongEndpoint{ false };
   /// The response carries the endpoint's digest.
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -314,6 +314,13 @@
       refusal.mReason = "all endpoints are full or in cold start";
       refusal.mRetryAfter = RetryAfterFull(aAdmission, aChoice, aNow);
       break;
+    case NoEndpoint::Paused: {
+      refusal.mReason = "all endpoints asked for a pause";
+      const auto free =
+        std::chrono::ceil<milliseconds>(aChoice.mFreeAfter.value_or(Milliseconds(0)));
+      refusal.mRetryAfter = RetryAfter(free, free + kMinFullRetrySpread);
+      break;
+    }
     case NoEndpoint::Quarantined:
       refusal = RefuseQuarantined(
         *aAdmission.mRoute,
