Refuse nothing for good while the newest configuration cannot be read

Callers would see: 401 or 404 for a key or route that the newest configuration has.

Cause: a configuration that cannot be decoded was logged and skipped, and the older one went on to count as confirmed, so that it gave final answers without a bound of age.

Evidence: the test gave 401 and 404 before. The watcher now reports it, and the view does not count as current until a readable configuration is adopted: 503 with Retry-After for unknown keys and routes, all else is served as before.

"store watcher: a malformed configuration changes nothing" now expects the report of the unreadable configuration in its exact list of calls; that no configuration is adopted is checked as before.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -48,6 +48,7 @@
 
   void OnConfiguration(
     std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override;
+  void OnConfigurationUnreadable() override;
   void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override;
   void OnEndpoint(gateway::EndpointReport aReport) override;
   void OnEndpointGone(const ids::EndpointId& aId) override;
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -33,10 +33,16 @@
                      { "version", aConfiguration->mVersion } });
     }
   }
+  mControl.mStoreFreshness.RecordConfiguration(true);
   mControl.SetConfiguration(std::move(aConfiguration), mClock.Now());
   UpdateShares(mClock.Now());
 }
 
+void GatewayProcess::OnConfigurationUnreadable()
+{
+  mControl.mStoreFreshness.RecordConfiguration(false);
+}
+
 void GatewayProcess::OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut)
 {
   mControl.mDirectory.SetZoneOut(aZone, aOut, mClock.Now());
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -145,6 +145,22 @@
   CHECK(std::holds_alternative<Admission>(mControl.Admit(Metadata(), kNow + 3100ms)));
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "control: no caller is refused for good while the newest configuration is unreadable",
+  "[gateway]")
+{
+  RequestMetadata unknownKey = Metadata();
+  unknownKey.mKey = "other";
+  mControl.mStoreFreshness.RecordConfiguration(false);
+  CHECK(Refuse(unknownKey, kNow).mStatus == 503);
+  CHECK(Refuse(Metadata("/nothing/"), kNow).mStatus == 503);
+  CHECK(std::holds_alternative<Admission>(mControl.Admit(Metadata(), kNow)));
+  mControl.mStoreFreshness.RecordConfiguration(true);
+  CHECK(Refuse(unknownKey, kNow).mStatus == 401);
+  CHECK(Refuse(Metadata("/nothing/"), kNow).mStatus == 404);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "control: the deadline is the earlier of the caller's and the route's",
                  "[gateway]")
--- a/apps/tests/platform/storewatchertest.cpp
+++ b/apps/tests/platform/storewatchertest.cpp
@@ -25,6 +25,7 @@
   {
     Add("configuration " + std::to_string(aConfiguration->mVersion));
   }
+  void OnConfigurationUnreadable() override { Add("unreadable"); }
   void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override
   {
     Add((aOut ? "out " : "back ") + aZone.Str());
@@ -120,6 +121,18 @@
 
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "store watcher: a configuration that cannot be read does not go unnoticed",
+  "[platform]")
+{
+  mServer.AddScript({ Page(Item("op/config", kConfiguration), 8) });
+  mServer.AddScript({ Changes(Item("op/config", "{"), 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(2) ==
+        Calls{ "configuration 5", "full 0 0 0", "confirmed", "unreadable", "confirmed" });
+}
+
 TEST_CASE_METHOD(Fixture,
                  "store watcher: all pages are read before anything is confirmed",
                  "[platform]")
@@ -192,7 +205,7 @@
 {
   mServer.AddScript({ Page(Item("op/config", "{"), 8) });
   mServer.AddScript({ "", false, true });
-  CHECK(Run(1) == Calls{ "full 0 0 0", "confirmed" });
+  CHECK(Run(1) == Calls{ "unreadable", "full 0 0 0", "confirmed" });
   CHECK(mLog.str().find("configuration ignored") != std::string::npos);
 }
 
--- a/components/gateway/platformport.hpp
+++ b/components/gateway/platformport.hpp
@@ -33,6 +33,8 @@
   virtual ~PlatformListener() = default;
 
   virtual void OnConfiguration(std::shared_ptr<ServingConfiguration> aConfiguration) = 0;
+  /// The newest configuration cannot be read, so the one before it is out of date.
+  virtual void OnConfigurationUnreadable() = 0;
   virtual void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) = 0;
   virtual void OnEndpoint(EndpointReport aReport) = 0;
   virtual void OnEndpointGone(const ids::EndpointId& aId) = 0;
--- a/components/gateway/storefreshness.hpp
+++ b/components/gateway/storefreshness.hpp
@@ -53,6 +53,9 @@
     mHasConfirmation = true;
   }
 
+  /// Records that the newest configuration was adopted, or that it cannot be read.
+  void RecordConfiguration(bool aAdopted) { mConfigurationAdopted = aAdopted; }
+
   bool AreKeysFresh(timing::Instant aNow) const
   {
     return mHasConfirmation && aNow - mFreshAsOf < mMaxKeyStaleness;
@@ -61,7 +64,7 @@
   /// route that is not known may have been added.
   bool IsConfigurationCurrent(timing::Instant aNow) const
   {
-    return mHasConfirmation && aNow - mFreshAsOf < mChangeTime;
+    return mHasConfirmation && mConfigurationAdopted && aNow - mFreshAsOf < mChangeTime;
   }
   bool IsReady(timing::Instant aNow) const
   {
@@ -84,6 +87,7 @@
   timing::Duration mChangeTime{ std::chrono::seconds(2) };
   timing::Duration mMaxKeyStaleness{ std::chrono::seconds(4) };
   bool mHasConfirmation{ false };
+  bool mConfigurationAdopted{ true };
   timing::Instant mFreshAsOf{};
   /// When the last response was read.
   timing::Instant mLastResponse{};
