Refuse a request as too large for good only by a current configuration

Callers would see: 413 or 431, after which nobody retries, for a request that the newest configuration allows.

Cause: head and body limits of an old view, or the defaults before any configuration is known, gave final answers whatever their age, the same class as unknown keys and routes by an old view.

Evidence: the test got 431 and 413 while the newest configuration could not be read. Now 503 with Retry-After then.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -525,6 +525,25 @@
   CHECK(first.Requests().empty());
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "forward: a request is too large for good only by a current configuration",
+  "[frontend]")
+{
+  const auto all = [](const std::string&) { return false; };
+  const std::string head = Get("/safe/1", "Padding: " + std::string(20000, 'x') + "\r\n");
+  const std::string body =
+    "POST /once/1" + std::string(kCommon) + "Content-Length: 99999999\r\n\r\nbody";
+  CHECK(Call(head, all).starts_with("HTTP/1.1 431"));
+  CHECK(Call(body, all).starts_with("HTTP/1.1 413"));
+  mControl.mStoreFreshness.RecordConfiguration(false);
+  for (const std::string& request : { head, body }) {
+    const std::string response = Call(request, all);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(Contains(response, "Retry-After: "));
+  }
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "forward: requests with a prompt part under which five endpoints ended reach no more",
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -113,7 +113,10 @@
   }
   mState = State::Serving;
   if (ec) {
-    const std::optional<gateway::Refusal> refusal = ResponseToUnreadable(ec);
+    std::optional<gateway::Refusal> refusal = ResponseToUnreadable(ec);
+    if (ec == http::error::header_limit || ec == http::error::body_limit) {
+      refusal = mContext.mControl.RefuseTooLarge(*refusal, mContext.mClock.Now());
+    }
     if (refusal) {
       co_await Refuse(gateway::RequestMetadata(), *refusal, false);
     }
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -115,36 +115,45 @@
   return aRoute.mServices.back().mService;
 }
 
+Refusal TrafficControl::RefuseInOutage(std::string aReason)
+{
+  Refusal refusal;
+  refusal.mReason = std::move(aReason);
+  refusal.mRetryAfter = RetryAfter(kMinOutageRetry, kMaxOutageRetry);
+  return refusal;
+}
+
+Refusal TrafficControl::RefuseTooLarge(Refusal aRefusal, timing::Instant aNow)
+{
+  return mConfiguration && mStoreFreshness.IsConfigurationCurrent(aNow)
+           ? aRefusal
+           : RefuseInOutage("the configuration may be out of date");
+}
+
 std::variant<Admission, Refusal> TrafficControl::Admit(RequestMetadata aMetadata,
                                                        timing::Instant aNow)
 {
-  const auto outage = [this](std::string aReason) {
-    Refusal refusal;
-    refusal.mReason = std::move(aReason);
-    refusal.mRetryAfter = RetryAfter(kMinOutageRetry, kMaxOutageRetry);
-    return refusal;
-  };
   if (aNow >= mRefuseFrom) {
-    return outage("this entry stops");
+    return RefuseInOutage("this entry stops");
   }
   if (!mConfiguration) {
-    return outage("no configuration is known yet");
+    return RefuseInOutage("no configuration is known yet");
   }
   // An unknown route or key may have been added by a change that is not known yet.
   const bool current = mStoreFreshness.IsConfigurationCurrent(aNow);
   const Route* route = mConfiguration->FindRoute(aMetadata.mHost, aMetadata.mPath);
   if (route == nullptr) {
     return current ? Refusal{ 404, "no route matches", {}, {}, {}, 0.0 }
-                   : outage("the configuration may be out of date");
+                   : RefuseInOutage("the configuration may be out of date");
   }
   const ClientAccount* account = nullptr;
   if (!mConfiguration->mAccounts.empty() && !route->mPublic) {
     if (!mStoreFreshness.AreKeysFresh(aNow)) {
-      return outage("keys may be out of date");
+      return RefuseInOutage("keys may be out of date");
     }
     account = mConfiguration->FindAccountOfKey(aMetadata.mKey);
     if (account == nullptr && !current) {
-      return outage("the configuration may be out of date");
+      return RefuseInOutage("the configuration may be out of date");
     }
     if (account == nullptr) {
       return Refusal{ 401, "the key is not known", {}, route->mName, {}, 0.0 };
@@ -153,7 +162,7 @@
   const Service* service =
     route->mServices.empty() ? nullptr : mConfiguration->FindService(PickService(*route));
   if (service == nullptr) {
-    return outage("the route has no service");
+    return RefuseInOutage("the route has no service");
   }
   const auto blockedUntil = mQuarantine.BlockedUntil(aMetadata.mPromptParts, aNow);
   const bool tests = blockedUntil && mQuarantine.TryTest(aMetadata.mPromptParts, aNow);
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -111,6 +111,10 @@
   /// Admits or rejects a request.
   std::variant<Admission, Refusal> Admit(RequestMetadata aMetadata, timing::Instant aNow);
 
+  /// Returns aRefusal, of a request that exceeds a limit of the configuration, or a
+  /// refusal for now if the limit may be out of date.
+  Refusal RefuseTooLarge(Refusal aRefusal, timing::Instant aNow);
+
   /// Chooses the endpoint of the next attempt and adds the attempt to its load.
   Choice Begin(const Admission& aAdmission,
                const std::vector<ids::EndpointId>& aTried,
@@ -179,6 +183,9 @@
   void Tick(timing::Instant aNow);
 
 private:
+  /// Refuses a request for now, since this process or its view of the store is not able
+  /// to serve it.
+  Refusal RefuseInOutage(std::string aReason);
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aMin,
                                        std::chrono::milliseconds aMax);
   /// Returns true if the request must not be sent since a part of its prompt is in
