--- a/apps/tests/processes/childprocess.cpp
+++ b/apps/tests/processes/childprocess.cpp
@@ -113,6 +113,15 @@
   }
 }
 
+void ChildProcess::Pause() const
+{
+  Signal(SIGSTOP);
+  siginfo_t info{};
+  while (!mStatus && waitid(P_PID, static_cast<id_t>(mId), &info, WSTOPPED) != 0 &&
+         errno == EINTR) {
+  }
+}
+
 void ChildProcess::Reap(int aOptions)
 {
   int status = 0;
--- a/apps/tests/processes/childprocess.hpp
+++ b/apps/tests/processes/childprocess.hpp
@@ -33,6 +33,8 @@
   std::string ReadAll();
 
   void Signal(int aSignal) const;
+  /// Stops the program and waits until none of its threads runs any more.
+  void Pause() const;
   bool IsRunning();
   /// Waits for the end and returns the exit status, or the negated signal number; nothing
   /// if the program still runs after the limit.
--- a/apps/tests/processes/outagetest.cpp
+++ b/apps/tests/processes/outagetest.cpp
@@ -103,7 +103,7 @@
   const ChatRequest request{ .mPrompt = "before" };
   REQUIRE(Eventually([&] { return IsWhole(before.Chat(request), request); }));
 
-  deployment.Process("entry-1").Signal(SIGSTOP);
+  deployment.Process("entry-1").Pause();
   std::vector<ChatReply> replies(4);
   std::vector<std::jthread> callers;
   callers.reserve(replies.size());
@@ -135,7 +135,7 @@
             key,
             { .mTokens = 60, .mStream = GENERATE(false, true) });
   load.AwaitMore(12);
-  deployment.Process("engine-1").Signal(SIGSTOP);
+  deployment.Process("engine-1").Pause();
   load.AwaitMore(12);
   deployment.Process("engine-1").Signal(SIGCONT);
   load.AwaitMore(12);
