--- a/apps/tests/gateway/promptquarantinetest.cpp
+++ b/apps/tests/gateway/promptquarantinetest.cpp
@@ -43,6 +43,7 @@
   {
     for (const std::vector<std::uint64_t>& shared : aShared) {
       std::vector<PromptPart> parts;
+      parts.reserve(shared.size() + 1);
       for (const std::uint64_t part : shared) {
         parts.push_back({ part, 10 });
       }
--- a/components/gateway/promptquarantine.cpp
+++ b/components/gateway/promptquarantine.cpp
@@ -207,6 +207,8 @@
   mParts.erase(aPart);
   if (mRecords.contains(aPart)) {
     mLifted.insert_or_assign(aPart, aNow);
+  } else {
+    mRecordTriedAt.erase(aPart);
   }
   DropOutgoing<std::uint64_t>([aPart](std::uint64_t aSaid) { return aSaid == aPart; });
   mChanges.push_back({ aPart, false, aReason, mEvidence.CrashesOf(aPart) });
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace samphiresail::gateway {
 
@@ -126,7 +127,7 @@
 Refusal TrafficControl::RefuseTooLarge(Refusal aRefusal, timing::Instant aNow)
 {
   return mConfiguration && mStoreFreshness.IsConfigurationCurrent(aNow)
-           ? aRefusal
+           ? std::move(aRefusal)
            : RefuseInOutage("the configuration may be out of date");
 }
 
