--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -282,8 +282,8 @@
       break;
     }
     if (facts.mId.Empty() && (facts.mNotRun || facts.mWrongEndpoint)) {
-      // Only the first response of a connection belongs to a known request without its
-      // identifier.
+      // Without an identifier, only the first response of a connection is certainly the
+      // one to this request.
       if (aBackend.mUsedBefore || stale > 0) {
         co_return Result::Failed;
       }
