Log each connection of a caller that the entry closes without a response

A connection that was idle for too long, or whose request came too slowly, was closed without a line, so the logs could not tell whether a request had been read in part.

--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -76,6 +76,7 @@
   const bool slow =
     mState == State::Reading && aNow - mStateSince >= Limits().mHeaderTimeout;
   if (idleOver || slow) {
+    LogClosed(slow ? "the request arrived too slowly" : "idle", aNow);
     CloseSocket(mSocket);
   }
 }
@@ -200,6 +201,18 @@
   co_return !ec && aKeepAlive;
 }
 
+void CallerSession::LogClosed(std::string_view aReason, timing::Instant aNow)
+{
+  ErrorCode ec;
+  mContext.mLogger.Info("caller's connection closed",
+                        { { "reason", aReason },
+                          { "requests_served", mRequestsServed },
+                          { "since_ms", Millis(aNow - mStateSince) },
+                          { "bytes_buffered", mBuffer.size() },
+                          { "bytes_unread", mSocket.available(ec) },
+                          { "draining", mDraining } });
+}
+
 void CallerSession::LogRefusal(const gateway::RequestMetadata& aFacts,
                                const gateway::Refusal& aRefusal)
 {
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_CALLERSESSION_HPP
 
 #include <memory>
+#include <string_view>
 
 #include "components/frontend/forwarder.hpp"
 
@@ -38,6 +39,8 @@
   asio::awaitable<void> WatchForDisconnect(Exchange& aExchange,
                                            std::uint64_t aRequestsServed);
   const gateway::CallerLimits& Limits() const;
+  /// Logs that this entry closes the connection without a response.
+  void LogClosed(std::string_view aReason, timing::Instant aNow);
   void LogRefusal(const gateway::RequestMetadata& aFacts,
                   const gateway::Refusal& aRefusal);
   void LogRequest(const Exchange& aExchange, const Forwarder& aForwarder);
