--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace samphiresail::frontend::testing {
 
@@ -13,6 +14,9 @@
 
 const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
 const ids::ServiceId kService("s");
+/// Time between two ticks, by the fixture's clock and in real time.
+constexpr std::chrono::milliseconds kTickStep{ 20 };
+constexpr std::chrono::milliseconds kTickPause{ 1 };
 
 /// Returns a currently unused port of the loopback address.
 std::uint16_t FreePort(asio::io_context& aIo)
@@ -107,6 +111,9 @@
       co_return;
     }
     co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
+    if (!ec && !script.mLater.empty()) {
+      ec = co_await SendLater(aSocket, script);
+    }
     if (script.mCrash) {
       mAcceptor.close(ec);
       co_return;
@@ -117,6 +124,20 @@
   }
 }
 
+asio::awaitable<ErrorCode> ScriptedEndpoint::SendLater(tcp::socket& aSocket,
+                                                       const Script& aScript)
+{
+  ErrorCode ec;
+  for (const auto& [pause, bytes] : aScript.mLater) {
+    const timing::Instant at = mClock->Now() + pause;
+    while (mClock->Now() < at) {
+      co_await mTick->Wait();
+    }
+    co_await asio::async_write(aSocket, asio::buffer(bytes), RedirectError(ec));
+  }
+  co_return ec;
+}
+
 Fixture::Fixture()
   : mContext{ mIo,        mClock,  mDialect, mControl, mBackends,
               mExchanges, mLogger, mMetrics, mSignal,  [](const auto&) {} }
@@ -133,6 +154,7 @@
 ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId, const std::string& aZone)
 {
   mEndpoints.push_back(std::make_unique<ScriptedEndpoint>(mIo));
+  mEndpoints.back()->MeasurePausesBy(mClock, mSignal);
   gateway::EndpointReport report;
   report.mId = ids::EndpointId(aId);
   report.mIncarnation = 1;
@@ -144,6 +166,47 @@
   return *mEndpoints.back();
 }
 
+void Fixture::StartTicks()
+{
+  asio::co_spawn(
+    mIo, [this] { return TickLoop(); }, asio::detached);
+}
+
+asio::awaitable<void> Fixture::TickLoop()
+{
+  asio::steady_timer timer(mIo);
+  for (;;) {
+    ErrorCode ec;
+    timer.expires_after(kTickPause);
+    co_await timer.async_wait(RedirectError(ec));
+    mClock.Skip(kTickStep - kTickPause);
+    const timing::Instant now = mClock.Now();
+    mControl.mStoreFreshness.ConfirmUpTo(now);
+    mExchanges.Tick(now,
+                    { [&](const Exchange& aExchange) {
+                       return mControl.IsStalled(
+                         aExchange.mAdmission, aExchange.mAttempt, now);
+                     },
+                      [&](const Exchange& aExchange) {
+                        return mControl.TrySpendRetry(
+                          aExchange.mAdmission, aExchange.mAttemptsSent, now);
+                      } });
+    mListener->Tick(now);
+    mSignal.Notify();
+  }
+}
+
+void Fixture::ChangeConfiguration(
+  const std::function<void(gateway::ServingConfiguration&)>& aChange)
+{
+  auto configuration =
+    std::make_shared<gateway::ServingConfiguration>(*mControl.Configuration());
+  ++configuration->mVersion;
+  aChange(*configuration);
+  configuration->Index();
+  mControl.SetConfiguration(std::move(configuration), mClock.Now());
+}
+
 std::string Fixture::Call(const std::string& aBytes,
                           const std::function<bool(const std::string&)>& aIsComplete)
 {
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -30,10 +30,19 @@
     /// Ends the endpoint after the bytes: all its connections close, and new ones are
     /// refused.
     bool mCrash{ false };
+    /// Bytes that follow, each after a pause; needs MeasurePausesBy().
+    std::vector<std::pair<timing::Duration, std::string>> mLater;
   };
 
   explicit ScriptedEndpoint(asio::io_context& aIo);
 
+  /// Pauses in responses end at the first tick after their time by the clock.
+  void MeasurePausesBy(const timing::Clock& aClock, Signal& aTick)
+  {
+    mClock = &aClock;
+    mTick = &aTick;
+  }
+
   void AddScript(const Script& aScript) { mScripts.push_back(aScript); }
   std::uint16_t Port() const { return mPort; }
   /// Heads and bodies of the received requests.
@@ -47,7 +56,11 @@
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(tcp::socket aSocket);
 
+  asio::awaitable<ErrorCode> SendLater(tcp::socket& aSocket, const Script& aScript);
+
   asio::io_context& mIo;
+  const timing::Clock* mClock{ nullptr };
+  Signal* mTick{ nullptr };
   tcp::acceptor mAcceptor;
   std::uint16_t mPort;
   std::deque<Script> mScripts;
@@ -56,6 +69,19 @@
   int mConnections{ 0 };
 };
 
+/// Clock that the tests can set forward.
+class SkippingClock final : public timing::Clock
+{
+public:
+  timing::Instant Now() const override { return mSystem.Now() + mSkipped; }
+  timing::WallTime WallNow() const override { return mSystem.WallNow(); }
+  void Skip(timing::Duration aTime) { mSkipped += aTime; }
+
+private:
+  timing::SystemClock mSystem;
+  timing::Duration mSkipped{ 0 };
+};
+
 /// The HTTP front end of an entry on the loopback address, with one service of scripted
 /// endpoints.
 class Fixture
@@ -80,11 +106,22 @@
   /// tick does.
   void RunDuringCall(const std::function<void()>& aChange);
 
+  /// Runs the periodic tick during calls. The clock is faster than the time of the test.
+  void StartTicks();
+
+  /// Replaces the configuration by one that aChange has changed.
+  void ChangeConfiguration(
+    const std::function<void(gateway::ServingConfiguration&)>& aChange);
+
+  std::string Log() const { return mLog.str(); }
+
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
 
 private:
+  asio::awaitable<void> TickLoop();
+
   asio::io_context mIo{ 1 };
-  timing::SystemClock mClock;
+  SkippingClock mClock;
   std::ostringstream mLog;
   logging::Logger mLogger{ "test", logging::Level::Info, mLog };
   metrics::Registry mRegistry;
