Keep a request at a silent endpoint until another endpoint has accepted it

Callers lost streams, or got 502, when a sound endpoint was silent for a second or so: the entry ended the attempt first and looked for another endpoint afterwards, and often found none, as the model was loaded nowhere else or all others were full.

Cause: the time limits of an attempt ended it, where the silence of an endpoint is only a reason to ask another one too. Now the current attempt goes on while a standby is sent to another endpoint. The standby takes over once that endpoint has begun a response, or has not refused the request for 250 ms; it is dropped when the current attempt brings anything. If there is no other endpoint, or it refuses, fails or cannot be reached, the current attempt goes on and the search is repeated. Events that arrive after the standby has taken over are not forwarded, so that no event comes twice.

The state of an attempt is an object of its own, as there may be two.

Those of the tick are replaced: it ends no attempt for silence any more, whether or not a retry is granted.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -167,15 +167,9 @@
 
 void GatewayProcess::Tick(timing::Instant aNow)
 {
-  mExchanges.Tick(aNow,
-                  { [&](const frontend::Exchange& aExchange) {
-                     return mControl.IsStalled(
-                       aExchange.mAdmission, aExchange.mAttempt, aNow);
-                   },
-                    [&](const frontend::Exchange& aExchange) {
-                      return mControl.TrySpendRetry(
-                        aExchange.mAdmission, aExchange.mAttemptsSent, aNow);
-                    } });
+  mExchanges.Tick(aNow, [&](const frontend::Exchange& aExchange) {
+    return mControl.IsStalled(aExchange.mAdmission, aExchange.mCurrent->mAttempt, aNow);
+  });
   mCallers.Tick(aNow);
   mControl.Tick(aNow);
   mPeers.Tick(aNow);
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -184,7 +184,7 @@
       co_return;
     }
     aExchange.mCallerDisconnected = true;
-    aExchange.AbortAttempt();
+    aExchange.AbortAttempts();
     co_return;
   }
 }
@@ -237,7 +237,7 @@
 {
   const gateway::Admission& admission = aExchange.mAdmission;
   const auto& tried = aExchange.mTried;
-  const gateway::Attempt& attempt = aExchange.mAttempt;
+  const gateway::Attempt& attempt = aExchange.mCurrent->mAttempt;
   mContext.mLogger.Info(
     "request",
     { { "request", admission.mMetadata.mId.Str() },
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -2,28 +2,46 @@
 
 namespace samphiresail::frontend {
 
-void ExchangeTable::Tick(timing::Instant aNow, const Decisions& aDecisions)
+void ExchangeTable::EndAtDeadline(Exchange& aExchange, timing::Instant aNow)
+{
+  aExchange.mDeadlineExceeded = true;
+  aExchange.AbortAttempts();
+  if (aNow >= aExchange.mAdmission.mDeadline + kWriteGrace &&
+      aExchange.mCaller != nullptr) {
+    CloseSocket(*aExchange.mCaller);
+  }
+}
+
+void ExchangeTable::Tick(timing::Instant aNow, const IsSilent& aIsSilent)
 {
   for (Exchange* exchange : mExchanges) {
     if (aNow >= exchange->mAdmission.mDeadline) {
-      exchange->mDeadlineExceeded = true;
-      exchange->AbortAttempt();
-      if (aNow >= exchange->mAdmission.mDeadline + kWriteGrace &&
-          exchange->mCaller != nullptr) {
-        CloseSocket(*exchange->mCaller);
-      }
+      EndAtDeadline(*exchange, aNow);
       continue;
     }
-    const bool overdue = aNow >= exchange->mAttemptDeadline;
-    const bool silent = exchange->mBackend != nullptr && !exchange->mConnecting &&
-                        !exchange->mRetryGranted && aDecisions.mIsSilent(*exchange);
-    if (overdue || silent) {
-      exchange->mAttemptDeadline = timing::Instant::max();
-      if (exchange->mConnecting || aDecisions.mTrySpendRetry(*exchange)) {
-        exchange->mRetryGranted = !exchange->mConnecting;
-        exchange->AbortAttempt();
+    AttemptState& current = *exchange->mCurrent;
+    if (AttemptState* standby = exchange->mStandby.get();
+        standby != nullptr && aNow >= standby->mDeadline) {
+      standby->mDeadline = timing::Instant::max();
+      if (standby->mConnecting) {
+        standby->Close();
+      } else {
+        // An endpoint refuses at once or not at all.
+        exchange->HandOver();
       }
     }
+    if (current.mConnecting) {
+      if (aNow >= current.mDeadline) {
+        current.Close();
+      }
+      continue;
+    }
+    const bool silent = aNow >= current.mDeadline || aIsSilent(*exchange);
+    if (current.mInFlight && silent && exchange->mStandby == nullptr &&
+        exchange->mStartStandby && aNow >= exchange->mNextStandbyAt) {
+      exchange->mNextStandbyAt = aNow + kStandbyInterval;
+      exchange->mStartStandby();
+    }
   }
 }
 
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -2,12 +2,13 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_EXCHANGE_HPP
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "components/frontend/backendpool.hpp"
+#include "components/frontend/attemptstate.hpp"
 #include "components/gateway/eventsplitter.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 
@@ -24,8 +25,15 @@
 
   gateway::Admission mAdmission;
   std::vector<ids::EndpointId> mTried;
-  /// The current attempt, or the last one.
-  gateway::Attempt mAttempt;
+  /// The attempt whose response the caller receives, or the last one.
+  std::shared_ptr<AttemptState> mCurrent{ std::make_shared<AttemptState>() };
+  /// Attempt at another endpoint while the current one is silent. It becomes the current
+  /// one once its endpoint has accepted the request, and not before.
+  std::shared_ptr<AttemptState> mStandby;
+  /// No standby is looked for before this instant.
+  timing::Instant mNextStandbyAt{};
+  /// Looks for a standby; empty while the request may not be sent to another endpoint.
+  std::function<void()> mStartStandby;
   /// Time that the request waited at this entry for an endpoint.
   timing::Duration mQueued{ 0 };
   /// Time from the arrival of the request to the first event of its stream.
@@ -36,34 +44,22 @@
   bool mMayHaveRun{ false };
   bool mCallerDisconnected{ false };
   bool mDeadlineExceeded{ false };
-  /// The current attempt exceeded mAttemptDeadline, and another one may follow.
-  bool mRetryGranted{ false };
-  timing::Instant mAttemptDeadline{ timing::Instant::max() };
-  /// The current attempt is still connecting; nothing was sent.
-  bool mConnecting{ false };
-  /// The head of a response to the current attempt has arrived.
-  bool mResponseBegan{ false };
-  /// The response to the current attempt has neither a length nor chunks, so that it ends
-  /// with its connection.
-  bool mResponseHasNoLength{ false };
-  /// Blocks of events that the current attempt has brought.
-  std::size_t mAttemptEvents{ 0 };
   /// An attempt was answered beyond its first event.
   bool mAnswered{ false };
-  /// Error that ended the connection of the current attempt, if any.
-  ErrorCode mAttemptError;
-  /// Connection of the current attempt, so that AbortAttempt() can close it.
-  BackendConnection* mBackend{ nullptr };
   tcp::socket* mCaller{ nullptr };
   /// The head of a streamed response was sent to the caller.
   bool mResponseHeadSent{ false };
   gateway::EventSplitter mEvents;
 
-  /// Closes the connection of the current attempt; its coroutine receives an error.
-  void AbortAttempt()
+  /// Ends the current attempt in favour of the standby, whose endpoint has the request.
+  void HandOver() { mCurrent->Abort(); }
+  /// True if the current attempt was ended in favour of the standby.
+  bool IsHandedOver() const { return mStandby != nullptr && mCurrent->mAborted; }
+  void AbortAttempts()
   {
-    if (mBackend != nullptr) {
-      CloseSocket(mBackend->mSocket);
+    mCurrent->Abort();
+    if (mStandby != nullptr) {
+      mStandby->Abort();
     }
   }
 };
@@ -76,26 +72,25 @@
   /// Time after the deadline at which the connection of a caller that reads no bytes is
   /// closed.
   static constexpr timing::Duration kWriteGrace = std::chrono::milliseconds(200);
+  /// Pause between two searches for a standby of one request.
+  static constexpr timing::Duration kStandbyInterval = std::chrono::milliseconds(200);
 
   void Add(Exchange* aExchange) { mExchanges.insert(aExchange); }
   void Remove(Exchange* aExchange) { mExchanges.erase(aExchange); }
   std::size_t Size() const { return mExchanges.size(); }
-  /// Decisions on exchanges in progress.
-  struct Decisions
-  {
-    /// Returns true if the endpoint of the current attempt has been silent for so long
-    /// that another one should be tried.
-    std::function<bool(const Exchange&)> mIsSilent;
-    /// Returns true if the request may be sent to another endpoint, and spends one retry.
-    std::function<bool(const Exchange&)> mTrySpendRetry;
-  };
 
-  /// Ends requests past their deadline. An attempt past its own deadline, or at a silent
-  /// endpoint, is aborted only if it is still connecting or another attempt is granted;
-  /// otherwise it continues, since a silent endpoint may still respond.
-  void Tick(timing::Instant aNow, const Decisions& aDecisions);
+  /// Returns true if the endpoint of the current attempt has been silent for so long that
+  /// another one should be tried.
+  using IsSilent = std::function<bool(const Exchange&)>;
+
+  /// Ends requests past their deadline. An attempt past its own deadline is ended only
+  /// while it connects. One that waits for a response goes on, since a silent endpoint
+  /// may still respond, and a standby is looked for.
+  void Tick(timing::Instant aNow, const IsSilent& aIsSilent);
 
 private:
+  static void EndAtDeadline(Exchange& aExchange, timing::Instant aNow);
+
   std::set<Exchange*> mExchanges;
 };
 
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -1,11 +1,11 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_FORWARDER_HPP
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_FORWARDER_HPP
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "components/frontend/attemptrequest.hpp"
 #include "components/frontend/backendpool.hpp"
@@ -79,42 +79,70 @@
   /// Begins an attempt; waits until WaitDeadline() if only an adapter or a free engine is
   /// missing.
   asio::awaitable<gateway::Choice> Choose();
-  asio::awaitable<Result> RunAttempt(const settings::SocketAddress& aAddress);
-  asio::awaitable<std::unique_ptr<BackendConnection>> Connect(
-    const ids::EndpointId& aEndpoint,
-    const settings::SocketAddress& aAddress);
-  asio::awaitable<Result> SendAndReceive(BackendConnection& aBackend, bool& aReusable);
-  using ResponseParser = http::response_parser<http::buffer_body>;
-  asio::awaitable<bool> ReadResponseHead(BackendConnection& aBackend,
-                                         std::optional<ResponseParser>& aParser,
-                                         gateway::ResponseMetadata& aFacts);
+  /// Runs the current attempt to its end. aTakesOver: it was the standby until now, and
+  /// SeekStandby() reads the head of its response.
+  asio::awaitable<Result> RunAttempt(bool aTakesOver);
+  std::shared_ptr<AttemptState> MakeAttempt(const gateway::Choice& aChoice);
+  /// Connects to the attempt's endpoint, sends the request and reads the head of the
+  /// response; mHead of the attempt holds the outcome. The attempt's deadline is
+  /// aTimeout after the request was sent.
+  asio::awaitable<void> RequestHead(AttemptState& aAttempt, timing::Duration aTimeout);
+  /// Opens a connection or takes an idle one. Returns false if there is none, or if the
+  /// endpoint was withdrawn meanwhile.
+  asio::awaitable<bool> Connect(AttemptState& aAttempt);
+  /// Reads heads until the one that belongs to the request.
+  asio::awaitable<AttemptState::Head> ReadOwnHead(AttemptState& aAttempt);
+  asio::awaitable<bool> ReadResponseHead(AttemptState& aAttempt);
+  /// Records what the head of the response says of the endpoint.
+  void ObserveHead(AttemptState& aAttempt, bool aNotRun);
+  /// Forwards the response to the current attempt, whose head has been read.
+  asio::awaitable<Result> ForwardResponse(AttemptState& aAttempt);
   /// Reads the part of a body that has arrived; the view is valid until the next read.
-  asio::awaitable<ErrorCode> ReadSome(BackendConnection& aBackend,
-                                      ResponseParser& aParser,
-                                      std::string_view& aRead);
-  asio::awaitable<bool> DiscardBody(BackendConnection& aBackend, ResponseParser& aParser);
-  asio::awaitable<Result> ForwardBufferedResponse(BackendConnection& aBackend,
-                                                  ResponseParser& aParser);
-  asio::awaitable<Result> ForwardEventStream(BackendConnection& aBackend,
-                                             ResponseParser& aParser);
+  static asio::awaitable<ErrorCode> ReadSome(AttemptState& aAttempt,
+                                             std::string_view& aRead);
+  static asio::awaitable<bool> DiscardBody(AttemptState& aAttempt);
+  asio::awaitable<Result> ForwardBufferedResponse(AttemptState& aAttempt);
+  asio::awaitable<Result> ForwardEventStream(AttemptState& aAttempt);
+  /// Records how an attempt ended and keeps its connection if it can be used again.
+  void EndAttempt(AttemptState& aAttempt, Result aResult);
+
+  /// Starts SeekStandby() unless it runs.
+  void StartStandby();
+  /// Sends the request to another endpoint while the current one is silent, and ends the
+  /// current attempt once that endpoint has accepted the request.
+  asio::awaitable<void> SeekStandby();
+  /// Ends the standby, since the current attempt goes on.
+  void DropStandby();
+  /// Ends the standby and waits until nothing refers to this object any more.
+  asio::awaitable<void> EndStandby();
+
   asio::awaitable<bool> SendLocalResponse(const gateway::Refusal& aRefusal);
   /// Sends the final response. aChoice is the last choice of an endpoint, for the reason
   /// and the retry time of a refusal.
   asio::awaitable<bool> Finish(Result aResult, const gateway::Choice& aChoice);
   asio::awaitable<bool> WriteToCaller(std::string aBytes);
 
+  /// Records how a standby that did not take over ended.
+  void EndStandbyAttempt(AttemptState& aStandby);
+  /// Logs a step of a standby beside the current attempt.
+  void LogStandby(std::string_view aMessage, const AttemptState& aStandby);
   /// Logs that an endpoint did not run the request, with the load reported for it.
-  void LogNotRun(unsigned aStatus, const gateway::ResponseMetadata& aFacts);
+  void LogNotRun(const AttemptState& aAttempt);
   /// Logs that the endpoint's response to an attempt broke off or never came.
-  void LogBrokenAttempt();
+  void LogBrokenAttempt(const AttemptState& aAttempt);
   /// Learns from a response that broke off whether its endpoint has ended.
-  void RecordBrokenAttempt(const settings::SocketAddress& aAddress);
+  void RecordBrokenAttempt(const AttemptState& aAttempt);
   /// Records that the request was answered beyond its first event.
   void RecordAnswered();
   /// Records the first event of a stream, for the caller and for the forecasts.
-  void RecordFirstEvent();
+  void RecordFirstEvent(AttemptState& aAttempt);
   bool IsIrreversible() const { return !mExchange.mAdmission.mRoute->IsRetryable(); }
-  void SetAttemptDeadline(timing::Duration aTimeout);
+  bool IsAborted() const
+  {
+    return mExchange.mCallerDisconnected || mExchange.mDeadlineExceeded;
+  }
+  /// How long an endpoint may take to begin its response before another one is tried.
+  timing::Duration ResponseTimeout() const;
   void SetOutcome(std::string aOutcome) { mOutcome = std::move(aOutcome); }
 
   FrontendContext& mContext;
@@ -128,8 +156,10 @@
   /// succeeds.
   std::string mFailureResponse;
   unsigned mFailureStatus{ 0 };
-  /// Buffer for bytes read from an endpoint.
-  std::array<char, 8192> mBytes{};
+  /// SeekStandby() runs.
+  bool mSeeksStandby{ false };
+  /// Notified when SeekStandby() has a result or ends.
+  std::optional<Signal> mStandbyChanged;
 };
 
 }
--- /dev/null
+++ b/components/frontend/forwarderstandby.cpp
@@ -0,0 +1,142 @@
+#include "components/frontend/forwarder.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace samphiresail::frontend {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time after which an endpoint that has not refused a request has accepted it. Two
+/// endpoints work on one request for no longer.
+constexpr milliseconds kAcceptTime{ 250 };
+/// Pause in the search for a standby once the retry budget is spent.
+constexpr milliseconds kNoRetryPause{ 1000 };
+
+/// True if the response is worth more than waiting for a silent endpoint.
+bool IsAnswer(const AttemptState& aAttempt)
+{
+  const auto status = http::to_status_class(aAttempt.mParser->get().result());
+  return status == http::status_class::successful
+           ? aAttempt.mFacts.mHasResponseDigest
+           : status != http::status_class::server_error;
+}
+
+}
+
+void Forwarder::StartStandby()
+{
+  if (mSeeksStandby) {
+    return;
+  }
+  mSeeksStandby = true;
+  if (!mStandbyChanged) {
+    mStandbyChanged.emplace(mContext.mIo);
+  }
+  asio::co_spawn(
+    mContext.mIo, [this] { return SeekStandby(); }, asio::detached);
+}
+
+asio::awaitable<void> Forwarder::SeekStandby()
+{
+  gateway::TrafficControl& control = mContext.mControl;
+  const gateway::Admission& admission = mExchange.mAdmission;
+  bool refused = true;
+  while (refused && mExchange.mCurrent->mInFlight && !mExchange.mCurrent->mAborted) {
+    const timing::Instant now = mContext.mClock.Now();
+    const gateway::Choice choice = control.Begin(admission, mExchange.mTried, now);
+    if (choice.mEndpoint == nullptr) {
+      if (choice.mReason == gateway::NoEndpoint::AdapterAbsent) {
+        mContext.mOnWaitingForAdapter(admission.mMetadata);
+      }
+      break;
+    }
+    if (!control.TrySpendRetry(admission, mExchange.mAttemptsSent, now)) {
+      control.End(choice.mAttempt, gateway::AttemptEnd::Abandoned, now);
+      mExchange.mNextStandbyAt = now + kNoRetryPause;
+      break;
+    }
+    const std::shared_ptr<AttemptState> standby = MakeAttempt(choice);
+    mExchange.mStandby = standby;
+    mContext.mMetrics.mRetries.Increment();
+    LogStandby("endpoint is silent, another one is tried", *standby);
+    co_await RequestHead(*standby, kAcceptTime);
+    if (mExchange.mCurrent == standby) {
+      break;
+    }
+    refused = standby->mHead == AttemptState::Head::Refused ||
+              standby->mHead == AttemptState::Head::Unreachable;
+    const bool accepted =
+      standby->mHead == AttemptState::Head::Arrived && IsAnswer(*standby);
+    if (mExchange.mStandby == standby && (accepted || mExchange.mCurrent->mAborted)) {
+      mExchange.HandOver();
+      break;
+    }
+    DropStandby();
+    EndStandbyAttempt(*standby);
+  }
+  mSeeksStandby = false;
+  mStandbyChanged->Notify();
+}
+
+void Forwarder::DropStandby()
+{
+  if (mExchange.mStandby != nullptr) {
+    std::exchange(mExchange.mStandby, nullptr)->Abort();
+  }
+}
+
+asio::awaitable<void> Forwarder::EndStandby()
+{
+  mExchange.mStartStandby = nullptr;
+  const std::shared_ptr<AttemptState> standby = mExchange.mStandby;
+  const bool seeks = mSeeksStandby;
+  DropStandby();
+  while (mSeeksStandby) {
+    co_await mStandbyChanged->Wait();
+  }
+  if (standby != nullptr && !seeks) {
+    EndStandbyAttempt(*standby);
+  }
+}
+
+void Forwarder::EndStandbyAttempt(AttemptState& aStandby)
+{
+  if (aStandby.mInFlight && aStandby.mHead != AttemptState::Head::Refused) {
+    mExchange.mMayHaveRun = true;
+  }
+  switch (aStandby.mHead) {
+    case AttemptState::Head::Refused:
+      EndAttempt(aStandby, Result::NotRun);
+      break;
+    case AttemptState::Head::Unreachable:
+      EndAttempt(aStandby, Result::Unreachable);
+      break;
+    case AttemptState::Head::Awaited:
+    case AttemptState::Head::Arrived:
+    case AttemptState::Head::Failed:
+      EndAttempt(aStandby, Result::Failed);
+      break;
+  }
+}
+
+void Forwarder::LogStandby(std::string_view aMessage, const AttemptState& aStandby)
+{
+  const AttemptState& current = *mExchange.mCurrent;
+  const timing::Duration since = mContext.mClock.Now() - current.mAttempt.mSentAt;
+  mContext.mLogger.Info(
+    aMessage,
+    { { "request", mExchange.mAdmission.mMetadata.mId.Str() },
+      { "endpoint", current.mAttempt.mEndpoint.Str() },
+      { "other_endpoint", aStandby.mAttempt.mEndpoint.Str() },
+      { "events", current.mEvents },
+      { "sent_ms_ago",
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count() } });
+}
+
+}
