Let connections outlive two seconds of silence of their peer

Callers that read nothing for 1.5 s lost the rest of their answer, and requests that were sent to an endpoint just as it fell silent ended with 502 or a cut stream ("Connection timed out").

Cause: data that stayed unacknowledged for 1.5 s ended the connection, which is less than a sound peer's silence, with the pauses after which TCP sends again. The limit is 5 s now: whether an endpoint is silent is decided by the attempt, which another endpoint takes over, and an end of the peer shows without it.

The test failed before: the caller got 4,096 bytes of 7,340,032.

--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -256,3 +256,16 @@
     CHECK(Contains(response, "Retry-After: "));
   }
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a caller that reads nothing for two seconds gets its answer",
+                 "[frontend]")
+{
+  // More than the buffers of both ends hold.
+  const std::string body(7U << 20U, 'x');
+  AddEndpoint("e1").AddScript({ ResponseWithDigest("r1", body) });
+  const std::string response =
+    CallAndReadLate(Get("/safe/1"), std::chrono::milliseconds(2200), HasHeadAndBody);
+  CHECK(response.size() > body.size());
+  CHECK(HasHeadAndBody(response));
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -204,14 +204,38 @@
 std::string Fixture::Call(const std::string& aBytes,
                           const std::function<bool(const std::string&)>& aIsComplete)
 {
+  return RunCaller(aBytes, std::chrono::milliseconds(0), aIsComplete);
+}
+
+std::string Fixture::CallAndReadLate(
+  const std::string& aBytes,
+  std::chrono::milliseconds aPause,
+  const std::function<bool(const std::string&)>& aIsComplete)
+{
+  return RunCaller(aBytes, aPause, aIsComplete);
+}
+
+std::string Fixture::RunCaller(const std::string& aBytes,
+                               std::chrono::milliseconds aPause,
+                               const std::function<bool(const std::string&)>& aIsComplete)
+{
+  constexpr int kSmallBuffer = 4096;
   std::string received;
   std::atomic<bool> done = false;
   const auto caller = [&]() -> asio::awaitable<void> {
     ErrorCode ec;
     tcp::socket socket(mIo);
     const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), mPort);
+    if (aPause.count() > 0) {
+      socket.open(tcp::v4());
+      socket.set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+    }
     co_await socket.async_connect(endpoint, RedirectError(ec));
     co_await asio::async_write(socket, asio::buffer(aBytes), RedirectError(ec));
+    if (aPause.count() > 0) {
+      asio::steady_timer timer(mIo, aPause);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     std::array<char, 4096> bytes{};
     while (!ec && !aIsComplete(received)) {
       const std::size_t n =
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -95,6 +95,10 @@
   /// or aIsComplete returns true.
   std::string Call(const std::string& aBytes,
                    const std::function<bool(const std::string&)>& aIsComplete);
+  /// The same as a caller with a small buffer that begins to read after a while.
+  std::string CallAndReadLate(const std::string& aBytes,
+                              std::chrono::milliseconds aPause,
+                              const std::function<bool(const std::string&)>& aIsComplete);
   /// Sends bytes as a caller that disconnects once the endpoint has the request, and runs
   /// until aDone returns true.
   void CallAndDisconnect(const std::string& aBytes, const std::function<bool()>& aDone);
@@ -119,6 +123,9 @@
 
 private:
   asio::awaitable<void> TickLoop();
+  std::string RunCaller(const std::string& aBytes,
+                        std::chrono::milliseconds aPause,
+                        const std::function<bool(const std::string&)>& aIsComplete);
 
   asio::io_context mIo{ 1 };
   SkippingClock mClock;
--- a/components/frontend/backendpool.cpp
+++ b/components/frontend/backendpool.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Longest time in milliseconds for which sent data may stay unacknowledged.
-constexpr int kTcpUserTimeoutMs = 1500;
+/// Longest time in milliseconds for which sent data may stay unacknowledged or a peer may
+/// read nothing. A sound peer can be silent for a second or two.
+constexpr int kTcpUserTimeoutMs = 5000;
 /// Seconds of silence before the first keep-alive probe and between probes, and the
 /// number of unanswered probes that end the connection.
 constexpr int kKeepAliveIdleSeconds = 2;
