Move the planned stop of the role gateway into a class of its own

No change of behaviour: the constants and the condition for the end of the process move from GatewayProcess to frontend::PlannedStop, so that tests can drive a stop with real sockets and their own clock.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -25,14 +25,6 @@
 constexpr milliseconds kTickInterval{ 40 };
 constexpr milliseconds kPlacementInterval{ 200 };
 constexpr milliseconds kMaintenanceInterval{ 1000 };
-/// How long requests are still accepted after the stop signal: the load balancer stops
-/// sending requests only after two failed probes, a second apart.
-constexpr milliseconds kStopAcceptTime{ 3000 };
-/// How long idle connections are kept after the stop signal, for callers that reuse them.
-constexpr milliseconds kStopIdleTime{ 2600 };
-/// A stopping process ends the requests that are still running this long before the
-/// platform kills it.
-constexpr milliseconds kForcedStopMargin{ 500 };
 /// Time that a new leader waits after the orders of an earlier one have expired.
 constexpr milliseconds kOrderExpiryMargin{ 300 };
 /// File descriptors reserved for connections to endpoints and the store, and for files.
@@ -93,6 +85,7 @@
              mSettings.mMaxDescriptors > 2 * kReservedDescriptors
                ? mSettings.mMaxDescriptors - kReservedDescriptors
                : mSettings.mMaxDescriptors / 2)
+  , mStop(mFrontend, mCallers)
   , mReadiness(mIo,
                mSettings.mStatusListenAddress,
                [this](std::string_view) { return Readiness(); })
@@ -208,11 +201,7 @@
       Reload();
     }
   }
-  if (mStopStartedAt != timing::Instant::max()) {
-    const timing::Duration since = aNow - mStopStartedAt;
-    const bool drained = since >= kStopAcceptTime && mExchanges.Size() == 0;
-    mStopped = drained || since >= mSettings.mStopGracePeriod - kForcedStopMargin;
-  }
+  mStopped = mStop.IsOver(aNow);
 }
 
 asio::awaitable<void> GatewayProcess::HandleSignals()
@@ -233,12 +222,9 @@
 
 void GatewayProcess::BeginStop()
 {
-  if (mStopStartedAt != timing::Instant::max()) {
+  if (!mStop.Begin(mClock.Now(), mSettings.mStopGracePeriod)) {
     return;
   }
-  mStopStartedAt = mClock.Now();
-  mCallers.Drain(mStopStartedAt + kStopIdleTime);
-  mControl.RefuseFrom(mStopStartedAt + kStopAcceptTime);
   mLogger.Info("stop begins", { { "requests", mExchanges.Size() } });
   if (mLeadership.Lease() != 0) {
     asio::co_spawn(
@@ -265,8 +251,8 @@
 
 bool GatewayProcess::Ready(timing::Instant aNow) const
 {
-  return mStopStartedAt == timing::Instant::max() && mControl.Configuration() &&
-         mEndpointsRead && mControl.mStoreFreshness.IsReady(aNow);
+  return !mStop.Begun() && mControl.Configuration() && mEndpointsRead &&
+         mControl.mStoreFreshness.IsReady(aNow);
 }
 
 frontend::StatusListener::Response GatewayProcess::Readiness() const
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -15,7 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "apps/samphiresail/gateway/gatewaycommand.hpp"
-#include "components/frontend/listener.hpp"
+#include "components/frontend/plannedstop.hpp"
 #include "components/gateway/leadership.hpp"
 #include "components/gateway/ordertracker.hpp"
 #include "components/gateway/peertable.hpp"
@@ -151,6 +151,7 @@
   frontend::Signal mPlacementChanged;
   frontend::FrontendContext mFrontend;
   frontend::CallerListener mCallers;
+  frontend::PlannedStop mStop;
   frontend::StatusListener mReadiness;
   std::unique_ptr<frontend::StatusListener> mMetricsListener;
   boost::asio::ip::udp::socket mPeerSocket;
@@ -167,7 +168,6 @@
   timing::Instant mNextPlacement{};
   timing::Instant mNextPlacementLog{};
   timing::Instant mNextMaintenance{};
-  timing::Instant mStopStartedAt{ timing::Instant::max() };
   bool mLeading{ false };
   /// Adapters that requests wait for, by HashName of model and adapter, with the instant
   /// at which a request for it last waited.
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -50,7 +50,7 @@
                  { { "token", token.value_or(0) } });
     mOrderTracker.Reset(mSettings.mFirstStart ? aNow : aNow + kNewLeaderLoadDelay);
   }
-  if (!token || !mControl.Configuration() || mStopStartedAt != timing::Instant::max()) {
+  if (!token || !mControl.Configuration() || mStop.Begun()) {
     return;
   }
   const auto others = mPeers.ModelDemand(aNow);
@@ -156,9 +156,8 @@
   asio::steady_timer timer(mIo);
   for (;;) {
     mLeadership.SetTakeoverDelay(LeadershipTakeoverDelay(mClock.Now()));
-    const Leadership::Step step = mStopStartedAt == timing::Instant::max()
-                                    ? mLeadership.Next(mClock.Now())
-                                    : Leadership::Step::None;
+    const Leadership::Step step =
+      !mStop.Begun() ? mLeadership.Next(mClock.Now()) : Leadership::Step::None;
     if (step != Leadership::Step::None) {
       co_await ExecuteLeadershipStep(step);
     }
