Answer everything in a planned stop: refuse what cannot end, cap what runs

Callers saw, in a planned stop of one entry, requests that came late in the grace period taken, passed on, and cut without an answer at its end, requests that may not be repeated among them.

Cause: the accept time was 3 s from the handling of the signal, whatever the grace period, with no margin; nothing asked whether a request or a second attempt can end in what is left; and at the end of the grace period the process ended with its requests unanswered.

StopSchedule derives all times from the signal and the grace period. New requests are admitted for 2.8 s (at most 0.35 of the grace period); one that surely cannot end is refused at once, before it takes tokens, with 503 and a short Retry-After; an irreversible one counts with its target latency and twice its forecast. The same holds for each attempt, wait and retry. The deadline of what runs is capped 0.8 s before the end, so that it gets 504 instead of a cut, still inside the last sixth. The signal counts from the tick before it was handled.

The test of the refusal in 'control: a stopping process rejects new requests' uses the schedule now and also asks for the Retry-After.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kTickInterval{ 40 };
 constexpr milliseconds kPlacementInterval{ 200 };
 constexpr milliseconds kMaintenanceInterval{ 1000 };
+/// Longest time for which a signal is assumed to have waited for the event loop.
+constexpr milliseconds kMaxSignalDelay{ 300 };
 /// Time that a new leader waits after the orders of an earlier one have expired.
 constexpr milliseconds kOrderExpiryMargin{ 300 };
 /// File descriptors reserved for connections to endpoints and the store, and for files.
@@ -160,6 +162,7 @@
 
 void GatewayProcess::Tick(timing::Instant aNow)
 {
+  mLastTick = aNow;
   mExchanges.Tick(aNow,
                   { [&](const frontend::Exchange& aExchange) {
                      return mControl.IsStalled(
@@ -222,7 +225,10 @@
 
 void GatewayProcess::BeginStop()
 {
-  if (!mStop.Begin(mClock.Now(), mSettings.mStopGracePeriod)) {
+  // The signal came after the last tick; a tick that is long past was late itself.
+  const timing::Instant now = mClock.Now();
+  const timing::Instant signal = std::max(mLastTick, now - kMaxSignalDelay);
+  if (!mStop.Begin(signal, mSettings.mStopGracePeriod)) {
     return;
   }
   mLogger.Info("stop begins", { { "requests", mExchanges.Size() } });
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -168,6 +168,7 @@
   timing::Instant mNextPlacement{};
   timing::Instant mNextPlacementLog{};
   timing::Instant mNextMaintenance{};
+  timing::Instant mLastTick{};
   bool mLeading{ false };
   /// Adapters that requests wait for, by HashName of model and adapter, with the instant
   /// at which a request for it last waited.
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -41,7 +41,9 @@
   auto configuration = std::make_shared<gateway::ServingConfiguration>();
   configuration->mRoutes = { MakeRoute("/safe/", gateway::RequestKind::Idempotent),
                              MakeRoute("/once/", gateway::RequestKind::Irreversible),
+                             MakeRoute("/slow/", gateway::RequestKind::Irreversible),
                              MakeRoute("/stream/", gateway::RequestKind::Stream) };
+  configuration->mRoutes[2].mTargetLatency = std::chrono::seconds(6);
   gateway::Service service;
   service.mName = kService;
   configuration->mServices.push_back(service);
@@ -128,6 +130,42 @@
   mListener = std::make_unique<CallerListener>(
     mContext, settings::SocketAddress{ "127.0.0.1", mPort }, 100);
   mListener->Start();
+  mStop = std::make_unique<PlannedStop>(mContext, *mListener);
+}
+
+bool Fixture::Tick()
+{
+  const timing::Instant now = mClock.Now();
+  mExchanges.Tick(now,
+                  { [](const Exchange&) { return false; },
+                    [&](const Exchange& aExchange) {
+                      return mControl.TrySpendRetry(
+                        aExchange.mAdmission, aExchange.mAttemptsSent, now);
+                    } });
+  mListener->Tick(now);
+  mSignal.Notify();
+  return mStop->IsOver(now);
+}
+
+bool Fixture::BeginStop(std::chrono::milliseconds aGrace)
+{
+  return mStop->Begin(mClock.Now(), aGrace);
+}
+
+bool Fixture::Pass(std::chrono::milliseconds aTime, const std::function<bool()>& aUntil)
+{
+  constexpr std::chrono::milliseconds kTick{ 40 };
+  for (auto passed = kTick; passed <= aTime; passed += kTick) {
+    mClock.Advance(kTick);
+    if (Tick()) {
+      return true;
+    }
+    mIo.run_for(std::chrono::milliseconds(1));
+    if (aUntil && aUntil()) {
+      return false;
+    }
+  }
+  return false;
 }
 
 ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId, const std::string& aZone)
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "components/frontend/listener.hpp"
+#include "components/frontend/plannedstop.hpp"
 #include "components/logging/logger.hpp"
 #include "components/metrics/registry.hpp"
 #include "platform/dialect.hpp"
@@ -56,6 +56,19 @@
   int mConnections{ 0 };
 };
 
+/// Clock of the operating system, moved ahead by the test.
+class ShiftedClock final : public timing::Clock
+{
+public:
+  timing::Instant Now() const override { return mClock.Now() + mShift; }
+  timing::WallTime WallNow() const override { return mClock.WallNow(); }
+  void Advance(timing::Duration aStep) { mShift += aStep; }
+
+private:
+  timing::SystemClock mClock;
+  timing::Duration mShift{ 0 };
+};
+
 /// The HTTP front end of an entry on the loopback address, with one service of scripted
 /// endpoints.
 class Fixture
@@ -80,11 +93,21 @@
   /// tick does.
   void RunDuringCall(const std::function<void()>& aChange);
 
+  /// Runs what a process does on each tick. Returns true if a planned stop is over.
+  bool Tick();
+  bool BeginStop(std::chrono::milliseconds aGrace);
+  /// Lets the clock advance, and runs what becomes ready, until the condition is true or
+  /// the time has passed. Returns true if a planned stop is over, which ends the time.
+  bool Pass(std::chrono::milliseconds aTime, const std::function<bool()>& aUntil = {});
+
+  std::uint16_t Port() const { return mPort; }
+  std::size_t Exchanges() const { return mExchanges.Size(); }
+
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
+  asio::io_context mIo{ 1 };
 
 private:
-  asio::io_context mIo{ 1 };
-  timing::SystemClock mClock;
+  ShiftedClock mClock;
   std::ostringstream mLog;
   logging::Logger mLogger{ "test", logging::Level::Info, mLog };
   metrics::Registry mRegistry;
@@ -95,6 +118,7 @@
   Signal mSignal{ mIo };
   FrontendContext mContext;
   std::unique_ptr<CallerListener> mListener;
+  std::unique_ptr<PlannedStop> mStop;
   std::uint16_t mPort;
   std::vector<std::unique_ptr<ScriptedEndpoint>> mEndpoints;
 };
--- /dev/null
+++ b/apps/tests/frontend/plannedstoptest.cpp
@@ -0,0 +1,146 @@
+#include <array>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "apps/tests/frontend/messages.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::frontend::testing;
+using namespace std::chrono_literals;
+using frontend::ErrorCode;
+using frontend::RedirectError;
+
+namespace {
+
+constexpr auto kGrace = 8000ms;
+
+/// Caller with one connection that it keeps open.
+class KeptCaller
+{
+public:
+  explicit KeptCaller(Fixture& aFixture)
+    : mSocket(aFixture.mIo)
+  {
+    mSocket.connect({ frontend::asio::ip::address_v4::loopback(), aFixture.Port() });
+    frontend::asio::co_spawn(
+      aFixture.mIo, [this] { return Receive(); }, frontend::asio::detached);
+  }
+
+  /// Hands bytes to the connection without running anything else.
+  void Send(const std::string& aBytes)
+  {
+    frontend::asio::write(mSocket, frontend::asio::buffer(aBytes));
+  }
+  const std::string& Received() const { return mReceived; }
+  bool Ended() const { return mEnded; }
+
+private:
+  frontend::asio::awaitable<void> Receive()
+  {
+    ErrorCode ec;
+    std::array<char, 4096> bytes{};
+    while (!ec) {
+      const std::size_t n = co_await mSocket.async_read_some(
+        frontend::asio::buffer(bytes), RedirectError(ec));
+      mReceived.append(bytes.data(), n);
+    }
+    mEnded = true;
+  }
+
+  frontend::tcp::socket mSocket;
+  std::string mReceived;
+  bool mEnded{ false };
+};
+
+struct StopFixture : public Fixture
+{
+  KeptCaller& Connect()
+  {
+    mCallers.push_back(std::make_unique<KeptCaller>(*this));
+    mIo.run_for(2ms);
+    return *mCallers.back();
+  }
+
+  std::vector<std::unique_ptr<KeptCaller>> mCallers;
+};
+
+bool EndsConnection(const std::string& aResponse)
+{
+  return Contains(aResponse, "\r\nConnection: close\r\n");
+}
+
+}
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: a request that still runs at the end is answered, not cut",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ "", false, true });
+  KeptCaller& caller = Connect();
+  BeginStop(kGrace);
+  CHECK_FALSE(Pass(1000ms));
+  caller.Send(Post("/once/1"));
+  CHECK(Pass(kGrace));
+  mIo.run_for(2ms);
+  CHECK(endpoint.Requests().size() == 1);
+  CHECK(caller.Received().starts_with("HTTP/1.1 504"));
+  CHECK(EndsConnection(caller.Received()));
+}
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: what runs when the signal comes is answered, not cut",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ "", false, true });
+  KeptCaller& caller = Connect();
+  caller.Send(Post("/once/1"));
+  CHECK_FALSE(Pass(100ms));
+  REQUIRE(Exchanges() == 1);
+  BeginStop(kGrace);
+  CHECK(Pass(kGrace));
+  mIo.run_for(2ms);
+  CHECK(caller.Received().starts_with("HTTP/1.1 504"));
+}
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: an irreversible request that cannot end in time is not run",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ ResponseWithDigest("r1", "done") });
+  KeptCaller& caller = Connect();
+  BeginStop(kGrace);
+  CHECK_FALSE(Pass(2400ms));
+  caller.Send(Post("/slow/1"));
+  Pass(400ms, [&] { return HasHeadAndBody(caller.Received()); });
+  CHECK(caller.Received().starts_with("HTTP/1.1 503"));
+  CHECK(Contains(caller.Received(), "\r\nRetry-After: 0."));
+  CHECK(EndsConnection(caller.Received()));
+  CHECK(endpoint.Requests().empty());
+}
+
+TEST_CASE_METHOD(
+  StopFixture,
+  "stop: a process that has answered everything ends after the accept time",
+  "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ ResponseWithDigest("r1", "done") });
+  KeptCaller& caller = Connect();
+  CHECK(BeginStop(kGrace));
+  CHECK_FALSE(Pass(2000ms));
+  caller.Send(Post("/once/1"));
+  // Further signals change nothing.
+  CHECK_FALSE(BeginStop(20000ms));
+  CHECK_FALSE(Pass(880ms));
+  CHECK(caller.Received().ends_with("done"));
+  CHECK(Pass(200ms));
+}
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -180,9 +180,53 @@
 
 TEST_CASE_METHOD(Fixture, "control: a stopping process rejects new requests", "[gateway]")
 {
-  mControl.RefuseFrom(kNow + 1s);
+  const StopSchedule schedule(kNow, 8s);
+  mControl.Stop(schedule);
   Admit();
-  CHECK(Refuse(Metadata(), kNow + 1s).mStatus == 503);
+  const Refusal refusal = Refuse(Metadata(), schedule.RefuseFrom());
+  CHECK(refusal.mStatus == 503);
+  REQUIRE(refusal.mRetryAfter);
+  CHECK(*refusal.mRetryAfter < 1s);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: a stopping process begins no attempt that cannot end",
+                 "[gateway]")
+{
+  AddEndpoint(mControl, "near", "z1");
+  const StopSchedule schedule(kNow, 8s);
+  mControl.mRetryBudget.SetLimits({ 10s, 0.2, 50.0 });
+  RequestMetadata metadata = Metadata();
+  metadata.mCallerTimeout = 20s;
+  metadata.mOutputTokens = 50;
+  const Admission earlier = Admit(metadata);
+  mControl.Stop(schedule);
+  const Admission admission = Admit(metadata);
+  CHECK(admission.mDeadline == schedule.AnswerBy());
+  const timing::Instant inTime = schedule.AnswerBy() - 2s;
+  const timing::Instant late = schedule.AnswerBy() - 100ms;
+  CHECK(mControl.TrySpendRetry(admission, 1, inTime));
+  CHECK_FALSE(mControl.TrySpendRetry(admission, 1, late));
+  CHECK_FALSE(mControl.TrySpendRetry(earlier, 1, late));
+  CHECK(mControl.Begin(admission, {}, inTime).mEndpoint != nullptr);
+  const Choice choice = mControl.Begin(admission, {}, late);
+  CHECK(choice.mReason == NoEndpoint::Stopping);
+  const Refusal refusal = mControl.RefuseNotRun(admission, choice, late);
+  CHECK(refusal.mStatus == 503);
+  CHECK(refusal.mRetryAfter.value_or(1h) < 1s);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: a stop takes no tokens for what it refuses",
+                 "[gateway]")
+{
+  const StopSchedule schedule(kNow, 1s);
+  mControl.Stop(schedule);
+  RequestMetadata metadata = Metadata();
+  metadata.mCallerTimeout = 20s;
+  metadata.mOutputTokens = 2000;
+  CHECK(Refuse(metadata, kNow).mStatus == 503);
+  CHECK(Refuse(metadata, kNow).mTokens == 0.0);
 }
 
 TEST_CASE_METHOD(Fixture,
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -1,7 +1,16 @@
 #include "components/frontend/exchange.hpp"
 
+#include <algorithm>
+
 namespace samphiresail::frontend {
 
+void ExchangeTable::LimitDeadlines(timing::Instant aInstant)
+{
+  for (Exchange* exchange : mExchanges) {
+    exchange->mAdmission.mDeadline = std::min(exchange->mAdmission.mDeadline, aInstant);
+  }
+}
+
 void ExchangeTable::Tick(timing::Instant aNow, const Decisions& aDecisions)
 {
   for (Exchange* exchange : mExchanges) {
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -90,6 +90,9 @@
     std::function<bool(const Exchange&)> mTrySpendRetry;
   };
 
+  /// Lets no request in progress last longer than until the given instant.
+  void LimitDeadlines(timing::Instant aInstant);
+
   /// Ends requests past their deadline. An attempt past its own deadline, or at a silent
   /// endpoint, is aborted only if it is still connecting or another attempt is granted;
   /// otherwise it continues, since a silent endpoint may still respond.
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -136,6 +136,7 @@
     case gateway::NoEndpoint::NoneUsable:
     case gateway::NoEndpoint::Paused:
     case gateway::NoEndpoint::Quarantined:
+    case gateway::NoEndpoint::Stopping:
       return aNow;
   }
   return aNow;
--- a/components/frontend/plannedstop.hpp
+++ b/components/frontend/plannedstop.hpp
@@ -16,18 +16,17 @@
   {
   }
 
-  /// Begins the stop of a process that is killed aGrace after the signal. Only the first
-  /// call has an effect; it returns true.
-  bool Begin(timing::Instant aNow, timing::Duration aGrace);
-  bool Begun() const { return mBeganAt != timing::Instant::max(); }
+  /// Begins the stop of a process that is killed aGrace after the signal came. Only the
+  /// first call has an effect; it returns true.
+  bool Begin(timing::Instant aSignal, timing::Duration aGrace);
+  bool Begun() const { return mSchedule.has_value(); }
   /// Returns true if the process should end now.
   bool IsOver(timing::Instant aNow) const;
 
 private:
   FrontendContext& mContext;
   CallerListener& mCallers;
-  timing::Instant mBeganAt{ timing::Instant::max() };
-  timing::Duration mGrace{ 0 };
+  std::optional<gateway::StopSchedule> mSchedule;
 };
 
 }
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -30,6 +30,8 @@
   Full,
   /// A part of the prompt is in quarantine.
   Quarantined,
+  /// This process stops, and the request would not end before that.
+  Stopping,
 };
 
 /// An attempt of a request at an endpoint, and what it adds to the endpoint's load.
--- a/components/gateway/enginemodel.hpp
+++ b/components/gateway/enginemodel.hpp
@@ -76,6 +76,15 @@
   /// Time to read the tokens on an engine of average speed.
   Milliseconds ReadTime(const ids::ModelId& aModel, double aTokens) const;
 
+  /// Time that a request takes at least on an idle engine of average speed, from its
+  /// prompt to its last token.
+  Milliseconds RunTime(const ids::ModelId& aModel,
+                       double aPromptTokens,
+                       double aOutputTokens) const
+  {
+    return ReadTime(aModel, aPromptTokens) + mOutputTime * aOutputTokens;
+  }
+
   /// Time of a whole engine that the request uses up: reading its prompt, and its part of
   /// the steps in which the engine generates for all of its slots.
   Milliseconds EngineTime(const EngineWork& aWork, const EngineCapacity& aCapacity) const;
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -29,6 +29,9 @@
   if (IsQuarantined(aAdmission, aTried, aNow)) {
     return { nullptr, NoEndpoint::Quarantined, {}, {} };
   }
+  if (!MayBegin(aAdmission, aNow)) {
+    return { nullptr, NoEndpoint::Stopping, {}, {} };
+  }
   const RoutingRequest request{ *aAdmission.mService,
                                 metadata,
                                 aTried,
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -134,8 +134,8 @@
 std::variant<Admission, Refusal> TrafficControl::Admit(RequestMetadata aMetadata,
                                                        timing::Instant aNow)
 {
-  if (aNow >= mRefuseFrom) {
-    return RefuseInOutage("this entry stops");
+  if (mStop && aNow >= mStop->RefuseFrom()) {
+    return RefuseStopping();
   }
   if (!mConfiguration) {
     return RefuseInOutage("no configuration is known yet");
@@ -190,6 +190,14 @@
   admission.mPriority = std::clamp(admission.mPriority, 0, kMaxPriority);
   admission.mConfigurationAge = mStoreFreshness.Staleness(aNow);
   admission.mEarlierAttempts = EarlierAttempts(aMetadata, aNow);
+  if (mStop) {
+    admission.mMetadata = aMetadata;
+    if (!MayBegin(admission, aNow)) {
+      RecordRefusal(aMetadata, aNow - admission.mEarlierAttempts, aNow);
+      return RefuseStopping();
+    }
+    admission.mDeadline = std::min(admission.mDeadline, mStop->AnswerBy());
+  }
   if (service->mEngine) {
     const EngineCapacity capacity{ std::max(1U, service->mEngine->mSlots),
                                    service->mEngine->mMemoryTokens };
@@ -273,6 +281,7 @@
                                    timing::Instant aNow)
 {
   return aSent < aAdmission.mRoute->mMaxAttempts && aNow < aAdmission.mDeadline &&
+         MayBegin(aAdmission, aNow) &&
          mRetryBudget.TrySpend(aAdmission.mService->mName, mEntries, aNow);
 }
 
@@ -337,6 +346,12 @@
         mQuarantine.BlockedUntil(aAdmission.mMetadata.mPromptParts, aNow).value_or(aNow),
         aNow);
       break;
+    case NoEndpoint::Stopping: {
+      const Refusal stopping = RefuseStopping();
+      refusal.mReason = stopping.mReason;
+      refusal.mRetryAfter = stopping.mRetryAfter;
+      break;
+    }
     case NoEndpoint::NoneUsable:
       refusal.mReason = "no endpoint may get work";
       refusal.mRetryAfter = RetryAfter(kMinOutageRetry, kMaxOutageRetry);
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -15,6 +15,7 @@
 #include "components/gateway/promptquarantine.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/returningcallers.hpp"
+#include "components/gateway/stopschedule.hpp"
 #include "components/gateway/storefreshness.hpp"
 #include "components/gateway/waitpolicy.hpp"
 #include "components/gateway/windowedretrybudget.hpp"
@@ -177,12 +178,18 @@
                        const Choice& aChoice,
                        timing::Instant aNow);
 
-  /// Rejects every new request from this instant on, since the process is stopping.
-  void RefuseFrom(timing::Instant aInstant) { mRefuseFrom = aInstant; }
+  /// Admits, sends and retries only what the schedule of a planned stop allows from now
+  /// on.
+  void Stop(const StopSchedule& aSchedule) { mStop = aSchedule; }
 
   void Tick(timing::Instant aNow);
 
 private:
+  /// Returns false if the request would surely not end before this process does, in a
+  /// planned stop.
+  bool MayBegin(const Admission& aAdmission, timing::Instant aNow) const;
+  /// Refuses a request since this process stops; another entry can serve it.
+  Refusal RefuseStopping();
   /// Refuses a request for now, since this process or its view of the store is not able
   /// to serve it.
   Refusal RefuseInOutage(std::string aReason);
@@ -225,7 +232,7 @@
   DemandMeter mServiceDemand;
   EnginePolicy mEnginePolicy;
   std::mt19937_64 mRandom;
-  timing::Instant mRefuseFrom{ timing::Instant::max() };
+  std::optional<StopSchedule> mStop;
 };
 
 }
