Wait in a planned stop for requests being read and for answers of this process

Callers could see, in a planned stop, connections closed over a request that the process had received or was about to receive.

Cause: the end of the process waited for exchanges only. A request that is being read and a refusal that is being written are none, nor are bytes that wait in a socket's buffer; idle connections were closed without looking for such bytes, and a connection that was accepted after the idle deadline was closed at the next tick.

A session is busy while it reads, serves or refuses a request or has unread bytes; the process waits for busy sessions until the end of its schedule. An idle connection is closed only if nothing unread is there, and no sooner than 0.4 s after it was accepted or became idle.

Evidence: 'stop: a request that is being read keeps the process until its answer', 'stop: an idle connection is not closed over a request it has received' and 'stop: a connection that is accepted late waits for its request' failed before: the process ended, and the connections were closed unanswered.

--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -109,6 +109,11 @@
       co_return;
     }
     co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
+    if (!script.mLater.empty()) {
+      asio::steady_timer timer(mIo, std::chrono::milliseconds(30));
+      co_await timer.async_wait(RedirectError(ec));
+      co_await asio::async_write(aSocket, asio::buffer(script.mLater), RedirectError(ec));
+    }
     if (script.mCrash) {
       mAcceptor.close(ec);
       co_return;
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -30,6 +30,8 @@
     /// Ends the endpoint after the bytes: all its connections close, and new ones are
     /// refused.
     bool mCrash{ false };
+    /// Further bytes, sent a little later.
+    std::string mLater;
   };
 
   explicit ScriptedEndpoint(asio::io_context& aIo);
@@ -95,6 +97,8 @@
 
   /// Runs what a process does on each tick. Returns true if a planned stop is over.
   bool Tick();
+  /// Moves the clock ahead without running anything.
+  void Advance(std::chrono::milliseconds aTime) { mClock.Advance(aTime); }
   bool BeginStop(std::chrono::milliseconds aGrace);
   /// Lets the clock advance, and runs what becomes ready, until the condition is true or
   /// the time has passed. Returns true if a planned stop is over, which ends the time.
--- a/apps/tests/frontend/plannedstoptest.cpp
+++ b/apps/tests/frontend/plannedstoptest.cpp
@@ -144,3 +144,59 @@
   CHECK(caller.Received().ends_with("done"));
   CHECK(Pass(200ms));
 }
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: a request that is being read keeps the process until its answer",
+                 "[frontend]")
+{
+  KeptCaller& caller = Connect();
+  BeginStop(kGrace);
+  CHECK_FALSE(Pass(2000ms));
+  const std::string request = Post("/once/1");
+  caller.Send(request.substr(0, request.size() / 2));
+  CHECK_FALSE(Pass(1500ms));
+  caller.Send(request.substr(request.size() / 2));
+  CHECK_FALSE(Pass(400ms, [&] { return HasHeadAndBody(caller.Received()); }));
+  CHECK(caller.Received().starts_with("HTTP/1.1 503"));
+  CHECK(Pass(200ms));
+}
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: an idle connection is not closed over a request it has received",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ "", false, true });
+  KeptCaller& running = Connect();
+  KeptCaller& idle = Connect();
+  BeginStop(kGrace);
+  running.Send(Post("/once/1"));
+  CHECK_FALSE(Pass(2000ms));
+  Advance(1500ms);
+  idle.Send(Get("/safe/1"));
+  CHECK_FALSE(Tick());
+  CHECK_FALSE(Pass(400ms, [&] { return HasHeadAndBody(idle.Received()); }));
+  CHECK(idle.Received().starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: a connection that is accepted late waits for its request",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ "", false, true });
+  KeptCaller& running = Connect();
+  BeginStop(kGrace);
+  running.Send(Post("/once/1"));
+  CHECK_FALSE(Pass(3200ms));
+  KeptCaller& late = Connect();
+  CHECK_FALSE(Pass(120ms));
+  CHECK_FALSE(late.Ended());
+  late.Send(Get("/safe/1"));
+  CHECK_FALSE(Pass(400ms, [&] { return HasHeadAndBody(late.Received()); }));
+  CHECK(late.Received().starts_with("HTTP/1.1 503"));
+  // Without a request it is closed.
+  KeptCaller& silent = Connect();
+  CHECK_FALSE(Pass(1000ms, [&] { return silent.Ended(); }));
+  CHECK(silent.Ended());
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -12,6 +12,10 @@
 
 const gateway::CallerLimits kLimitsBeforeConfiguration;
 
+/// Time for which a new or idle connection waits for a request in a planned stop, also
+/// after the others were closed.
+constexpr std::chrono::milliseconds kMinStopIdleTime{ 400 };
+
 std::int64_t Millis(timing::Duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -70,16 +74,22 @@
 
 void CallerSession::Tick(timing::Instant aNow)
 {
-  const bool idleOver =
-    mState == State::Idle &&
-    (aNow - mStateSince >= Limits().mIdleTimeout || aNow >= mIdleDeadline);
+  const bool idleOver = mState == State::Idle &&
+                        (aNow - mStateSince >= Limits().mIdleTimeout ||
+                         aNow >= std::max(mIdleDeadline, mStateSince + kMinStopIdleTime));
   const bool slow =
     mState == State::Reading && aNow - mStateSince >= Limits().mHeaderTimeout;
-  if (idleOver || slow) {
+  if ((idleOver && !HasUnreadBytes()) || slow) {
     CloseSocket(mSocket);
   }
 }
 
+bool CallerSession::HasUnreadBytes() const
+{
+  ErrorCode ec;
+  return mSocket.is_open() && mSocket.available(ec) > 0;
+}
+
 void CallerSession::Drain(timing::Instant aIdleDeadline)
 {
   mDraining = true;
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -20,8 +20,10 @@
   /// Closes the connection if it was idle for too long or its request arrives too slowly.
   void Tick(timing::Instant aNow);
   /// Closes the connection after its next response, or at aIdleDeadline if it is idle
-  /// then.
+  /// then and has waited for a request for a moment.
   void Drain(timing::Instant aIdleDeadline);
+  /// True while a request is read, served or refused, or its bytes wait to be read.
+  bool IsBusy() const { return mState != State::Idle || HasUnreadBytes(); }
 
 private:
   enum class State
@@ -38,6 +40,7 @@
   asio::awaitable<void> WatchForDisconnect(Exchange& aExchange,
                                            std::uint64_t aRequestsServed);
   const gateway::CallerLimits& Limits() const;
+  bool HasUnreadBytes() const;
   void LogRefusal(const gateway::RequestMetadata& aFacts,
                   const gateway::Refusal& aRefusal);
   void LogRequest(const Exchange& aExchange, const Forwarder& aForwarder);
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -90,6 +90,14 @@
   }
 }
 
+bool CallerListener::IsBusy() const
+{
+  return std::ranges::any_of(mSessions, [](const auto& aSession) {
+    const auto session = aSession.lock();
+    return session != nullptr && session->IsBusy();
+  });
+}
+
 StatusListener::StatusListener(asio::io_context& aIo,
                                const settings::SocketAddress& aAddress,
                                Handler aHandler)
--- a/components/frontend/listener.hpp
+++ b/components/frontend/listener.hpp
@@ -24,6 +24,8 @@
   /// Closes each connection after its next response, and idle ones at aIdleDeadline.
   void Drain(timing::Instant aIdleDeadline);
   std::size_t Sessions() const { return mSessions.size(); }
+  /// True while any session has a request, see CallerSession::IsBusy.
+  bool IsBusy() const;
 
 private:
   asio::awaitable<void> Accept();
--- a/components/frontend/plannedstop.cpp
+++ b/components/frontend/plannedstop.cpp
@@ -19,7 +19,8 @@
   if (!Begun()) {
     return false;
   }
-  const bool drained = aNow >= mSchedule->StayUntil() && mContext.mExchanges.Size() == 0;
+  const bool drained = aNow >= mSchedule->StayUntil() &&
+                       mContext.mExchanges.Size() == 0 && !mCallers.IsBusy();
   return drained || aNow >= mSchedule->EndBy();
 }
 
