End connections with the answers that follow the signal, and no others

Callers could see, in a planned stop, a connection closed right after an answer that had not said so, and lose the next request on it.

Cause: whether a connection is kept was decided when a request was read. A request that was running when the signal came got a head without 'Connection: close', and its connection was closed after it.

The forwarder asks when it builds the head, so each answer that begins after the signal says that its connection ends. A connection whose stream began before stays open for one more request.

Evidence: 'stop: an answer after the signal says that its connection ends' and 'stop: a connection whose response began before takes one more request' failed before.

--- a/apps/tests/frontend/plannedstoptest.cpp
+++ b/apps/tests/frontend/plannedstoptest.cpp
@@ -200,3 +200,43 @@
   CHECK_FALSE(Pass(1000ms, [&] { return silent.Ended(); }));
   CHECK(silent.Ended());
 }
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: an answer after the signal says that its connection ends",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ "", false, false, false, ResponseWithDigest("r1", "done") });
+  KeptCaller& caller = Connect();
+  caller.Send(Post("/once/1"));
+  CHECK_FALSE(Pass(1000ms, [&] { return endpoint.Requests().size() == 1; }));
+  REQUIRE(caller.Received().empty());
+  BeginStop(kGrace);
+  CHECK_FALSE(Pass(2000ms, [&] { return HasHeadAndBody(caller.Received()); }));
+  CHECK(caller.Received().ends_with("done"));
+  CHECK(EndsConnection(caller.Received()));
+}
+
+TEST_CASE_METHOD(StopFixture,
+                 "stop: a connection whose response began before takes one more request",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ StreamHead() + Chunk("id: 1\ndata: a\n\n"),
+                       false,
+                       false,
+                       false,
+                       Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" });
+  endpoint.AddScript({ ResponseWithDigest("r1", "next") });
+  KeptCaller& caller = Connect();
+  caller.Send(Post("/stream/1"));
+  CHECK_FALSE(Pass(1000ms, [&] { return Contains(caller.Received(), "data: a"); }));
+  BeginStop(kGrace);
+  CHECK_FALSE(Pass(2000ms, [&] { return HasLastChunk(caller.Received()); }));
+  REQUIRE(HasLastChunk(caller.Received()));
+  const std::size_t first = caller.Received().size();
+  caller.Send(Post("/once/1"));
+  CHECK_FALSE(Pass(400ms, [&] { return caller.Ended(); }));
+  CHECK(caller.Received().ends_with("next"));
+  CHECK(EndsConnection(caller.Received().substr(first)));
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -94,6 +94,11 @@
 {
   mDraining = true;
   mIdleDeadline = aIdleDeadline;
+  // The head of a stream that has begun says otherwise: its caller may send one more
+  // request.
+  if (mExchange == nullptr || !mExchange->mResponseHeadSent) {
+    mKeepAlive = false;
+  }
 }
 
 asio::awaitable<bool> CallerSession::ServeOne()
@@ -135,7 +140,7 @@
   mContext.mMetrics.mRequests.Increment();
   const timing::Instant arrived = mContext.mClock.Now();
   const CallerRequest request = parser.release();
-  const bool keepAlive = request.keep_alive() && !mDraining;
+  mKeepAlive = request.keep_alive() && !mDraining;
   std::optional<gateway::RequestMetadata> facts =
     mContext.mDialect.ReadRequest(request.base());
   if (!facts) {
@@ -147,11 +152,12 @@
   auto admitted = mContext.mControl.Admit(*facts, arrived);
   if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
     LogRefusal(*facts, *refusal);
-    const bool keep = co_await Refuse(*facts, *refusal, keepAlive);
+    const bool keep = co_await Refuse(*facts, *refusal, mKeepAlive);
     co_return keep;
   }
   Exchange exchange(std::move(std::get<gateway::Admission>(admitted)));
   exchange.mCaller = &mSocket;
+  mExchange = &exchange;
   mContext.mExchanges.Add(&exchange);
   asio::co_spawn(
     mContext.mIo,
@@ -159,18 +165,17 @@
       return self->WatchForDisconnect(exchange, served);
     },
     asio::detached);
-  Forwarder forwarder(mContext, mSocket, request, exchange, keepAlive);
+  Forwarder forwarder(mContext, mSocket, request, exchange, mKeepAlive);
   const bool keep = co_await forwarder.Run();
   ++mRequestsServed;
+  mExchange = nullptr;
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
   mContext.mMetrics.mQueued.Observe(exchange.mQueued);
   LogRequest(exchange, forwarder);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
-  // Draining may have begun after the response headers were built without `Connection:
-  // close`.
-  co_return keep && !mDraining && mSocket.is_open();
+  co_return keep&& mSocket.is_open();
 }
 
 asio::awaitable<void> CallerSession::WatchForDisconnect(Exchange& aExchange,
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -51,6 +51,10 @@
   State mState{ State::Idle };
   timing::Instant mStateSince;
   bool mDraining{ false };
+  /// The connection is kept after the current response, as its head says.
+  bool mKeepAlive{ false };
+  /// The exchange of the request that is being served, or null.
+  const Exchange* mExchange{ nullptr };
   timing::Instant mIdleDeadline{ timing::Instant::max() };
   /// Number of requests served; WatchForDisconnect() ends if it has changed.
   std::uint64_t mRequestsServed{ 0 };
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -58,7 +58,7 @@
                      tcp::socket& aCaller,
                      const CallerRequest& aRequest,
                      Exchange& aExchange,
-                     bool aKeepAlive)
+                     const bool& aKeepAlive)
   : mContext(aContext)
   , mCaller(aCaller)
   , mRequest(aRequest)
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -43,11 +43,13 @@
 class Forwarder
 {
 public:
+  /// aKeepAlive says whether the caller's connection is kept; it is read whenever a head
+  /// is built, as a planned stop may begin meanwhile.
   Forwarder(FrontendContext& aContext,
             tcp::socket& aCaller,
             const CallerRequest& aRequest,
             Exchange& aExchange,
-            bool aKeepAlive);
+            const bool& aKeepAlive);
 
   /// Runs until the final response is sent. Returns false if the caller's connection must
   /// be closed.
@@ -121,7 +123,7 @@
   tcp::socket& mCaller;
   const CallerRequest& mRequest;
   Exchange& mExchange;
-  bool mKeepAlive;
+  const bool& mKeepAlive;
   std::string mOutcome;
   unsigned mStatus{ 0 };
   /// Complete 5xx response of an endpoint, sent to the caller if no later attempt
