--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -45,7 +45,9 @@
   auto configuration = std::make_shared<gateway::ServingConfiguration>();
   configuration->mRoutes = { MakeRoute("/safe/", gateway::RequestKind::Idempotent),
                              MakeRoute("/once/", gateway::RequestKind::Irreversible),
+                             MakeRoute("/slow/", gateway::RequestKind::Irreversible),
                              MakeRoute("/stream/", gateway::RequestKind::Stream) };
+  configuration->mRoutes[2].mTargetLatency = std::chrono::seconds(6);
   gateway::Service service;
   service.mName = kService;
   configuration->mServices.push_back(service);
@@ -111,6 +113,12 @@
       co_return;
     }
     co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
+    if (!script.mSecondPart.empty()) {
+      asio::steady_timer timer(mIo, std::chrono::milliseconds(30));
+      co_await timer.async_wait(RedirectError(ec));
+      co_await asio::async_write(
+        aSocket, asio::buffer(script.mSecondPart), RedirectError(ec));
+    }
     if (!ec && !script.mLater.empty()) {
       ec = co_await SendLater(aSocket, script);
     }
@@ -149,6 +157,39 @@
   mListener = std::make_unique<CallerListener>(
     mContext, settings::SocketAddress{ "127.0.0.1", mPort }, 100);
   mListener->Start();
+  mStop = std::make_unique<PlannedStop>(mContext, *mListener);
+}
+
+bool Fixture::Tick()
+{
+  const timing::Instant now = mClock.Now();
+  mExchanges.Tick(now, [&](const Exchange& aExchange) {
+    return mControl.IsStalled(aExchange.mAdmission, aExchange.mCurrent->mAttempt, now);
+  });
+  mListener->Tick(now);
+  mSignal.Notify();
+  return mStop->IsOver(now);
+}
+
+bool Fixture::BeginStop(std::chrono::milliseconds aGrace)
+{
+  return mStop->Begin(mClock.Now(), aGrace);
+}
+
+bool Fixture::Pass(std::chrono::milliseconds aTime, const std::function<bool()>& aUntil)
+{
+  constexpr std::chrono::milliseconds kTick{ 40 };
+  for (auto passed = kTick; passed <= aTime; passed += kTick) {
+    mClock.Advance(kTick);
+    if (Tick()) {
+      return true;
+    }
+    mIo.run_for(std::chrono::milliseconds(1));
+    if (aUntil && aUntil()) {
+      return false;
+    }
+  }
+  return false;
 }
 
 ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId, const std::string& aZone)
@@ -179,14 +220,9 @@
     ErrorCode ec;
     timer.expires_after(kTickPause);
     co_await timer.async_wait(RedirectError(ec));
-    mClock.Skip(kTickStep - kTickPause);
-    const timing::Instant now = mClock.Now();
-    mControl.mStoreFreshness.ConfirmUpTo(now);
-    mExchanges.Tick(now, [&](const Exchange& aExchange) {
-      return mControl.IsStalled(aExchange.mAdmission, aExchange.mCurrent->mAttempt, now);
-    });
-    mListener->Tick(now);
-    mSignal.Notify();
+    mClock.Advance(kTickStep - kTickPause);
+    mControl.mStoreFreshness.ConfirmUpTo(mClock.Now());
+    Tick();
   }
 }
 
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "components/frontend/listener.hpp"
+#include "components/frontend/plannedstop.hpp"
 #include "components/logging/logger.hpp"
 #include "components/metrics/registry.hpp"
 #include "platform/dialect.hpp"
@@ -30,6 +30,8 @@
     /// Ends the endpoint after the bytes: all its connections close, and new ones are
     /// refused.
     bool mCrash{ false };
+    /// Further bytes, sent a little later.
+    std::string mSecondPart;
     /// Bytes that follow, each after a pause; needs MeasurePausesBy().
     std::vector<std::pair<timing::Duration, std::string>> mLater;
   };
@@ -69,17 +71,17 @@
   int mConnections{ 0 };
 };
 
-/// Clock that the tests can set forward.
-class SkippingClock final : public timing::Clock
+/// Clock of the operating system, moved ahead by the test.
+class ShiftedClock final : public timing::Clock
 {
 public:
-  timing::Instant Now() const override { return mSystem.Now() + mSkipped; }
-  timing::WallTime WallNow() const override { return mSystem.WallNow(); }
-  void Skip(timing::Duration aTime) { mSkipped += aTime; }
+  timing::Instant Now() const override { return mClock.Now() + mShift; }
+  timing::WallTime WallNow() const override { return mClock.WallNow(); }
+  void Advance(timing::Duration aStep) { mShift += aStep; }
 
 private:
-  timing::SystemClock mSystem;
-  timing::Duration mSkipped{ 0 };
+  timing::SystemClock mClock;
+  timing::Duration mShift{ 0 };
 };
 
 /// The HTTP front end of an entry on the loopback address, with one service of scripted
@@ -118,8 +120,20 @@
     const std::function<void(gateway::ServingConfiguration&)>& aChange);
 
   std::string Log() const { return mLog.str(); }
+  /// Runs what a process does on each tick. Returns true if a planned stop is over.
+  bool Tick();
+  /// Moves the clock ahead without running anything.
+  void Advance(std::chrono::milliseconds aTime) { mClock.Advance(aTime); }
+  bool BeginStop(std::chrono::milliseconds aGrace);
+  /// Lets the clock advance, and runs what becomes ready, until the condition is true or
+  /// the time has passed. Returns true if a planned stop is over, which ends the time.
+  bool Pass(std::chrono::milliseconds aTime, const std::function<bool()>& aUntil = {});
+
+  std::uint16_t Port() const { return mPort; }
+  std::size_t Exchanges() const { return mExchanges.Size(); }
 
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
+  asio::io_context mIo{ 1 };
 
 private:
   asio::awaitable<void> TickLoop();
@@ -127,8 +141,7 @@
                         std::chrono::milliseconds aPause,
                         const std::function<bool(const std::string&)>& aIsComplete);
 
-  asio::io_context mIo{ 1 };
-  SkippingClock mClock;
+  ShiftedClock mClock;
   std::ostringstream mLog;
   logging::Logger mLogger{ "test", logging::Level::Info, mLog };
   metrics::Registry mRegistry;
@@ -139,6 +152,7 @@
   Signal mSignal{ mIo };
   FrontendContext mContext;
   std::unique_ptr<CallerListener> mListener;
+  std::unique_ptr<PlannedStop> mStop;
   std::uint16_t mPort;
   std::vector<std::unique_ptr<ScriptedEndpoint>> mEndpoints;
 };
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -12,6 +12,10 @@
 
 const gateway::CallerLimits kLimitsBeforeConfiguration;
 
+/// Time for which a new or idle connection waits for a request in a planned stop, also
+/// after the others were closed.
+constexpr std::chrono::milliseconds kMinStopIdleTime{ 400 };
+
 std::int64_t Millis(timing::Duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -70,21 +74,32 @@
 
 void CallerSession::Tick(timing::Instant aNow)
 {
-  const bool idleOver =
-    mState == State::Idle &&
-    (aNow - mStateSince >= Limits().mIdleTimeout || aNow >= mIdleDeadline);
+  const bool idleOver = mState == State::Idle &&
+                        (aNow - mStateSince >= Limits().mIdleTimeout ||
+                         aNow >= std::max(mIdleDeadline, mStateSince + kMinStopIdleTime));
   const bool slow =
     mState == State::Reading && aNow - mStateSince >= Limits().mHeaderTimeout;
-  if (idleOver || slow) {
+  if ((idleOver && !HasUnreadBytes()) || slow) {
     LogClosed(slow ? "the request arrived too slowly" : "idle", aNow);
     CloseSocket(mSocket);
   }
 }
 
+bool CallerSession::HasUnreadBytes() const
+{
+  ErrorCode ec;
+  return mSocket.is_open() && mSocket.available(ec) > 0;
+}
+
 void CallerSession::Drain(timing::Instant aIdleDeadline)
 {
   mDraining = true;
   mIdleDeadline = aIdleDeadline;
+  // The head of a stream that has begun says otherwise: its caller may send one more
+  // request.
+  if (mExchange == nullptr || !mExchange->mResponseHeadSent) {
+    mKeepAlive = false;
+  }
 }
 
 asio::awaitable<bool> CallerSession::ServeOne()
@@ -126,7 +141,7 @@
   mContext.mMetrics.mRequests.Increment();
   const timing::Instant arrived = mContext.mClock.Now();
   const CallerRequest request = parser.release();
-  const bool keepAlive = request.keep_alive() && !mDraining;
+  mKeepAlive = request.keep_alive() && !mDraining;
   std::optional<gateway::RequestMetadata> facts =
     mContext.mDialect.ReadRequest(request.base());
   if (!facts) {
@@ -138,11 +153,12 @@
   auto admitted = mContext.mControl.Admit(*facts, arrived);
   if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
     LogRefusal(*facts, *refusal);
-    const bool keep = co_await Refuse(*facts, *refusal, keepAlive);
+    const bool keep = co_await Refuse(*facts, *refusal, mKeepAlive);
     co_return keep;
   }
   Exchange exchange(std::move(std::get<gateway::Admission>(admitted)));
   exchange.mCaller = &mSocket;
+  mExchange = &exchange;
   mContext.mExchanges.Add(&exchange);
   asio::co_spawn(
     mContext.mIo,
@@ -150,18 +166,17 @@
       return self->WatchForDisconnect(exchange, served);
     },
     asio::detached);
-  Forwarder forwarder(mContext, mSocket, request, exchange, keepAlive);
+  Forwarder forwarder(mContext, mSocket, request, exchange, mKeepAlive);
   const bool keep = co_await forwarder.Run();
   ++mRequestsServed;
+  mExchange = nullptr;
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
   mContext.mMetrics.mQueued.Observe(exchange.mQueued);
   LogRequest(exchange, forwarder);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
-  // Draining may have begun after the response headers were built without `Connection:
-  // close`.
-  co_return keep && !mDraining && mSocket.is_open();
+  co_return keep&& mSocket.is_open();
 }
 
 asio::awaitable<void> CallerSession::WatchForDisconnect(Exchange& aExchange,
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -83,6 +83,9 @@
   /// another one should be tried.
   using IsSilent = std::function<bool(const Exchange&)>;
 
+  /// Lets no request in progress last longer than until the given instant.
+  void LimitDeadlines(timing::Instant aInstant);
+
   /// Ends requests past their deadline. An attempt past its own deadline is ended only
   /// while it connects. One that waits for a response goes on, since a silent endpoint
   /// may still respond, and a standby is looked for.
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -21,7 +21,7 @@
                      tcp::socket& aCaller,
                      const CallerRequest& aRequest,
                      Exchange& aExchange,
-                     bool aKeepAlive)
+                     const bool& aKeepAlive)
   : mContext(aContext)
   , mCaller(aCaller)
   , mRequest(aRequest)
@@ -105,6 +105,7 @@
     case gateway::NoEndpoint::NoneUsable:
     case gateway::NoEndpoint::Paused:
     case gateway::NoEndpoint::Quarantined:
+    case gateway::NoEndpoint::Stopping:
       return aNow;
   }
   return aNow;
