--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace samphiresail::frontend::testing {
 
@@ -13,6 +14,9 @@
 
 const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
 const ids::ServiceId kService("s");
+/// Time between two ticks, by the fixture's clock and in real time.
+constexpr std::chrono::milliseconds kTickStep{ 20 };
+constexpr std::chrono::milliseconds kTickPause{ 1 };
 
 /// Returns a currently unused port of the loopback address.
 std::uint16_t FreePort(asio::io_context& aIo)
@@ -41,7 +45,9 @@
   auto configuration = std::make_shared<gateway::ServingConfiguration>();
   configuration->mRoutes = { MakeRoute("/safe/", gateway::RequestKind::Idempotent),
                              MakeRoute("/once/", gateway::RequestKind::Irreversible),
+                             MakeRoute("/slow/", gateway::RequestKind::Irreversible),
                              MakeRoute("/stream/", gateway::RequestKind::Stream) };
+  configuration->mRoutes[2].mTargetLatency = std::chrono::seconds(6);
   gateway::Service service;
   service.mName = kService;
   configuration->mServices.push_back(service);
@@ -107,6 +113,15 @@
       co_return;
     }
     co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
+    if (!script.mSecondPart.empty()) {
+      asio::steady_timer timer(mIo, std::chrono::milliseconds(30));
+      co_await timer.async_wait(RedirectError(ec));
+      co_await asio::async_write(
+        aSocket, asio::buffer(script.mSecondPart), RedirectError(ec));
+    }
+    if (!ec && !script.mLater.empty()) {
+      ec = co_await SendLater(aSocket, script);
+    }
     if (script.mCrash) {
       mAcceptor.close(ec);
       co_return;
@@ -117,6 +132,20 @@
   }
 }
 
+asio::awaitable<ErrorCode> ScriptedEndpoint::SendLater(tcp::socket& aSocket,
+                                                       const Script& aScript)
+{
+  ErrorCode ec;
+  for (const auto& [pause, bytes] : aScript.mLater) {
+    const timing::Instant at = mClock->Now() + pause;
+    while (mClock->Now() < at) {
+      co_await mTick->Wait();
+    }
+    co_await asio::async_write(aSocket, asio::buffer(bytes), RedirectError(ec));
+  }
+  co_return ec;
+}
+
 Fixture::Fixture()
   : mContext{ mIo,        mClock,  mDialect, mControl, mBackends,
               mExchanges, mLogger, mMetrics, mSignal,  [](const auto&) {} }
@@ -128,11 +157,45 @@
   mListener = std::make_unique<CallerListener>(
     mContext, settings::SocketAddress{ "127.0.0.1", mPort }, 100);
   mListener->Start();
+  mStop = std::make_unique<PlannedStop>(mContext, *mListener);
+}
+
+bool Fixture::Tick()
+{
+  const timing::Instant now = mClock.Now();
+  mExchanges.Tick(now, [&](const Exchange& aExchange) {
+    return mControl.IsStalled(aExchange.mAdmission, aExchange.mCurrent->mAttempt, now);
+  });
+  mListener->Tick(now);
+  mSignal.Notify();
+  return mStop->IsOver(now);
+}
+
+bool Fixture::BeginStop(std::chrono::milliseconds aGrace)
+{
+  return mStop->Begin(mClock.Now(), aGrace);
+}
+
+bool Fixture::Pass(std::chrono::milliseconds aTime, const std::function<bool()>& aUntil)
+{
+  constexpr std::chrono::milliseconds kTick{ 40 };
+  for (auto passed = kTick; passed <= aTime; passed += kTick) {
+    mClock.Advance(kTick);
+    if (Tick()) {
+      return true;
+    }
+    mIo.run_for(std::chrono::milliseconds(1));
+    if (aUntil && aUntil()) {
+      return false;
+    }
+  }
+  return false;
 }
 
 ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId, const std::string& aZone)
 {
   mEndpoints.push_back(std::make_unique<ScriptedEndpoint>(mIo));
+  mEndpoints.back()->MeasurePausesBy(mClock, mSignal);
   gateway::EndpointReport report;
   report.mId = ids::EndpointId(aId);
   report.mIncarnation = 1;
@@ -144,17 +207,71 @@
   return *mEndpoints.back();
 }
 
+void Fixture::StartTicks()
+{
+  asio::co_spawn(
+    mIo, [this] { return TickLoop(); }, asio::detached);
+}
+
+asio::awaitable<void> Fixture::TickLoop()
+{
+  asio::steady_timer timer(mIo);
+  for (;;) {
+    ErrorCode ec;
+    timer.expires_after(kTickPause);
+    co_await timer.async_wait(RedirectError(ec));
+    mClock.Advance(kTickStep - kTickPause);
+    mControl.mStoreFreshness.ConfirmUpTo(mClock.Now());
+    Tick();
+  }
+}
+
+void Fixture::ChangeConfiguration(
+  const std::function<void(gateway::ServingConfiguration&)>& aChange)
+{
+  auto configuration =
+    std::make_shared<gateway::ServingConfiguration>(*mControl.Configuration());
+  ++configuration->mVersion;
+  aChange(*configuration);
+  configuration->Index();
+  mControl.SetConfiguration(std::move(configuration), mClock.Now());
+}
+
 std::string Fixture::Call(const std::string& aBytes,
                           const std::function<bool(const std::string&)>& aIsComplete)
 {
+  return RunCaller(aBytes, std::chrono::milliseconds(0), aIsComplete);
+}
+
+std::string Fixture::CallAndReadLate(
+  const std::string& aBytes,
+  std::chrono::milliseconds aPause,
+  const std::function<bool(const std::string&)>& aIsComplete)
+{
+  return RunCaller(aBytes, aPause, aIsComplete);
+}
+
+std::string Fixture::RunCaller(const std::string& aBytes,
+                               std::chrono::milliseconds aPause,
+                               const std::function<bool(const std::string&)>& aIsComplete)
+{
+  constexpr int kSmallBuffer = 4096;
   std::string received;
   std::atomic<bool> done = false;
   const auto caller = [&]() -> asio::awaitable<void> {
     ErrorCode ec;
     tcp::socket socket(mIo);
     const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), mPort);
+    if (aPause.count() > 0) {
+      socket.open(tcp::v4());
+      socket.set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+    }
     co_await socket.async_connect(endpoint, RedirectError(ec));
     co_await asio::async_write(socket, asio::buffer(aBytes), RedirectError(ec));
+    if (aPause.count() > 0) {
+      asio::steady_timer timer(mIo, aPause);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     std::array<char, 4096> bytes{};
     while (!ec && !aIsComplete(received)) {
       const std::size_t n =
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "components/frontend/listener.hpp"
+#include "components/frontend/plannedstop.hpp"
 #include "components/logging/logger.hpp"
 #include "components/metrics/registry.hpp"
 #include "platform/dialect.hpp"
@@ -30,10 +30,21 @@
     /// Ends the endpoint after the bytes: all its connections close, and new ones are
     /// refused.
     bool mCrash{ false };
+    /// Further bytes, sent a little later.
+    std::string mSecondPart;
+    /// Bytes that follow, each after a pause; needs MeasurePausesBy().
+    std::vector<std::pair<timing::Duration, std::string>> mLater;
   };
 
   explicit ScriptedEndpoint(asio::io_context& aIo);
 
+  /// Pauses in responses end at the first tick after their time by the clock.
+  void MeasurePausesBy(const timing::Clock& aClock, Signal& aTick)
+  {
+    mClock = &aClock;
+    mTick = &aTick;
+  }
+
   void AddScript(const Script& aScript) { mScripts.push_back(aScript); }
   std::uint16_t Port() const { return mPort; }
   /// Heads and bodies of the received requests.
@@ -47,7 +58,11 @@
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(tcp::socket aSocket);
 
+  asio::awaitable<ErrorCode> SendLater(tcp::socket& aSocket, const Script& aScript);
+
   asio::io_context& mIo;
+  const timing::Clock* mClock{ nullptr };
+  Signal* mTick{ nullptr };
   tcp::acceptor mAcceptor;
   std::uint16_t mPort;
   std::deque<Script> mScripts;
@@ -56,6 +71,19 @@
   int mConnections{ 0 };
 };
 
+/// Clock of the operating system, moved ahead by the test.
+class ShiftedClock final : public timing::Clock
+{
+public:
+  timing::Instant Now() const override { return mClock.Now() + mShift; }
+  timing::WallTime WallNow() const override { return mClock.WallNow(); }
+  void Advance(timing::Duration aStep) { mShift += aStep; }
+
+private:
+  timing::SystemClock mClock;
+  timing::Duration mShift{ 0 };
+};
+
 /// The HTTP front end of an entry on the loopback address, with one service of scripted
 /// endpoints.
 class Fixture
@@ -69,6 +97,10 @@
   /// or aIsComplete returns true.
   std::string Call(const std::string& aBytes,
                    const std::function<bool(const std::string&)>& aIsComplete);
+  /// The same as a caller with a small buffer that begins to read after a while.
+  std::string CallAndReadLate(const std::string& aBytes,
+                              std::chrono::milliseconds aPause,
+                              const std::function<bool(const std::string&)>& aIsComplete);
   /// Sends bytes as a caller that disconnects once the endpoint has the request, and runs
   /// until aDone returns true.
   void CallAndDisconnect(const std::string& aBytes, const std::function<bool()>& aDone);
@@ -80,11 +112,36 @@
   /// tick does.
   void RunDuringCall(const std::function<void()>& aChange);
 
+  /// Runs the periodic tick during calls. The clock is faster than the time of the test.
+  void StartTicks();
+
+  /// Replaces the configuration by one that aChange has changed.
+  void ChangeConfiguration(
+    const std::function<void(gateway::ServingConfiguration&)>& aChange);
+
+  std::string Log() const { return mLog.str(); }
+  /// Runs what a process does on each tick. Returns true if a planned stop is over.
+  bool Tick();
+  /// Moves the clock ahead without running anything.
+  void Advance(std::chrono::milliseconds aTime) { mClock.Advance(aTime); }
+  bool BeginStop(std::chrono::milliseconds aGrace);
+  /// Lets the clock advance, and runs what becomes ready, until the condition is true or
+  /// the time has passed. Returns true if a planned stop is over, which ends the time.
+  bool Pass(std::chrono::milliseconds aTime, const std::function<bool()>& aUntil = {});
+
+  std::uint16_t Port() const { return mPort; }
+  std::size_t Exchanges() const { return mExchanges.Size(); }
+
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
+  asio::io_context mIo{ 1 };
 
 private:
-  asio::io_context mIo{ 1 };
-  timing::SystemClock mClock;
+  asio::awaitable<void> TickLoop();
+  std::string RunCaller(const std::string& aBytes,
+                        std::chrono::milliseconds aPause,
+                        const std::function<bool(const std::string&)>& aIsComplete);
+
+  ShiftedClock mClock;
   std::ostringstream mLog;
   logging::Logger mLogger{ "test", logging::Level::Info, mLog };
   metrics::Registry mRegistry;
@@ -95,6 +152,7 @@
   Signal mSignal{ mIo };
   FrontendContext mContext;
   std::unique_ptr<CallerListener> mListener;
+  std::unique_ptr<PlannedStop> mStop;
   std::uint16_t mPort;
   std::vector<std::unique_ptr<ScriptedEndpoint>> mEndpoints;
 };
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_CALLERSESSION_HPP
 
 #include <memory>
+#include <string_view>
 
 #include "components/frontend/forwarder.hpp"
 
@@ -20,8 +21,10 @@
   /// Closes the connection if it was idle for too long or its request arrives too slowly.
   void Tick(timing::Instant aNow);
   /// Closes the connection after its next response, or at aIdleDeadline if it is idle
-  /// then.
+  /// then and has waited for a request for a moment.
   void Drain(timing::Instant aIdleDeadline);
+  /// True while a request is read, served or refused, or its bytes wait to be read.
+  bool IsBusy() const { return mState != State::Idle || HasUnreadBytes(); }
 
 private:
   enum class State
@@ -38,6 +41,9 @@
   asio::awaitable<void> WatchForDisconnect(Exchange& aExchange,
                                            std::uint64_t aRequestsServed);
   const gateway::CallerLimits& Limits() const;
+  /// Logs that this entry closes the connection without a response.
+  void LogClosed(std::string_view aReason, timing::Instant aNow);
+  bool HasUnreadBytes() const;
   void LogRefusal(const gateway::RequestMetadata& aFacts,
                   const gateway::Refusal& aRefusal);
   void LogRequest(const Exchange& aExchange, const Forwarder& aForwarder);
@@ -48,6 +54,10 @@
   State mState{ State::Idle };
   timing::Instant mStateSince;
   bool mDraining{ false };
+  /// The connection is kept after the current response, as its head says.
+  bool mKeepAlive{ false };
+  /// The exchange of the request that is being served, or null.
+  const Exchange* mExchange{ nullptr };
   timing::Instant mIdleDeadline{ timing::Instant::max() };
   /// Number of requests served; WatchForDisconnect() ends if it has changed.
   std::uint64_t mRequestsServed{ 0 };
