Answer 408 to a request that does not arrive in time, and read slow bodies whole

A caller whose request took longer than the time for a head found its connection closed without a word, and could not tell whether the request had run. A body that kept arriving was cut as well, as the time for the head covered it.

Cause: one state covered head and body, and its end closed the connection. Now the time for the head ends with the head. A body may take as long as the caller waits, unless it brings nothing for as long as a head may take. Both are answered 408, and the rest is discarded for a moment, as unread bytes would reset the connection before the response is read. A connection with unread bytes is not idle.

--- /dev/null
+++ b/apps/tests/frontend/callersessiontest.cpp
@@ -0,0 +1,66 @@
+#include <catch2/catch.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "apps/tests/frontend/messages.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::frontend::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+using Parts = std::vector<std::pair<timing::Duration, std::string>>;
+
+bool Never(const std::string&)
+{
+  return false;
+}
+
+/// Head of a request with a body of the length.
+std::string PostHead(std::size_t aLength, const std::string& aExtra = {})
+{
+  return "POST /once/1" + std::string(kCommon) + aExtra +
+         "Content-Length: " + std::to_string(aLength) + "\r\n\r\n";
+}
+
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "caller: a body that arrives for longer than a head may is read whole",
+                 "[frontend]")
+{
+  StartTicks();
+  AddEndpoint("e1").AddScript({ ResponseWithDigest("r1", "done") });
+  const Parts parts{ { milliseconds(0), PostHead(4) },
+                     { milliseconds(1200), "b" },
+                     { milliseconds(1200), "o" },
+                     { milliseconds(1200), "d" },
+                     { milliseconds(1200), "y" } };
+  CHECK(CallInParts(parts, HasHeadAndBody).ends_with("done"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "caller: a request that does not arrive in time is answered 408",
+                 "[frontend]")
+{
+  StartTicks();
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  std::string response;
+  SECTION("as its head stops")
+  {
+    response = CallInParts({ { milliseconds(0), "POST /once/1 HTTP/1.1\r\nHo" } }, Never);
+  }
+  SECTION("as its body stops")
+  {
+    response = CallInParts({ { milliseconds(0), PostHead(4) + "bo" } }, Never);
+  }
+  SECTION("as its body brings a byte now and then")
+  {
+    Parts parts{ { milliseconds(0), PostHead(100, "Deadline-Ms: 5000\r\n") } };
+    parts.insert(parts.end(), 20, { milliseconds(1000), "x" });
+    response = CallInParts(parts, Never);
+  }
+  CHECK(response.starts_with("HTTP/1.1 408"));
+  CHECK(Contains(response, "Connection: close"));
+  CHECK(endpoint.Requests().empty());
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -226,6 +226,19 @@
   }
 }
 
+void Fixture::RunAfter(timing::Duration aTime, const std::function<void()>& aChange)
+{
+  asio::co_spawn(
+    mIo,
+    [this, at = mClock.Now() + aTime, aChange]() -> asio::awaitable<void> {
+      while (mClock.Now() < at) {
+        co_await mSignal.Wait();
+      }
+      aChange();
+    },
+    asio::detached);
+}
+
 void Fixture::ChangeConfiguration(
   const std::function<void(gateway::ServingConfiguration&)>& aChange)
 {
@@ -287,6 +300,45 @@
   return received;
 }
 
+std::string Fixture::CallInParts(
+  const std::vector<std::pair<timing::Duration, std::string>>& aParts,
+  const std::function<bool(const std::string&)>& aIsComplete)
+{
+  std::string received;
+  bool done = false;
+  tcp::socket socket(mIo);
+  const auto send = [&]() -> asio::awaitable<void> {
+    ErrorCode ec;
+    for (const auto& [pause, bytes] : aParts) {
+      const timing::Instant at = mClock.Now() + pause;
+      while (mClock.Now() < at && !done) {
+        co_await mSignal.Wait();
+      }
+      co_await asio::async_write(socket, asio::buffer(bytes), RedirectError(ec));
+    }
+  };
+  const auto caller = [&]() -> asio::awaitable<void> {
+    ErrorCode ec;
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), mPort);
+    co_await socket.async_connect(endpoint, RedirectError(ec));
+    asio::co_spawn(mIo, send, asio::detached);
+    std::array<char, 4096> bytes{};
+    while (!ec && !aIsComplete(received)) {
+      const std::size_t n =
+        co_await socket.async_read_some(asio::buffer(bytes), RedirectError(ec));
+      received.append(bytes.data(), n);
+    }
+    done = true;
+  };
+  asio::co_spawn(mIo, caller, asio::detached);
+  while (!done) {
+    mIo.run_one();
+  }
+  // Lets the sender see that the call is over.
+  mIo.run_for(std::chrono::milliseconds(20));
+  return received;
+}
+
 void Fixture::RunDuringCall(const std::function<void()>& aChange)
 {
   asio::co_spawn(
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -101,6 +101,11 @@
   std::string CallAndReadLate(const std::string& aBytes,
                               std::chrono::milliseconds aPause,
                               const std::function<bool(const std::string&)>& aIsComplete);
+  /// The same as a caller that sends its bytes in parts, each after a pause; needs
+  /// StartTicks().
+  std::string CallInParts(
+    const std::vector<std::pair<timing::Duration, std::string>>& aParts,
+    const std::function<bool(const std::string&)>& aIsComplete);
   /// Sends bytes as a caller that disconnects once the endpoint has the request, and runs
   /// until aDone returns true.
   void CallAndDisconnect(const std::string& aBytes, const std::function<bool()>& aDone);
@@ -115,6 +120,9 @@
   /// Runs the periodic tick during calls. The clock is faster than the time of the test.
   void StartTicks();
 
+  /// Runs a change once the time has passed by the clock; needs StartTicks().
+  void RunAfter(timing::Duration aTime, const std::function<void()>& aChange);
+
   /// Replaces the configuration by one that aChange has changed.
   void ChangeConfiguration(
     const std::function<void(gateway::ServingConfiguration&)>& aChange);
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/callersession.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,6 +17,12 @@
 /// after the others were closed.
 constexpr std::chrono::milliseconds kMinStopIdleTime{ 400 };
 
+/// Time for the body of a request whose caller states no timeout.
+constexpr std::chrono::milliseconds kDefaultBodyTime{ 10000 };
+/// Longest time, and most bytes, for which the rest of a refused request is discarded.
+constexpr std::chrono::milliseconds kMaxDiscardTime{ 1000 };
+constexpr std::size_t kMaxDiscardedBytes = 1U << 20U;
+
 std::int64_t Millis(timing::Duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -69,20 +76,54 @@
   while (co_await ServeOne()) {
   }
   mSocket.shutdown(tcp::socket::shutdown_send, ec);
+  if (mHasUnreadRest && !ec) {
+    co_await DiscardRest();
+  }
   CloseSocket(mSocket);
 }
 
+void CallerSession::Enter(State aState)
+{
+  mState = aState;
+  mStateSince = mContext.mClock.Now();
+}
+
+bool CallerSession::IsOverdue(timing::Instant aNow) const
+{
+  const timing::Duration since = aNow - mStateSince;
+  const auto headerTimeout = Limits().mHeaderTimeout;
+  switch (mState) {
+    case State::Idle:
+      return !HasUnreadBytes() &&
+             (since >= Limits().mIdleTimeout ||
+              aNow >= std::max(mIdleDeadline, mStateSince + kMinStopIdleTime));
+    case State::ReadingHead:
+      return since >= headerTimeout;
+    case State::ReadingBody:
+      return since >= headerTimeout || aNow >= mBodyDeadline;
+    case State::Serving:
+      return false;
+    case State::Closing:
+      return since >= kMaxDiscardTime;
+  }
+  return false;
+}
+
 void CallerSession::Tick(timing::Instant aNow)
 {
-  const bool idleOver = mState == State::Idle &&
-                        (aNow - mStateSince >= Limits().mIdleTimeout ||
-                         aNow >= std::max(mIdleDeadline, mStateSince + kMinStopIdleTime));
-  const bool slow =
-    mState == State::Reading && aNow - mStateSince >= Limits().mHeaderTimeout;
-  if ((idleOver && !HasUnreadBytes()) || slow) {
-    LogClosed(slow ? "the request arrived too slowly" : "idle", aNow);
-    CloseSocket(mSocket);
+  if (mTooSlow || !IsOverdue(aNow)) {
+    return;
+  }
+  if (mState == State::ReadingHead || mState == State::ReadingBody) {
+    mTooSlow = true;
+    ErrorCode ec;
+    mSocket.cancel(ec);
+    return;
+  }
+  if (mState == State::Idle) {
+    LogClosed("idle", aNow);
   }
+  CloseSocket(mSocket);
 }
 
 bool CallerSession::HasUnreadBytes() const
@@ -102,48 +143,82 @@
   }
 }
 
+asio::awaitable<ErrorCode> CallerSession::ReadRequest(
+  RequestParser& aParser,
+  std::optional<gateway::RequestMetadata>& aFacts)
+{
+  ErrorCode ec;
+  Enter(State::ReadingHead);
+  aParser.header_limit(Limits().mMaxHeaderBytes);
+  aParser.body_limit(Limits().mMaxBodyBytes);
+  co_await http::async_read_header(mSocket, mBuffer, aParser, RedirectError(ec));
+  if (ec) {
+    co_return ec;
+  }
+  aFacts = mContext.mDialect.ReadRequest(aParser.get().base());
+  if (ExpectsContinue(aParser.get())) {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(
+      mSocket, asio::buffer(kContinue.data(), kContinue.size()), RedirectError(ec));
+  }
+  mBodyDeadline =
+    mContext.mClock.Now() +
+    (aFacts && aFacts->mCallerTimeout ? *aFacts->mCallerTimeout : kDefaultBodyTime);
+  while (!ec && !aParser.is_done()) {
+    Enter(State::ReadingBody);
+    co_await http::async_read_some(mSocket, mBuffer, aParser, RedirectError(ec));
+  }
+  co_return ec;
+}
+
+asio::awaitable<void> CallerSession::RefuseUnreadable(ErrorCode aEc)
+{
+  std::optional<gateway::Refusal> refusal = ResponseToUnreadable(aEc);
+  if (mTooSlow) {
+    refusal = LocalResponse(408, "the request did not arrive in time");
+    LogRefusal(gateway::RequestMetadata(), *refusal);
+  } else if (aEc == http::error::header_limit || aEc == http::error::body_limit) {
+    refusal = mContext.mControl.RefuseTooLarge(*refusal, mContext.mClock.Now());
+  }
+  if (refusal) {
+    mHasUnreadRest = true;
+    co_await Refuse(gateway::RequestMetadata(), *refusal, false);
+  }
+}
+
+asio::awaitable<void> CallerSession::DiscardRest()
+{
+  Enter(State::Closing);
+  std::array<char, 4096> bytes{};
+  std::size_t discarded = 0;
+  ErrorCode ec;
+  while (!ec && discarded < kMaxDiscardedBytes) {
+    discarded += co_await mSocket.async_read_some(asio::buffer(bytes), RedirectError(ec));
+  }
+}
+
 asio::awaitable<bool> CallerSession::ServeOne()
 {
   ErrorCode ec;
-  mState = State::Idle;
-  mStateSince = mContext.mClock.Now();
+  Enter(State::Idle);
   if (mBuffer.size() == 0) {
     co_await mSocket.async_wait(tcp::socket::wait_read, RedirectError(ec));
     if (ec) {
       co_return false;
     }
   }
-  mState = State::Reading;
-  mStateSince = mContext.mClock.Now();
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(Limits().mMaxHeaderBytes);
-  parser.body_limit(Limits().mMaxBodyBytes);
-  co_await http::async_read_header(mSocket, mBuffer, parser, RedirectError(ec));
-  if (!ec && ExpectsContinue(parser.get())) {
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(
-      mSocket, asio::buffer(kContinue.data(), kContinue.size()), RedirectError(ec));
-  }
-  if (!ec) {
-    co_await http::async_read(mSocket, mBuffer, parser, RedirectError(ec));
-  }
-  mState = State::Serving;
+  RequestParser parser;
+  std::optional<gateway::RequestMetadata> facts;
+  ec = co_await ReadRequest(parser, facts);
+  Enter(State::Serving);
   if (ec) {
-    std::optional<gateway::Refusal> refusal = ResponseToUnreadable(ec);
-    if (ec == http::error::header_limit || ec == http::error::body_limit) {
-      refusal = mContext.mControl.RefuseTooLarge(*refusal, mContext.mClock.Now());
-    }
-    if (refusal) {
-      co_await Refuse(gateway::RequestMetadata(), *refusal, false);
-    }
+    co_await RefuseUnreadable(ec);
     co_return false;
   }
   mContext.mMetrics.mRequests.Increment();
   const timing::Instant arrived = mContext.mClock.Now();
   const CallerRequest request = parser.release();
   mKeepAlive = request.keep_alive() && !mDraining;
-  std::optional<gateway::RequestMetadata> facts =
-    mContext.mDialect.ReadRequest(request.base());
   if (!facts) {
     const gateway::Refusal refusal =
       LocalResponse(400, "the request lacks its identifier");
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_CALLERSESSION_HPP
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "components/frontend/forwarder.hpp"
@@ -27,14 +28,31 @@
   bool IsBusy() const { return mState != State::Idle || HasUnreadBytes(); }
 
 private:
+  using RequestParser = http::request_parser<http::string_body>;
+
   enum class State
   {
     Idle,
-    Reading,
+    ReadingHead,
+    ReadingBody,
     Serving,
+    /// The last response was sent, and what the caller still sends is discarded.
+    Closing,
   };
 
   asio::awaitable<bool> ServeOne();
+  void Enter(State aState);
+  /// True if the state has lasted, or brought nothing, for longer than it may.
+  bool IsOverdue(timing::Instant aNow) const;
+  /// Reads a request; facts are those of its head. Returns the error that ended it, if
+  /// any.
+  asio::awaitable<ErrorCode> ReadRequest(RequestParser& aParser,
+                                         std::optional<gateway::RequestMetadata>& aFacts);
+  /// Answers a request that could not be read, unless its connection ended.
+  asio::awaitable<void> RefuseUnreadable(ErrorCode aEc);
+  /// Discards what the caller still sends: bytes that stay unread would reset the
+  /// connection before the caller has read the last response.
+  asio::awaitable<void> DiscardRest();
   asio::awaitable<bool> Refuse(const gateway::RequestMetadata& aFacts,
                                const gateway::Refusal& aRefusal,
                                bool aKeepAlive);
@@ -53,6 +71,11 @@
   beast::flat_buffer mBuffer;
   State mState{ State::Idle };
   timing::Instant mStateSince;
+  /// When the body must be complete: when the caller stops waiting.
+  timing::Instant mBodyDeadline{ timing::Instant::max() };
+  bool mTooSlow{ false };
+  /// The last response was sent before the whole request was read.
+  bool mHasUnreadRest{ false };
   bool mDraining{ false };
   /// The connection is kept after the current response, as its head says.
   bool mKeepAlive{ false };
