Let no change of the configuration shorten the time of what has begun

A request that was half read when a configuration shortened the time for it was cut, and a connection that was idle by the earlier time was closed as its caller used it again.

Cause: the limits came from the newest configuration at each tick. The limits at the beginning of a state now hold for it, or the newest ones if these are longer.

--- a/apps/tests/frontend/callersessiontest.cpp
+++ b/apps/tests/frontend/callersessiontest.cpp
@@ -23,6 +23,15 @@
          "Content-Length: " + std::to_string(aLength) + "\r\n\r\n";
 }
 
+/// Sets the times that callers may take.
+void SetTimes(gateway::ServingConfiguration& aConfiguration,
+              milliseconds aHeader,
+              milliseconds aIdle)
+{
+  aConfiguration.mLimits.mHeaderTimeout = aHeader;
+  aConfiguration.mLimits.mIdleTimeout = aIdle;
+}
+
 }
 
 TEST_CASE_METHOD(Fixture,
@@ -64,3 +73,42 @@
   CHECK(Contains(response, "Connection: close"));
   CHECK(endpoint.Requests().empty());
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "caller: a change of the limits ends no request that is being read",
+                 "[frontend]")
+{
+  StartTicks();
+  AddEndpoint("e1").AddScript({ ResponseWithDigest("r1", "done") });
+  const auto header = GENERATE(milliseconds(0), milliseconds(50));
+  const std::string request = Post("/once/1");
+  const std::size_t cut = GENERATE_COPY(std::size_t{ 10 }, request.size() - 2);
+  const Parts parts{ { milliseconds(0), request.substr(0, cut) },
+                     { milliseconds(1500), request.substr(cut) } };
+  RunAfter(milliseconds(500), [&] {
+    ChangeConfiguration(
+      [&](auto& aConfiguration) { SetTimes(aConfiguration, header, milliseconds(50)); });
+  });
+  CHECK(CallInParts(parts, HasHeadAndBody).ends_with("done"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "caller: a change of the limits ends no connection that is idle by the "
+                 "earlier ones",
+                 "[frontend]")
+{
+  StartTicks();
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ ResponseWithDigest("r1", "first") });
+  endpoint.AddScript({ ResponseWithDigest("r1", "second") });
+  RunAfter(milliseconds(500), [&] {
+    ChangeConfiguration([](auto& aConfiguration) {
+      SetTimes(aConfiguration, milliseconds(50), milliseconds(50));
+    });
+  });
+  const Parts parts{ { milliseconds(0), Post("/once/1") },
+                     { milliseconds(2000), Post("/once/1") } };
+  const std::string response =
+    CallInParts(parts, [](const auto& aText) { return aText.ends_with("second"); });
+  CHECK(response.ends_with("second"));
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -86,16 +86,18 @@
 {
   mState = aState;
   mStateSince = mContext.mClock.Now();
+  mLimitsSince = Limits();
 }
 
 bool CallerSession::IsOverdue(timing::Instant aNow) const
 {
   const timing::Duration since = aNow - mStateSince;
-  const auto headerTimeout = Limits().mHeaderTimeout;
+  const auto headerTimeout =
+    std::max(mLimitsSince.mHeaderTimeout, Limits().mHeaderTimeout);
   switch (mState) {
     case State::Idle:
       return !HasUnreadBytes() &&
-             (since >= Limits().mIdleTimeout ||
+             (since >= std::max(mLimitsSince.mIdleTimeout, Limits().mIdleTimeout) ||
               aNow >= std::max(mIdleDeadline, mStateSince + kMinStopIdleTime));
     case State::ReadingHead:
       return since >= headerTimeout;
@@ -149,8 +151,8 @@
 {
   ErrorCode ec;
   Enter(State::ReadingHead);
-  aParser.header_limit(Limits().mMaxHeaderBytes);
-  aParser.body_limit(Limits().mMaxBodyBytes);
+  aParser.header_limit(mLimitsSince.mMaxHeaderBytes);
+  aParser.body_limit(mLimitsSince.mMaxBodyBytes);
   co_await http::async_read_header(mSocket, mBuffer, aParser, RedirectError(ec));
   if (ec) {
     co_return ec;
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -71,6 +71,9 @@
   beast::flat_buffer mBuffer;
   State mState{ State::Idle };
   timing::Instant mStateSince;
+  /// The limits when the state began. A change of the configuration shortens none of them
+  /// for what has begun.
+  gateway::CallerLimits mLimitsSince;
   /// When the body must be complete: when the caller stops waiting.
   timing::Instant mBodyDeadline{ timing::Instant::max() };
   bool mTooSlow{ false };
