Let a process that was stopped past a request's deadline still answer it

After a pause of the process beyond a deadline, the first tick closed the caller's connection at once, before the response that ends the request could be written.

Cause: the grace for callers that read nothing was counted from the deadline, not from the end of the request. The log tells such a caller ("caller read nothing") from one that left. The test failed before: the connection was closed in the first tick.

--- a/apps/tests/frontend/exchangetest.cpp
+++ b/apps/tests/frontend/exchangetest.cpp
@@ -99,3 +99,19 @@
   }
   CHECK(exchange.mSearches == 0);
 }
+
+TEST_CASE("exchanges: a process that was stopped past a deadline still answers",
+          "[frontend]")
+{
+  asio::io_context io;
+  tcp::socket caller(io, tcp::v4());
+  WaitingExchange exchange;
+  exchange.mCaller = &caller;
+  ExchangeTable table;
+  table.Add(&exchange);
+  table.Tick(kNow + 8s, Never);
+  CHECK(exchange.mDeadlineExceeded);
+  CHECK(caller.is_open());
+  table.Tick(kNow + 8s + ExchangeTable::kWriteGrace, Never);
+  CHECK_FALSE(caller.is_open());
+}
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -13,10 +13,13 @@
 
 void ExchangeTable::EndAtDeadline(Exchange& aExchange, timing::Instant aNow)
 {
-  aExchange.mDeadlineExceeded = true;
+  if (!aExchange.mDeadlineExceeded) {
+    aExchange.mDeadlineExceeded = true;
+    aExchange.mEndedAt = aNow;
+  }
   aExchange.AbortAttempts();
-  if (aNow >= aExchange.mAdmission.mDeadline + kWriteGrace &&
-      aExchange.mCaller != nullptr) {
+  if (aNow >= aExchange.mEndedAt + kWriteGrace && aExchange.mCaller != nullptr) {
+    aExchange.mCallerCutOff = true;
     CloseSocket(*aExchange.mCaller);
   }
 }
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -44,6 +44,11 @@
   bool mMayHaveRun{ false };
   bool mCallerDisconnected{ false };
   bool mDeadlineExceeded{ false };
+  /// When the tick ended the request, which is later than its deadline if the process was
+  /// stopped meanwhile.
+  timing::Instant mEndedAt{};
+  /// The caller's connection was closed, since it had not read its response in time.
+  bool mCallerCutOff{ false };
   /// An attempt was answered beyond its first event.
   bool mAnswered{ false };
   tcp::socket* mCaller{ nullptr };
@@ -69,8 +74,8 @@
 class ExchangeTable
 {
 public:
-  /// Time after the deadline at which the connection of a caller that reads no bytes is
-  /// closed.
+  /// Time after the end of a request at which the connection of a caller that reads no
+  /// bytes is closed.
   static constexpr timing::Duration kWriteGrace = std::chrono::milliseconds(200);
   /// Pause between two searches for a standby of one request.
   static constexpr timing::Duration kStandbyInterval = std::chrono::milliseconds(200);
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -178,7 +178,7 @@
     co_return mKeepAlive;
   }
   if (mExchange.mCallerDisconnected) {
-    SetOutcome("caller left");
+    SetOutcome(mExchange.mCallerCutOff ? "caller read nothing" : "caller left");
     co_return false;
   }
   if (mExchange.mResponseHeadSent) {
