Read no text of another writer that is nested deeply; one odd entry ended the process

Another writer may leave any bytes among the endpoints' records.

Every text is now scanned for its depth before it is parsed (64 levels; the configuration has 6), without recursion, and records and reports of engines of more than 1 MiB, the largest value of the store, are not read. Such a record names no endpoint, such a configuration counts as unreadable, such an answer as failed.

The watcher's test fixture moved to a header; no test of storewatchertest.cpp changed, but a watch that has ended now fails its test instead of blocking it.

--- /dev/null
+++ b/apps/tests/platform/oddentriestest.cpp
@@ -0,0 +1,108 @@
+#include <catch2/catch.hpp>
+
+#include "apps/tests/platform/storewatcherfixture.hpp"
+#include "platform/decode.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::platform;
+using namespace samphiresail::platform::testing;
+
+namespace {
+
+using Fixture = StoreWatcherFixture;
+
+std::string Nested(std::size_t aDepth, char aOpen = '[', char aClose = ']')
+{
+  return std::string(aDepth, aOpen) + std::string(aDepth, aClose);
+}
+
+/// The record of a sound endpoint with further fields.
+std::string EndpointWith(const std::string& aFields)
+{
+  return kEndpoint.substr(0, kEndpoint.size() - 1) + "," + aFields + "}";
+}
+
+}
+
+TEST_CASE("decode: a record that is nested deeply does not exhaust the stack",
+          "[platform]")
+{
+  const std::size_t depth = GENERATE(65U, 100'000U, 300'000U);
+  const std::string nested = Nested(depth);
+  for (const std::string& text :
+       { nested,
+         EndpointWith(R"("models":)" + nested),
+         EndpointWith(R"("atHand":{"inMemory":)" + nested + "}"),
+         EndpointWith(R"("new":)" + nested),
+         EndpointWith(R"("models":)" + nested.substr(depth)) }) {
+    CHECK_FALSE(DecodeEndpoint("e1", text));
+  }
+  CHECK_FALSE(
+    DecodeEngineReport(R"({"models":[],"sequence":1,"coming":)" + nested + "}"));
+  CHECK_FALSE(
+    DecodeEngineReport(R"({"models":[],"sequence":1,"atHand":)" + nested + "}"));
+  const std::string configuration =
+    R"({"version":1,"routes":[],"services":[],"tenants":)";
+  CHECK_THROWS(DecodeConfiguration(configuration + nested + "}"));
+}
+
+TEST_CASE("decode: brackets within strings are not levels", "[platform]")
+{
+  const std::string text = R"("new":"\"\\)" + std::string(100, '[') + R"(\\")";
+  CHECK(DecodeEndpoint("e1", EndpointWith(text)));
+  CHECK(DecodeEndpoint("e1", EndpointWith(R"("new":)" + Nested(60))));
+}
+
+TEST_CASE("decode: a record larger than the store accepts is not read", "[platform]")
+{
+  const std::string large = R"("new":")" + std::string(1U << 20U, 'x') + R"(")";
+  CHECK_FALSE(DecodeEndpoint("e1", EndpointWith(large)));
+  CHECK_FALSE(DecodeEngineReport(R"({"models":[],"sequence":1,)" + large + "}"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: an endpoint's record that is nested deeply does not end "
+                 "the process",
+                 "[platform]")
+{
+  const std::string odd =
+    Item("servers/e2", EndpointWith(R"("models":)" + Nested(300'000)));
+  mServer.AddScript({ Page(Item("servers/e1", kEndpoint) + "," + odd + "," +
+                             Item("servers/e3", kEndpoint),
+                           8) });
+  mServer.AddScript({ Changes(odd + "," + Item("servers/e4", kEndpoint), 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(2) == Calls{ "endpoint e1",
+                         "endpoint e3",
+                         "full 2 0 0",
+                         "confirmed",
+                         "endpoint e4",
+                         "confirmed" });
+  CHECK(mServer.Requests().at(2).find("after=9") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a configuration that is nested deeply does not end the "
+                 "process",
+                 "[platform]")
+{
+  const std::string odd =
+    R"({"version":6,"routes":[],"services":[],"tenants":)" + Nested(300'000) + "}";
+  mServer.AddScript({ Page(Item("op/config", odd), 8) });
+  mServer.AddScript({ Changes(Item("op/config", kConfiguration), 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(2) ==
+        Calls{ "unreadable", "full 0 0 0", "confirmed", "configuration 5", "confirmed" });
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a response of the store that is nested deeply is a "
+                 "failed call",
+                 "[platform]")
+{
+  mServer.AddScript({ Response(
+    200, R"({"storeRevision":8,"items":[{"key":)" + Nested(300'000) + "}]}") });
+  mServer.AddScript({ Page(Item("servers/e1", kEndpoint), 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(2) == Calls{ "lost", "endpoint e1", "full 1 0 0", "confirmed" });
+}
--- /dev/null
+++ b/apps/tests/platform/storewatcherfixture.hpp
@@ -0,0 +1,127 @@
+#ifndef SAMPHIRESAIL_APPS_TESTS_PLATFORM_STOREWATCHERFIXTURE_HPP
+#define SAMPHIRESAIL_APPS_TESTS_PLATFORM_STOREWATCHERFIXTURE_HPP
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "components/store/base64.hpp"
+#include "platform/storewatcher.hpp"
+
+namespace samphiresail::platform::testing {
+
+/// Records each call as a line of text.
+class Recorder final : public gateway::PlatformListener
+{
+public:
+  void OnConfiguration(
+    std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override
+  {
+    Add("configuration " + std::to_string(aConfiguration->mVersion));
+  }
+  void OnConfigurationUnreadable() override { Add("unreadable"); }
+  void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override
+  {
+    Add((aOut ? "out " : "back ") + aZone.Str());
+  }
+  void OnEndpoint(gateway::EndpointReport aReport) override
+  {
+    Add("endpoint " + aReport.mId.Str());
+  }
+  void OnEndpointGone(const ids::EndpointId& aId) override { Add("gone " + aId.Str()); }
+  void OnFullReading(const gateway::FullReading& aReading) override
+  {
+    Add("full " + std::to_string(aReading.mEndpoints.size()) + " " +
+        std::to_string(aReading.mZonesOut.size()) + " " +
+        std::to_string(aReading.mOwnKeys.size()));
+  }
+  void OnOwnRecord(const std::string& aKey,
+                   const std::optional<std::string>& aValue,
+                   std::int64_t,
+                   std::int64_t) override
+  {
+    Add("own " + aKey + " " + aValue.value_or("none"));
+  }
+  void OnAnswered(timing::Instant aBegan) override { mBegan.push_back(aBegan); }
+  void OnConfirmed(timing::Instant) override { Add("confirmed"); }
+  void OnContactLost(const std::string&) override { Add("lost"); }
+
+  std::vector<std::string> mCalls;
+  std::vector<timing::Instant> mBegan;
+
+private:
+  void Add(const std::string& aText) { mCalls.push_back(aText); }
+};
+
+inline std::string Item(const std::string& aKey, const std::string& aValue)
+{
+  return R"({"key":")" + aKey + R"(","revision":3,"value":")" +
+         store::EncodeBase64(aValue) + R"("})";
+}
+
+inline std::string Response(unsigned aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+inline std::string Page(const std::string& aItems, int aRevision, bool aMore = false)
+{
+  return Response(200,
+                  R"({"items":[)" + aItems + R"(],"storeRevision":)" +
+                    std::to_string(aRevision) + R"(,"truncated":)" +
+                    (aMore ? "true" : "false") + "}");
+}
+
+inline std::string Changes(const std::string& aItems, int aRevision)
+{
+  return Response(200,
+                  R"({"events":[)" + aItems + R"(],"storeRevision":)" +
+                    std::to_string(aRevision) + "}");
+}
+
+inline const std::string kEndpoint =
+  R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":4,"state":"ready",)"
+  R"("coldRemainingMs":0,"sequence":1,"born":1})";
+inline const std::string kConfiguration = R"({"version":5,"routes":[],"services":[]})";
+
+struct StoreWatcherFixture
+{
+  /// Runs the watcher until the store has received aCalls + 1 requests: by then the
+  /// responses to the first aCalls requests have been processed.
+  std::vector<std::string> Run(std::size_t aCalls)
+  {
+    platform::StoreWatcher watcher(mIo, mStore, mRecorder, mClock, mLogger, 3);
+    frontend::asio::co_spawn(
+      mIo, [&watcher] { return watcher.Run(); }, frontend::asio::detached);
+    while (mServer.Requests().size() <= aCalls) {
+      // Without this limit the test of a watch that has ended would wait for ever.
+      if (mIo.run_one_for(std::chrono::seconds(20)) == 0) {
+        FAIL("the watch has ended");
+      }
+    }
+    mIo.stop();
+    return mRecorder.mCalls;
+  }
+
+  frontend::asio::io_context mIo{ 1 };
+  frontend::testing::ScriptedEndpoint mServer{ mIo };
+  timing::SystemClock mClock;
+  platform::HttpClient mClient{ mIo, mClock };
+  platform::PlatformStore mStore{ mClient, { "127.0.0.1", mServer.Port() } };
+  std::ostringstream mLog;
+  logging::Logger mLogger{ "test", logging::Level::Info, mLog };
+  Recorder mRecorder;
+};
+
+using Calls = std::vector<std::string>;
+
+}
+
+#endif
