--- a/apps/tests/platform/oddentriestest.cpp
+++ b/apps/tests/platform/oddentriestest.cpp
@@ -60,6 +60,93 @@
   CHECK_FALSE(DecodeEngineReport(R"({"models":[],"sequence":1,)" + large + "}"));
 }
 
+TEST_CASE("decode: a record with a number out of range names no endpoint", "[platform]")
+{
+  const auto [sound, odd] = GENERATE(
+    table<std::string, std::string>({ { "slots\":4", "slots\":-1" },
+                                      { "slots\":4", "slots\":4.5" },
+                                      { "slots\":4", "slots\":true" },
+                                      { "slots\":4", "slots\":4294967296" },
+                                      { "slots\":4", "slots\":1e300" },
+                                      { "slots\":4", "slots\":1e999" },
+                                      { "Ms\":0", "Ms\":-5" },
+                                      { "Ms\":0", "Ms\":1e300" },
+                                      { "Ms\":0", "Ms\":9223372036854775807" },
+                                      { "Ms\":0", "Ms\":\"0\"" },
+                                      { "sequence\":1", "sequence\":-1" },
+                                      { "sequence\":1", "sequence\":1e300" },
+                                      { "born\":1", "born\":-1" },
+                                      { "born\":1", "born\":1e300" },
+                                      { "born\":1", "born\":9223372036854775807" },
+                                      { "born\":1", "born\":18446744073709551615" },
+                                      { "127.0.0.1:9", "127.0.0.1:0" },
+                                      { "127.0.0.1:9", "127.0.0.1:65536" },
+                                      { "127.0.0.1:9", "127.0.0.1:-1" },
+                                      { "127.0.0.1:9", "[::1]:9" } }));
+  std::string text = kEndpoint;
+  REQUIRE(DecodeEndpoint("e1", text));
+  text.replace(text.find(sound), sound.size(), odd);
+  CAPTURE(text);
+  CHECK_FALSE(DecodeEndpoint("e1", text));
+}
+
+TEST_CASE("decode: an identifier that would end a header names no endpoint", "[platform]")
+{
+  for (const char* id : { "", "e1\r\nHold: 1", "e1\n", "e\x7f" }) {
+    CHECK_FALSE(DecodeEndpoint(id, kEndpoint));
+  }
+}
+
+TEST_CASE("decode: a report of an engine with a number out of range is not read",
+          "[platform]")
+{
+  for (const char* sequence : { "-1", "1e300", "18446744073709551615", "1.5", "true" }) {
+    CAPTURE(sequence);
+    CHECK_FALSE(
+      DecodeEngineReport(std::string(R"({"models":[],"sequence":)") + sequence + "}"));
+  }
+}
+
+TEST_CASE("decode: a configuration with a number out of range is not read", "[platform]")
+{
+  const auto decode = [](const std::string& aRoute,
+                         const std::string& aService,
+                         const std::string& aAccount) {
+    return DecodeConfiguration(
+      R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/")" + aRoute +
+      R"(}],"services":[{"name":"s")" + aService + R"(}],"tenants":[{"name":"t")" +
+      aAccount + "}]}");
+  };
+  CHECK_NOTHROW(decode("", "", ""));
+  for (const char* odd : { "-1", "1e300", "\"1\"", "true" }) {
+    CAPTURE(odd);
+    for (const char* field : { "timeoutMs", "targetLatencyMs", "gapAimMs" }) {
+      CHECK_THROWS(decode(std::string(",\"") + field + "\":" + odd, "", ""));
+    }
+    CHECK_THROWS(decode(std::string(R"(,"maxAttempts":)") + odd, "", ""));
+    for (const char* field : { "maxConnections", "coldPerS" }) {
+      CHECK_THROWS(decode("", std::string(",\"") + field + "\":" + odd, ""));
+    }
+    for (const char* field :
+         { "slots", "weightsMb", "kvCapacity", "adapterSlots", "loadsPerS" }) {
+      CHECK_THROWS(
+        decode("", std::string(R"(,"engine":{")") + field + "\":" + odd + "}", ""));
+    }
+    for (const char* field : { "weightsMb", "adapterMb", "adapters", "loadTimeS" }) {
+      CHECK_THROWS(decode("",
+                          std::string(R"(,"engine":{"models":[{"name":"m",")") + field +
+                            "\":" + odd + "}]}",
+                          ""));
+    }
+    for (const char* field : { "ratePerS", "burst", "plainTokens" }) {
+      CHECK_THROWS(decode("", "", std::string(",\"") + field + "\":" + odd));
+    }
+  }
+  CHECK_THROWS(decode(R"(,"priority":1e300)", "", ""));
+  CHECK_THROWS(decode("", "", R"(,"priority":1e300)"));
+  CHECK_THROWS(DecodeConfiguration(R"({"version":1e300,"routes":[],"services":[]})"));
+}
+
 TEST_CASE_METHOD(Fixture,
                  "store watcher: an endpoint's record that is nested deeply does not end "
                  "the process",
