Let one odd item of the store's answer harm itself alone

One item with an odd key or field discarded the whole page or all changes of a watch: the call counted as failed and was made again, with the same outcome. The entry stopped following the list, and with its view too old it refused every request with a key. Cause: the items were decoded in one try block.

An item without a readable key is now ignored and counted in the log; it concerns no known record. An odd revision, lease, value or tombstone of another item does not hide that its record exists: a zone that is out stays out, an endpoint's or the configuration's unreadable value is odd for its own reader. The watch goes on from the answer's revision, which must itself be sound. A truncated page without any key is a failed call, as nothing tells where the next one begins and the records behind it must not count as gone. Lease identifiers may be any 64-bit integer that is not negative.

--- a/apps/tests/platform/oddentriestest.cpp
+++ b/apps/tests/platform/oddentriestest.cpp
@@ -193,3 +193,73 @@
   mServer.AddScript({ "", false, true });
   CHECK(Run(2) == Calls{ "lost", "endpoint e1", "full 1 0 0", "confirmed" });
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: one odd item of a page or of a watch harms itself alone",
+                 "[platform]")
+{
+  const std::string odd = GENERATE(as<std::string>(),
+                                   "5",
+                                   "null",
+                                   "[]",
+                                   "{}",
+                                   R"({"key":5})",
+                                   R"({"key":["servers/e2"],"value":""})");
+  mServer.AddScript({ Page(Item("servers/e1", kEndpoint) + "," + odd, 8, true) });
+  mServer.AddScript({ Page(odd + "," + Item("servers/e3", kEndpoint), 8) });
+  mServer.AddScript({ Changes(odd + "," + Item("servers/e4", kEndpoint), 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(3) == Calls{ "endpoint e1",
+                         "endpoint e3",
+                         "full 2 0 0",
+                         "confirmed",
+                         "endpoint e4",
+                         "confirmed" });
+  CHECK(mServer.Requests().at(1).find("after=servers%2Fe1") != std::string::npos);
+  CHECK(mServer.Requests().at(3).find("after=9") != std::string::npos);
+  CHECK(mLog.str().find("items of the store ignored") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: records behind a page without any key do not count as "
+                 "gone",
+                 "[platform]")
+{
+  mServer.AddScript({ Page("5", 8, true) });
+  mServer.AddScript({ Page(Item("servers/e1", kEndpoint), 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(2) == Calls{ "lost", "endpoint e1", "full 1 0 0", "confirmed" });
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: an odd field of an item does not hide its record",
+                 "[platform]")
+{
+  const std::string odd = GENERATE(as<std::string>(),
+                                   R"("revision":"x")",
+                                   R"("revision":1e300)",
+                                   R"("createRev":[])",
+                                   R"("lease":-1)",
+                                   R"("value":5)",
+                                   R"("value":"not base64")",
+                                   R"("tombstone":5)");
+  mServer.AddScript({ Page(R"({"key":"op/evacuate/z",)" + odd + "}", 8) });
+  mServer.AddScript({ Changes(R"({"key":"op/evacuate/y",)" + odd + "}", 9) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(2) == Calls{ "out z", "full 0 1 0", "confirmed", "out y", "confirmed" });
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "store watcher: a record whose value cannot be decoded names no endpoint "
+  "and no configuration",
+  "[platform]")
+{
+  const std::string value = GENERATE(as<std::string>(), R"("value":5)", R"("value":"?")");
+  mServer.AddScript(
+    { Page(R"({"key":"op/config",)" + value + R"(},{"key":"servers/e1",)" + value + "}," +
+             Item("own/1", "x"),
+           8) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(1) == Calls{ "unreadable", "own own/1 x", "full 0 0 1", "confirmed" });
+}
