Use no endpoint whose record was replaced by one that names none

A record that could not be read was ignored in the watch, so the one before it stayed in force until the next full reading, which may never come: requests went on to an endpoint that the list no longer names. A full reading did not count it as listed, so the same store gave two outcomes.

--- a/apps/tests/platform/oddentriestest.cpp
+++ b/apps/tests/platform/oddentriestest.cpp
@@ -263,3 +263,30 @@
   mServer.AddScript({ "", false, true });
   CHECK(Run(1) == Calls{ "unreadable", "own own/1 x", "full 0 0 1", "confirmed" });
 }
+
+TEST_CASE_METHOD(
+  Fixture,
+  "store watcher: an endpoint whose record becomes odd is not used until it "
+  "is sound again",
+  "[platform]")
+{
+  const std::string odd =
+    GENERATE(as<std::string>(), "", "\xff\xfe", "{}", R"({"service":"s"})");
+  const std::string sound = Item("servers/e1", kEndpoint);
+  mServer.AddScript({ Page(sound + "," + Item("servers/e2", kEndpoint), 8) });
+  mServer.AddScript(
+    { Changes(Item("servers/e1", odd) + "," + Item("servers/e3", odd), 9) });
+  mServer.AddScript({ Changes(Item("servers/e1", odd), 10) });
+  mServer.AddScript({ Changes(sound, 11) });
+  mServer.AddScript({ "", false, true });
+  const Calls calls = Run(4);
+  CHECK(calls == Calls{ "endpoint e1",
+                        "endpoint e2",
+                        "full 2 0 0",
+                        "confirmed",
+                        "gone e1",
+                        "confirmed",
+                        "confirmed",
+                        "endpoint e1",
+                        "confirmed" });
+}
