Let no start in the future lock out an endpoint's true incarnation

A record whose `born` lies in the future, of another writer or a machine with a wrong clock, was stored as the newest incarnation, and all records of the endpoint's true start were ignored as earlier ones for as long as the row lived.

The directory is now told the latest start that can be (its own wall clock and 10 s); an incarnation after it is replaced by any other. With a wrong clock of its own an entry only loses the protection against a record that arrives late. A false start in the past that is later than the true one cannot be told apart and still holds until the record is deleted or unreadable, or the endpoint starts again.

--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -9,6 +9,13 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+/// How far the clocks of two machines may differ.
+constexpr std::chrono::seconds kClockTolerance{ 10 };
+
+}
+
 void GatewayProcess::OnConfiguration(
   std::shared_ptr<gateway::ServingConfiguration> aConfiguration)
 {
@@ -64,7 +71,9 @@
   if (known != nullptr && known->mReport.mIncarnation != aReport.mIncarnation) {
     mControl.ForgetEndpoint(aReport.mId);
   }
-  mControl.mDirectory.Update(std::move(aReport), mClock.Now());
+  const auto latestStart = std::chrono::duration_cast<milliseconds>(
+    mClock.WallNow().time_since_epoch() + kClockTolerance);
+  mControl.mDirectory.Update(std::move(aReport), mClock.Now(), latestStart.count());
 }
 
 void GatewayProcess::OnEndpointGone(const ids::EndpointId& aId)
--- a/apps/tests/gateway/endpointdirectorytest.cpp
+++ b/apps/tests/gateway/endpointdirectorytest.cpp
@@ -35,6 +35,34 @@
   CHECK(directory.IsUsable(*directory.Find(kId), kNow));
 }
 
+TEST_CASE("directory: a start in the future does not lock out the true one", "[gateway]")
+{
+  constexpr std::int64_t kLatestStart = 1000;
+  EndpointDirectory directory;
+  directory.Update(Report(1001), kNow, kLatestStart);
+  directory.Find(kId)->mConsecutiveFailures = 3;
+  directory.Update(Report(999), kNow, kLatestStart);
+  CHECK(directory.Find(kId)->mReport.mIncarnation == 999);
+  CHECK(directory.Find(kId)->mConsecutiveFailures == 0);
+  directory.Update(Report(998), kNow, kLatestStart);
+  CHECK(directory.Find(kId)->mReport.mIncarnation == 999);
+  directory.Update(Report(1000), kNow, kLatestStart);
+  directory.Update(Report(999), kNow, kLatestStart);
+  CHECK(directory.Find(kId)->mReport.mIncarnation == 1000);
+}
+
+TEST_CASE("directory: a removed endpoint is usable again once its record is back",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(2), kNow);
+  directory.Find(kId)->mOwnLoad.mRequests = GENERATE(0U, 1U);
+  directory.Remove(kId, false, kNow);
+  directory.Tick(kNow + 1s);
+  directory.Update(Report(2), kNow + 1s);
+  CHECK(directory.IsUsable(*directory.Find(kId), kNow + 1s));
+}
+
 TEST_CASE("directory: a draining or removed endpoint gets no work", "[gateway]")
 {
   EndpointDirectory directory;
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -6,15 +6,17 @@
 
 namespace samphiresail::gateway {
 
-void EndpointDirectory::Update(EndpointReport aReport, timing::Instant aNow)
+void EndpointDirectory::Update(EndpointReport aReport,
+                               timing::Instant aNow,
+                               std::int64_t aLatestStart)
 {
   const auto [it, added] = mEndpoints.try_emplace(aReport.mId);
   Endpoint& endpoint = it->second;
-  if (!added && aReport.mIncarnation < endpoint.mReport.mIncarnation) {
+  const std::int64_t known = endpoint.mReport.mIncarnation;
+  if (!added && aReport.mIncarnation < known && known <= aLatestStart) {
     return;
   }
-  const bool restarted = !added && aReport.mIncarnation > endpoint.mReport.mIncarnation;
-  if (restarted) {
+  if (!added && aReport.mIncarnation != known) {
     const EngineLoad load = endpoint.mOwnLoad;
     endpoint = Endpoint{};
     endpoint.mOwnLoad = load;
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTDIRECTORY_HPP
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTDIRECTORY_HPP
 
+#include <limits>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -28,8 +29,12 @@
   /// limited: its next record may report a cold start.
   static constexpr timing::Duration kRampTime = std::chrono::seconds(3);
 
-  /// Stores an endpoint's record; records of earlier incarnations are ignored.
-  void Update(EndpointReport aReport, timing::Instant aNow);
+  /// Stores an endpoint's record; records of earlier incarnations are ignored. An
+  /// incarnation after aLatestStart, a Unix time in milliseconds, cannot have started yet
+  /// and is replaced by any other one.
+  void Update(EndpointReport aReport,
+              timing::Instant aNow,
+              std::int64_t aLatestStart = std::numeric_limits<std::int64_t>::max());
 
   /// Records that an endpoint is no longer listed. If aMayHaveLapsed is true, its record
   /// may have expired during an outage of the store, and it stays usable for
