--- a/apps/tests/platform/dialecttest.cpp
+++ b/apps/tests/platform/dialecttest.cpp
@@ -146,3 +146,57 @@
   response.result(http::status::too_many_requests);
   CHECK_FALSE(pause("2"));
 }
+
+TEST_CASE("dialect: a caller's time and counts out of range are bounded", "[platform]")
+{
+  auto request = Request();
+  const auto timeout = [&](const char* aValue) {
+    request.set("Deadline-Ms", aValue);
+    return kDialect.ReadRequest(request.base())->mCallerTimeout;
+  };
+  CHECK(timeout("-5") == 0ms);
+  CHECK(timeout("9223372036854775807") == 24h);
+  CHECK(timeout("99999999999999999999") == 24h);
+  CHECK(timeout("-99999999999999999999") == 0ms);
+
+  const auto tokens = [&](const char* aValue) {
+    request.set("Token-Count", aValue);
+    const auto facts = kDialect.ReadRequest(request.base());
+    return facts->mHasTokenCounts ? facts->mPromptTokens + facts->mOutputTokens : -1;
+  };
+  CHECK(tokens("1460,80") == 1540);
+  for (const char* negative : { "-1000000,80", "1460,-1000000", "-1,-1" }) {
+    CAPTURE(negative);
+    CHECK(tokens(negative) == -1);
+  }
+  for (const char* huge : { "9223372036854775807,9223372036854775807",
+                            "99999999999999999999,99999999999999999999" }) {
+    CAPTURE(huge);
+    CHECK(tokens(huge) == 2'000'000'000);
+  }
+
+  request.set("Prompt-Prefix", "1:9223372036854775807,2:9223372036854775807");
+  const auto parts = kDialect.ReadRequest(request.base())->mPromptParts;
+  REQUIRE(parts.size() == 2);
+  CHECK(parts[0].mTokens + parts[1].mTokens == 2'000'000'000);
+}
+
+TEST_CASE("dialect: an endpoint's load and idle time out of range are ignored or bounded",
+          "[platform]")
+{
+  http::response<http::empty_body> response(http::status::ok, 11);
+  for (const char* load : { "4294967295,1,8", "1,4294967295,8", "-1,1,8", "1,-1,8" }) {
+    CAPTURE(load);
+    response.set("Server-Load", load);
+    const auto facts = kDialect.ReadResponse(response.base());
+    CHECK_FALSE((facts.mRunning && facts.mWaiting));
+  }
+  const auto idle = [&](const char* aValue) {
+    response.set("Keep-Alive", std::string("timeout=") + aValue);
+    return kDialect.ReadResponse(response.base()).mKeepAlive;
+  };
+  CHECK(idle("10, max=5") == 10s);
+  CHECK(idle("-5") == 0s);
+  CHECK(idle("2147483647") == 1h);
+  CHECK(idle("99999999999999999999") == 1h);
+}
