--- a/apps/tests/platform/oddentriestest.cpp
+++ b/apps/tests/platform/oddentriestest.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include "apps/tests/platform/storewatcherfixture.hpp"
 #include "platform/decode.hpp"
 
@@ -290,3 +292,45 @@
                         "endpoint e1",
                         "confirmed" });
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: an exception of one record does not end the watch",
+                 "[platform]")
+{
+  mRecorder.mThrowAt = GENERATE(as<std::string>(),
+                                "endpoint e1",
+                                "gone e4",
+                                "out z",
+                                "own own/1",
+                                "configuration 5",
+                                "full");
+  const std::string records = Item("op/config", kConfiguration) + "," +
+                              Item("op/evacuate/z", "") + "," + Item("own/1", "x") + "," +
+                              Item("servers/e1", kEndpoint) + "," +
+                              Item("servers/e2", kEndpoint);
+  mServer.AddScript({ Page(records, 8) });
+  mServer.AddScript(
+    { Changes(R"({"key":"servers/e4","revision":9,"tombstone":true},)" + records, 9) });
+  mServer.AddScript({ Changes(Item("servers/e3", kEndpoint), 10) });
+  mServer.AddScript({ "", false, true });
+  const Calls calls = Run(3);
+  CHECK(std::ranges::count(calls, "endpoint e2") == 2);
+  CHECK(calls.at(calls.size() - 2) == "endpoint e3");
+  CHECK(calls.back() == "confirmed");
+  CHECK(mServer.Requests().at(3).find("after=10") != std::string::npos);
+  CHECK(mLog.str().find("refused by the test") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: an exception outside of the records fails one call",
+                 "[platform]")
+{
+  mRecorder.mThrowAt = GENERATE(as<std::string>(), "lost", "confirmed");
+  mServer.AddScript({ Response(503, "") });
+  mServer.AddScript({ Page(Item("servers/e1", kEndpoint), 8) });
+  mServer.AddScript({ Page(Item("servers/e1", kEndpoint), 8) });
+  mServer.AddScript({ "", false, true });
+  const Calls calls = Run(2);
+  CHECK(std::ranges::find(calls, "endpoint e1") != calls.end());
+  CHECK(mLog.str().find("refused by the test") != std::string::npos);
+}
--- a/apps/tests/platform/storewatcherfixture.hpp
+++ b/apps/tests/platform/storewatcherfixture.hpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -54,9 +55,17 @@
 
   std::vector<std::string> mCalls;
   std::vector<timing::Instant> mBegan;
+  /// Beginning of the calls that throw an exception; none if it is empty.
+  std::string mThrowAt;
 
 private:
-  void Add(const std::string& aText) { mCalls.push_back(aText); }
+  void Add(const std::string& aText)
+  {
+    mCalls.push_back(aText);
+    if (!mThrowAt.empty() && aText.starts_with(mThrowAt)) {
+      throw std::runtime_error("refused by the test");
+    }
+  }
 };
 
 inline std::string Item(const std::string& aKey, const std::string& aValue)
@@ -102,7 +111,7 @@
       mIo, [&watcher] { return watcher.Run(); }, frontend::asio::detached);
     while (mServer.Requests().size() <= aCalls) {
       // Without this limit the test of a watch that has ended would wait for ever.
-      if (mIo.run_one_for(std::chrono::seconds(20)) == 0) {
+      if (mIo.run_one_for(std::chrono::seconds(10)) == 0) {
         FAIL("the watch has ended");
       }
     }
