Check the numbers of peers' messages and of our own records that another writer may have written

A datagram or a record under our own keys is foreign text as well.

A report with a number that is not finite or out of range is dropped as a whole; what must not be negative counts as 0. An odd record of an entry names none, and the one before it holds until it is deleted, since the entry itself goes on and its lease ends the record. The number of entries is a whole number from 1 to 10,000, or stays as it is. An exception of one datagram no longer ends the coroutine that reads them (this part has no test of its own). The findings on prompts in peers' messages are not changed.

--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -258,8 +258,12 @@
     if (ec) {
       continue;
     }
-    if (auto report = gateway::DecodePeerReport({ mDatagram.data(), n })) {
-      OnPeerReport(std::move(*report), { mDatagram.data(), n });
+    try {
+      if (auto report = gateway::DecodePeerReport({ mDatagram.data(), n })) {
+        OnPeerReport(std::move(*report), { mDatagram.data(), n });
+      }
+    } catch (const std::exception& error) {
+      mLogger.Error("peer report ignored", { { "error", std::string(error.what()) } });
     }
   }
 }
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -1,7 +1,5 @@
 #include "apps/samphiresail/gateway/gatewayprocess.hpp"
 
-#include <charconv>
-
 #include "apps/samphiresail/gateway/recordkeys.hpp"
 #include "components/gateway/peercodec.hpp"
 
@@ -132,10 +130,10 @@
       { { "holder", aValue.value_or("none") }, { "revision", aCreateRevision } });
     mLeader = ids::ProcessId(aValue.value_or(std::string()));
     mLeadership.OnLeaderRecord(aValue.has_value(), aLease, aCreateRevision);
-  } else if (aKey == kEntryCountKey && aValue) {
-    std::size_t entries = 0;
-    std::from_chars(aValue->data(), aValue->data() + aValue->size(), entries);
-    mPeers.SetRecordedEntries(entries);
+  } else if (aKey == kEntryCountKey) {
+    if (const auto entries = ParseEntryCount(aValue.value_or(std::string()))) {
+      mPeers.SetRecordedEntries(*entries);
+    }
   } else if (const auto part = QuarantinedPart(aKey)) {
     mControl.mQuarantine.OnRecord(
       *part, aValue.has_value(), aValue == mSettings.mName.Str(), now);
--- a/apps/samphiresail/gateway/recordkeys.hpp
+++ b/apps/samphiresail/gateway/recordkeys.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_APPS_SAMPHIRESAIL_GATEWAY_RECORDKEYS_HPP
 #define SAMPHIRESAIL_APPS_SAMPHIRESAIL_GATEWAY_RECORDKEYS_HPP
 
+#include <charconv>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -41,6 +42,19 @@
            : std::nullopt;
 }
 
+/// Returns the number of entries that the record of kEntryCountKey states; none if it is
+/// not one from 1 to 10,000.
+inline std::optional<std::size_t> ParseEntryCount(std::string_view aValue)
+{
+  constexpr std::size_t kMaxEntries = 10'000;
+  std::size_t entries = 0;
+  const char* const last = aValue.data() + aValue.size();
+  const auto [end, ec] = std::from_chars(aValue.data(), last, entries);
+  const bool isNumber = ec == std::errc{} && end == last;
+  return isNumber && entries >= 1 && entries <= kMaxEntries ? std::optional(entries)
+                                                            : std::nullopt;
+}
+
 /// Timeout of a call to the store that writes a record or renews the lease.
 inline constexpr std::chrono::milliseconds kStoreTimeout{ 900 };
 
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -1,6 +1,7 @@
 #include "components/gateway/peercodec.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "components/wire/generated/samphiresail.pb.h"
@@ -14,6 +15,35 @@
   return std::chrono::milliseconds(aMilliseconds);
 }
 
+/// Largest number of requests at an engine, of engines in demand and of cores.
+constexpr double kMaxAmount = 1e6;
+constexpr Milliseconds kMaxUnread = std::chrono::hours(24);
+/// Tokens that an entry may admit in its lifetime. A double counts them exactly.
+constexpr double kMaxAdmittedTokens = 1e15;
+
+/// True if the number is finite and no farther from 0 than aMax.
+bool IsWithin(double aNumber, double aMax)
+{
+  return std::isfinite(aNumber) && std::abs(aNumber) <= aMax;
+}
+
+/// True if all numbers of a report can be reckoned with.
+bool HasSoundNumbers(const wire::PeerLoad& aLoad)
+{
+  return std::ranges::all_of(aLoad.in_flight(),
+                             [](const auto& aItem) {
+                               return IsWithin(aItem.unread_ms(), kMaxUnread.count()) &&
+                                      aItem.count() <= kMaxAmount;
+                             }) &&
+         std::ranges::all_of(aLoad.admitted(),
+                             [](const auto& aItem) {
+                               return IsWithin(aItem.total(), kMaxAdmittedTokens);
+                             }) &&
+         std::ranges::all_of(aLoad.model_demand(), [](const auto& aItem) {
+           return IsWithin(aItem.rate(), kMaxAmount);
+         });
+}
+
 void EncodeFindings(const PromptFindings& aFindings, wire::PeerLoad& aLoad)
 {
   for (const ReportedCrash& crash : aFindings.mCrashes) {
@@ -104,7 +134,7 @@
 {
   wire::PeerLoad load;
   if (!load.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size())) ||
-      load.process().empty()) {
+      load.process().empty() || !HasSoundNumbers(load)) {
     return std::nullopt;
   }
   PeerReport report;
@@ -121,14 +151,14 @@
   for (const auto& item : load.in_flight()) {
     report.mInFlight.emplace(item.key(),
                              EngineLoad{ item.count(),
-                                         Milliseconds(item.unread_ms()),
+                                         Milliseconds(std::max(item.unread_ms(), 0.0F)),
                                          static_cast<double>(item.memory_tokens()) });
   }
   for (const auto& item : load.admitted()) {
     report.mAdmitted.emplace(item.key(), item.total());
   }
   for (const auto& item : load.model_demand()) {
-    report.mModelDemand.emplace(item.key(), item.rate());
+    report.mModelDemand.emplace(item.key(), std::max(item.rate(), 0.0F));
   }
   for (const auto& item : load.loaded()) {
     report.mLoadedAdapters.push_back({ item.endpoint(), item.key() });
@@ -163,7 +193,8 @@
     return std::nullopt;
   }
   const auto address = settings::ParseSocketAddress(record.address());
-  if (!address || record.name().empty()) {
+  if (!address || address->mPort == 0 || record.name().empty() ||
+      !IsWithin(record.cores(), kMaxAmount) || record.cores() < 0.0) {
     return std::nullopt;
   }
   return MemberRecord{ ids::ProcessId(record.name()),
