Fuzz the readers of an entry on the platform: records, reports, configuration, headers, peers

Five more decoders beside the seven of the other roles, with 4,000 inputs each in `ctest -L fuzz`. What they promise is checked: ports, ranges of times and counts, no token below 0, loads that are times.

The fields of the platform stand in apps/fuzz/platform only. The store's answers as a whole are not among the decoders, as they are read through a connection; their items are covered by the tests of the watcher.

--- a/apps/fuzz/decoders.cpp
+++ b/apps/fuzz/decoders.cpp
@@ -1,10 +1,12 @@
 #include "apps/fuzz/decoders.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <stdexcept>
 
 #include "apps/fuzz/check.hpp"
+#include "apps/fuzz/platform/platformdecoders.hpp"
 #include "apps/samphiresail/agent/answerreader.hpp"
 #include "apps/samphiresail/entry/apierror.hpp"
 #include "apps/samphiresail/entry/callerrequest.hpp"
@@ -247,7 +249,11 @@
 
 const std::vector<Decoder>& Decoders()
 {
-  static const std::vector<Decoder> decoders = MakeDecoders();
+  static const std::vector<Decoder> decoders = [] {
+    std::vector<Decoder> all = MakeDecoders();
+    std::ranges::move(PlatformDecoders(), std::back_inserter(all));
+    return all;
+  }();
   return decoders;
 }
 
