Check the numbers, ports and depth of the settings file

Seen in the new tests before the change: all 14 odd numbers and ports are taken (port 70000 becomes 4464, a grace period of 1e300 s is cast beyond its range, a ratio is nan), and a value nested 300,000 deep ends the process with SIGSEGV within the parser, which recurses. A file that changes while the process runs would have ended it.

--- a/apps/tests/platform/settingstest.cpp
+++ b/apps/tests/platform/settingstest.cpp
@@ -85,3 +85,37 @@
   CHECK_THROWS_WITH(platform::LoadSettings(file.mPath),
                     Catch::Matchers::Contains("readyAddr"));
 }
+
+TEST_CASE("settings: a number or port out of range is an error that names its field",
+          "[platform]")
+{
+  const auto [sound, odd, field] = GENERATE(table<std::string, std::string, std::string>(
+    { { "[7600,7615]", "[0,7615]", "portRange" },
+      { "[7600,7615]", "[7600,70000]", "portRange" },
+      { "[7600,7615]", "[-1,7615]", "portRange" },
+      { "0.25:8221", "0.25:0", "front" },
+      { "1.7:8225", "1.7:0", "address" },
+      { "maxFds = 4100", "maxFds = -1", "maxFds" },
+      { "maxFds = 4100", "maxFds = 1e300", "maxFds" },
+      { "cpuShare = 0.19", "cpuShare = nan", "cpuShare" },
+      { "graceS = 8", "graceS = 1e300", "graceS" },
+      { "graceS = 8", "graceS = -8", "graceS" },
+      { "leaseMs = 3000", "leaseMs = inf", "leaseMs" },
+      { "leaseMs = 3000", "leaseMs = 9223372036854775807", "leaseMs" },
+      { "budgetRatio = 0.2", "budgetRatio = nan", "budgetRatio" },
+      { "quotaOverage = 0.1", "quotaOverage = -0.1", "quotaOverage" } }));
+  std::string text = kText;
+  text.replace(text.find(sound), sound.size(), odd);
+  CAPTURE(odd);
+  const TemporaryFile file(text);
+  CHECK_THROWS_WITH(platform::LoadSettings(file.mPath),
+                    Catch::Matchers::Contains(field + ":"));
+}
+
+TEST_CASE("settings: a file that is nested deeply is an error", "[platform]")
+{
+  const TemporaryFile file("newer = " + std::string(300'000, '[') +
+                           std::string(300'000, ']') + "\n" + kText);
+  CHECK_THROWS_WITH(platform::LoadSettings(file.mPath),
+                    Catch::Matchers::Contains("nested"));
+}
