--- a/apps/tests/platform/decodetest.cpp
+++ b/apps/tests/platform/decodetest.cpp
@@ -43,6 +43,22 @@
   CHECK(configuration->mLimits.mIdleTimeout == 15s);
 }
 
+TEST_CASE("decode: limits that a configuration does not state are the defaults",
+          "[platform]")
+{
+  const std::string limits =
+    GENERATE("{}",
+             R"({"headerTimeoutMs":0,"idleTimeoutMs":0,"maxHeaderBytes":0,
+                 "maxBodyBytes":0})");
+  const auto configuration = DecodeConfiguration(
+    R"({"version":1,"services":[],"routes":[],"limits":)" + limits + "}");
+  const gateway::CallerLimits defaults;
+  CHECK(configuration->mLimits.mHeaderTimeout == defaults.mHeaderTimeout);
+  CHECK(configuration->mLimits.mIdleTimeout == defaults.mIdleTimeout);
+  CHECK(configuration->mLimits.mMaxHeaderBytes == defaults.mMaxHeaderBytes);
+  CHECK(configuration->mLimits.mMaxBodyBytes == defaults.mMaxBodyBytes);
+}
+
 TEST_CASE("decode: a request of an unknown kind counts as irreversible", "[platform]")
 {
   const auto configuration = DecodeConfiguration(
