Take no second copy of an earlier answer for the answer to an order

An entry could take a second copy of an engine's earlier answer, on a kept connection, for the answer to its next order or report: these have no identifier. An order that conflicted was then taken for one that the engine carries out.

HttpClient used a connection again whenever it looked empty before a call; a copy that came after the next call was sent answered that call.

--- /dev/null
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -0,0 +1,133 @@
+#include <optional>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "platform/enginecalls.hpp"
+
+using namespace samphiresail;
+using namespace std::chrono_literals;
+using frontend::testing::ScriptedEndpoint;
+using platform::HttpReply;
+
+namespace {
+
+std::string Response(unsigned aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+struct Fixture
+{
+  template<typename T>
+  T Await(frontend::asio::awaitable<T> aCall)
+  {
+    std::optional<T> result;
+    frontend::asio::co_spawn(
+      mIo,
+      [&]() -> frontend::asio::awaitable<void> { result = co_await std::move(aCall); },
+      frontend::asio::detached);
+    while (!result) {
+      mIo.run_one();
+    }
+    return std::move(*result);
+  }
+
+  HttpReply Call(bool aOwnConnection = false)
+  {
+    platform::HttpCall call;
+    call.mTarget = "/report";
+    call.mOwnConnection = aOwnConnection;
+    return Await(mClient.Call(mAddress, std::move(call), 20s));
+  }
+
+  frontend::asio::io_context mIo{ 1 };
+  ScriptedEndpoint mServer{ mIo };
+  timing::ManualClock mClock;
+  platform::HttpClient mClient{ mIo, mClock };
+  settings::SocketAddress mAddress{ "127.0.0.1", mServer.Port() };
+};
+
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "http client: a second copy of a response answers no later call",
+                 "[platform]")
+{
+  const std::string first = Response(200, "first");
+  SECTION("that comes with the first copy")
+  {
+    mServer.AddScript({ first + first });
+    mServer.AddScript({ Response(200, "second") });
+    CHECK(Call().mBody == "first");
+    CHECK(Call().mBody == "second");
+    CHECK(mServer.Connections() == 2);
+  }
+  SECTION("that comes while the connection is idle")
+  {
+    mServer.AddScript({ first, false, false, false, first });
+    mServer.AddScript({ Response(200, "second") });
+    CHECK(Call().mBody == "first");
+    mIo.run_for(100ms);
+    CHECK(Call().mBody == "second");
+    CHECK(mServer.Connections() == 2);
+  }
+  SECTION("that comes with the response to the later call")
+  {
+    mServer.AddScript({ first });
+    mServer.AddScript({ first + Response(200, "second") });
+    mServer.AddScript({ Response(200, "third") });
+    CHECK(Call().mBody == "first");
+    CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
+    CHECK(Call().mBody == "third");
+  }
+  SECTION("that comes before the response to a later call with its own connection")
+  {
+    mServer.AddScript({ first, false, false, false, first });
+    mServer.AddScript({ Response(200, "second") });
+    CHECK(Call().mBody == "first");
+    CHECK(Call(true).mBody == "second");
+  }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "engine calls: a second copy of a report or order answers no order",
+                 "[platform]")
+{
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [](const auto&) {});
+  gateway::EndpointReport endpoint;
+  endpoint.mAddress = mAddress;
+  const gateway::EngineAction action{ endpoint.mId, gateway::EngineOrder{}, 0 };
+  const bool report = GENERATE(true, false);
+  // The copy is sent once the order was received, ahead of the answer to the order.
+  mServer.AddScript({ Response(200, "{}"), false, false, false, Response(200, "{}") });
+  mServer.AddScript({ Response(409, "") });
+  if (report) {
+    Await(calls.Report(endpoint));
+  } else {
+    CHECK(Await(calls.Order(endpoint, action, 41)) ==
+          gateway::OrderOutcome::AlreadyInState);
+  }
+  CHECK(Await(calls.Order(endpoint, action, 41)) == gateway::OrderOutcome::Conflict);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "http client: a response that is cut at any byte is not an answer",
+                 "[platform]")
+{
+  const std::string whole =
+    GENERATE(Response(200, R"({"revision":13})"),
+             std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "8\r\n{\"revisi\r\n7\r\non\":13}\r\n0\r\n\r\n"));
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    INFO(n << " of " << whole.size());
+    mServer.AddScript({ whole.substr(0, n), true });
+    CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
+  }
+  mServer.AddScript({ whole });
+  CHECK(Call().mBody == R"({"revision":13})");
+}
