Test that an answer cut at any byte is never taken for a whole one

Heads, bodies with a length, chunked bodies and streams, cut at each byte: the caller gets 502, or a stream that shows that it is incomplete.

--- a/apps/tests/frontend/faultyendpointtest.cpp
+++ b/apps/tests/frontend/faultyendpointtest.cpp
@@ -263,3 +263,42 @@
   }
   CHECK(crashed() == atFive);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a response that is cut at any byte is not a whole answer",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n";
+  const bool chunked = GENERATE(false, true);
+  const std::string whole = chunked ? head + "Transfer-Encoding: chunked\r\n\r\n" +
+                                        Chunk("who") + Chunk("le") + "0\r\n\r\n"
+                                    : head + "Content-Length: 5\r\n\r\nwhole";
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    INFO(n << " of " << whole.size());
+    Tick();
+    endpoint.AddScript({ whole.substr(0, n), true });
+    const std::string response = Call(Post("/once/1"), HasHeadAndBody);
+    CHECK(response.starts_with("HTTP/1.1 502"));
+  }
+  CHECK(endpoint.Requests().size() == whole.size());
+  endpoint.AddScript({ whole });
+  CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nwhole"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a stream that is cut at any byte never looks complete",
+                 "[frontend]")
+{
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  const std::string event = "id: 1\ndata: a\n\n";
+  const std::string whole = StreamHead() + Chunk(event) + "0\r\n\r\n";
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    INFO(n << " of " << whole.size());
+    Tick();
+    endpoint.AddScript({ whole.substr(0, n), true });
+    const std::string response = Call(Post("/stream/1"), EndsCall);
+    CHECK_FALSE(HasLastChunk(response));
+    CHECK((response.starts_with("HTTP/1.1 50") || response.ends_with(Chunk(event))));
+  }
+}
