Refuse by forecast only irreversible requests in a planned stop

The first form of the policy refused whatever a forecast said cannot end, irreversible requests with twice their forecast.

A forecast counts for irreversible requests only, once, with the longest wait at an engine instead of the target latency of a patient route. Answers are due 0.6 s before the end instead of 0.8 s, the end 0.4 s before it, which cuts fewer streams. Until the load balancer has noticed the stop the Retry-After covers that time, up to half of the route's target latency, as a zone may have no other entry.

The tests of the schedule were written with the first form and follow the policy.

--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -216,10 +216,37 @@
   CHECK(refusal.mRetryAfter.value_or(1h) < 1s);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "control: a stopping process judges a patient request by its run",
+                 "[gateway]")
+{
+  // Its target latency is longer than what is left, but it is answered long before.
+  auto configuration = Configuration();
+  configuration->mRoutes[1].mKind = RequestKind::Irreversible;
+  configuration->mRoutes[1].mTargetLatency = 8s;
+  configuration->Index();
+  mControl.SetConfiguration(configuration, kNow);
+  const StopSchedule schedule(kNow, 8s);
+  mControl.Stop(schedule);
+  RequestMetadata metadata = Metadata("/digest/1");
+  metadata.mCallerTimeout = 20s;
+  metadata.mOutputTokens = 50;
+  Admit(metadata);
+  metadata.mOutputTokens = 1200;
+  // The load balancer notices the stop two seconds after it began.
+  CHECK(Refuse(metadata, kNow).mRetryAfter.value_or(0ms) > 2s);
+  CHECK(Refuse(metadata, kNow).mRetryAfter.value_or(1h) < 3s);
+  CHECK(Refuse(metadata, kNow + 2500ms).mRetryAfter.value_or(1h) < 500ms);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "control: a stop takes no tokens for what it refuses",
                  "[gateway]")
 {
+  auto configuration = Configuration();
+  configuration->mRoutes[0].mKind = RequestKind::Irreversible;
+  configuration->Index();
+  mControl.SetConfiguration(configuration, kNow);
   const StopSchedule schedule(kNow, 1s);
   mControl.Stop(schedule);
   RequestMetadata metadata = Metadata();
--- a/components/gateway/stopschedule.cpp
+++ b/components/gateway/stopschedule.cpp
@@ -8,6 +8,8 @@
 
 using std::chrono::milliseconds;
 
+/// Time of two probes a second apart, and of their answers.
+constexpr milliseconds kNoticeTime{ 2100 };
 /// Longest time for which new requests are admitted: the load balancer needs up to two
 /// seconds and the time of a probe, and callers whose request is sent within three
 /// seconds are owed an answer.
@@ -20,15 +22,13 @@
 constexpr double kMarginFraction = 0.025;
 /// Time before the end of the grace period by which everything is answered, at most and
 /// as a part of it. Requests that run into the last sixth of it are not cut sooner.
-constexpr milliseconds kMaxAnswerMargin{ 800 };
-constexpr double kAnswerMarginFraction = 0.1;
+constexpr milliseconds kMaxAnswerMargin{ 600 };
+constexpr double kAnswerMarginFraction = 0.075;
 /// The same for the end of the process: between both, responses are written.
-constexpr milliseconds kMaxEndMargin{ 500 };
-constexpr double kEndMarginFraction = 0.0625;
+constexpr milliseconds kMaxEndMargin{ 400 };
+constexpr double kEndMarginFraction = 0.05;
 /// Time that an attempt takes at least, with its connection.
-constexpr Milliseconds kMinRun{ 50.0 };
-/// Factor on the known time of an irreversible request, for a loaded endpoint.
-constexpr double kIrreversibleFactor = 2.0;
+constexpr Milliseconds kMinRun{ 200.0 };
 
 timing::Duration Part(timing::Duration aGrace, double aFraction, timing::Duration aMost)
 {
@@ -39,7 +39,8 @@
 }
 
 StopSchedule::StopSchedule(timing::Instant aSignal, timing::Duration aGrace)
-  : mRefuseFrom(aSignal + Part(aGrace, kAdmitFraction, kMaxAdmitTime))
+  : mNoticedAt(aSignal + kNoticeTime)
+  , mRefuseFrom(aSignal + Part(aGrace, kAdmitFraction, kMaxAdmitTime))
   , mIdleUntil(mRefuseFrom - Part(aGrace, kMarginFraction, kMaxMargin))
   , mStayUntil(mRefuseFrom + Part(aGrace, kMarginFraction, kMaxMargin))
   , mAnswerBy(aSignal + aGrace - Part(aGrace, kAnswerMarginFraction, kMaxAnswerMargin))
@@ -53,8 +54,8 @@
     return true;
   }
   const Milliseconds needed =
-    aRun.mRetryable ? aRun.mRun : aRun.mTarget + kIrreversibleFactor * aRun.mRun;
-  return ToMilliseconds(mAnswerBy - aNow) >= std::max(needed, kMinRun);
+    aRun.mRetryable ? kMinRun : std::max(aRun.mTarget + aRun.mRun, kMinRun);
+  return ToMilliseconds(mAnswerBy - aNow) >= needed;
 }
 
 }
--- a/components/gateway/stopschedule.hpp
+++ b/components/gateway/stopschedule.hpp
@@ -11,7 +11,7 @@
 {
   /// Time that the request takes at an idle endpoint at least; 0 if it is not known.
   Milliseconds mRun{ 0 };
-  /// Target latency of its route.
+  /// Longest wait before it runs; if that is not known, its route's target latency.
   Milliseconds mTarget{ 0 };
   /// The request may run more than once.
   bool mRetryable{ false };
@@ -30,6 +30,8 @@
   /// killed.
   StopSchedule(timing::Instant aSignal, timing::Duration aGrace);
 
+  /// From this instant on, the load balancer sends new connections elsewhere.
+  timing::Instant NoticedAt() const { return mNoticedAt; }
   /// New requests are refused from this instant on.
   timing::Instant RefuseFrom() const { return mRefuseFrom; }
   /// Connections that are idle at this instant are closed.
@@ -41,12 +43,13 @@
   /// The process ends at this instant, whatever is left.
   timing::Instant EndBy() const { return mEndBy; }
 
-  /// Returns false if an attempt that began now would surely not end by AnswerBy(). An
-  /// irreversible request counts as slow, since its caller must not repeat it if it is
-  /// cut.
+  /// Returns false if an attempt that began now would surely not end by AnswerBy(). A
+  /// forecast counts for irreversible requests only: what may be repeated goes on at
+  /// another entry if it is cut, often from its last event.
   bool MayBegin(const ExpectedRun& aRun, timing::Instant aNow) const;
 
 private:
+  timing::Instant mNoticedAt;
   timing::Instant mRefuseFrom;
   timing::Instant mIdleUntil;
   timing::Instant mStayUntil;
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -135,7 +135,7 @@
                                                        timing::Instant aNow)
 {
   if (mStop && aNow >= mStop->RefuseFrom()) {
-    return RefuseStopping();
+    return RefuseStopping(nullptr, aNow);
   }
   if (!mConfiguration) {
     return RefuseInOutage("no configuration is known yet");
@@ -194,7 +194,7 @@
     admission.mMetadata = aMetadata;
     if (!MayBegin(admission, aNow)) {
       RecordRefusal(aMetadata, aNow - admission.mEarlierAttempts, aNow);
-      return RefuseStopping();
+      return RefuseStopping(route, aNow);
     }
     admission.mDeadline = std::min(admission.mDeadline, mStop->AnswerBy());
   }
@@ -347,7 +347,7 @@
         aNow);
       break;
     case NoEndpoint::Stopping: {
-      const Refusal stopping = RefuseStopping();
+      const Refusal stopping = RefuseStopping(aAdmission.mRoute, aNow);
       refusal.mReason = stopping.mReason;
       refusal.mRetryAfter = stopping.mRetryAfter;
       break;
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -188,8 +188,9 @@
   /// Returns false if the request would surely not end before this process does, in a
   /// planned stop.
   bool MayBegin(const Admission& aAdmission, timing::Instant aNow) const;
-  /// Refuses a request since this process stops; another entry can serve it.
-  Refusal RefuseStopping();
+  /// Refuses a request since this process stops; another entry can serve it. The route
+  /// is null if it is not known.
+  Refusal RefuseStopping(const Route* aRoute, timing::Instant aNow);
   /// Refuses a request for now, since this process or its view of the store is not able
   /// to serve it.
   Refusal RefuseInOutage(std::string aReason);
