Close a connection with the stream that began before the signal, unless more is there

Such a connection stayed open for up to 0.4 s after its stream.

It ends with the stream again, except if the next request has already arrived, which is then answered and ends it.

--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -94,8 +94,8 @@
 {
   mDraining = true;
   mIdleDeadline = aIdleDeadline;
-  // The head of a stream that has begun says otherwise: its caller may send one more
-  // request.
+  // The head of a stream that has begun says otherwise: its caller may have sent one
+  // more request already.
   if (mExchange == nullptr || !mExchange->mResponseHeadSent) {
     mKeepAlive = false;
   }
@@ -175,7 +175,9 @@
   LogRequest(exchange, forwarder);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
-  co_return keep&& mSocket.is_open();
+  // A head that was sent before a planned stop says that the connection is kept.
+  const bool wanted = !mDraining || mBuffer.size() > 0 || HasUnreadBytes();
+  co_return (keep && wanted && mSocket.is_open());
 }
 
 asio::awaitable<void> CallerSession::WatchForDisconnect(Exchange& aExchange,
