--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -35,6 +35,22 @@
 /// How long the load of an adapter is included in reports, since datagrams can be lost.
 constexpr milliseconds kLoadedAdapterReportTime{ 700 };
 
+/// Returns the names of the endpoints with these hashes, separated by spaces; the hash of
+/// one that is not listed any more.
+std::string EndpointNames(const gateway::EndpointDirectory& aDirectory,
+                          const std::vector<std::uint64_t>& aHashes)
+{
+  std::string names;
+  for (const std::uint64_t hash : aHashes) {
+    const auto& all = aDirectory.All();
+    const auto it = std::ranges::find_if(
+      all, [hash](const auto& aRow) { return aRow.second.mHash == hash; });
+    names.append(names.empty() ? "" : " ")
+      .append(it == all.end() ? gateway::PartName(hash) : it->first.Str());
+  }
+  return names;
+}
+
 }
 
 void GatewayProcess::StoreEntryCount()
@@ -215,11 +231,15 @@
 void GatewayProcess::ReportFindings(timing::Instant aNow)
 {
   for (const auto& change : mControl.mQuarantine.TakeChanges()) {
-    mLogger.Warn(change.mBegins ? "prompt part in quarantine" : "quarantine lifted",
-                 { { "part", gateway::PartName(change.mPart) },
-                   { "reason", change.mReason },
-                   { "crashes", change.mCrashes } });
+    mLogger.Warn(
+      change.mBegins ? "quarantine begins" : "quarantine lifted",
+      { { "cause", gateway::PartName(change.mCause) },
+        { "reason", change.mReason },
+        { "crashes", change.mEngines.size() },
+        { "endpoints", EndpointNames(mControl.mDirectory, change.mEngines) } });
   }
+  mMetrics.mQuarantineRefusals.Increment(
+    static_cast<double>(mControl.TakeQuarantineRefusals()));
   if (!mControl.mQuarantine.IsReportDue(aNow)) {
     return;
   }
--- a/apps/samphiresail/gateway/quarantinerecords.cpp
+++ b/apps/samphiresail/gateway/quarantinerecords.cpp
@@ -13,7 +13,7 @@
 void GatewayProcess::UpdateQuarantineRecords(timing::Instant aNow)
 {
   for (const auto& change : mControl.mQuarantine.RecordChanges(mLeading, aNow)) {
-    const std::string key = QuarantineKey(change.mPart);
+    const std::string key = QuarantineKey(change.mCause);
     store::TransactionRequest write;
     if (change.mCreate) {
       write.mCompares.push_back({ key, 0 });
--- a/apps/tests/frontend/faultyendpointtest.cpp
+++ b/apps/tests/frontend/faultyendpointtest.cpp
@@ -263,3 +263,30 @@
   }
   CHECK(crashed() == atFive);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: one request under which three endpoints ended reaches no more",
+                 "[frontend]")
+{
+  const std::string request = GENERATE(PostWithParts("/stream/1", "aa:10,b1:5"),
+                                       Post("/stream/1"),
+                                       Post("/once/1"),
+                                       Get("/safe/1"));
+  std::vector<ScriptedEndpoint*> endpoints;
+  for (const char* id : { "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9" }) {
+    endpoints.push_back(&AddEndpoint(id));
+    endpoints.back()->AddScript({ StreamHead(), false, false, true });
+  }
+  const auto crashed = [&] {
+    return std::ranges::count_if(endpoints, &ScriptedEndpoint::Crashed);
+  };
+  for (int i = 0; i < 20; ++i) {
+    const bool over = crashed() >= 3;
+    const std::string response = Call(request, EndsCall);
+    CHECK(response.starts_with(over ? "HTTP/1.1 503" : "HTTP/1.1 502"));
+    CHECK(Contains(response, "Retry-After: ") == over);
+    // Engines that end at the same moment have another cause.
+    RunFor(std::chrono::milliseconds(220));
+  }
+  CHECK(crashed() == 3);
+}
--- a/apps/tests/gateway/promptquarantineplaytest.cpp
+++ b/apps/tests/gateway/requestquarantineplaytest.cpp
@@ -7,7 +7,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "components/gateway/promptquarantine.hpp"
+#include "components/gateway/requestidentity.hpp"
+#include "components/gateway/requestquarantine.hpp"
 
 using namespace samphiresail;
 using namespace samphiresail::gateway;
@@ -93,7 +94,7 @@
   {
     std::size_t mEntry{ 0 };
     std::size_t mEngine{ 0 };
-    std::vector<PromptPart> mParts;
+    RequestMetadata mMetadata;
     timing::Instant mSentAt{};
     bool mDeadly{ false };
   };
@@ -105,7 +106,7 @@
   };
   struct Record
   {
-    PromptQuarantine::RecordChange mChange;
+    RequestQuarantine::RecordChange mChange;
     std::size_t mWriter{ 0 };
     timing::Instant mAt{};
   };
@@ -129,11 +130,13 @@
       request.mEngine = Draw(mLoad.mEngines);
       request.mSentAt = mNow;
       request.mDeadly = Chance(mLoad.mDeadlyShare) && mNow > mStart + seconds(3);
-      request.mParts = { { 1, 10 }, { 1000 + Draw(mLoad.mRareParts), 10 } };
+      std::vector<PromptPart>& parts = request.mMetadata.mPromptParts;
+      parts = { { 1, 10 }, { 1000 + Draw(mLoad.mRareParts), 10 } };
       if (request.mDeadly) {
-        request.mParts.push_back({ kDeadlyPart, 10 });
+        parts.push_back({ kDeadlyPart, 10 });
       }
-      request.mParts.push_back({ 1000000 + mNextRequest++, 10 });
+      parts.push_back({ 1000000 + mNextRequest++, 10 });
+      request.mMetadata.mIdentity = RequestIdentity({}, request.mMetadata);
       Send(std::move(request));
     }
   }
@@ -153,8 +156,8 @@
 
   void Send(Request aRequest)
   {
-    const bool refused = mEntries[aRequest.mEntry].BlockedUntil(aRequest.mParts, mNow) &&
-                         !mEntries[aRequest.mEntry].TryTest(aRequest.mParts, mNow);
+    const bool refused = mEntries[aRequest.mEntry].BlockOf(aRequest.mMetadata, mNow) &&
+                         !mEntries[aRequest.mEntry].TryTest(aRequest.mMetadata, mNow);
     if (!aRequest.mDeadly) {
       ++mOutcome.mSound;
       mOutcome.mSoundRefused += refused ? 1 : 0;
@@ -180,7 +183,7 @@
     std::erase_if(mRequests, [this](const Request& aRequest) {
       const bool answered = mNow - aRequest.mSentAt >= kSecondEvent;
       if (answered) {
-        mEntries[aRequest.mEntry].OnSound(aRequest.mParts, mNow);
+        mEntries[aRequest.mEntry].OnSound(aRequest.mMetadata, mNow);
       }
       return answered;
     });
@@ -197,7 +200,7 @@
       if (aRequest.mEngine != aEngine) {
         return false;
       }
-      mEntries[aRequest.mEntry].OnBroken(aEngine, aRequest.mParts, mNow);
+      mEntries[aRequest.mEntry].OnBroken(aEngine, aRequest.mMetadata, mNow);
       entries.insert(aRequest.mEntry);
       return true;
     });
@@ -247,7 +250,7 @@
       }
       for (std::size_t i = 0; i < mEntries.size(); ++i) {
         mEntries[i].OnRecord(
-          aRecord.mChange.mPart, aRecord.mChange.mCreate, i == aRecord.mWriter, mNow);
+          aRecord.mChange.mCause, aRecord.mChange.mCreate, i == aRecord.mWriter, mNow);
       }
       return true;
     });
@@ -255,11 +258,11 @@
 
   Load mLoad;
   std::mt19937_64 mRandom;
-  std::vector<PromptQuarantine> mEntries;
+  std::vector<RequestQuarantine> mEntries;
   std::vector<timing::Instant> mDownUntil;
   std::vector<timing::Instant> mNextReport;
   std::vector<Request> mRequests;
-  std::vector<PromptFindings> mFindings;
+  std::vector<CrashFindings> mFindings;
   std::vector<Datagram> mDatagrams;
   std::vector<Record> mRecords;
   std::optional<timing::Instant> mFifthCrash;
--- a/apps/tests/gateway/promptquarantinetest.cpp
+++ b/apps/tests/gateway/requestquarantinetest.cpp
@@ -4,7 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "components/gateway/promptquarantine.hpp"
+#include "components/gateway/requestidentity.hpp"
+#include "components/gateway/requestquarantine.hpp"
 
 using namespace samphiresail;
 using namespace samphiresail::gateway;
@@ -16,19 +17,21 @@
 constexpr std::uint64_t kSystemPart = 1;
 constexpr std::uint64_t kDeadlyPart = 666;
 
-std::vector<PromptPart> Prompt(std::initializer_list<std::uint64_t> aParts)
+/// Returns a request with the parts, which differs from requests with other parts.
+RequestMetadata Prompt(const std::vector<std::uint64_t>& aParts)
 {
-  std::vector<PromptPart> parts;
+  RequestMetadata request;
   for (const std::uint64_t part : aParts) {
-    parts.push_back({ part, 10 });
+    request.mPromptParts.push_back({ part, 10 });
   }
-  return parts;
+  request.mIdentity = RequestIdentity({ "POST", "/generate", {} }, request);
+  return request;
 }
 
 /// One entry whose engines end, with a clock.
 struct Entry
 {
-  PromptQuarantine mQuarantine{ 7 };
+  RequestQuarantine mQuarantine{ 7 };
   timing::Instant mNow{ seconds(1000) };
   std::uint64_t mNextRequest{ 100000 };
 
@@ -42,13 +45,9 @@
              const std::vector<std::vector<std::uint64_t>>& aShared)
   {
     for (const std::vector<std::uint64_t>& shared : aShared) {
-      std::vector<PromptPart> parts;
-      parts.reserve(shared.size() + 1);
-      for (const std::uint64_t part : shared) {
-        parts.push_back({ part, 10 });
-      }
-      parts.push_back({ mNextRequest++, 10 });
-      mQuarantine.OnBroken(aEngine, parts, mNow);
+      std::vector<std::uint64_t> parts = shared;
+      parts.push_back(mNextRequest++);
+      mQuarantine.OnBroken(aEngine, Prompt(parts), mNow);
     }
     mQuarantine.TryProbe(aEngine, mNow);
     mQuarantine.OnConnectionRefused(aEngine, mNow);
@@ -56,7 +55,7 @@
   void Sound(std::uint64_t aPart) { mQuarantine.OnSound(Prompt({ aPart, 5 }), mNow); }
   bool Blocks(std::uint64_t aPart)
   {
-    return mQuarantine.BlockedUntil(Prompt({ aPart, 5 }), mNow).has_value();
+    return mQuarantine.BlockOf(Prompt({ aPart, 5 }), mNow).has_value();
   }
 };
 
@@ -262,9 +261,9 @@
       Crash(500000 + i, { { kDeadlyPart } });
     }
     Advance(milliseconds(100));
-    const PromptFindings findings = mQuarantine.Report(mNow);
-    CHECK(findings.mCrashes.size() <= PromptQuarantine::kMaxReportedFindings);
+    const CrashFindings findings = mQuarantine.Report(mNow);
+    CHECK(findings.mCrashes.size() <= RequestQuarantine::kMaxReportedFindings);
   }
-  CHECK(mQuarantine.Size() <= PromptQuarantine::kMaxParts);
+  CHECK(mQuarantine.Size() <= RequestQuarantine::kMaxCauses);
   CHECK(Blocks(kDeadlyPart));
 }
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -429,3 +429,61 @@
     CHECK(mControl.Begin(admission, {}, kNow + 4s).mAttempt.mEndpoint.Str() == "near");
   }
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "control: a request under which endpoints end is sent on with care",
+                 "[gateway]")
+{
+  for (const char* id : { "e1", "e2", "e3", "e4", "e5", "e6" }) {
+    AddEndpoint(mControl, id, "z1");
+  }
+  RequestMetadata deadly = Metadata();
+  deadly.mIdentity = 71;
+  RequestMetadata victim = Metadata();
+  victim.mIdentity = 72;
+  const auto end = [&](const Choice& aChoice, const std::vector<Admission>& aAll) {
+    for (const Admission& admission : aAll) {
+      mControl.OnUnansweredBreak(aChoice.mAttempt, admission, kNow);
+      mControl.End(aChoice.mAttempt, AttemptEnd::Failed, kNow);
+    }
+    mControl.OnProbe(aChoice.mAttempt.mEndpoint, true, kNow);
+  };
+  const Admission first = Admit(deadly);
+  const Admission other = Admit(victim);
+  const Choice together = mControl.Begin(first, {}, kNow);
+  REQUIRE(together.mEndpoint != nullptr);
+  end(together, { first, other });
+
+  // Both are repeated, at different endpoints.
+  CHECK(mControl.TrySpendRetry(first, 1, kNow));
+  CHECK(mControl.TrySpendRetry(other, 1, kNow));
+  const std::vector<ids::EndpointId> tried{ together.mAttempt.mEndpoint };
+  const Choice second = mControl.Begin(first, tried, kNow);
+  REQUIRE(second.mEndpoint != nullptr);
+  for (int i = 0; i < 4; ++i) {
+    const Choice apart = mControl.Begin(other, tried, kNow);
+    REQUIRE(apart.mEndpoint != nullptr);
+    CHECK(apart.mAttempt.mEndpoint != second.mAttempt.mEndpoint);
+    mControl.End(apart.mAttempt, AttemptEnd::Failed, kNow);
+  }
+  end(second, { first });
+
+  // After two ends it is not repeated, and tried once at a time by its callers.
+  CHECK_FALSE(mControl.TrySpendRetry(first, 1, kNow));
+  CHECK(mControl.TrySpendRetry(other, 1, kNow));
+  const Admission again = Admit(deadly);
+  const Choice third = mControl.Begin(again, {}, kNow);
+  REQUIRE(third.mEndpoint != nullptr);
+  const Choice waits = mControl.Begin(Admit(deadly), {}, kNow);
+  CHECK(waits.mReason == NoEndpoint::Quarantined);
+  const Refusal refusal = mControl.RefuseNotRun(again, waits, kNow);
+  CHECK(refusal.mStatus == 503);
+  REQUIRE(refusal.mRetryAfter);
+  CHECK(*refusal.mRetryAfter <= 1s);
+  CHECK(mControl.TakeQuarantineRefusals() == 1);
+
+  // An answer ends the suspicion.
+  mControl.OnAnswered(again, kNow);
+  mControl.End(third.mAttempt, AttemptEnd::Answered, kNow);
+  CHECK(mControl.TrySpendRetry(first, 1, kNow));
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "components/gateway/requestidentity.hpp"
+
 namespace samphiresail::frontend {
 
 namespace {
@@ -134,6 +136,11 @@
     const bool keep = co_await Refuse(gateway::RequestMetadata(), refusal, false);
     co_return keep;
   }
+  facts->mIdentity = gateway::RequestIdentity(
+    { { request.method_string().data(), request.method_string().size() },
+      { request.target().data(), request.target().size() },
+      request.body() },
+    *facts);
   auto admitted = mContext.mControl.Admit(*facts, arrived);
   if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
     LogRefusal(*facts, *refusal);
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -12,6 +12,9 @@
     : mRequests(aRegistry.AddCounter("samphiresail_requests_total", "Requests read"))
     , mRefusals(aRegistry.AddCounter("samphiresail_refusals_total",
                                      "Requests answered by the entry itself"))
+    , mQuarantineRefusals(
+        aRegistry.AddCounter("samphiresail_quarantine_refusals_total",
+                             "Requests refused since endpoints end under them"))
     , mRetries(aRegistry.AddCounter("samphiresail_repeats_total",
                                     "Requests sent to one more endpoint"))
     , mInterruptedStreams(aRegistry.AddCounter("samphiresail_broken_answers_total",
@@ -31,6 +34,7 @@
 
   metrics::Counter mRequests;
   metrics::Counter mRefusals;
+  metrics::Counter mQuarantineRefusals;
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
   metrics::Histogram mLatency;
--- a/components/gateway/crashevidence.cpp
+++ b/components/gateway/crashevidence.cpp
@@ -2,32 +2,40 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace samphiresail::gateway {
 
-std::vector<SuspectPart> SuspectsOf(const std::vector<PromptPart>& aParts)
+std::vector<Suspect> SuspectsOf(const RequestMetadata& aRequest)
 {
-  std::vector<SuspectPart> suspects;
-  for (std::size_t i = 0; i + 1 < aParts.size(); ++i) {
-    suspects.push_back({ aParts[i].mId, aParts.back().mId });
+  const std::uint64_t request = aRequest.mIdentity;
+  std::vector<Suspect> suspects;
+  suspects.reserve(aRequest.mPromptParts.size() + 1);
+  if (request != 0) {
+    suspects.push_back({ request, request });
   }
+  std::ranges::transform(aRequest.mPromptParts,
+                         std::back_inserter(suspects),
+                         [request](const PromptPart& aPart) {
+                           return Suspect{ aPart.mId, request };
+                         });
   return suspects;
 }
 
-void CrashEvidence::RecordSound(std::uint64_t aPart, timing::Instant aAt)
+void CrashEvidence::RecordSound(std::uint64_t aCause, timing::Instant aAt)
 {
-  const auto [it, added] = mSound.try_emplace(aPart, aAt);
+  const auto [it, added] = mSound.try_emplace(aCause, aAt);
   it->second = std::max(it->second, aAt);
 }
 
-std::optional<timing::Instant> CrashEvidence::LastSound(std::uint64_t aPart) const
+std::optional<timing::Instant> CrashEvidence::LastSound(std::uint64_t aCause) const
 {
-  const auto it = mSound.find(aPart);
+  const auto it = mSound.find(aCause);
   return it == mSound.end() ? std::nullopt : std::optional(it->second);
 }
 
 bool CrashEvidence::RecordCrash(std::uint64_t aEndpointHash,
-                                const std::vector<SuspectPart>& aSuspects,
+                                const std::vector<Suspect>& aSuspects,
                                 timing::Instant aAt)
 {
   auto crash = std::ranges::find_if(mCrashes, [&](const Crash& aCrash) {
@@ -42,102 +50,134 @@
     crash = std::prev(mCrashes.end());
   }
   const std::size_t before = crash->mSuspects.size();
-  for (const SuspectPart& suspect : aSuspects) {
-    if (crash->mSuspects.size() < kMaxSuspectsPerCrash &&
-        std::ranges::count(crash->mSuspects, suspect) == 0) {
-      crash->mSuspects.push_back(suspect);
+  AddSuspects(crash->mSuspects, aSuspects);
+  return crash->mSuspects.size() > before;
+}
+
+void CrashEvidence::AddSuspects(std::vector<Suspect>& aAll,
+                                const std::vector<Suspect>& aSuspects)
+{
+  for (const Suspect& suspect : aSuspects) {
+    if (aAll.size() >=
+        (suspect.IsWholeRequest() ? kMaxSuspectsPerCrash : kMaxPartsPerCrash)) {
+      continue;
+    }
+    const auto requests = std::ranges::count(aAll, suspect.mCause, &Suspect::mCause);
+    if (requests < static_cast<std::ptrdiff_t>(kMinRequests) &&
+        std::ranges::count(aAll, suspect) == 0) {
+      aAll.push_back(suspect);
     }
   }
-  return crash->mSuspects.size() > before;
 }
 
-bool CrashEvidence::Counts(std::uint64_t aPart, const Crash& aCrash) const
+bool CrashEvidence::Counts(std::uint64_t aCause, const Crash& aCrash) const
 {
-  const auto sound = LastSound(aPart);
+  const auto sound = LastSound(aCause);
   return !sound || aCrash.mAt > *sound + kSoundTime;
 }
 
-bool CrashEvidence::Has(const Crash& aCrash, std::uint64_t aPart)
+bool CrashEvidence::Has(const Crash& aCrash, std::uint64_t aCause)
 {
-  return std::ranges::count(aCrash.mSuspects, aPart, &SuspectPart::mPart) > 0;
+  return std::ranges::count(aCrash.mSuspects, aCause, &Suspect::mCause) > 0;
 }
 
-std::size_t CrashEvidence::CrashesOf(std::uint64_t aPart) const
+std::size_t CrashEvidence::CrashesOf(std::uint64_t aCause) const
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(mCrashes, [&](const Crash& aCrash) {
-      return Has(aCrash, aPart) && Counts(aPart, aCrash);
+      return Has(aCrash, aCause) && Counts(aCause, aCrash);
     }));
 }
 
-std::size_t CrashEvidence::CrashesWith(std::uint64_t aPart) const
+std::size_t CrashEvidence::CrashesWith(std::uint64_t aCause) const
 {
   return static_cast<std::size_t>(std::ranges::count_if(
-    mCrashes, [aPart](const Crash& aCrash) { return Has(aCrash, aPart); }));
+    mCrashes, [aCause](const Crash& aCrash) { return Has(aCrash, aCause); }));
 }
 
-std::unordered_map<std::uint64_t, CrashEvidence::Suspicion> CrashEvidence::Suspicions(
-  const std::set<std::uint64_t>& aKnown) const
+std::vector<std::uint64_t> CrashEvidence::EnginesOf(std::uint64_t aCause) const
 {
-  std::unordered_map<std::uint64_t, Suspicion> suspicions;
+  std::vector<std::uint64_t> engines;
   for (const Crash& crash : mCrashes) {
-    const bool explained =
-      std::ranges::any_of(crash.mSuspects, [&](const SuspectPart& aSuspect) {
-        return aKnown.contains(aSuspect.mPart);
-      });
-    if (explained) {
+    if (Has(crash, aCause) && Counts(aCause, crash) &&
+        std::ranges::count(engines, crash.mEndpointHash) == 0) {
+      engines.push_back(crash.mEndpointHash);
+    }
+  }
+  return engines;
+}
+
+void CrashEvidence::AddCrash(const Crash& aCrash,
+                             const std::set<std::uint64_t>& aKnown,
+                             Suspicions& aSuspicions) const
+{
+  bool explainedByRequest = false;
+  for (const Suspect& suspect : aCrash.mSuspects) {
+    const bool known = aKnown.contains(suspect.mCause);
+    if (known && !suspect.IsWholeRequest()) {
+      return;
+    }
+    explainedByRequest = explainedByRequest || known;
+  }
+  std::set<std::uint64_t> counted;
+  for (const Suspect& suspect : aCrash.mSuspects) {
+    const bool ofOther = suspect.IsWholeRequest() || !aKnown.contains(suspect.mRequest);
+    if ((explainedByRequest && ofOther) || !Counts(suspect.mCause, aCrash)) {
       continue;
     }
-    std::set<std::uint64_t> counted;
-    for (const SuspectPart& suspect : crash.mSuspects) {
-      if (!Counts(suspect.mPart, crash)) {
-        continue;
-      }
-      Suspicion& suspicion = suspicions[suspect.mPart];
+    Suspicion& suspicion = aSuspicions[suspect.mCause];
+    suspicion.mWholeRequest = suspicion.mWholeRequest || suspect.IsWholeRequest();
+    if (!explainedByRequest && suspicion.mRequests.size() < kMinRequests) {
       suspicion.mRequests.insert(suspect.mRequest);
-      if (counted.insert(suspect.mPart).second) {
-        suspicion.mFirst =
-          suspicion.mCrashes == 0 ? crash.mAt : std::min(suspicion.mFirst, crash.mAt);
-        suspicion.mLast = std::max(suspicion.mLast, crash.mAt);
-        ++suspicion.mCrashes;
-      }
+    }
+    if (counted.insert(suspect.mCause).second) {
+      suspicion.mFirst =
+        suspicion.mCrashes == 0 ? aCrash.mAt : std::min(suspicion.mFirst, aCrash.mAt);
+      suspicion.mLast = std::max(suspicion.mLast, aCrash.mAt);
+      suspicion.mEngines.insert(aCrash.mEndpointHash);
+      ++suspicion.mCrashes;
+      suspicion.mUnexplained += explainedByRequest ? 0 : 1;
     }
   }
-  return suspicions;
 }
 
-bool CrashEvidence::Suffices(std::uint64_t aPart, const Suspicion& aSuspicion) const
+bool CrashEvidence::Suffices(std::uint64_t aCause, const Suspicion& aSuspicion) const
 {
   return aSuspicion.mCrashes >= kMinCrashes &&
-         aSuspicion.mRequests.size() >= kMinRequests &&
+         aSuspicion.mEngines.size() >= kMinEngines &&
+         (aSuspicion.mWholeRequest || (aSuspicion.mRequests.size() >= kMinRequests &&
+                                       aSuspicion.mUnexplained >= kMinUnexplained)) &&
          aSuspicion.mLast - aSuspicion.mFirst >=
-           (LastSound(aPart) ? kMinSpreadIfSound : kMinSpread);
+           (LastSound(aCause) ? kMinSpreadIfSound : kMinSpread);
 }
 
 std::vector<std::uint64_t> CrashEvidence::MostSuspect(
   const std::set<std::uint64_t>& aKnown) const
 {
+  Suspicions suspicions;
+  for (const Crash& crash : mCrashes) {
+    AddCrash(crash, aKnown, suspicions);
+  }
   std::vector<std::uint64_t> most;
-  std::size_t crashes = 0;
-  bool neverSound = false;
-  for (const auto& [part, suspicion] : Suspicions(aKnown)) {
-    if (!Suffices(part, suspicion)) {
+  // Crashes, never sound, whole request: of causes that explain as much, those that no
+  // request was answered with come first, and then those that shut out least.
+  std::tuple<std::size_t, bool, bool> rank{ 0, false, false };
+  for (const auto& [cause, suspicion] : suspicions) {
+    if (!Suffices(cause, suspicion)) {
       continue;
     }
-    // Of parts that explain as much, those that no request was answered with come first.
-    const bool never = !LastSound(part);
-    const bool more =
-      std::pair(suspicion.mCrashes, never) > std::pair(crashes, neverSound);
-    if (more) {
+    const std::tuple own(suspicion.mCrashes, !LastSound(cause), suspicion.mWholeRequest);
+    if (own > rank) {
       most.clear();
-      crashes = suspicion.mCrashes;
-      neverSound = never;
+      rank = own;
     }
-    if (suspicion.mCrashes == crashes && never == neverSound) {
-      most.push_back(part);
+    if (own == rank) {
+      most.push_back(cause);
     }
   }
-  if (most.size() > 1 && crashes < kMaxTiedCrashes) {
+  const auto [crashes, neverSound, wholeRequest] = rank;
+  if (most.size() > 1 &&
+      crashes < (wholeRequest ? kMaxTiedRequestCrashes : kMaxTiedCrashes)) {
     most.clear();
   }
   return most;
@@ -160,7 +200,7 @@
 {
   std::erase_if(mCrashes,
                 [aNow](const Crash& aCrash) { return aCrash.mAt + kMemory < aNow; });
-  if (mSound.size() <= kMaxSoundParts) {
+  if (mSound.size() <= kMaxSoundCauses) {
     return;
   }
   std::vector<timing::Instant> times;
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -28,7 +28,7 @@
   Paused,
   /// All are full or in cold start.
   Full,
-  /// A part of the prompt is in quarantine.
+  /// Endpoints end under the request.
   Quarantined,
 };
 
@@ -48,6 +48,9 @@
   double mKeptTokens{ 0.0 };
   /// No response has begun to arrive.
   bool mUnanswered{ true };
+  /// RequestIdentity() of the request if endpoints had ended under it when the attempt
+  /// began, else 0.
+  std::uint64_t mSuspect{ 0 };
 };
 
 struct Choice
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -14,30 +14,30 @@
   return std::chrono::milliseconds(aMilliseconds);
 }
 
-void EncodeFindings(const PromptFindings& aFindings, wire::PeerLoad& aLoad)
+void EncodeFindings(const CrashFindings& aFindings, wire::PeerLoad& aLoad)
 {
   for (const ReportedCrash& crash : aFindings.mCrashes) {
     auto* item = aLoad.add_engine_crash();
     item->set_endpoint(crash.mEndpointHash);
     item->set_age_ms(static_cast<std::uint32_t>(crash.mAge.count()));
-    for (const SuspectPart& suspect : crash.mSuspects) {
-      item->add_part(suspect.mPart);
+    for (const Suspect& suspect : crash.mSuspects) {
+      item->add_part(suspect.mCause);
       item->add_request(suspect.mRequest);
     }
   }
-  for (const ReportedSoundPart& sound : aFindings.mSound) {
+  for (const ReportedSound& sound : aFindings.mSound) {
     auto* item = aLoad.add_sound_part();
-    item->set_part(sound.mPart);
+    item->set_part(sound.mCause);
     item->set_age_ms(static_cast<std::uint32_t>(sound.mAge.count()));
   }
-  for (const std::uint64_t part : aFindings.mQuarantined) {
-    aLoad.add_quarantined(part);
+  for (const std::uint64_t cause : aFindings.mQuarantined) {
+    aLoad.add_quarantined(cause);
   }
 }
 
-PromptFindings DecodeFindings(const wire::PeerLoad& aLoad)
+CrashFindings DecodeFindings(const wire::PeerLoad& aLoad)
 {
-  PromptFindings findings;
+  CrashFindings findings;
   for (const auto& item : aLoad.engine_crash()) {
     ReportedCrash crash{ item.endpoint(), AgeFrom(item.age_ms()), {} };
     for (int i = 0; i < std::min(item.part_size(), item.request_size()); ++i) {
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "components/gateway/enginemodel.hpp"
-#include "components/gateway/promptquarantine.hpp"
 #include "components/gateway/quotaledger.hpp"
+#include "components/gateway/requestquarantine.hpp"
 #include "components/ids/ids.hpp"
 #include "components/settings/socketaddress.hpp"
 #include "components/timing/clock.hpp"
@@ -59,7 +59,7 @@
   std::vector<std::uint64_t> mRefused;
   /// Adapters that were recently loaded on an order of the sender.
   std::vector<LoadedAdapter> mLoadedAdapters;
-  PromptFindings mFindings;
+  CrashFindings mFindings;
 };
 
 /// Returns the hash by which peer reports identify an endpoint, a client account, a
--- a/components/gateway/requestmetadata.hpp
+++ b/components/gateway/requestmetadata.hpp
@@ -27,6 +27,8 @@
   bool mHasTokenCounts{ false };
   /// Parts of the prompt in order.
   std::vector<PromptPart> mPromptParts;
+  /// See RequestIdentity(); 0 if it was not determined.
+  std::uint64_t mIdentity{ 0 };
   /// How long the caller waits for the response, if the request states it.
   std::optional<std::chrono::milliseconds> mCallerTimeout;
   /// Identifier of the event after which a resumed stream continues.
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -29,16 +29,15 @@
   if (IsQuarantined(aAdmission, aTried, aNow)) {
     return { nullptr, NoEndpoint::Quarantined, {}, {} };
   }
-  const RoutingRequest request{ *aAdmission.mService,
-                                metadata,
-                                aTried,
-                                aAdmission.mRoute->mLatencyTolerant,
-                                Allowance(aAdmission, aNow).mAtEngine,
-                                UnreportedRequests(aAdmission, aNow) };
-  Choice choice = mChooser.Choose(request, aNow);
+  const bool suspect = mQuarantine.EndsUnder(metadata.mIdentity, aNow) > 0;
+  Choice choice = ChooseApart(aAdmission, aTried, suspect, aNow);
   if (choice.mEndpoint == nullptr) {
     return choice;
   }
+  if (suspect) {
+    choice.mAttempt.mSuspect = metadata.mIdentity;
+    mSuspectAttempts.Begin(choice.mAttempt.mEndpoint, metadata.mIdentity);
+  }
   RecordStart(*choice.mEndpoint, choice.mAttempt);
   mCold.Record(choice.mAttempt.mEndpoint, aNow);
   if (aAdmission.mService->mEngine) {
@@ -56,8 +55,37 @@
                                    const std::vector<ids::EndpointId>& aTried,
                                    timing::Instant aNow) const
 {
+  const RequestMetadata& metadata = aAdmission.mMetadata;
   const bool test = aAdmission.mTestsQuarantine && aTried.empty();
-  return !test && mQuarantine.BlockedUntil(aAdmission.mMetadata.mPromptParts, aNow);
+  return (!test && mQuarantine.BlockOf(metadata, aNow)) ||
+         (mSuspectAttempts.IsInProgress(metadata.mIdentity) &&
+          mQuarantine.EndsUnder(metadata.mIdentity, aNow) >= kMaxEndsForRetry);
+}
+
+Choice TrafficControl::ChooseApart(const Admission& aAdmission,
+                                   const std::vector<ids::EndpointId>& aTried,
+                                   bool aSuspect,
+                                   timing::Instant aNow)
+{
+  const auto choose = [&](const std::vector<ids::EndpointId>& aExcluded) {
+    const RoutingRequest request{ *aAdmission.mService,
+                                  aAdmission.mMetadata,
+                                  aExcluded,
+                                  aAdmission.mRoute->mLatencyTolerant,
+                                  Allowance(aAdmission, aNow).mAtEngine,
+                                  UnreportedRequests(aAdmission, aNow) };
+    return mChooser.Choose(request, aNow);
+  };
+  if (aSuspect) {
+    std::vector<ids::EndpointId> excluded =
+      mSuspectAttempts.EndpointsOfOthers(aAdmission.mMetadata.mIdentity);
+    excluded.insert(excluded.end(), aTried.begin(), aTried.end());
+    Choice choice = choose(excluded);
+    if (choice.mEndpoint != nullptr) {
+      return choice;
+    }
+  }
+  return choose(aTried);
 }
 
 bool TrafficControl::OnUnansweredBreak(const Attempt& aAttempt,
@@ -65,7 +93,7 @@
                                        timing::Instant aNow)
 {
   const std::uint64_t hash = HashName(aAttempt.mEndpoint.Str());
-  mQuarantine.OnBroken(hash, aAdmission.mMetadata.mPromptParts, aNow);
+  mQuarantine.OnBroken(hash, aAdmission.mMetadata, aNow);
   return mQuarantine.TryProbe(hash, aNow);
 }
 
@@ -83,7 +111,7 @@
 
 void TrafficControl::OnAnswered(const Admission& aAdmission, timing::Instant aNow)
 {
-  mQuarantine.OnSound(aAdmission.mMetadata.mPromptParts, aNow);
+  mQuarantine.OnSound(aAdmission.mMetadata, aNow);
 }
 
 void TrafficControl::RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt)
@@ -212,6 +240,9 @@
 
 void TrafficControl::End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow)
 {
+  if (aAttempt.mSuspect != 0) {
+    mSuspectAttempts.End(aAttempt.mEndpoint, aAttempt.mSuspect);
+  }
   Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
   if (endpoint == nullptr) {
     return;
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -14,6 +14,10 @@
 constexpr milliseconds kDefaultCallerTimeout{ 10000 };
 /// Retry-After while the store or the configuration cannot be reached.
 constexpr milliseconds kMinOutageRetry{ 500 };
+/// When a caller should retry whose request is tried for another caller, with the danger
+/// that it ends an endpoint.
+constexpr milliseconds kMinSuspectRetry{ 500 };
+constexpr milliseconds kMaxSuspectRetry{ 1000 };
 constexpr milliseconds kMaxOutageRetry{ 1500 };
 /// Retry-After while all endpoints are full, if no forecast says when one is free: about
 /// the length of a generation.
@@ -165,10 +169,10 @@
   if (service == nullptr) {
     return RefuseInOutage("the route has no service");
   }
-  const auto blockedUntil = mQuarantine.BlockedUntil(aMetadata.mPromptParts, aNow);
-  const bool tests = blockedUntil && mQuarantine.TryTest(aMetadata.mPromptParts, aNow);
-  if (blockedUntil && !tests) {
-    return RefuseQuarantined(*route, *blockedUntil, aNow);
+  const auto block = mQuarantine.BlockOf(aMetadata, aNow);
+  const bool tests = block && mQuarantine.TryTest(aMetadata, aNow);
+  if (block && !tests) {
+    return RefuseQuarantined(*route, aMetadata, aNow);
   }
   Admission admission;
   admission.mTestsQuarantine = tests;
@@ -273,6 +277,7 @@
                                    timing::Instant aNow)
 {
   return aSent < aAdmission.mRoute->mMaxAttempts && aNow < aAdmission.mDeadline &&
+         mQuarantine.EndsUnder(aAdmission.mMetadata.mIdentity, aNow) < kMaxEndsForRetry &&
          mRetryBudget.TrySpend(aAdmission.mService->mName, mEntries, aNow);
 }
 
@@ -332,10 +337,7 @@
       break;
     }
     case NoEndpoint::Quarantined:
-      refusal = RefuseQuarantined(
-        *aAdmission.mRoute,
-        mQuarantine.BlockedUntil(aAdmission.mMetadata.mPromptParts, aNow).value_or(aNow),
-        aNow);
+      refusal = RefuseQuarantined(*aAdmission.mRoute, aAdmission.mMetadata, aNow);
       break;
     case NoEndpoint::NoneUsable:
       refusal.mReason = "no endpoint may get work";
@@ -346,13 +348,23 @@
 }
 
 Refusal TrafficControl::RefuseQuarantined(const Route& aRoute,
-                                          timing::Instant aUntil,
+                                          const RequestMetadata& aMetadata,
                                           timing::Instant aNow)
 {
+  ++mQuarantineRefusals;
   Refusal refusal;
-  refusal.mReason = "engines end under a part of the prompt";
-  refusal.mRetryAfter = std::chrono::ceil<milliseconds>(aUntil - aNow);
   refusal.mRoute = aRoute.mName;
+  if (const auto block = mQuarantine.BlockOf(aMetadata, aNow)) {
+    const bool whole = block->mCause == aMetadata.mIdentity;
+    refusal.mReason =
+      (whole ? "endpoints end under this request: " : "endpoints end under a part: ") +
+      PartName(block->mCause);
+    refusal.mRetryAfter = std::chrono::ceil<milliseconds>(block->mUntil - aNow);
+  } else {
+    refusal.mReason = "endpoints ended under this request, another one tries it: " +
+                      PartName(aMetadata.mIdentity);
+    refusal.mRetryAfter = RetryAfter(kMinSuspectRetry, kMaxSuspectRetry);
+  }
   return refusal;
 }
 
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -12,10 +13,11 @@
 #include "components/gateway/demandmeter.hpp"
 #include "components/gateway/endpointchooser.hpp"
 #include "components/gateway/endpointdirectory.hpp"
-#include "components/gateway/promptquarantine.hpp"
 #include "components/gateway/quotaledger.hpp"
+#include "components/gateway/requestquarantine.hpp"
 #include "components/gateway/returningcallers.hpp"
 #include "components/gateway/storefreshness.hpp"
+#include "components/gateway/suspectattempts.hpp"
 #include "components/gateway/waitpolicy.hpp"
 #include "components/gateway/windowedretrybudget.hpp"
 
@@ -58,7 +60,7 @@
   double mEngineSeconds{ 0.0 };
   /// From 0, the most urgent, to 9.
   int mPriority{ 5 };
-  /// The request tests whether a part of its prompt still crashes engines.
+  /// The request tests whether its cause in quarantine still crashes engines.
   bool mTestsQuarantine{ false };
   /// Staleness of keys and routes at admission.
   timing::Duration mConfigurationAge{ 0 };
@@ -84,6 +86,10 @@
 class TrafficControl
 {
 public:
+  /// Endpoints that ended under a request from which on it is sent to no further one
+  /// within the same call, and at most once at a time by this entry.
+  static constexpr std::size_t kMaxEndsForRetry = 2;
+
   TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed);
 
   EndpointDirectory mDirectory;
@@ -95,7 +101,7 @@
   EngineModel mEngineModel;
   PromptCacheEstimate mPromptCache;
   ReturningCallers mReturningCallers;
-  PromptQuarantine mQuarantine;
+  RequestQuarantine mQuarantine;
 
   void SetConfiguration(std::shared_ptr<const ServingConfiguration> aConfiguration,
                         timing::Instant aNow);
@@ -177,6 +183,10 @@
                        const Choice& aChoice,
                        timing::Instant aNow);
 
+  /// Returns how many requests were refused since the last call because endpoints ended
+  /// under them or a part of them.
+  std::uint64_t TakeQuarantineRefusals() { return std::exchange(mQuarantineRefusals, 0); }
+
   /// Rejects every new request from this instant on, since the process is stopping.
   void RefuseFrom(timing::Instant aInstant) { mRefuseFrom = aInstant; }
 
@@ -188,15 +198,21 @@
   Refusal RefuseInOutage(std::string aReason);
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aMin,
                                        std::chrono::milliseconds aMax);
-  /// Returns true if the request must not be sent since a part of its prompt is in
-  /// quarantine.
+  /// Returns true if the request must not be sent since it has a cause in quarantine, or
+  /// since several endpoints ended under it and another attempt of it is in progress.
   bool IsQuarantined(const Admission& aAdmission,
                      const std::vector<ids::EndpointId>& aTried,
                      timing::Instant aNow) const;
-  /// Refuses a request with a part of the prompt that is in quarantine until aUntil.
-  static Refusal RefuseQuarantined(const Route& aRoute,
-                                   timing::Instant aUntil,
-                                   timing::Instant aNow);
+  /// Chooses an endpoint; for a request under which one ended, preferably none that has
+  /// another such request.
+  Choice ChooseApart(const Admission& aAdmission,
+                     const std::vector<ids::EndpointId>& aTried,
+                     bool aSuspect,
+                     timing::Instant aNow);
+  /// Refuses a request for which IsQuarantined() is true.
+  Refusal RefuseQuarantined(const Route& aRoute,
+                            const RequestMetadata& aMetadata,
+                            timing::Instant aNow);
   /// Returns when a caller should retry for which all engines are full.
   std::chrono::milliseconds RetryAfterFull(const Admission& aAdmission,
                                            const Choice& aChoice,
@@ -225,6 +241,8 @@
   DemandMeter mServiceDemand;
   EnginePolicy mEnginePolicy;
   std::mt19937_64 mRandom;
+  SuspectAttempts mSuspectAttempts;
+  std::uint64_t mQuarantineRefusals{ 0 };
   timing::Instant mRefuseFrom{ timing::Instant::max() };
 };
 
