Blame a request that was never answered 0.1 s after its first end

What callers saw: at 29 entries and eight deadly requests a second, three endpoints end within 0.2 s, and the request is sent on until a later end: 4 times more in the play of the exchange.

Cause: 0.2 s between the first and the last end were asked of each cause, so that a shared part is not blamed for engines that end at one moment. A request of which no one was ever answered is rarely in several such engines.

Change: 0.1 s for such a request; parts and requests that were answered as before.

--- a/apps/tests/gateway/requestquarantineplaytest.cpp
+++ b/apps/tests/gateway/requestquarantineplaytest.cpp
@@ -32,6 +32,9 @@
 /// Time within which all entries must know of the part, counted from the fifth crash.
 constexpr milliseconds kContact{ 3000 };
 
+/// Time that the findings of a crash take to all entries if no datagram is lost.
+constexpr milliseconds kExchange{ 100 };
+
 /// Load of a play.
 struct Load
 {
@@ -47,6 +50,10 @@
   /// A fraction of the engines ends together this often, without a request as the cause.
   milliseconds mOtherCrashInterval{ 0 };
   double mOtherCrashShare{ 0.0 };
+  /// The deadly requests are one that comes again, rather than many that share a part.
+  bool mSameRequest{ false };
+  /// Fraction of the sound requests that are one that comes again.
+  double mSameSoundShare{ 0.0 };
 };
 
 struct Outcome
@@ -55,6 +62,8 @@
   /// Requests with the deadly part that engines got later than kContact after the fifth
   /// crash.
   int mSentLate{ 0 };
+  /// The same later than kExchange after the third crash by a deadly request.
+  int mSentAfterThird{ 0 };
   int mSoundRefused{ 0 };
   int mSound{ 0 };
 };
@@ -135,7 +144,14 @@
       if (request.mDeadly) {
         parts.push_back({ kDeadlyPart, 10 });
       }
-      parts.push_back({ 1000000 + mNextRequest++, 10 });
+      const bool same = request.mDeadly
+                          ? mLoad.mSameRequest
+                          : mLoad.mSameSoundShare > 0.0 && Chance(mLoad.mSameSoundShare);
+      if (same) {
+        parts = { { 1, 10 }, { request.mDeadly ? 900000U : 900001U, 10 } };
+      } else {
+        parts.push_back({ 1000000 + mNextRequest++, 10 });
+      }
       request.mMetadata.mIdentity = RequestIdentity({}, request.mMetadata);
       Send(std::move(request));
     }
@@ -168,6 +184,9 @@
     if (aRequest.mDeadly && mFifthCrash && mNow > *mFifthCrash + kContact) {
       ++mOutcome.mSentLate;
     }
+    if (aRequest.mDeadly && mThirdDeadlyCrash && mNow > *mThirdDeadlyCrash + kExchange) {
+      ++mOutcome.mSentAfterThird;
+    }
     mRequests.push_back(std::move(aRequest));
   }
 
@@ -176,6 +195,9 @@
     for (std::size_t i = 0; i < mRequests.size(); ++i) {
       const Request request = mRequests[i];
       if (request.mDeadly && mNow - request.mSentAt >= kFirstEvent) {
+        if (++mDeadlyCrashes == 3) {
+          mThirdDeadlyCrash = mNow;
+        }
         Crash(request.mEngine);
         i = 0;
       }
@@ -266,6 +288,8 @@
   std::vector<Datagram> mDatagrams;
   std::vector<Record> mRecords;
   std::optional<timing::Instant> mFifthCrash;
+  int mDeadlyCrashes{ 0 };
+  std::optional<timing::Instant> mThirdDeadlyCrash;
   const timing::Instant mStart{ seconds(1000) };
   timing::Instant mNow{ mStart };
   std::uint64_t mNextRequest{ 0 };
@@ -310,6 +334,46 @@
   }
 }
 
+TEST_CASE("play: one deadly request is sent no more once the third end is known",
+          "[gateway]")
+{
+  Load load;
+  load.mDeadlyShare = 0.02;
+  load.mSameRequest = true;
+  load.mSameSoundShare = 0.1;
+  SECTION("four entries") {}
+  SECTION("four entries, often")
+  {
+    load.mDeadlyShare = 0.1;
+  }
+  SECTION("29 entries")
+  {
+    load.mEntries = 29;
+    load.mEngines = 53;
+    load.mRate = 400.0;
+  }
+  SECTION("100 entries, so that each sees a hundredth of the crashes")
+  {
+    load.mEntries = 100;
+    load.mEngines = 150;
+    load.mRate = 600.0;
+    load.mDeadlyShare = 0.005;
+  }
+  SECTION("beside engines that end for another reason")
+  {
+    load.mOtherCrashInterval = milliseconds(500);
+    load.mOtherCrashShare = 0.08;
+  }
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(load.mEntries, seed);
+    Play play(load, seed);
+    const Outcome outcome = play.Run(seconds(25));
+    CAPTURE(outcome.mCrashes, outcome.mSound, outcome.mSentAfterThird);
+    CHECK(outcome.mSentAfterThird <= 3);
+    CHECK(outcome.mSoundRefused == 0);
+  }
+}
+
 TEST_CASE("play: engines that end for another reason shut out no sound request",
           "[gateway]")
 {
@@ -337,6 +401,19 @@
     load.mOtherCrashInterval = milliseconds(200);
     load.mOtherCrashShare = 0.01;
   }
+  SECTION("one request that many callers repeat")
+  {
+    load.mOtherCrashInterval = milliseconds(500);
+    load.mOtherCrashShare = 0.08;
+    load.mSameSoundShare = 0.5;
+  }
+  SECTION("a rare kind of request, half of them the same one")
+  {
+    load = { 29, 53, 4.0, 0.0 };
+    load.mOtherCrashInterval = milliseconds(500);
+    load.mOtherCrashShare = 0.1;
+    load.mSameSoundShare = 0.5;
+  }
   SECTION("a rare kind of request")
   {
     load = { 29, 53, 4.0, 0.0 };
--- a/components/gateway/crashevidence.cpp
+++ b/components/gateway/crashevidence.cpp
@@ -6,6 +6,14 @@
 
 namespace samphiresail::gateway {
 
+namespace {
+
+/// The same as CrashEvidence::kMinSpread for a request that was never answered: several
+/// engines that end at one moment rarely all have the same one.
+constexpr timing::Duration kMinRequestSpread = std::chrono::milliseconds(100);
+
+}
+
 std::vector<Suspect> SuspectsOf(const RequestMetadata& aRequest)
 {
   const std::uint64_t request = aRequest.mIdentity;
@@ -143,12 +151,17 @@
 
 bool CrashEvidence::Suffices(std::uint64_t aCause, const Suspicion& aSuspicion) const
 {
+  timing::Duration minSpread = kMinSpread;
+  if (LastSound(aCause)) {
+    minSpread = kMinSpreadIfSound;
+  } else if (aSuspicion.mWholeRequest) {
+    minSpread = kMinRequestSpread;
+  }
   return aSuspicion.mCrashes >= kMinCrashes &&
          aSuspicion.mEngines.size() >= kMinEngines &&
          (aSuspicion.mWholeRequest || (aSuspicion.mRequests.size() >= kMinRequests &&
                                        aSuspicion.mUnexplained >= kMinUnexplained)) &&
-         aSuspicion.mLast - aSuspicion.mFirst >=
-           (LastSound(aCause) ? kMinSpreadIfSound : kMinSpread);
+         aSuspicion.mLast - aSuspicion.mFirst >= minSpread;
 }
 
 std::vector<std::uint64_t> CrashEvidence::MostSuspect(
