Let the leader take over quarantine records whose writer has left

The entry that recorded a quarantine sends its tests. If it leaves for good, nobody does, and a repaired cause stays refused for the rest of the hour.

Cause: the record names its writer, and no other entry acts on it.

Change: QuarantineWriters knows who wrote each record. If the writer is neither registered nor heard for 10 s, longer than a restart takes, the leader puts its own name into the record, if that is unchanged, and sends the tests from then on.

Not covered: a second writer that leaves within the same hour, since the record's later revision is not known.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -20,6 +20,7 @@
 #include "components/gateway/ordertracker.hpp"
 #include "components/gateway/peertable.hpp"
 #include "components/gateway/platformport.hpp"
+#include "components/gateway/quarantinewriters.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 #include "components/logging/boundedoutput.hpp"
 #include "components/logging/logger.hpp"
@@ -83,7 +84,8 @@
   void SendNotice(timing::Instant aNow);
   /// Sends the findings on parts of prompts to all entries and logs what changed.
   void ReportFindings(timing::Instant aNow);
-  /// Creates and deletes the store's records of the parts in quarantine.
+  /// Creates and deletes the store's records of the causes in quarantine; the leader
+  /// takes those over whose writer has left.
   void UpdateQuarantineRecords(timing::Instant aNow);
   void SendDatagram(const std::string& aBytes, const settings::SocketAddress& aTo);
   /// Reports to the leader that a request waits for an adapter.
@@ -157,6 +159,7 @@
   boost::asio::signal_set mSignals;
   std::array<char, 65536> mDatagram{};
   std::uint64_t mPeerReportSequence{ 0 };
+  gateway::QuarantineWriters mQuarantineWriters;
   timing::Instant mNextPeerReport{};
   timing::Instant mLastNotice{};
   timing::Instant mNextNotice{ timing::Instant::max() };
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -107,6 +107,7 @@
     }
   }
   mControl.mQuarantine.RetainRecords(quarantined, now);
+  mQuarantineWriters.RetainOnly(quarantined);
   UpdateShares(now);
   mEndpointsRead = true;
 }
@@ -128,6 +129,8 @@
     std::from_chars(aValue->data(), aValue->data() + aValue->size(), entries);
     mPeers.SetRecordedEntries(entries);
   } else if (const auto part = QuarantinedPart(aKey)) {
+    mQuarantineWriters.Set(
+      *part, ids::ProcessId(aValue.value_or(std::string())), aCreateRevision);
     mControl.mQuarantine.OnRecord(
       *part, aValue.has_value(), aValue == mSettings.mName.Str(), now);
   } else if (aKey.starts_with(kMemberPrefix)) {
--- a/apps/samphiresail/gateway/quarantinerecords.cpp
+++ b/apps/samphiresail/gateway/quarantinerecords.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,6 +13,16 @@
 
 void GatewayProcess::UpdateQuarantineRecords(timing::Instant aNow)
 {
+  const auto execute = [this](store::TransactionRequest aWrite) {
+    boost::asio::co_spawn(
+      mIo,
+      [this, write = std::move(aWrite)]() -> boost::asio::awaitable<void> {
+        store::StoreRequest request = write;
+        // The watch shows the outcome; a change that failed is due again.
+        co_await mStore.Execute(std::move(request), kStoreTimeout);
+      },
+      boost::asio::detached);
+  };
   for (const auto& change : mControl.mQuarantine.RecordChanges(mLeading, aNow)) {
     const std::string key = QuarantineKey(change.mCause);
     store::TransactionRequest write;
@@ -21,14 +32,20 @@
     } else {
       write.mWrites.emplace_back(store::DeleteOperation{ key });
     }
-    boost::asio::co_spawn(
-      mIo,
-      [this, write = std::move(write)]() -> boost::asio::awaitable<void> {
-        store::StoreRequest request = write;
-        // The watch shows the outcome; a change that failed is due again.
-        co_await mStore.Execute(std::move(request), kStoreTimeout);
-      },
-      boost::asio::detached);
+    execute(std::move(write));
+  }
+  std::vector<ids::ProcessId> present = mPeers.Known();
+  present.push_back(mSettings.mName);
+  for (const auto& orphan : mQuarantineWriters.TakeOrphans(present, aNow)) {
+    if (mLeading) {
+      mLogger.Info("quarantine record taken over",
+                   { { "cause", gateway::PartName(orphan.mCause) } });
+      const std::string key = QuarantineKey(orphan.mCause);
+      store::TransactionRequest write;
+      write.mCompares.push_back({ key, orphan.mRevision });
+      write.mWrites.emplace_back(store::PutOperation{ key, mSettings.mName.Str(), 0 });
+      execute(std::move(write));
+    }
   }
 }
 
