Let earlier ends count no more once a quarantine is lifted by hand

After an operator deletes the record of a cause, the next end of any engine blames it again from the ends before.

Cause: the evidence is judged again on each change, and a deleted record changed nothing in it.

Change: a deleted record counts as an answer, as everywhere else where it is deleted.

Evidence: "deadly request: lifted by hand, it is refused again by new ends only". A further test, "of two that end together, the one answered before is sound", guards a preference that a mutation by hand showed to be untested.

--- a/apps/tests/gateway/deadlyrequesttest.cpp
+++ b/apps/tests/gateway/deadlyrequesttest.cpp
@@ -147,6 +147,20 @@
   CHECK(fleet.Blocking(kVictim) == 0);
 }
 
+TEST_CASE("deadly request: of two that end together, the one answered before is sound",
+          "[gateway]")
+{
+  Fleet fleet(4);
+  fleet.Answer(kVictim, 3);
+  fleet.Advance(seconds(5));
+  for (std::uint64_t engine = 1; engine <= 3; ++engine) {
+    fleet.Crash(engine, { kDeadly, kVictim }, engine);
+    fleet.Advance(milliseconds(600));
+  }
+  CHECK(fleet.Blocking(kDeadly) == 4);
+  CHECK(fleet.Blocking(kVictim) == 0);
+}
+
 TEST_CASE("deadly request: one that a bad engine ends again and again is not refused",
           "[gateway]")
 {
@@ -209,6 +223,29 @@
   CHECK(fleet.Blocking(kDeadly) == 0);
 }
 
+TEST_CASE("deadly request: lifted by hand, it is refused again by new ends only",
+          "[gateway]")
+{
+  Fleet fleet;
+  RequestQuarantine& entry = fleet.mEntries[0];
+  for (std::uint64_t engine = 1; engine <= 3; ++engine) {
+    fleet.Crash(engine, { kDeadly });
+    fleet.Advance(milliseconds(300));
+  }
+  entry.OnRecord(kDeadly.mIdentity, true, true, fleet.mNow);
+  REQUIRE(fleet.Blocking(kDeadly) == 1);
+  entry.OnRecord(kDeadly.mIdentity, false, false, fleet.mNow);
+  for (std::uint64_t engine = 4; engine <= 6; ++engine) {
+    fleet.Advance(seconds(3));
+    CHECK(fleet.Blocking(kDeadly) == 0);
+    fleet.Crash(engine + 10, { Request("another") });
+    CHECK(fleet.Blocking(kDeadly) == 0);
+    fleet.Answer(Request("another"));
+    fleet.Crash(engine, { kDeadly });
+  }
+  CHECK(fleet.Blocking(kDeadly) == 1);
+}
+
 TEST_CASE("deadly request: two at the same time are both refused, their parts are not",
           "[gateway]")
 {
--- a/components/gateway/requestquarantine.cpp
+++ b/components/gateway/requestquarantine.cpp
@@ -358,6 +358,8 @@
   mLifted.erase(aCause);
   if (!aPresent) {
     if (mRecords.erase(aCause) > 0 && mCauses.contains(aCause)) {
+      // Who lifts it by hand wants what was seen until then to count no more.
+      mEvidence.RecordSound(aCause, aNow);
       Lift(aCause, "its record was deleted", aNow);
     }
     return;
