Send a request under which two endpoints ended about once at a time over all entries

Both engines with its model had ended; when the next one had it, the calls that waited at eleven entries were all sent to it within 0.1 s.

Cause: the care before the third end was each entry's own.

Ruled out: that the evidence came late; all entries knew of both ends for 4 s.

Change: each call of such a request is sent with a chance of one in the number of entries, by a digest of its identifier, and else refused, not run, with up to 1 s as Retry-After. Once a cause is blamed, the ends of its engines excuse the other requests that were there, so that they are served as before.

Evidence: "control: a request under which endpoints end is sent on with care" sends fewer than 20 of 200 at 50 entries; "deadly request: once it is blamed, the ends with it excuse the others".

--- a/apps/tests/gateway/deadlyrequesttest.cpp
+++ b/apps/tests/gateway/deadlyrequesttest.cpp
@@ -161,6 +161,22 @@
   CHECK(fleet.Blocking(kVictim) == 0);
 }
 
+TEST_CASE("deadly request: once it is blamed, the ends with it excuse the others",
+          "[gateway]")
+{
+  Fleet fleet;
+  const RequestQuarantine& entry = fleet.mEntries[0];
+  for (std::uint64_t engine = 1; engine <= 2; ++engine) {
+    fleet.Crash(engine, { kDeadly, kVictim });
+    fleet.Advance(milliseconds(300));
+    CHECK(entry.EndsUnder(kVictim.mIdentity, fleet.mNow) == engine);
+  }
+  fleet.Crash(3, { kDeadly });
+  fleet.Advance(milliseconds(300));
+  REQUIRE(fleet.Blocking(kDeadly) == 1);
+  CHECK(entry.EndsUnder(kVictim.mIdentity, fleet.mNow) == 0);
+}
+
 TEST_CASE("deadly request: one that a bad engine ends again and again is not refused",
           "[gateway]")
 {
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -477,13 +477,24 @@
   const Choice waits = mControl.Begin(Admit(deadly), {}, kNow);
   CHECK(waits.mReason == NoEndpoint::Quarantined);
   const Refusal refusal = mControl.RefuseNotRun(again, waits, kNow);
-  CHECK(refusal.mStatus == 503);
-  REQUIRE(refusal.mRetryAfter);
-  CHECK(*refusal.mRetryAfter <= 1s);
+  CHECK((refusal.mStatus == 503 && refusal.mRetryAfter <= 1s && refusal.mRetryAfter));
   CHECK(mControl.TakeQuarantineRefusals() == 1);
+  mControl.End(third.mAttempt, AttemptEnd::Refused, kNow);
+
+  // Of many that come to many entries at the same time, few are sent.
+  mControl.SetEntries(50, 250ms);
+  int sent = 0;
+  for (int i = 0; i < 200; ++i) {
+    deadly.mId = ids::RequestId("id" + std::to_string(i));
+    const Choice choice = mControl.Begin(Admit(deadly), {}, kNow);
+    if (choice.mEndpoint != nullptr) {
+      ++sent;
+      mControl.End(choice.mAttempt, AttemptEnd::Refused, kNow);
+    }
+  }
+  CHECK((sent > 0 && sent < 20));
 
   // An answer ends the suspicion.
   mControl.OnAnswered(again, kNow);
-  mControl.End(third.mAttempt, AttemptEnd::Answered, kNow);
   CHECK(mControl.TrySpendRetry(first, 1, kNow));
 }
--- a/components/gateway/requestquarantine.cpp
+++ b/components/gateway/requestquarantine.cpp
@@ -126,7 +126,20 @@
   const auto unproven = std::ranges::count_if(mBroken, [aIdentity](const auto& aRow) {
     return std::ranges::count(aRow.second.mSuspects, aIdentity, &Suspect::mCause) > 0;
   });
-  return mEvidence.CrashesOf(aIdentity) + static_cast<std::size_t>(unproven);
+  const std::vector<std::uint64_t> engines = mEvidence.EnginesOf(aIdentity);
+  if (engines.empty()) {
+    return static_cast<std::size_t>(unproven);
+  }
+  // Engines that ended under a cause in quarantine say nothing against the request.
+  std::set<std::uint64_t> explained;
+  for (const auto& [cause, quarantined] : mCauses) {
+    std::ranges::copy(mEvidence.EnginesOf(cause),
+                      std::inserter(explained, explained.end()));
+  }
+  const bool sound = std::ranges::all_of(
+    engines, [&](std::uint64_t aEngine) { return explained.contains(aEngine); });
+  return static_cast<std::size_t>(unproven) +
+         (sound ? 0 : mEvidence.CrashesOf(aIdentity));
 }
 
 std::optional<RequestQuarantine::Block> RequestQuarantine::BlockOf(
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -57,9 +57,15 @@
 {
   const RequestMetadata& metadata = aAdmission.mMetadata;
   const bool test = aAdmission.mTestsQuarantine && aTried.empty();
-  return (!test && mQuarantine.BlockOf(metadata, aNow)) ||
-         (mSuspectAttempts.IsInProgress(metadata.mIdentity) &&
-          mQuarantine.EndsUnder(metadata.mIdentity, aNow) >= kMaxEndsForRetry);
+  if (!test && mQuarantine.BlockOf(metadata, aNow)) {
+    return true;
+  }
+  if (mQuarantine.EndsUnder(metadata.mIdentity, aNow) < kMaxEndsForRetry) {
+    return false;
+  }
+  // All entries together send about one of those that come at the same time.
+  return mSuspectAttempts.IsInProgress(metadata.mIdentity) ||
+         HashName(metadata.mId.Str()) % std::max<std::size_t>(mEntries, 1) != 0;
 }
 
 Choice TrafficControl::ChooseApart(const Admission& aAdmission,
