--- a/apps/tests/gateway/promptquarantineplaytest.cpp
+++ b/apps/tests/gateway/requestquarantineplaytest.cpp
@@ -7,7 +7,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "components/gateway/promptquarantine.hpp"
+#include "components/gateway/requestidentity.hpp"
+#include "components/gateway/requestquarantine.hpp"
 
 using namespace samphiresail;
 using namespace samphiresail::gateway;
@@ -31,6 +32,9 @@
 /// Time within which all entries must know of the part, counted from the fifth crash.
 constexpr milliseconds kContact{ 3000 };
 
+/// Time that the findings of a crash take to all entries if no datagram is lost.
+constexpr milliseconds kExchange{ 100 };
+
 /// Load of a play.
 struct Load
 {
@@ -46,6 +50,10 @@
   /// A fraction of the engines ends together this often, without a request as the cause.
   milliseconds mOtherCrashInterval{ 0 };
   double mOtherCrashShare{ 0.0 };
+  /// The deadly requests are one that comes again, rather than many that share a part.
+  bool mSameRequest{ false };
+  /// Fraction of the sound requests that are one that comes again.
+  double mSameSoundShare{ 0.0 };
 };
 
 struct Outcome
@@ -54,6 +62,8 @@
   /// Requests with the deadly part that engines got later than kContact after the fifth
   /// crash.
   int mSentLate{ 0 };
+  /// The same later than kExchange after the third crash by a deadly request.
+  int mSentAfterThird{ 0 };
   int mSoundRefused{ 0 };
   int mSound{ 0 };
 };
@@ -93,7 +103,7 @@
   {
     std::size_t mEntry{ 0 };
     std::size_t mEngine{ 0 };
-    std::vector<PromptPart> mParts;
+    RequestMetadata mMetadata;
     timing::Instant mSentAt{};
     bool mDeadly{ false };
   };
@@ -105,7 +115,7 @@
   };
   struct Record
   {
-    PromptQuarantine::RecordChange mChange;
+    RequestQuarantine::RecordChange mChange;
     std::size_t mWriter{ 0 };
     timing::Instant mAt{};
   };
@@ -129,11 +139,20 @@
       request.mEngine = Draw(mLoad.mEngines);
       request.mSentAt = mNow;
       request.mDeadly = Chance(mLoad.mDeadlyShare) && mNow > mStart + seconds(3);
-      request.mParts = { { 1, 10 }, { 1000 + Draw(mLoad.mRareParts), 10 } };
+      std::vector<PromptPart>& parts = request.mMetadata.mPromptParts;
+      parts = { { 1, 10 }, { 1000 + Draw(mLoad.mRareParts), 10 } };
       if (request.mDeadly) {
-        request.mParts.push_back({ kDeadlyPart, 10 });
+        parts.push_back({ kDeadlyPart, 10 });
+      }
+      const bool same = request.mDeadly
+                          ? mLoad.mSameRequest
+                          : mLoad.mSameSoundShare > 0.0 && Chance(mLoad.mSameSoundShare);
+      if (same) {
+        parts = { { 1, 10 }, { request.mDeadly ? 900000U : 900001U, 10 } };
+      } else {
+        parts.push_back({ 1000000 + mNextRequest++, 10 });
       }
-      request.mParts.push_back({ 1000000 + mNextRequest++, 10 });
+      request.mMetadata.mIdentity = RequestIdentity({}, request.mMetadata);
       Send(std::move(request));
     }
   }
@@ -153,8 +172,8 @@
 
   void Send(Request aRequest)
   {
-    const bool refused = mEntries[aRequest.mEntry].BlockedUntil(aRequest.mParts, mNow) &&
-                         !mEntries[aRequest.mEntry].TryTest(aRequest.mParts, mNow);
+    const bool refused = mEntries[aRequest.mEntry].BlockOf(aRequest.mMetadata, mNow) &&
+                         !mEntries[aRequest.mEntry].TryTest(aRequest.mMetadata, mNow);
     if (!aRequest.mDeadly) {
       ++mOutcome.mSound;
       mOutcome.mSoundRefused += refused ? 1 : 0;
@@ -165,6 +184,9 @@
     if (aRequest.mDeadly && mFifthCrash && mNow > *mFifthCrash + kContact) {
       ++mOutcome.mSentLate;
     }
+    if (aRequest.mDeadly && mThirdDeadlyCrash && mNow > *mThirdDeadlyCrash + kExchange) {
+      ++mOutcome.mSentAfterThird;
+    }
     mRequests.push_back(std::move(aRequest));
   }
 
@@ -173,6 +195,9 @@
     for (std::size_t i = 0; i < mRequests.size(); ++i) {
       const Request request = mRequests[i];
       if (request.mDeadly && mNow - request.mSentAt >= kFirstEvent) {
+        if (++mDeadlyCrashes == 3) {
+          mThirdDeadlyCrash = mNow;
+        }
         Crash(request.mEngine);
         i = 0;
       }
@@ -180,7 +205,7 @@
     std::erase_if(mRequests, [this](const Request& aRequest) {
       const bool answered = mNow - aRequest.mSentAt >= kSecondEvent;
       if (answered) {
-        mEntries[aRequest.mEntry].OnSound(aRequest.mParts, mNow);
+        mEntries[aRequest.mEntry].OnSound(aRequest.mMetadata, mNow);
       }
       return answered;
     });
@@ -197,7 +222,7 @@
       if (aRequest.mEngine != aEngine) {
         return false;
       }
-      mEntries[aRequest.mEntry].OnBroken(aEngine, aRequest.mParts, mNow);
+      mEntries[aRequest.mEntry].OnBroken(aEngine, aRequest.mMetadata, mNow);
       entries.insert(aRequest.mEntry);
       return true;
     });
@@ -247,7 +272,7 @@
       }
       for (std::size_t i = 0; i < mEntries.size(); ++i) {
         mEntries[i].OnRecord(
-          aRecord.mChange.mPart, aRecord.mChange.mCreate, i == aRecord.mWriter, mNow);
+          aRecord.mChange.mCause, aRecord.mChange.mCreate, i == aRecord.mWriter, mNow);
       }
       return true;
     });
@@ -255,14 +280,16 @@
 
   Load mLoad;
   std::mt19937_64 mRandom;
-  std::vector<PromptQuarantine> mEntries;
+  std::vector<RequestQuarantine> mEntries;
   std::vector<timing::Instant> mDownUntil;
   std::vector<timing::Instant> mNextReport;
   std::vector<Request> mRequests;
-  std::vector<PromptFindings> mFindings;
+  std::vector<CrashFindings> mFindings;
   std::vector<Datagram> mDatagrams;
   std::vector<Record> mRecords;
   std::optional<timing::Instant> mFifthCrash;
+  int mDeadlyCrashes{ 0 };
+  std::optional<timing::Instant> mThirdDeadlyCrash;
   const timing::Instant mStart{ seconds(1000) };
   timing::Instant mNow{ mStart };
   std::uint64_t mNextRequest{ 0 };
@@ -307,6 +334,46 @@
   }
 }
 
+TEST_CASE("play: one deadly request is sent no more once the third end is known",
+          "[gateway]")
+{
+  Load load;
+  load.mDeadlyShare = 0.02;
+  load.mSameRequest = true;
+  load.mSameSoundShare = 0.1;
+  SECTION("four entries") {}
+  SECTION("four entries, often")
+  {
+    load.mDeadlyShare = 0.1;
+  }
+  SECTION("29 entries")
+  {
+    load.mEntries = 29;
+    load.mEngines = 53;
+    load.mRate = 400.0;
+  }
+  SECTION("100 entries, so that each sees a hundredth of the crashes")
+  {
+    load.mEntries = 100;
+    load.mEngines = 150;
+    load.mRate = 600.0;
+    load.mDeadlyShare = 0.005;
+  }
+  SECTION("beside engines that end for another reason")
+  {
+    load.mOtherCrashInterval = milliseconds(500);
+    load.mOtherCrashShare = 0.08;
+  }
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(load.mEntries, seed);
+    Play play(load, seed);
+    const Outcome outcome = play.Run(seconds(25));
+    CAPTURE(outcome.mCrashes, outcome.mSound, outcome.mSentAfterThird);
+    CHECK(outcome.mSentAfterThird <= 3);
+    CHECK(outcome.mSoundRefused == 0);
+  }
+}
+
 TEST_CASE("play: engines that end for another reason shut out no sound request",
           "[gateway]")
 {
@@ -334,6 +401,19 @@
     load.mOtherCrashInterval = milliseconds(200);
     load.mOtherCrashShare = 0.01;
   }
+  SECTION("one request that many callers repeat")
+  {
+    load.mOtherCrashInterval = milliseconds(500);
+    load.mOtherCrashShare = 0.08;
+    load.mSameSoundShare = 0.5;
+  }
+  SECTION("a rare kind of request, half of them the same one")
+  {
+    load = { 29, 53, 4.0, 0.0 };
+    load.mOtherCrashInterval = milliseconds(500);
+    load.mOtherCrashShare = 0.1;
+    load.mSameSoundShare = 0.5;
+  }
   SECTION("a rare kind of request")
   {
     load = { 29, 53, 4.0, 0.0 };
