Let no exception of one request or one tick end silently what it interrupts

An exception out of a detached coroutine is dropped: one of a request left its exchange in the table after its frame was gone, and one of the tick or of a leadership step ended the loop, so that no deadline and no stop would be kept any more. They are logged now, and the loops go on. Found by reading; no case of such an exception is known, and no test provokes one.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -155,7 +155,12 @@
     ErrorCode ec;
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(RedirectError(ec));
-    Tick(mClock.Now());
+    try {
+      Tick(mClock.Now());
+    } catch (const std::exception& error) {
+      // Without the tick no deadline and no stop would be kept.
+      mLogger.Error("tick failed", { { "error", std::string(error.what()) } });
+    }
   }
   mIo.stop();
 }
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -1,6 +1,7 @@
 #include "apps/samphiresail/gateway/gatewayprocess.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <string>
 
 #include <boost/asio/co_spawn.hpp>
@@ -158,8 +159,12 @@
     mLeadership.SetTakeoverDelay(LeadershipTakeoverDelay(mClock.Now()));
     const Leadership::Step step =
       !mStop.Begun() ? mLeadership.Next(mClock.Now()) : Leadership::Step::None;
-    if (step != Leadership::Step::None) {
-      co_await ExecuteLeadershipStep(step);
+    try {
+      if (step != Leadership::Step::None) {
+        co_await ExecuteLeadershipStep(step);
+      }
+    } catch (const std::exception& error) {
+      mLogger.Error("leadership step failed", { { "error", std::string(error.what()) } });
     }
     ErrorCode ec;
     timer.expires_after(kLeadershipPollInterval);
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <exception>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -75,7 +76,11 @@
   ErrorCode ec;
   mSocket.non_blocking(true, ec);
   SetConnectionOptions(mSocket);
-  while (co_await ServeOne()) {
+  try {
+    while (co_await ServeOne()) {
+    }
+  } catch (const std::exception& error) {
+    LogException(error);
   }
   mSocket.shutdown(tcp::socket::shutdown_send, ec);
   if (mHasUnreadRest && !ec) {
@@ -251,7 +256,13 @@
     },
     asio::detached);
   Forwarder forwarder(mContext, mSocket, request, exchange, mKeepAlive);
-  const bool keep = co_await forwarder.Run();
+  bool keep = false;
+  try {
+    keep = co_await forwarder.Run();
+  } catch (const std::exception& error) {
+    LogException(error);
+  }
+  co_await forwarder.EndStandby();
   ++mRequestsServed;
   mExchange = nullptr;
   mContext.mExchanges.Remove(&exchange);
@@ -314,6 +325,13 @@
                           { "draining", mDraining } });
 }
 
+void CallerSession::LogException(const std::exception& aError)
+{
+  mContext.mLogger.Error(
+    "request ended by an exception",
+    { { "error", std::string(aError.what()) }, { "requests_served", mRequestsServed } });
+}
+
 void CallerSession::LogRefusal(const gateway::RequestMetadata& aFacts,
                                const gateway::Refusal& aRefusal)
 {
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -1,6 +1,7 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_CALLERSESSION_HPP
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_CALLERSESSION_HPP
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -62,6 +63,7 @@
   /// Logs that this entry closes the connection without a response.
   void LogClosed(std::string_view aReason, timing::Instant aNow);
   bool HasUnreadBytes() const;
+  void LogException(const std::exception& aError);
   void LogRefusal(const gateway::RequestMetadata& aFacts,
                   const gateway::Refusal& aRefusal);
   void LogRequest(const Exchange& aExchange, const Forwarder& aForwarder);
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -55,6 +55,9 @@
   /// be closed.
   asio::awaitable<bool> Run();
 
+  /// Ends the standby and waits until nothing refers to this object any more.
+  asio::awaitable<void> EndStandby();
+
   const std::string& Outcome() const { return mOutcome; }
   unsigned Status() const { return mStatus; }
 
@@ -115,8 +118,6 @@
   asio::awaitable<void> SeekStandby();
   /// Ends the standby, since the current attempt goes on.
   void DropStandby();
-  /// Ends the standby and waits until nothing refers to this object any more.
-  asio::awaitable<void> EndStandby();
 
   asio::awaitable<bool> SendLocalResponse(const gateway::Refusal& aRefusal);
   /// Sends the final response. aChoice is the last choice of an endpoint, for the reason
