--- a/apps/fuzz/decoders.cpp
+++ b/apps/fuzz/decoders.cpp
@@ -6,11 +6,11 @@
 #include <stdexcept>
 
 #include "apps/fuzz/check.hpp"
-#include "apps/fuzz/platform/platformdecoders.hpp"
 #include "apps/samphiresail/agent/answerreader.hpp"
 #include "apps/samphiresail/entry/apierror.hpp"
 #include "apps/samphiresail/entry/callerrequest.hpp"
 #include "apps/samphiresail/entry/routingsnapshot.hpp"
+#include "apps/tests/platform/platformdecoders.hpp"
 #include "components/catalogue/catalogueparser.hpp"
 #include "components/catalogue/configurationcodec.hpp"
 #include "components/findings/findingserror.hpp"
--- a/apps/fuzz/platform/platformdecoders.cpp
+++ b/apps/tests/platform/platformdecoders.cpp
@@ -1,4 +1,4 @@
-#include "apps/fuzz/platform/platformdecoders.hpp"
+#include "apps/tests/platform/platformdecoders.hpp"
 
 #include <algorithm>
 #include <chrono>
