Count the time that a body took as the caller's; lose no response to unread bytes

Endpoints were handed the caller's whole time after a body that had taken seconds, since it was counted from the end of the body. Bytes that a caller had sent behind its last answered request reset the connection, and with it the response. A change of the limits shortened the pause of a body in progress.

--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -83,7 +83,7 @@
     LogException(error);
   }
   mSocket.shutdown(tcp::socket::shutdown_send, ec);
-  if (mHasUnreadRest && !ec) {
+  if (!ec && (mHasUnreadRest || HasUnreadBytes())) {
     co_await DiscardRest();
   }
   CloseSocket(mSocket);
@@ -174,9 +174,19 @@
     mContext.mClock.Now() +
     (aFacts && aFacts->mCallerTimeout ? *aFacts->mCallerTimeout : kDefaultBodyTime);
   while (!ec && !aParser.is_done()) {
-    Enter(State::ReadingBody);
+    mState = State::ReadingBody;
+    mStateSince = mContext.mClock.Now();
     co_await http::async_read_some(mSocket, mBuffer, aParser, RedirectError(ec));
   }
+  if (!ec) {
+    mTooSlow = false;
+    if (aFacts && aFacts->mCallerTimeout) {
+      // The caller waits since it has sent the head.
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        mBodyDeadline - mContext.mClock.Now());
+      aFacts->mCallerTimeout = std::max(left, std::chrono::milliseconds(1));
+    }
+  }
   co_return ec;
 }
 
