--- a/apps/tests/frontend/exchangetest.cpp
+++ b/apps/tests/frontend/exchangetest.cpp
@@ -89,9 +89,20 @@
     table.Tick(kNow + 2s, Never);
     CHECK_FALSE(exchange.mCurrent->mAborted);
   }
+  SECTION("after it was sent, it is given up if it needs a response to take over")
+  {
+    standby.mInFlight = true;
+    const auto kept = exchange.mStandby;
+    table.Tick(kNow + 2s, Never);
+    CHECK_FALSE(exchange.mCurrent->mAborted);
+    CHECK(kept->mAborted);
+    CHECK(exchange.mStandby == nullptr);
+    exchange.mSearches = 0;
+  }
   SECTION("after it was sent")
   {
     standby.mInFlight = true;
+    standby.mTakesOverUnanswered = true;
     table.Tick(kNow + 2s, Never);
     CHECK(exchange.mCurrent->mAborted);
     CHECK(exchange.IsHandedOver());
--- a/apps/tests/gateway/deadlyrequesttest.cpp
+++ b/apps/tests/gateway/deadlyrequesttest.cpp
@@ -1,4 +1,5 @@
 #include <vector>
+#include <algorithm>
 
 #include <catch2/catch.hpp>
 
@@ -331,7 +332,8 @@
                                  1000000 + i * 1000 + k));
     }
     requests.push_back(kDeadly);
-    std::ranges::rotate(requests, requests.end() - 1 - static_cast<int>(i % 100));
+    std::rotate(
+      requests.begin(), requests.end() - 1 - static_cast<int>(i % 100), requests.end());
     fleet.Crash(i + 1, requests);
     RequestQuarantine& entry = fleet.mEntries[0];
     if (entry.IsReportDue(fleet.mNow)) {
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -53,11 +53,26 @@
   std::size_t mEvents{ 0 };
   /// The error that ended the connection, if any.
   ErrorCode mError;
+  /// The attempt began as a standby.
+  bool mIsStandby{ false };
+  /// As a standby, the attempt takes over at its deadline. Otherwise it is given up then.
+  bool mTakesOverUnanswered{ false };
+  /// The attempt was a standby and has taken over.
+  bool mTookOver{ false };
   /// This entry ended the attempt itself.
   bool mAborted{ false };
   /// Buffer for the bytes of a body.
   std::array<char, 8192> mBytes{};
 
+  /// True if the head that has arrived is that of a response that can be forwarded, and
+  /// not of a failure.
+  bool IsAnswer() const
+  {
+    const auto status = http::to_status_class(mParser->get().result());
+    return status == http::status_class::successful
+             ? mFacts.mHasResponseDigest
+             : status != http::status_class::server_error;
+  }
   /// Closes the connection; the coroutine that waits for it receives an error.
   void Close()
   {
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -37,6 +37,9 @@
       standby->mDeadline = timing::Instant::max();
       if (standby->mConnecting) {
         standby->Close();
+      } else if (!standby->mTakesOverUnanswered) {
+        standby->Abort();
+        exchange->mStandby = nullptr;
       } else {
         // An endpoint refuses at once or not at all.
         exchange->HandOver();
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -44,7 +44,12 @@
   for (;;) {
     const bool takesOver = mExchange.mStandby != nullptr;
     if (takesOver) {
+      if (mExchange.mCurrent->mAborted) {
+        // The endpoint was only silent, and may be asked again.
+        std::erase(mExchange.mTried, mExchange.mCurrent->mAttempt.mEndpoint);
+      }
       mExchange.mCurrent = std::exchange(mExchange.mStandby, nullptr);
+      mExchange.mCurrent->mTookOver = true;
     } else {
       const gateway::Choice choice = co_await Choose();
       if (choice.mEndpoint == nullptr) {
@@ -117,9 +122,12 @@
   const timing::Instant start = mContext.mClock.Now();
   for (;;) {
     const timing::Instant now = mContext.mClock.Now();
+    if (IsAborted()) {
+      mExchange.mQueued += now - start;
+      co_return gateway::Choice{ nullptr, gateway::NoEndpoint::Full, {}, {} };
+    }
     gateway::Choice choice = mContext.mControl.Begin(admission, mExchange.mTried, now);
-    if (choice.mEndpoint != nullptr || mExchange.mCallerDisconnected ||
-        now >= WaitDeadline(choice, start, now)) {
+    if (choice.mEndpoint != nullptr || now >= WaitDeadline(choice, start, now)) {
       mExchange.mQueued += now - start;
       co_return choice;
     }
@@ -134,12 +142,14 @@
 {
   const std::shared_ptr<AttemptState> attempt = mExchange.mCurrent;
   if (aTakesOver) {
-    attempt->mDeadline = mContext.mClock.Now() + ResponseTimeout();
+    if (!attempt->mConnecting) {
+      attempt->mDeadline = mContext.mClock.Now() + ResponseTimeout();
+    }
     while (attempt->mHead == AttemptState::Head::Awaited) {
       co_await mStandbyChanged->Wait();
     }
   } else {
-    co_await RequestHead(*attempt, ResponseTimeout());
+    co_await RequestHead(*attempt);
   }
   Result result = Result::Failed;
   switch (attempt->mHead) {
@@ -165,9 +175,15 @@
   mStatus = aRefusal.mStatus;
   mContext.mMetrics.mRefusals.Increment();
   std::string response = BuildLocalResponse(
-    mContext.mDialect, mExchange.mAdmission.mMetadata, aRefusal, mKeepAlive);
+    mContext.mDialect, mExchange.mAdmission.mMetadata, aRefusal, SayKeepAlive());
   const bool written = co_await WriteToCaller(std::move(response));
-  co_return written&& mKeepAlive;
+  co_return written&& mSaidKeepAlive;
+}
+
+bool Forwarder::SayKeepAlive()
+{
+  mSaidKeepAlive = mKeepAlive;
+  return mSaidKeepAlive;
 }
 
 asio::awaitable<bool> Forwarder::Finish(Result aResult, const gateway::Choice& aChoice)
@@ -175,7 +191,7 @@
   co_await EndStandby();
   if (aResult == Result::Delivered) {
     SetOutcome("answered");
-    co_return mKeepAlive;
+    co_return mSaidKeepAlive;
   }
   if (mExchange.mCallerDisconnected) {
     SetOutcome(mExchange.mCallerCutOff ? "caller read nothing" : "caller left");
@@ -193,7 +209,7 @@
     SetOutcome("endpoint failed");
     mStatus = mFailureStatus;
     const bool written = co_await WriteToCaller(std::move(mFailureResponse));
-    co_return written&& mKeepAlive;
+    co_return written&& mSaidKeepAlive;
   }
   const bool sent = mExchange.mAttemptsSent > 0;
   if (aResult == Result::NotRun || (!sent && !mExchange.mMayHaveRun)) {
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -89,9 +89,8 @@
   asio::awaitable<Result> RunAttempt(bool aTakesOver);
   std::shared_ptr<AttemptState> MakeAttempt(const gateway::Choice& aChoice);
   /// Connects to the attempt's endpoint, sends the request and reads the head of the
-  /// response; mHead of the attempt holds the outcome. The attempt's deadline is
-  /// aTimeout after the request was sent.
-  asio::awaitable<void> RequestHead(AttemptState& aAttempt, timing::Duration aTimeout);
+  /// response; mHead of the attempt holds the outcome.
+  asio::awaitable<void> RequestHead(AttemptState& aAttempt);
   /// Opens a connection or takes an idle one. Returns false if there is none, or if the
   /// endpoint was withdrawn meanwhile.
   asio::awaitable<bool> Connect(AttemptState& aAttempt);
@@ -111,7 +110,7 @@
   /// Records how an attempt ended and keeps its connection if it can be used again.
   void EndAttempt(AttemptState& aAttempt, Result aResult);
 
-  /// Starts SeekStandby() unless it runs.
+  /// Starts SeekStandby().
   void StartStandby();
   /// Sends the request to another endpoint while the current one is silent, and ends the
   /// current attempt once that endpoint has accepted the request.
@@ -140,10 +139,14 @@
   /// Records the first event of a stream, for the caller and for the forecasts.
   void RecordFirstEvent(AttemptState& aAttempt);
   bool IsIrreversible() const { return !mExchange.mAdmission.mRoute->IsRetryable(); }
+  /// Returns whether the caller's connection is kept, for a head that is being built.
+  bool SayKeepAlive();
   bool IsAborted() const
   {
     return mExchange.mCallerDisconnected || mExchange.mDeadlineExceeded;
   }
+  /// Sets when, and how, the tick acts on an attempt that was just sent.
+  void SetResponseDeadline(AttemptState& aAttempt);
   /// How long an endpoint may take to begin its response before another one is tried.
   timing::Duration ResponseTimeout() const;
   void SetOutcome(std::string aOutcome) { mOutcome = std::move(aOutcome); }
@@ -153,14 +156,17 @@
   const CallerRequest& mRequest;
   Exchange& mExchange;
   const bool& mKeepAlive;
+  /// What the head of the response to the caller said.
+  bool mSaidKeepAlive{ true };
   std::string mOutcome;
   unsigned mStatus{ 0 };
   /// Complete 5xx response of an endpoint, sent to the caller if no later attempt
   /// succeeds.
   std::string mFailureResponse;
   unsigned mFailureStatus{ 0 };
-  /// SeekStandby() runs.
-  bool mSeeksStandby{ false };
+  /// Number of SeekStandby() that run. One runs on while a standby that has taken over
+  /// awaits the head of its response.
+  unsigned mStandbySearches{ 0 };
   /// Notified when SeekStandby() has a result or ends.
   std::optional<Signal> mStandbyChanged;
 };
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -24,6 +24,9 @@
 /// target latency.
 constexpr int kFirstEventTimeoutTargets = 8;
 constexpr milliseconds kMinFirstEventTimeout{ 2200 };
+/// Time after which an endpoint that has not refused a request has accepted it. Two
+/// endpoints work on one request for no longer.
+constexpr milliseconds kAcceptTime{ 250 };
 /// Maximum number of late responses to earlier requests that are discarded on one
 /// connection.
 constexpr int kMaxStaleResponses = 3;
@@ -39,9 +42,12 @@
 bool IsReusable(const AttemptState& aAttempt)
 {
   const BackendConnection& connection = *aAttempt.mConnection;
-  return !aAttempt.mSendFailed && aAttempt.mParser && aAttempt.mParser->is_done() &&
-         !aAttempt.mParser->need_eof() && aAttempt.mParser->get().keep_alive() &&
-         connection.mBuffer.size() == 0 && connection.mSocket.is_open();
+  const bool ownResponse = aAttempt.mHead == AttemptState::Head::Arrived ||
+                           aAttempt.mHead == AttemptState::Head::Refused;
+  return ownResponse && !aAttempt.mSendFailed && aAttempt.mParser &&
+         aAttempt.mParser->is_done() && !aAttempt.mParser->need_eof() &&
+         aAttempt.mParser->get().keep_alive() && connection.mBuffer.size() == 0 &&
+         connection.mSocket.is_open();
 }
 
 /// Returns the identifiers of the parts in hexadecimal, separated by spaces.
@@ -77,8 +83,19 @@
            : timing::Duration(kResponseHeadTimeout);
 }
 
-asio::awaitable<void> Forwarder::RequestHead(AttemptState& aAttempt,
-                                             timing::Duration aTimeout)
+void Forwarder::SetResponseDeadline(AttemptState& aAttempt)
+{
+  // Only for a stream does it matter that no two endpoints work on it for long. A standby
+  // may have become the current attempt while it connected.
+  aAttempt.mTakesOverUnanswered =
+    mExchange.mAdmission.mRoute->mKind == gateway::RequestKind::Stream;
+  const bool current = mExchange.mCurrent.get() == &aAttempt;
+  aAttempt.mDeadline = mContext.mClock.Now() + (current || !aAttempt.mTakesOverUnanswered
+                                                  ? ResponseTimeout()
+                                                  : timing::Duration(kAcceptTime));
+}
+
+asio::awaitable<void> Forwarder::RequestHead(AttemptState& aAttempt)
 {
   const bool connected = co_await Connect(aAttempt);
   if (!connected) {
@@ -92,7 +109,7 @@
                                                   mContext.mClock.Now());
   ++mExchange.mAttemptsSent;
   aAttempt.mInFlight = true;
-  aAttempt.mDeadline = mContext.mClock.Now() + aTimeout;
+  SetResponseDeadline(aAttempt);
   ErrorCode ec;
   co_await asio::async_write(
     aAttempt.mConnection->mSocket, asio::buffer(request), RedirectError(ec));
@@ -249,6 +266,10 @@
   // A dropped standby says nothing of its endpoint; a silent attempt that was handed over
   // does.
   const bool wasDropped = aAttempt.mAborted && mExchange.mCurrent.get() != &aAttempt;
+  if (aAttempt.mIsStandby && aAttempt.mHead == AttemptState::Head::Refused) {
+    // It ran nowhere, so the request may be sent to one more endpoint.
+    --mExchange.mAttemptsSent;
+  }
   aAttempt.mInFlight = false;
   aAttempt.mDeadline = timing::Instant::max();
   if (aAttempt.mConnection != nullptr && (withdrawn || IsReusable(aAttempt))) {
@@ -260,7 +281,7 @@
     LogBrokenAttempt(aAttempt);
     RecordBrokenAttempt(aAttempt);
   }
-  if (aResult == Result::Delivered && mFailureResponse.empty()) {
+  if (aResult == Result::Delivered) {
     // The end of the endpoint looks like the end of a response without a length.
     if (aAttempt.mHasNoLength && !mExchange.mAnswered) {
       RecordBrokenAttempt(aAttempt);
@@ -271,7 +292,7 @@
   gateway::AttemptEnd end = gateway::AttemptEnd::Failed;
   if (aResult == Result::NotRun || withdrawn) {
     end = gateway::AttemptEnd::Refused;
-  } else if (aResult == Result::Delivered && mFailureResponse.empty()) {
+  } else if (aResult == Result::Delivered) {
     end = gateway::AttemptEnd::Answered;
   } else if (aResult != Result::Delivered && (IsAborted() || wasDropped)) {
     end = gateway::AttemptEnd::Abandoned;
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -31,7 +31,6 @@
   if (aAttempt.mAborted) {
     co_return Result::Failed;
   }
-  DropStandby();
   const bool success = IsSuccess(aAttempt.mParser->get().result_int());
   if (success && !aAttempt.mFacts.mHasResponseDigest) {
     co_return Result::Failed;
@@ -53,15 +52,19 @@
 {
   ResponseParser& parser = *aAttempt.mParser;
   std::string body;
+  if (aAttempt.IsAnswer()) {
+    DropStandby();
+  }
   while (!parser.is_done()) {
     std::string_view read;
+    aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
     const ErrorCode ec = co_await ReadSome(aAttempt, read);
     body.append(read);
     if (ec || aAttempt.mAborted || body.size() > kMaxBufferedResponseBytes) {
       co_return Result::Failed;
     }
   }
-  DropStandby();
+  aAttempt.mDeadline = timing::Instant::max();
   const unsigned status = parser.get().result_int();
   if (body.empty() && IsSuccess(status) && aAttempt.mHasNoLength) {
     aAttempt.mError = http::error::end_of_stream;
@@ -69,7 +72,7 @@
   }
   std::string response = ResponseHead(parser.get().base());
   AppendHeader(response, "Content-Length", std::to_string(body.size()));
-  if (!mKeepAlive) {
+  if (!SayKeepAlive()) {
     AppendHeader(response, "Connection", "close");
   }
   response.append("\r\n").append(body);
@@ -78,6 +81,7 @@
     mFailureStatus = status;
     co_return Result::Failed;
   }
+  DropStandby();
   mStatus = status;
   const bool delivered = co_await WriteToCaller(std::move(response));
   co_return delivered ? Result::Delivered : Result::Ended;
@@ -105,7 +109,7 @@
       if (!mExchange.mResponseHeadSent) {
         out = ResponseHead(parser.get().base());
         AppendHeader(out, "Transfer-Encoding", "chunked");
-        if (!mKeepAlive) {
+        if (!SayKeepAlive()) {
           AppendHeader(out, "Connection", "close");
         }
         out.append("\r\n");
@@ -152,11 +156,12 @@
     co_return Result::Failed;
   }
   // The stream ended after its last event was forwarded, or had no event.
+  DropStandby();
   std::string out;
   if (!mExchange.mResponseHeadSent) {
     out = ResponseHead(parser.get().base());
     AppendHeader(out, "Content-Length", "0");
-    if (!mKeepAlive) {
+    if (!SayKeepAlive()) {
       AppendHeader(out, "Connection", "close");
     }
     out.append("\r\n");
--- a/components/frontend/forwarderstandby.cpp
+++ b/components/frontend/forwarderstandby.cpp
@@ -12,29 +12,14 @@
 
 using std::chrono::milliseconds;
 
-/// Time after which an endpoint that has not refused a request has accepted it. Two
-/// endpoints work on one request for no longer.
-constexpr milliseconds kAcceptTime{ 250 };
 /// Pause in the search for a standby once the retry budget is spent.
 constexpr milliseconds kNoRetryPause{ 1000 };
 
-/// True if the response is worth more than waiting for a silent endpoint.
-bool IsAnswer(const AttemptState& aAttempt)
-{
-  const auto status = http::to_status_class(aAttempt.mParser->get().result());
-  return status == http::status_class::successful
-           ? aAttempt.mFacts.mHasResponseDigest
-           : status != http::status_class::server_error;
-}
-
 }
 
 void Forwarder::StartStandby()
 {
-  if (mSeeksStandby) {
-    return;
-  }
-  mSeeksStandby = true;
+  ++mStandbySearches;
   if (!mStandbyChanged) {
     mStandbyChanged.emplace(mContext.mIo);
   }
@@ -49,6 +34,10 @@
   bool refused = true;
   while (refused && mExchange.mCurrent->mInFlight && !mExchange.mCurrent->mAborted) {
     const timing::Instant now = mContext.mClock.Now();
+    if (mExchange.mAttemptsSent >= admission.mRoute->mMaxAttempts) {
+      mExchange.mNextStandbyAt = now + kNoRetryPause;
+      break;
+    }
     const gateway::Choice choice = control.Begin(admission, mExchange.mTried, now);
     if (choice.mEndpoint == nullptr) {
       if (choice.mReason == gateway::NoEndpoint::AdapterAbsent) {
@@ -62,25 +51,28 @@
       break;
     }
     const std::shared_ptr<AttemptState> standby = MakeAttempt(choice);
+    standby->mIsStandby = true;
     mExchange.mStandby = standby;
     mContext.mMetrics.mRetries.Increment();
     LogStandby("endpoint is silent, another one is tried", *standby);
-    co_await RequestHead(*standby, kAcceptTime);
-    if (mExchange.mCurrent == standby) {
+    co_await RequestHead(*standby);
+    if (standby->mTookOver) {
       break;
     }
     refused = standby->mHead == AttemptState::Head::Refused ||
               standby->mHead == AttemptState::Head::Unreachable;
     const bool accepted =
-      standby->mHead == AttemptState::Head::Arrived && IsAnswer(*standby);
+      standby->mHead == AttemptState::Head::Arrived && standby->IsAnswer();
     if (mExchange.mStandby == standby && (accepted || mExchange.mCurrent->mAborted)) {
       mExchange.HandOver();
       break;
     }
-    DropStandby();
+    if (mExchange.mStandby == standby) {
+      mExchange.mStandby = nullptr;
+    }
     EndStandbyAttempt(*standby);
   }
-  mSeeksStandby = false;
+  --mStandbySearches;
   mStandbyChanged->Notify();
 }
 
@@ -95,12 +87,13 @@
 {
   mExchange.mStartStandby = nullptr;
   const std::shared_ptr<AttemptState> standby = mExchange.mStandby;
-  const bool seeks = mSeeksStandby;
+  const bool accepted =
+    standby != nullptr && standby->mHead != AttemptState::Head::Awaited;
   DropStandby();
-  while (mSeeksStandby) {
+  while (mStandbySearches > 0) {
     co_await mStandbyChanged->Wait();
   }
-  if (standby != nullptr && !seeks) {
+  if (accepted) {
     EndStandbyAttempt(*standby);
   }
 }
