--- a/apps/tests/gateway/deadlyrequesttest.cpp
+++ b/apps/tests/gateway/deadlyrequesttest.cpp
@@ -1,5 +1,5 @@
-#include <vector>
 #include <algorithm>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
