--- a/apps/tests/frontend/standbytest.cpp
+++ b/apps/tests/frontend/standbytest.cpp
@@ -148,7 +148,7 @@
   const std::size_t at = whole.size() - 10;
   ScriptedEndpoint::Script slow{ whole.substr(0, at) };
   for (std::size_t i = 0; i < 10; ++i) {
-    slow.mLater.push_back({ milliseconds(200), whole.substr(at + i, 1) });
+    slow.mLater.emplace_back(milliseconds(200), whole.substr(at + i, 1));
   }
   AddEndpoint("e1").AddScript(slow);
   ScriptedEndpoint::Script hang;
