Return no aggregate temporary from a coroutine

gcc 12 destroys such temporaries twice, as other places in this file avoid. Found while looking for a segmentation fault of a test that was seen once; that it was the cause is not shown.

--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -120,11 +120,13 @@
 {
   const gateway::Admission& admission = mExchange.mAdmission;
   const timing::Instant start = mContext.mClock.Now();
+  // Named, because gcc 12 destroys aggregate temporaries of such a statement twice.
+  const gateway::Choice none{ nullptr, gateway::NoEndpoint::Full, {}, {} };
   for (;;) {
     const timing::Instant now = mContext.mClock.Now();
     if (IsAborted()) {
       mExchange.mQueued += now - start;
-      co_return gateway::Choice{ nullptr, gateway::NoEndpoint::Full, {}, {} };
+      co_return none;
     }
     gateway::Choice choice = mContext.mControl.Begin(admission, mExchange.mTried, now);
     if (choice.mEndpoint != nullptr || now >= WaitDeadline(choice, start, now)) {
