Build the indexes of a changed configuration anew

It copies a configuration and changes the copy, whose indexes still named rows that were gone (FindService, called from Admit). A decoded configuration is indexed once, so no caller was hurt.

--- a/apps/tests/frontend/configurationchangetest.cpp
+++ b/apps/tests/frontend/configurationchangetest.cpp
@@ -48,7 +48,7 @@
   StartTicks();
   const auto change = GENERATE(TakeRoutes, TakeServices, TakeAccounts, TakeTime);
   const auto changeAfter = [&](milliseconds aTime) {
-    RunAfter(aTime, [this, change] { ChangeConfiguration(change); });
+    RunAfterAdmission(aTime, [this, change] { ChangeConfiguration(change); });
   };
   SECTION("that is answered later")
   {
@@ -66,7 +66,7 @@
     mControl.mDirectory.SetPeersLoad({ { hash, { 100, {}, 0.0 } } },
                                      timing::SystemClock().Now());
     changeAfter(milliseconds(20));
-    RunAfter(milliseconds(60), [this] {
+    RunAfterAdmission(milliseconds(60), [this] {
       mControl.mDirectory.SetPeersLoad({}, timing::SystemClock().Now());
     });
     CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("done"));
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -239,6 +239,20 @@
     asio::detached);
 }
 
+void Fixture::RunAfterAdmission(timing::Duration aTime,
+                                const std::function<void()>& aChange)
+{
+  asio::co_spawn(
+    mIo,
+    [this, aTime, aChange]() -> asio::awaitable<void> {
+      while (mExchanges.Size() == 0) {
+        co_await asio::post(mIo, asio::use_awaitable);
+      }
+      RunAfter(aTime, aChange);
+    },
+    asio::detached);
+}
+
 void Fixture::ChangeConfiguration(
   const std::function<void(gateway::ServingConfiguration&)>& aChange)
 {
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -123,6 +123,9 @@
   /// Runs a change once the time has passed by the clock; needs StartTicks().
   void RunAfter(timing::Duration aTime, const std::function<void()>& aChange);
 
+  /// The same, once a request has been admitted and then the time has passed.
+  void RunAfterAdmission(timing::Duration aTime, const std::function<void()>& aChange);
+
   /// Replaces the configuration by one that aChange has changed.
   void ChangeConfiguration(
     const std::function<void(gateway::ServingConfiguration&)>& aChange);
--- a/apps/tests/gateway/servingconfigurationtest.cpp
+++ b/apps/tests/gateway/servingconfigurationtest.cpp
@@ -54,3 +54,28 @@
   route.mKind = RequestKind::Idempotent;
   CHECK(route.IsRetryable());
 }
+
+TEST_CASE("configuration: a changed copy finds nothing that it no longer holds",
+          "[gateway]")
+{
+  ServingConfiguration first;
+  Route route;
+  route.mHost = "h.example";
+  route.mPathPrefix = "/a/";
+  first.mRoutes.push_back(route);
+  Service service;
+  service.mName = ids::ServiceId("s");
+  first.mServices.push_back(service);
+  ClientAccount account;
+  account.mKeys = { "key" };
+  first.mAccounts.push_back(account);
+  first.Index();
+  ServingConfiguration changed = first;
+  changed.mRoutes.clear();
+  changed.mServices.clear();
+  changed.mAccounts.clear();
+  changed.Index();
+  CHECK(changed.FindRoute("h.example", "/a/1") == nullptr);
+  CHECK(changed.FindService(ids::ServiceId("s")) == nullptr);
+  CHECK(changed.FindAccountOfKey("key") == nullptr);
+}
--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -20,6 +20,9 @@
 
 void ServingConfiguration::Index()
 {
+  mRoutesOfHost.clear();
+  mServiceByName.clear();
+  mAccountByKey.clear();
   for (std::size_t i = 0; i < mRoutes.size(); ++i) {
     mRoutesOfHost[mRoutes[i].mHost].push_back(i);
   }
--- a/components/gateway/servingconfiguration.hpp
+++ b/components/gateway/servingconfiguration.hpp
@@ -130,7 +130,7 @@
   std::vector<ClientAccount> mAccounts;
   CallerLimits mLimits;
 
-  /// Builds the indexes; call once after the tables are filled.
+  /// Builds the indexes; call after the tables were filled or changed.
   void Index();
 
   /// Returns the route of the host with the longest prefix of the path, or null.
