Answer a request that an exception interrupts; end no stop for want of a tick

A request whose forwarding threw an exception ended without a response, and its load at the endpoint stayed counted. One out of the search for a standby left the search counted as running, so that the request never ended. A stop was never over while each tick failed.

The request is answered 502 now unless its response has begun, the search ends in any case, and the end of a stop is looked for beside the tick. The new test failed before: the connection ended without a response.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -161,6 +161,7 @@
       // Without the tick no deadline and no stop would be kept.
       mLogger.Error("tick failed", { { "error", std::string(error.what()) } });
     }
+    mStopped = mStop.IsOver(mClock.Now());
   }
   mIo.stop();
 }
@@ -203,7 +204,6 @@
       Reload();
     }
   }
-  mStopped = mStop.IsOver(aNow);
 }
 
 asio::awaitable<void> GatewayProcess::HandleSignals()
--- a/apps/tests/frontend/forwardertest.cpp
+++ b/apps/tests/frontend/forwardertest.cpp
@@ -1,3 +1,5 @@
+#include <stdexcept>
+
 #include <catch2/catch.hpp>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
@@ -288,3 +290,23 @@
   CHECK(endpoint.Requests().empty());
   CHECK(Exchanges() == 0);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a request that an exception interrupts is answered",
+                 "[frontend]")
+{
+  StartTicks();
+  ChangeConfiguration([](gateway::ServingConfiguration& aConfiguration) {
+    aConfiguration.mServices.front().mEngine = gateway::EngineSpec{};
+  });
+  AddEndpoint("e1");
+  auto report = mControl.mDirectory.Find(ids::EndpointId("e1"))->mReport;
+  report.mModels[ids::ModelId("m")] = {};
+  mControl.mDirectory.Update(report, timing::SystemClock().Now());
+  mOnWaitingForAdapter = [](const auto&) { throw std::runtime_error("no place"); };
+  const std::string response = Call(Get("/safe/1", "Model: m/a1\r\n"), HasHeadAndBody);
+  CHECK(response.starts_with("HTTP/1.1 502"));
+  CHECK(Contains(response, "Connection: close"));
+  CHECK(Contains(Log(), "no place"));
+  CHECK(Exchanges() == 0);
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -147,8 +147,20 @@
 }
 
 Fixture::Fixture()
-  : mContext{ mIo,        mClock,  mDialect, mControl, mBackends,
-              mExchanges, mLogger, mMetrics, mSignal,  [](const auto&) {} }
+  : mContext{ mIo,
+              mClock,
+              mDialect,
+              mControl,
+              mBackends,
+              mExchanges,
+              mLogger,
+              mMetrics,
+              mSignal,
+              [this](const gateway::RequestMetadata& aMetadata) {
+                if (mOnWaitingForAdapter) {
+                  mOnWaitingForAdapter(aMetadata);
+                }
+              } }
   , mPort(FreePort(mIo))
 {
   mControl.SetConfiguration(Configuration(), mClock.Now());
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -143,6 +143,8 @@
   std::uint16_t Port() const { return mPort; }
   std::size_t Exchanges() const { return mExchanges.Size(); }
 
+  /// Called while a request waits for an adapter.
+  std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
   asio::io_context mIo{ 1 };
 
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -267,12 +267,17 @@
     asio::detached);
   Forwarder forwarder(mContext, mSocket, request, exchange, mKeepAlive);
   bool keep = false;
+  bool failed = false;
   try {
     keep = co_await forwarder.Run();
   } catch (const std::exception& error) {
+    failed = true;
+    mKeepAlive = false;
     LogException(error);
   }
-  co_await forwarder.EndStandby();
+  if (failed) {
+    co_await forwarder.FailAfterException();
+  }
   ++mRequestsServed;
   mExchange = nullptr;
   mContext.mExchanges.Remove(&exchange);
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -230,4 +230,17 @@
   co_return keep;
 }
 
+asio::awaitable<void> Forwarder::FailAfterException()
+{
+  SetOutcome("an exception interrupted the request");
+  if (mExchange.mCurrent->mInFlight) {
+    EndAttempt(*mExchange.mCurrent, Result::Failed);
+  }
+  co_await EndStandby();
+  if (!mResponseSent && !mExchange.mCallerDisconnected) {
+    const gateway::Refusal failure = LocalResponse(502, "the entry failed");
+    co_await SendLocalResponse(failure);
+  }
+}
+
 }
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -55,8 +55,9 @@
   /// be closed.
   asio::awaitable<bool> Run();
 
-  /// Ends the standby and waits until nothing refers to this object any more.
-  asio::awaitable<void> EndStandby();
+  /// Ends a request that an exception has interrupted: the caller gets a failure, unless
+  /// a response has begun. Its connection must be closed.
+  asio::awaitable<void> FailAfterException();
 
   const std::string& Outcome() const { return mOutcome; }
   unsigned Status() const { return mStatus; }
@@ -112,6 +113,8 @@
 
   /// Starts SeekStandby().
   void StartStandby();
+  /// Runs SeekStandby() and says when it has ended, also by an exception.
+  asio::awaitable<void> RunStandbySearch();
   /// Sends the request to another endpoint while the current one is silent, and ends the
   /// current attempt once that endpoint has accepted the request.
   asio::awaitable<void> SeekStandby();
@@ -124,6 +127,8 @@
   asio::awaitable<bool> Finish(Result aResult, const gateway::Choice& aChoice);
   asio::awaitable<bool> WriteToCaller(std::string aBytes);
 
+  /// Ends the standby and waits until nothing refers to this object any more.
+  asio::awaitable<void> EndStandby();
   /// Records how a standby that did not take over ended.
   void EndStandbyAttempt(AttemptState& aStandby);
   /// Logs a step of a standby beside the current attempt.
@@ -164,6 +169,8 @@
   /// succeeds.
   std::string mFailureResponse;
   unsigned mFailureStatus{ 0 };
+  /// Bytes of a response were sent to the caller.
+  bool mResponseSent{ false };
   /// Number of SeekStandby() that run. One runs on while a standby that has taken over
   /// awaits the head of its response.
   unsigned mStandbySearches{ 0 };
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -189,6 +189,7 @@
 asio::awaitable<bool> Forwarder::WriteToCaller(std::string aBytes)
 {
   ErrorCode ec;
+  mResponseSent = true;
   co_await asio::async_write(mCaller, asio::buffer(aBytes), RedirectError(ec));
   if (ec) {
     mExchange.mCallerDisconnected = true;
--- a/components/frontend/forwarderstandby.cpp
+++ b/components/frontend/forwarderstandby.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/forwarder.hpp"
 
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +25,20 @@
     mStandbyChanged.emplace(mContext.mIo);
   }
   asio::co_spawn(
-    mContext.mIo, [this] { return SeekStandby(); }, asio::detached);
+    mContext.mIo, [this] { return RunStandbySearch(); }, asio::detached);
+}
+
+asio::awaitable<void> Forwarder::RunStandbySearch()
+{
+  try {
+    co_await SeekStandby();
+  } catch (const std::exception& error) {
+    mContext.mLogger.Error("search for a standby failed",
+                           { { "request", mExchange.mAdmission.mMetadata.mId.Str() },
+                             { "error", std::string(error.what()) } });
+  }
+  --mStandbySearches;
+  mStandbyChanged->Notify();
 }
 
 asio::awaitable<void> Forwarder::SeekStandby()
@@ -72,8 +86,6 @@
     }
     EndStandbyAttempt(*standby);
   }
-  --mStandbySearches;
-  mStandbyChanged->Notify();
 }
 
 void Forwarder::DropStandby()
