--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -41,7 +41,7 @@
         standby->Abort();
         exchange->mStandby = nullptr;
       } else {
-        // An endpoint refuses at once or not at all.
+        // It has not refused, and two endpoints must not work on one stream for long.
         exchange->HandOver();
       }
     }
