Keep a connection that opens slowly until another endpoint has a request that cannot be refused

Callers saw a stream end that had broken off at its endpoint: the connection to the next endpoint was given up after 0.45 s, and only then another one was looked for. Where there was none, the request ended, although the connection would have opened a moment later.

A request that may have run, and so cannot be refused, now gives up such a connection only once another endpoint has been chosen for it; that endpoint is its next one. Meanwhile other requests avoid the slow endpoint. A request that has run nowhere is refused as before, since its caller can ask another entry.

The test fails without the change, both where no other endpoint comes and where one comes later: the caller gets two of four events.

--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -68,17 +68,26 @@
          "\r\n\r\n" + aBody;
 }
 
-ScriptedEndpoint::ScriptedEndpoint(asio::io_context& aIo)
+ScriptedEndpoint::ScriptedEndpoint(asio::io_context& aIo,
+                                   std::chrono::milliseconds aAcceptAfter)
   : mIo(aIo)
   , mAcceptor(aIo, kLoopback)
   , mPort(mAcceptor.local_endpoint().port())
 {
   asio::co_spawn(
-    mIo, [this] { return Accept(); }, asio::detached);
+    mIo, [this, aAcceptAfter] { return Accept(aAcceptAfter); }, asio::detached);
 }
 
-asio::awaitable<void> ScriptedEndpoint::Accept()
+asio::awaitable<void> ScriptedEndpoint::Accept(std::chrono::milliseconds aAcceptAfter)
 {
+  if (aAcceptAfter.count() > 0) {
+    // The kernel drops attempts to connect while a queue of length 0 holds one.
+    mAcceptor.listen(0);
+    tcp::socket filler(mIo);
+    filler.connect(mAcceptor.local_endpoint());
+    asio::steady_timer timer(mIo, aAcceptAfter);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
   for (;;) {
     ErrorCode ec;
     tcp::socket socket(mIo);
@@ -204,9 +213,11 @@
   return false;
 }
 
-ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId, const std::string& aZone)
+ScriptedEndpoint& Fixture::AddEndpoint(const std::string& aId,
+                                       const std::string& aZone,
+                                       std::chrono::milliseconds aAcceptAfter)
 {
-  mEndpoints.push_back(std::make_unique<ScriptedEndpoint>(mIo));
+  mEndpoints.push_back(std::make_unique<ScriptedEndpoint>(mIo, aAcceptAfter));
   mEndpoints.back()->MeasurePausesBy(mClock, mSignal);
   gateway::EndpointReport report;
   report.mId = ids::EndpointId(aId);
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -36,7 +36,10 @@
     std::vector<std::pair<timing::Duration, std::string>> mLater;
   };
 
-  explicit ScriptedEndpoint(asio::io_context& aIo);
+  /// With aAcceptAfter, attempts to connect get no response for that time, of the
+  /// operating system's clock; the kernel repeats them after a second.
+  explicit ScriptedEndpoint(asio::io_context& aIo,
+                            std::chrono::milliseconds aAcceptAfter = {});
 
   /// Pauses in responses end at the first tick after their time by the clock.
   void MeasurePausesBy(const timing::Clock& aClock, Signal& aTick)
@@ -55,7 +58,7 @@
   bool Crashed() const { return !mAcceptor.is_open(); }
 
 private:
-  asio::awaitable<void> Accept();
+  asio::awaitable<void> Accept(std::chrono::milliseconds aAcceptAfter);
   asio::awaitable<void> Serve(tcp::socket aSocket);
 
   asio::awaitable<ErrorCode> SendLater(tcp::socket& aSocket, const Script& aScript);
@@ -92,7 +95,9 @@
   Fixture();
 
   /// Adds an endpoint; those in z1, the availability zone of the entry, are preferred.
-  ScriptedEndpoint& AddEndpoint(const std::string& aId, const std::string& aZone = "z1");
+  ScriptedEndpoint& AddEndpoint(const std::string& aId,
+                                const std::string& aZone = "z1",
+                                std::chrono::milliseconds aAcceptAfter = {});
   /// Sends bytes as one caller and returns all bytes received until the connection ends
   /// or aIsComplete returns true.
   std::string Call(const std::string& aBytes,
--- a/apps/tests/frontend/silentendpointtest.cpp
+++ b/apps/tests/frontend/silentendpointtest.cpp
@@ -194,3 +194,36 @@
   }
   CHECK(IsWholeStream(Call(Post("/stream/1"), EndsCall)));
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a stream that broke off awaits a slow connection if there is "
+                 "no other endpoint",
+                 "[frontend]")
+{
+  StartTicks();
+  // The kernel repeats an attempt to connect after a second, which is 20 s by this clock.
+  ChangeConfiguration([](gateway::ServingConfiguration& aConfiguration) {
+    std::ranges::for_each(aConfiguration.mRoutes, [](gateway::Route& aRoute) {
+      aRoute.mTimeout = std::chrono::minutes(5);
+    });
+  });
+  const std::string request =
+    "POST /stream/1" + std::string(kCommon) + "Deadline-Ms: 300000\r\n\r\n";
+  AddEndpoint("e1").AddScript({ StreamHead() + Chunk(Event(1)) + Chunk(Event(2)), true });
+  ScriptedEndpoint& slow = AddEndpoint("e2", "z2", milliseconds(200));
+  slow.AddScript({ StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n" });
+  SECTION("and none comes")
+  {
+    CHECK(IsWholeStream(Call(request, EndsCall)));
+    CHECK(slow.Requests().size() == 1);
+  }
+  SECTION("until there is one")
+  {
+    RunAfter(std::chrono::seconds(3), [this] {
+      AddEndpoint("e3", "z2")
+        .AddScript({ StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n" });
+    });
+    CHECK(IsWholeStream(Call(request, EndsCall)));
+    CHECK(slow.Requests().empty());
+  }
+}
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -24,6 +24,16 @@
   }
 }
 
+void ExchangeTable::GiveUpConnection(Exchange& aExchange, timing::Instant aNow)
+{
+  AttemptState& current = *aExchange.mCurrent;
+  if (!aExchange.mMayGiveUpConnection || aExchange.mMayGiveUpConnection()) {
+    current.Close();
+  } else {
+    current.mDeadline = aNow + kStandbyInterval;
+  }
+}
+
 void ExchangeTable::Tick(timing::Instant aNow, const IsSilent& aIsSilent)
 {
   for (Exchange* exchange : mExchanges) {
@@ -47,7 +57,7 @@
     }
     if (current.mConnecting) {
       if (aNow >= current.mDeadline) {
-        current.Close();
+        GiveUpConnection(*exchange, aNow);
       }
       continue;
     }
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -34,6 +34,9 @@
   timing::Instant mNextStandbyAt{};
   /// Looks for a standby; empty while the request may not be sent to another endpoint.
   std::function<void()> mStartStandby;
+  /// Returns true if a connection that takes too long to open may be given up. Empty if
+  /// it always may.
+  std::function<bool()> mMayGiveUpConnection;
   /// Time that the request waited at this entry for an endpoint.
   timing::Duration mQueued{ 0 };
   /// Time from the arrival of the request to the first event of its stream.
@@ -77,7 +80,7 @@
   /// Time after the end of a request at which the connection of a caller that reads no
   /// bytes is closed.
   static constexpr timing::Duration kWriteGrace = std::chrono::milliseconds(200);
-  /// Pause between two searches for a standby of one request.
+  /// Pause between two searches for another endpoint of one request.
   static constexpr timing::Duration kStandbyInterval = std::chrono::milliseconds(200);
 
   void Add(Exchange* aExchange) { mExchanges.insert(aExchange); }
@@ -92,12 +95,15 @@
   void LimitDeadlines(timing::Instant aInstant);
 
   /// Ends requests past their deadline. An attempt past its own deadline is ended only
-  /// while it connects. One that waits for a response goes on, since a silent endpoint
-  /// may still respond, and a standby is looked for.
+  /// while it connects, and only if the request has another way on. One that waits for a
+  /// response goes on, since a silent endpoint may still respond, and a standby is looked
+  /// for.
   void Tick(timing::Instant aNow, const IsSilent& aIsSilent);
 
 private:
   static void EndAtDeadline(Exchange& aExchange, timing::Instant aNow);
+  /// Closes the connection that the current attempt opens, unless it must be awaited.
+  static void GiveUpConnection(Exchange& aExchange, timing::Instant aNow);
 
   std::set<Exchange*> mExchanges;
 };
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -31,6 +31,7 @@
   if (!IsIrreversible()) {
     mExchange.mStartStandby = [this] { StartStandby(); };
   }
+  mExchange.mMayGiveUpConnection = [this] { return MayGiveUpConnection(); };
 }
 
 asio::awaitable<bool> Forwarder::Run()
@@ -50,6 +51,8 @@
       }
       mExchange.mCurrent = std::exchange(mExchange.mStandby, nullptr);
       mExchange.mCurrent->mTookOver = true;
+    } else if (mNextAttempt != nullptr) {
+      mExchange.mCurrent = std::exchange(mNextAttempt, nullptr);
     } else {
       const gateway::Choice choice = co_await Choose();
       if (choice.mEndpoint == nullptr) {
@@ -140,6 +143,23 @@
   }
 }
 
+bool Forwarder::MayGiveUpConnection()
+{
+  if (!mExchange.mMayHaveRun) {
+    return true;
+  }
+  const timing::Instant now = mContext.mClock.Now();
+  gateway::TrafficControl& control = mContext.mControl;
+  control.Avoid(mExchange.mCurrent->mAttempt.mEndpoint, now);
+  const gateway::Choice choice =
+    control.Begin(mExchange.mAdmission, mExchange.mTried, now);
+  if (choice.mEndpoint == nullptr) {
+    return false;
+  }
+  mNextAttempt = MakeAttempt(choice);
+  return true;
+}
+
 asio::awaitable<Forwarder::Result> Forwarder::RunAttempt(bool aTakesOver)
 {
   const std::shared_ptr<AttemptState> attempt = mExchange.mCurrent;
@@ -191,6 +211,10 @@
 asio::awaitable<bool> Forwarder::Finish(Result aResult, const gateway::Choice& aChoice)
 {
   co_await EndStandby();
+  if (mNextAttempt != nullptr) {
+    mContext.mControl.End(
+      mNextAttempt->mAttempt, gateway::AttemptEnd::Abandoned, mContext.mClock.Now());
+  }
   if (aResult == Result::Delivered) {
     SetOutcome("answered");
     co_return mSaidKeepAlive;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -92,6 +92,9 @@
   /// Connects to the attempt's endpoint, sends the request and reads the head of the
   /// response; mHead of the attempt holds the outcome.
   asio::awaitable<void> RequestHead(AttemptState& aAttempt);
+  /// Returns true if the current attempt, whose connection takes long to open, is to be
+  /// ended: the request can still be refused, or another endpoint has been found for it.
+  bool MayGiveUpConnection();
   /// Opens a connection or takes an idle one. Returns false if there is none, or if the
   /// endpoint was withdrawn meanwhile.
   asio::awaitable<bool> Connect(AttemptState& aAttempt);
@@ -171,6 +174,8 @@
   unsigned mFailureStatus{ 0 };
   /// Bytes of a response were sent to the caller.
   bool mResponseSent{ false };
+  /// The next attempt, if its endpoint was found before the current one ended.
+  std::shared_ptr<AttemptState> mNextAttempt;
   /// Number of SeekStandby() that run. One runs on while a standby that has taken over
   /// awaits the head of its response.
   unsigned mStandbySearches{ 0 };
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -141,7 +141,8 @@
   co_await aAttempt.mConnection->mSocket.async_connect(address, RedirectError(ec));
   aAttempt.mConnecting = false;
   aAttempt.mDeadline = timing::Instant::max();
-  if (ec || aAttempt.mAborted) {
+  // The tick may have closed it after it was opened.
+  if (ec || aAttempt.mAborted || !aAttempt.mConnection->mSocket.is_open()) {
     aAttempt.mConnection = nullptr;
     co_return false;
   }
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -247,6 +247,13 @@
   }
 }
 
+void TrafficControl::Avoid(const ids::EndpointId& aEndpoint, timing::Instant aNow)
+{
+  if (Endpoint* endpoint = mDirectory.Find(aEndpoint)) {
+    endpoint->mAvoidUntil = aNow + kUnreachablePause;
+  }
+}
+
 void TrafficControl::End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow)
 {
   if (aAttempt.mSuspect != 0) {
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -162,6 +162,9 @@
   void OnProbe(const ids::EndpointId& aEndpoint, bool aRefused, timing::Instant aNow);
   /// Records that a request was answered beyond its first event.
   void OnAnswered(const Admission& aAdmission, timing::Instant aNow);
+  /// Lets other requests avoid the endpoint for a while, since a connection to it takes
+  /// long to open.
+  void Avoid(const ids::EndpointId& aEndpoint, timing::Instant aNow);
   /// Records the end of an attempt that Begin started.
   void End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow);
   /// Erases what was observed of an endpoint that has restarted.
