Ask an endpoint again whose connection broke if there is no other one

Callers saw streams end at one moment at several entries, each logged as "Connection timed out" on connections to one engine. The engine itself went on and served requests on new connections a second later. The streams ended because it counted as tried, and no other engine had their models.

The end of a connection says nothing of its endpoint, so a request that may be repeated now goes on at the same endpoint, over a new connection, if no other endpoint can take it; a stream from its last event. An endpoint that has ended refuses the connection, and the request ends as before.

Without the second choice the test fails in both sections: the caller gets two of four events.

--- a/apps/tests/frontend/silentendpointtest.cpp
+++ b/apps/tests/frontend/silentendpointtest.cpp
@@ -227,3 +227,25 @@
     CHECK(slow.Requests().empty());
   }
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "forward: a stream whose connection broke goes on at the same endpoint "
+                 "if there is no other",
+                 "[frontend]")
+{
+  ScriptedEndpoint& only = AddEndpoint("e1");
+  only.AddScript({ StreamHead() + Chunk(Event(1)) + Chunk(Event(2)), true });
+  only.AddScript({ StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n" });
+  SECTION("at all") {}
+  SECTION("that has a place")
+  {
+    AddEndpoint("e2", "z2").AddScript({ kFull });
+    ChangeConfiguration([](gateway::ServingConfiguration& aConfiguration) {
+      std::ranges::for_each(aConfiguration.mRoutes,
+                            [](gateway::Route& aRoute) { aRoute.mMaxAttempts = 3; });
+    });
+  }
+  CHECK(IsWholeStream(Call(Post("/stream/1"), EndsCall)));
+  REQUIRE(only.Requests().size() == 2);
+  CHECK(Contains(only.Requests()[1], "Last-Event-Id: 2"));
+}
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/forwarder.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace samphiresail::frontend {
@@ -67,6 +68,9 @@
     }
     if (result == Result::Failed) {
       mExchange.mMayHaveRun = true;
+      if (mExchange.mCurrent->mError) {
+        mBrokenConnections.push_back(mExchange.mCurrent->mAttempt.mEndpoint);
+      }
     }
     if (mExchange.mStandby != nullptr) {
       LogStandby("request goes on at the other endpoint", *mExchange.mStandby);
@@ -132,6 +136,14 @@
       co_return none;
     }
     gateway::Choice choice = mContext.mControl.Begin(admission, mExchange.mTried, now);
+    if (choice.mEndpoint == nullptr && !mBrokenConnections.empty()) {
+      const gateway::Choice again =
+        mContext.mControl.Begin(admission, TriedOtherThanBroken(), now);
+      if (again.mEndpoint != nullptr) {
+        std::erase(mBrokenConnections, again.mAttempt.mEndpoint);
+        choice = again;
+      }
+    }
     if (choice.mEndpoint != nullptr || now >= WaitDeadline(choice, start, now)) {
       mExchange.mQueued += now - start;
       co_return choice;
@@ -143,6 +155,16 @@
   }
 }
 
+std::vector<ids::EndpointId> Forwarder::TriedOtherThanBroken() const
+{
+  std::vector<ids::EndpointId> tried;
+  std::ranges::copy_if(
+    mExchange.mTried, std::back_inserter(tried), [&](const ids::EndpointId& aEndpoint) {
+      return std::ranges::count(mBrokenConnections, aEndpoint) == 0;
+    });
+  return tried;
+}
+
 bool Forwarder::MayGiveUpConnection()
 {
   if (!mExchange.mMayHaveRun) {
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "components/frontend/attemptrequest.hpp"
 #include "components/frontend/backendpool.hpp"
@@ -85,6 +86,9 @@
   /// Begins an attempt; waits until WaitDeadline() if only an adapter or a free engine is
   /// missing.
   asio::awaitable<gateway::Choice> Choose();
+  /// Returns the endpoints that were tried, without those that may be asked again because
+  /// only their connections broke.
+  std::vector<ids::EndpointId> TriedOtherThanBroken() const;
   /// Runs the current attempt to its end. aTakesOver: it was the standby until now, and
   /// SeekStandby() reads the head of its response.
   asio::awaitable<Result> RunAttempt(bool aTakesOver);
@@ -174,6 +178,9 @@
   unsigned mFailureStatus{ 0 };
   /// Bytes of a response were sent to the caller.
   bool mResponseSent{ false };
+  /// Endpoints whose connections ended with an error and that have not been asked again.
+  /// They may still run, and are asked again if no other endpoint is found.
+  std::vector<ids::EndpointId> mBrokenConnections;
   /// The next attempt, if its endpoint was found before the current one ended.
   std::shared_ptr<AttemptState> mNextAttempt;
   /// Number of SeekStandby() that run. One runs on while a standby that has taken over
