Let a standby take over once its response has begun, not after 250 ms without a refusal

Callers saw a stream end at its deadline although its endpoint was only silent for a moment: while the first endpoint said nothing, the request was sent to another one, and handed over to it when that had not refused it for 250 ms. If the second one was silent as well, the first, which went on 150 ms later, had been ended by then. Silence was taken for acceptance.

A standby now takes over with the head of its response, as requests that are no streams did already, or if the first attempt fails; until then both go on, and whichever answers first ends the other. A run begins with its first event, which brings the head, so that two endpoints do not run the request for longer than the message takes.

exchangetest.cpp demanded the hand-over without a response, which is the fault; the check is replaced by one that a standby whose response has begun is not given up at its deadline.

--- a/apps/tests/frontend/exchangetest.cpp
+++ b/apps/tests/frontend/exchangetest.cpp
@@ -73,7 +73,8 @@
   CHECK_FALSE(exchange.mCurrent->mAborted);
 }
 
-TEST_CASE("exchanges: a silent attempt ends once its standby was accepted", "[frontend]")
+TEST_CASE("exchanges: a silent attempt ends once the response of its standby has begun",
+          "[frontend]")
 {
   WaitingExchange exchange;
   exchange.mStandby = std::make_shared<AttemptState>();
@@ -89,7 +90,7 @@
     table.Tick(kNow + 2s, Never);
     CHECK_FALSE(exchange.mCurrent->mAborted);
   }
-  SECTION("after it was sent, it is given up if it needs a response to take over")
+  SECTION("after it was sent, it is given up if it is silent as well")
   {
     standby.mInFlight = true;
     const auto kept = exchange.mStandby;
@@ -99,10 +100,10 @@
     CHECK(exchange.mStandby == nullptr);
     exchange.mSearches = 0;
   }
-  SECTION("after it was sent")
+  SECTION("after its response has begun")
   {
     standby.mInFlight = true;
-    standby.mTakesOverUnanswered = true;
+    exchange.HandOver();
     table.Tick(kNow + 2s, Never);
     CHECK(exchange.mCurrent->mAborted);
     CHECK(exchange.IsHandedOver());
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -55,8 +55,6 @@
   ErrorCode mError;
   /// The attempt began as a standby.
   bool mIsStandby{ false };
-  /// As a standby, the attempt takes over at its deadline. Otherwise it is given up then.
-  bool mTakesOverUnanswered{ false };
   /// The attempt was a standby and has taken over.
   bool mTookOver{ false };
   /// This entry ended the attempt itself.
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -43,16 +43,13 @@
     }
     AttemptState& current = *exchange->mCurrent;
     if (AttemptState* standby = exchange->mStandby.get();
-        standby != nullptr && aNow >= standby->mDeadline) {
+        standby != nullptr && !exchange->IsHandedOver() && aNow >= standby->mDeadline) {
       standby->mDeadline = timing::Instant::max();
       if (standby->mConnecting) {
         standby->Close();
-      } else if (!standby->mTakesOverUnanswered) {
+      } else {
         standby->Abort();
         exchange->mStandby = nullptr;
-      } else {
-        // It has not refused, and two endpoints must not work on one stream for long.
-        exchange->HandOver();
       }
     }
     if (current.mConnecting) {
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -28,7 +28,7 @@
   /// The attempt whose response the caller receives, or the last one.
   std::shared_ptr<AttemptState> mCurrent{ std::make_shared<AttemptState>() };
   /// Attempt at another endpoint while the current one is silent. It becomes the current
-  /// one once its endpoint has accepted the request, and not before.
+  /// one once its endpoint has begun a response, and not before.
   std::shared_ptr<AttemptState> mStandby;
   /// No standby is looked for before this instant.
   timing::Instant mNextStandbyAt{};
@@ -59,7 +59,7 @@
   bool mResponseHeadSent{ false };
   gateway::EventSplitter mEvents;
 
-  /// Ends the current attempt in favour of the standby, whose endpoint has the request.
+  /// Ends the current attempt in favour of the standby, whose response has begun.
   void HandOver() { mCurrent->Abort(); }
   /// True if the current attempt was ended in favour of the standby.
   bool IsHandedOver() const { return mStandby != nullptr && mCurrent->mAborted; }
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -123,7 +123,7 @@
   /// Runs SeekStandby() and says when it has ended, also by an exception.
   asio::awaitable<void> RunStandbySearch();
   /// Sends the request to another endpoint while the current one is silent, and ends the
-  /// current attempt once that endpoint has accepted the request.
+  /// current attempt once that endpoint has begun a response.
   asio::awaitable<void> SeekStandby();
   /// Ends the standby, since the current attempt goes on.
   void DropStandby();
@@ -157,8 +157,6 @@
   {
     return mExchange.mCallerDisconnected || mExchange.mDeadlineExceeded;
   }
-  /// Sets when, and how, the tick acts on an attempt that was just sent.
-  void SetResponseDeadline(AttemptState& aAttempt);
   /// How long an endpoint may take to begin its response before another one is tried.
   timing::Duration ResponseTimeout() const;
   void SetOutcome(std::string aOutcome) { mOutcome = std::move(aOutcome); }
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -24,9 +24,6 @@
 /// target latency.
 constexpr int kFirstEventTimeoutTargets = 8;
 constexpr milliseconds kMinFirstEventTimeout{ 2200 };
-/// Time after which an endpoint that has not refused a request has accepted it. Two
-/// endpoints work on one request for no longer.
-constexpr milliseconds kAcceptTime{ 250 };
 /// Maximum number of late responses to earlier requests that are discarded on one
 /// connection.
 constexpr int kMaxStaleResponses = 3;
@@ -83,18 +80,6 @@
            : timing::Duration(kResponseHeadTimeout);
 }
 
-void Forwarder::SetResponseDeadline(AttemptState& aAttempt)
-{
-  // Only for a stream does it matter that no two endpoints work on it for long. A standby
-  // may have become the current attempt while it connected.
-  aAttempt.mTakesOverUnanswered =
-    mExchange.mAdmission.mRoute->mKind == gateway::RequestKind::Stream;
-  const bool current = mExchange.mCurrent.get() == &aAttempt;
-  aAttempt.mDeadline = mContext.mClock.Now() + (current || !aAttempt.mTakesOverUnanswered
-                                                  ? ResponseTimeout()
-                                                  : timing::Duration(kAcceptTime));
-}
-
 asio::awaitable<void> Forwarder::RequestHead(AttemptState& aAttempt)
 {
   const bool connected = co_await Connect(aAttempt);
@@ -109,7 +94,7 @@
                                                   mContext.mClock.Now());
   ++mExchange.mAttemptsSent;
   aAttempt.mInFlight = true;
-  SetResponseDeadline(aAttempt);
+  aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
   ErrorCode ec;
   co_await asio::async_write(
     aAttempt.mConnection->mSocket, asio::buffer(request), RedirectError(ec));
