--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -231,9 +231,12 @@
 void GatewayProcess::ReportFindings(timing::Instant aNow)
 {
   for (const auto& change : mControl.mQuarantine.TakeChanges()) {
+    const char* const begins =
+      change.mReplaced.empty() ? "quarantine begins" : "quarantine narrowed";
     mLogger.Warn(
-      change.mBegins ? "quarantine begins" : "quarantine lifted",
-      { { "cause", gateway::PartName(change.mCause) },
+      change.mBegins ? begins : "quarantine lifted",
+      { { "cause", gateway::PartNames(change.mCauses) },
+        { "before", gateway::PartNames(change.mReplaced) },
         { "reason", change.mReason },
         { "crashes", change.mEngines.size() },
         { "endpoints", EndpointNames(mControl.mDirectory, change.mEngines) } });
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -109,8 +109,8 @@
   }
   std::set<std::uint64_t> quarantined;
   for (const std::string& key : aReading.mOwnKeys) {
-    if (const auto part = QuarantinedPart(key)) {
-      quarantined.insert(*part);
+    if (const auto verdict = QuarantineVerdictOf(key)) {
+      quarantined.insert(*verdict);
     }
   }
   mControl.mQuarantine.RetainRecords(quarantined, now);
@@ -135,11 +135,18 @@
     if (const auto entries = ParseEntryCount(aValue.value_or(std::string()))) {
       mPeers.SetRecordedEntries(*entries);
     }
-  } else if (const auto part = QuarantinedPart(aKey)) {
-    mQuarantineWriters.Set(
-      *part, ids::ProcessId(aValue.value_or(std::string())), aCreateRevision);
-    mControl.mQuarantine.OnRecord(
-      *part, aValue.has_value(), aValue == mSettings.mName.Str(), now);
+  } else if (const auto verdict = QuarantineVerdictOf(aKey)) {
+    QuarantineRecord record = ParseQuarantineRecord(aValue.value_or(std::string()));
+    if (!IsRecordOf(record, *verdict)) {
+      mLogger.Warn("quarantine record cannot be read", { { "key", aKey } });
+      return;
+    }
+    mQuarantineWriters.Set(*verdict, ids::ProcessId(record.mWriter), aCreateRevision);
+    mControl.mQuarantine.OnRecord(*verdict,
+                                  aValue.has_value(),
+                                  record.mWriter == mSettings.mName.Str(),
+                                  now,
+                                  std::move(record.mCauses));
   } else if (aKey.starts_with(kMemberPrefix)) {
     const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
--- a/apps/samphiresail/gateway/quarantinerecords.cpp
+++ b/apps/samphiresail/gateway/quarantinerecords.cpp
@@ -23,12 +23,15 @@
       },
       boost::asio::detached);
   };
+  const auto recordOf = [this](const std::vector<std::uint64_t>& aCauses) {
+    return FormatQuarantineRecord({ mSettings.mName.Str(), aCauses });
+  };
   for (const auto& change : mControl.mQuarantine.RecordChanges(mLeading, aNow)) {
-    const std::string key = QuarantineKey(change.mCause);
+    const std::string key = QuarantineKey(change.mVerdict);
     store::TransactionRequest write;
     if (change.mCreate) {
       write.mCompares.push_back({ key, 0 });
-      write.mWrites.emplace_back(store::PutOperation{ key, mSettings.mName.Str(), 0 });
+      write.mWrites.emplace_back(store::PutOperation{ key, recordOf(change.mCauses), 0 });
     } else {
       write.mWrites.emplace_back(store::DeleteOperation{ key });
     }
@@ -43,7 +46,8 @@
       const std::string key = QuarantineKey(orphan.mCause);
       store::TransactionRequest write;
       write.mCompares.push_back({ key, orphan.mRevision });
-      write.mWrites.emplace_back(store::PutOperation{ key, mSettings.mName.Str(), 0 });
+      write.mWrites.emplace_back(store::PutOperation{
+        key, recordOf(mControl.mQuarantine.CausesOfVerdict(orphan.mCause)), 0 });
       execute(std::move(write));
     }
   }
--- a/apps/samphiresail/gateway/recordkeys.hpp
+++ b/apps/samphiresail/gateway/recordkeys.hpp
@@ -6,8 +6,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "components/gateway/promptpart.hpp"
+#include "components/gateway/quarantineverdict.hpp"
 
 namespace samphiresail::gatewayapp {
 
@@ -23,25 +25,69 @@
 /// time. Entries that restart divide limits by it.
 inline constexpr std::string_view kEntryCountKey = "samphiresail/entry-count";
 
-/// Key prefix of the records of parts of prompts that are in quarantine, followed by the
-/// part's identifier in hexadecimal. The record holds the name of the entry that wrote
-/// it.
+/// Key prefix of the records of verdicts, on parts of prompts that are in quarantine,
+/// followed by the verdict's identifier in hexadecimal: that of a single part itself. The
+/// record holds the name of the entry that wrote it, and several parts on a second line.
 inline constexpr std::string_view kQuarantinePrefix = "samphiresail/quarantine/";
 
-/// Returns the key of a part's record.
-inline std::string QuarantineKey(std::uint64_t aPart)
+/// Returns the key of a verdict's record.
+inline std::string QuarantineKey(std::uint64_t aVerdict)
 {
-  return std::string(kQuarantinePrefix) + gateway::PartName(aPart);
+  return std::string(kQuarantinePrefix) + gateway::PartName(aVerdict);
 }
 
-/// Returns the part whose record has the key; none if it is another record.
-inline std::optional<std::uint64_t> QuarantinedPart(std::string_view aKey)
+/// Returns the verdict whose record has the key; none if it is another record.
+inline std::optional<std::uint64_t> QuarantineVerdictOf(std::string_view aKey)
 {
   return aKey.starts_with(kQuarantinePrefix)
            ? gateway::ParsePartName(aKey.substr(kQuarantinePrefix.size()))
            : std::nullopt;
 }
 
+/// What the record of a verdict holds.
+struct QuarantineRecord
+{
+  std::string mWriter;
+  /// Empty for a verdict on a single part.
+  std::vector<std::uint64_t> mCauses;
+  /// The list of causes cannot be read; to leave some out would widen the verdict.
+  bool mMalformed{ false };
+};
+
+inline std::string FormatQuarantineRecord(const QuarantineRecord& aRecord)
+{
+  return aRecord.mCauses.size() < 2
+           ? aRecord.mWriter
+           : aRecord.mWriter + "\n" + gateway::PartNames(aRecord.mCauses);
+}
+
+/// Parses what FormatQuarantineRecord() returns.
+inline QuarantineRecord ParseQuarantineRecord(std::string_view aValue)
+{
+  const std::size_t line = aValue.find('\n');
+  QuarantineRecord record{ std::string(aValue.substr(0, line)), {} };
+  std::string_view rest =
+    line == std::string_view::npos ? std::string_view() : aValue.substr(line + 1);
+  while (!rest.empty()) {
+    const std::size_t comma = rest.find(',');
+    const auto part = gateway::ParsePartName(rest.substr(0, comma));
+    record.mMalformed = record.mMalformed || !part;
+    record.mCauses.push_back(part.value_or(0));
+    rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+  }
+  record.mMalformed = record.mMalformed ||
+                      record.mCauses.size() > gateway::CrashEvidence::kMaxCausesOfVerdict;
+  return record;
+}
+
+/// True if the record can be that of the verdict.
+inline bool IsRecordOf(const QuarantineRecord& aRecord, std::uint64_t aVerdict)
+{
+  return !aRecord.mMalformed &&
+         (aRecord.mCauses.empty() ||
+          gateway::VerdictId(gateway::SortedCauses(aRecord.mCauses)) == aVerdict);
+}
+
 /// Returns the number of entries that the record of kEntryCountKey states; none if it is
 /// not one from 1 to 10,000.
 inline std::optional<std::size_t> ParseEntryCount(std::string_view aValue)
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -13,6 +13,9 @@
 /// Longest wait for an adapter that the leader loads on demand. It covers a peer report,
 /// an order to evict another adapter, an order to load, and some milliseconds of loading.
 constexpr milliseconds kMaxAdapterWait{ 600 };
+/// Longest wait for the outcome of another request that has the same suspect. It covers
+/// the time in which most endpoints begin to answer.
+constexpr milliseconds kMaxSuspectWait{ 500 };
 /// A request fails once no connection could be opened to this many endpoints.
 constexpr std::size_t kMaxUnreachableEndpoints = 4;
 
@@ -101,6 +104,8 @@
   switch (aChoice.mReason) {
     case gateway::NoEndpoint::AdapterAbsent:
       return std::min(admission.mDeadline, aStart + kMaxAdapterWait);
+    case gateway::NoEndpoint::SuspectTested:
+      return std::min(admission.mDeadline, aStart + kMaxSuspectWait);
     case gateway::NoEndpoint::Full: {
       const auto longest = std::chrono::duration_cast<timing::Duration>(
         mContext.mControl.Allowance(admission, aNow).mAtEntry);
@@ -233,10 +238,7 @@
 asio::awaitable<bool> Forwarder::Finish(Result aResult, const gateway::Choice& aChoice)
 {
   co_await EndStandby();
-  if (mNextAttempt != nullptr) {
-    mContext.mControl.End(
-      mNextAttempt->mAttempt, gateway::AttemptEnd::Abandoned, mContext.mClock.Now());
-  }
+  ReleaseNextAttempt();
   if (aResult == Result::Delivered) {
     SetOutcome("answered");
     co_return mSaidKeepAlive;
@@ -276,9 +278,19 @@
   co_return keep;
 }
 
+void Forwarder::ReleaseNextAttempt()
+{
+  if (mNextAttempt != nullptr) {
+    mContext.mControl.End(
+      mNextAttempt->mAttempt, gateway::AttemptEnd::Abandoned, mContext.mClock.Now());
+    mNextAttempt = nullptr;
+  }
+}
+
 asio::awaitable<void> Forwarder::FailAfterException()
 {
   SetOutcome("an exception interrupted the request");
+  ReleaseNextAttempt();
   if (mExchange.mCurrent->mInFlight) {
     EndAttempt(*mExchange.mCurrent, Result::Failed);
   }
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -100,7 +100,7 @@
   /// ended: the request can still be refused, or another endpoint has been found for it.
   bool MayGiveUpConnection();
   /// Opens a connection or takes an idle one. Returns false if there is none, or if the
-  /// endpoint was withdrawn meanwhile.
+  /// request must not be sent any more.
   asio::awaitable<bool> Connect(AttemptState& aAttempt);
   /// Reads heads until the one that belongs to the request.
   asio::awaitable<AttemptState::Head> ReadOwnHead(AttemptState& aAttempt);
@@ -134,6 +134,8 @@
   asio::awaitable<bool> Finish(Result aResult, const gateway::Choice& aChoice);
   asio::awaitable<bool> WriteToCaller(std::string aBytes);
 
+  /// Gives up the attempt that was to be the next one.
+  void ReleaseNextAttempt();
   /// Ends the standby and waits until nothing refers to this object any more.
   asio::awaitable<void> EndStandby();
   /// Records how a standby that did not take over ended.
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -94,6 +94,7 @@
                                                   mContext.mClock.Now());
   ++mExchange.mAttemptsSent;
   aAttempt.mInFlight = true;
+  aAttempt.mAttempt.mRequestSent = true;
   aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
   ErrorCode ec;
   co_await asio::async_write(
@@ -133,8 +134,8 @@
   }
   aAttempt.mConnection->mSocket.non_blocking(true, ec);
   SetConnectionOptions(aAttempt.mConnection->mSocket);
-  // The endpoint may have been withdrawn while the connection was opened.
-  co_return mContext.mControl.mDirectory.TakesRequests(endpoint, mContext.mClock.Now());
+  co_return mContext.mControl.MayStillSend(
+    mExchange.mAdmission, aAttempt.mAttempt, mContext.mClock.Now());
 }
 
 asio::awaitable<bool> Forwarder::ReadResponseHead(AttemptState& aAttempt)
--- a/components/gateway/crashevidence.cpp
+++ b/components/gateway/crashevidence.cpp
@@ -30,6 +30,14 @@
   return suspects;
 }
 
+void CrashEvidence::Known::Add(const Causes& aVerdict)
+{
+  for (const std::uint64_t cause : aVerdict) {
+    mVerdictOf.emplace(cause, mVerdicts.size());
+  }
+  mVerdicts.push_back(aVerdict);
+}
+
 void CrashEvidence::RecordSound(std::uint64_t aCause, timing::Instant aAt)
 {
   const auto [it, added] = mSound.try_emplace(aCause, aAt);
@@ -44,7 +52,8 @@
 
 bool CrashEvidence::RecordCrash(std::uint64_t aEndpointHash,
                                 const std::vector<Suspect>& aSuspects,
-                                timing::Instant aAt)
+                                timing::Instant aAt,
+                                timing::Instant aNow)
 {
   auto crash = std::ranges::find_if(mCrashes, [&](const Crash& aCrash) {
     return aCrash.mEndpointHash == aEndpointHash &&
@@ -54,7 +63,7 @@
     if (mCrashes.size() >= kMaxCrashes) {
       mCrashes.pop_front();
     }
-    mCrashes.push_back({ aEndpointHash, aAt, {} });
+    mCrashes.push_back({ aEndpointHash, aAt, aNow, {} });
     crash = std::prev(mCrashes.end());
   }
   const std::size_t before = crash->mSuspects.size();
@@ -78,6 +87,13 @@
   }
 }
 
+bool CrashEvidence::IsSettled(timing::Instant aNow) const
+{
+  return std::ranges::none_of(mCrashes, [aNow](const Crash& aCrash) {
+    return aNow < aCrash.mKnownAt + kSettleTime;
+  });
+}
+
 bool CrashEvidence::Counts(std::uint64_t aCause, const Crash& aCrash) const
 {
   const auto sound = LastSound(aCause);
@@ -103,39 +119,75 @@
     mCrashes, [aCause](const Crash& aCrash) { return Has(aCrash, aCause); }));
 }
 
-std::vector<std::uint64_t> CrashEvidence::EnginesOf(std::uint64_t aCause) const
+bool CrashEvidence::HasAll(const Crash& aCrash, const Causes& aCauses)
+{
+  return std::ranges::all_of(aCauses,
+                             [&](std::uint64_t aCause) { return Has(aCrash, aCause); });
+}
+
+std::vector<std::uint64_t> CrashEvidence::EnginesOf(const Causes& aCauses) const
 {
   std::vector<std::uint64_t> engines;
   for (const Crash& crash : mCrashes) {
-    if (Has(crash, aCause) && Counts(aCause, crash) &&
-        std::ranges::count(engines, crash.mEndpointHash) == 0) {
+    const bool speaks = std::ranges::all_of(aCauses, [&](std::uint64_t aCause) {
+      return Has(crash, aCause) && Counts(aCause, crash);
+    });
+    if (speaks && std::ranges::count(engines, crash.mEndpointHash) == 0) {
       engines.push_back(crash.mEndpointHash);
     }
   }
   return engines;
 }
 
-void CrashEvidence::AddCrash(const Crash& aCrash,
-                             const std::set<std::uint64_t>& aKnown,
-                             Suspicions& aSuspicions) const
+std::set<std::uint64_t> CrashEvidence::Explaining(const Crash& aCrash,
+                                                  const Known& aKnown)
 {
-  bool explainedByRequest = false;
+  std::set<std::size_t> candidates;
   for (const Suspect& suspect : aCrash.mSuspects) {
-    const bool known = aKnown.contains(suspect.mCause);
-    if (known && !suspect.IsWholeRequest()) {
-      return;
+    const auto it = aKnown.mVerdictOf.find(suspect.mCause);
+    if (it != aKnown.mVerdictOf.end()) {
+      candidates.insert(it->second);
+    }
+  }
+  std::set<std::uint64_t> explaining;
+  for (const std::size_t candidate : candidates) {
+    const Causes& verdict = aKnown.mVerdicts[candidate];
+    if (HasAll(aCrash, verdict)) {
+      explaining.insert(verdict.begin(), verdict.end());
     }
-    explainedByRequest = explainedByRequest || known;
   }
+  return explaining;
+}
+
+bool CrashEvidence::IsExplainedByPart(const Crash& aCrash,
+                                      const std::set<std::uint64_t>& aExplaining)
+{
+  return std::ranges::any_of(aCrash.mSuspects, [&](const Suspect& aSuspect) {
+    return !aSuspect.IsWholeRequest() && aExplaining.contains(aSuspect.mCause);
+  });
+}
+
+void CrashEvidence::AddCrash(const Crash& aCrash,
+                             const Known& aKnown,
+                             timing::Instant aNow,
+                             Suspicions& aSuspicions) const
+{
+  const std::set<std::uint64_t> explaining = Explaining(aCrash, aKnown);
+  const bool explained = !explaining.empty();
+  const bool byPart = IsExplainedByPart(aCrash, explaining);
+  const bool settled = aNow >= aCrash.mKnownAt + kSettleTime;
   std::set<std::uint64_t> counted;
   for (const Suspect& suspect : aCrash.mSuspects) {
-    const bool ofOther = suspect.IsWholeRequest() || !aKnown.contains(suspect.mRequest);
-    if ((explainedByRequest && ofOther) || !Counts(suspect.mCause, aCrash)) {
+    const bool ofOther =
+      byPart || suspect.IsWholeRequest() || !explaining.contains(suspect.mRequest);
+    if ((explained && ofOther && !aKnown.mWatched.contains(suspect.mCause)) ||
+        explaining.contains(suspect.mCause) || !Counts(suspect.mCause, aCrash) ||
+        (!settled && !suspect.IsWholeRequest())) {
       continue;
     }
     Suspicion& suspicion = aSuspicions[suspect.mCause];
     suspicion.mWholeRequest = suspicion.mWholeRequest || suspect.IsWholeRequest();
-    if (!explainedByRequest && suspicion.mRequests.size() < kMinRequests) {
+    if (!explained && suspicion.mRequests.size() < kMinRequests) {
       suspicion.mRequests.insert(suspect.mRequest);
     }
     if (counted.insert(suspect.mCause).second) {
@@ -144,7 +196,7 @@
       suspicion.mLast = std::max(suspicion.mLast, aCrash.mAt);
       suspicion.mEngines.insert(aCrash.mEndpointHash);
       ++suspicion.mCrashes;
-      suspicion.mUnexplained += explainedByRequest ? 0 : 1;
+      suspicion.mUnexplained += explained ? 0 : 1;
     }
   }
 }
@@ -159,19 +211,19 @@
   }
   return aSuspicion.mCrashes >= kMinCrashes &&
          aSuspicion.mEngines.size() >= kMinEngines &&
-         (aSuspicion.mWholeRequest || (aSuspicion.mRequests.size() >= kMinRequests &&
-                                       aSuspicion.mUnexplained >= kMinUnexplained)) &&
+         aSuspicion.mUnexplained >= kMinUnexplained &&
+         (aSuspicion.mWholeRequest || aSuspicion.mRequests.size() >= kMinRequests) &&
          aSuspicion.mLast - aSuspicion.mFirst >= minSpread;
 }
 
-std::vector<std::uint64_t> CrashEvidence::MostSuspect(
-  const std::set<std::uint64_t>& aKnown) const
+CrashEvidence::Causes CrashEvidence::MostSuspect(const Known& aKnown,
+                                                 timing::Instant aNow) const
 {
   Suspicions suspicions;
   for (const Crash& crash : mCrashes) {
-    AddCrash(crash, aKnown, suspicions);
+    AddCrash(crash, aKnown, aNow, suspicions);
   }
-  std::vector<std::uint64_t> most;
+  Causes most;
   // Crashes, never sound, whole request: of causes that explain as much, those that no
   // request was answered with come first, and then those that shut out least.
   std::tuple<std::size_t, bool, bool> rank{ 0, false, false };
@@ -193,22 +245,82 @@
       crashes < (wholeRequest ? kMaxTiedRequestCrashes : kMaxTiedCrashes)) {
     most.clear();
   }
+  std::ranges::sort(most);
+  most.resize(std::min(most.size(), kMaxCausesOfVerdict));
   return most;
 }
 
-std::vector<std::uint64_t> CrashEvidence::Blame(std::set<std::uint64_t> aKnown) const
+std::vector<CrashEvidence::Causes> CrashEvidence::Blame(Known aKnown,
+                                                        timing::Instant aNow) const
 {
-  std::vector<std::uint64_t> blamed;
+  std::vector<Causes> blamed;
   for (;;) {
-    const std::vector<std::uint64_t> most = MostSuspect(aKnown);
+    Causes most = MostSuspect(aKnown, aNow);
     if (most.empty()) {
       return blamed;
     }
-    aKnown.insert(most.begin(), most.end());
-    blamed.insert(blamed.end(), most.begin(), most.end());
+    aKnown.Add(most);
+    blamed.push_back(std::move(most));
   }
 }
 
+bool CrashEvidence::IsIsolated(const Crash& aCrash, const Causes& aCauses) const
+{
+  std::set<std::uint64_t> requests;
+  for (const Suspect& suspect : aCrash.mSuspects) {
+    if (std::ranges::binary_search(aCauses, suspect.mCause)) {
+      requests.insert(suspect.mRequest);
+    }
+  }
+  return std::ranges::all_of(aCrash.mSuspects, [&](const Suspect& aSuspect) {
+    return requests.contains(aSuspect.mRequest) || !Counts(aSuspect.mCause, aCrash);
+  });
+}
+
+CrashEvidence::Causes CrashEvidence::Narrow(const Causes& aCauses,
+                                            timing::Instant aSince,
+                                            const std::vector<Causes>& aOthers,
+                                            timing::Instant aNow) const
+{
+  Causes left = aCauses;
+  // Ends that another request may have caused as well.
+  std::vector<const Crash*> ambiguous;
+  for (const Crash& crash : mCrashes) {
+    const bool explained = std::ranges::any_of(
+      aOthers, [&](const Causes& aVerdict) { return HasAll(crash, aVerdict); });
+    if (crash.mAt <= aSince || aNow < crash.mKnownAt + kSettleTime || explained) {
+      continue;
+    }
+    Causes common = CountedIn(crash, left);
+    if (common.empty() || common == left) {
+      continue;
+    }
+    if (IsIsolated(crash, aCauses)) {
+      left = std::move(common);
+      continue;
+    }
+    for (const Crash* earlier : ambiguous) {
+      Causes both = CountedIn(*earlier, common);
+      if (earlier->mEndpointHash != crash.mEndpointHash && !both.empty()) {
+        left = std::move(both);
+        break;
+      }
+    }
+    ambiguous.push_back(&crash);
+  }
+  return left;
+}
+
+CrashEvidence::Causes CrashEvidence::CountedIn(const Crash& aCrash,
+                                               const Causes& aCauses) const
+{
+  Causes counted;
+  std::ranges::copy_if(aCauses, std::back_inserter(counted), [&](std::uint64_t aCause) {
+    return Has(aCrash, aCause) && Counts(aCause, aCrash);
+  });
+  return counted;
+}
+
 void CrashEvidence::Tick(timing::Instant aNow)
 {
   std::erase_if(mCrashes,
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -30,6 +30,9 @@
   Full,
   /// Endpoints end under the request.
   Quarantined,
+  /// Endpoints end under a part of the prompt or another one; another request tests
+  /// which.
+  SuspectTested,
   /// This process stops, and the request would not end before that.
   Stopping,
 };
@@ -53,6 +56,12 @@
   /// RequestIdentity() of the request if endpoints had ended under it when the attempt
   /// began, else 0.
   std::uint64_t mSuspect{ 0 };
+  /// Causes in quarantine that the attempt tells from each other.
+  std::vector<std::uint64_t> mTested;
+  /// The request has all causes of the verdicts on mTested.
+  bool mFullTest{ false };
+  /// The request was sent.
+  bool mRequestSent{ false };
 };
 
 struct Choice
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "components/gateway/quarantineverdict.hpp"
 #include "components/wire/generated/samphiresail.pb.h"
 
 namespace samphiresail::gateway {
@@ -60,9 +61,31 @@
     item->set_part(sound.mCause);
     item->set_age_ms(static_cast<std::uint32_t>(sound.mAge.count()));
   }
-  for (const std::uint64_t cause : aFindings.mQuarantined) {
-    aLoad.add_quarantined(cause);
+  for (const ReportedVerdict& verdict : aFindings.mVerdicts) {
+    if (verdict.mCauses.size() == 1) {
+      aLoad.add_quarantined(verdict.mCauses.front());
+    } else {
+      auto* item = aLoad.add_verdict();
+      item->mutable_cause()->Add(verdict.mCauses.begin(), verdict.mCauses.end());
+    }
+  }
+  for (const ReportedTest& test : aFindings.mTests) {
+    auto* item = aLoad.add_cause_test();
+    item->mutable_cause()->Add(test.mCauses.begin(), test.mCauses.end());
+    item->set_age_ms(static_cast<std::uint32_t>(test.mAge.count()));
+    item->set_full(test.mFull);
+    item->set_not_run(test.mNotRun);
+  }
+}
+
+/// Returns the causes of a verdict or test; none if it has more than a verdict can have.
+template<typename Message>
+CrashEvidence::Causes CausesFrom(const Message& aMessage)
+{
+  if (aMessage.cause_size() > static_cast<int>(CrashEvidence::kMaxCausesOfVerdict)) {
+    return {};
   }
+  return SortedCauses({ aMessage.cause().begin(), aMessage.cause().end() });
 }
 
 CrashFindings DecodeFindings(const wire::PeerLoad& aLoad)
@@ -78,7 +101,19 @@
   for (const auto& item : aLoad.sound_part()) {
     findings.mSound.push_back({ item.part(), AgeFrom(item.age_ms()) });
   }
-  findings.mQuarantined.assign(aLoad.quarantined().begin(), aLoad.quarantined().end());
+  for (const std::uint64_t cause : aLoad.quarantined()) {
+    findings.mVerdicts.push_back({ { cause } });
+  }
+  for (const auto& item : aLoad.verdict()) {
+    CrashEvidence::Causes causes = CausesFrom(item);
+    if (!causes.empty()) {
+      findings.mVerdicts.push_back({ std::move(causes) });
+    }
+  }
+  for (const auto& item : aLoad.cause_test()) {
+    findings.mTests.push_back(
+      { CausesFrom(item), item.full(), item.not_run(), AgeFrom(item.age_ms()) });
+  }
   return findings;
 }
 
--- a/components/gateway/promptpart.cpp
+++ b/components/gateway/promptpart.cpp
@@ -20,6 +20,15 @@
   return { digits.data(), end };
 }
 
+std::string PartNames(const std::vector<std::uint64_t>& aParts)
+{
+  std::string names;
+  for (const std::uint64_t part : aParts) {
+    names += (names.empty() ? "" : ",") + PartName(part);
+  }
+  return names;
+}
+
 std::optional<std::uint64_t> ParsePartName(std::string_view aName)
 {
   std::uint64_t part = 0;
--- a/components/gateway/promptpart.hpp
+++ b/components/gateway/promptpart.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace samphiresail::gateway {
 
@@ -18,6 +19,9 @@
 /// Returns the identifier of a part in hexadecimal, as it stands in logs and records.
 std::string PartName(std::uint64_t aPart);
 
+/// Returns the names of the parts, separated by commas.
+std::string PartNames(const std::vector<std::uint64_t>& aParts);
+
 /// Parses what PartName() returns.
 std::optional<std::uint64_t> ParsePartName(std::string_view aName);
 
--- a/components/gateway/requestquarantine.cpp
+++ b/components/gateway/requestquarantine.cpp
@@ -4,18 +4,18 @@
 #include <iterator>
 #include <utility>
 
-#include "components/functional/overloaded.hpp"
-
 namespace samphiresail::gateway {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-milliseconds AgeOf(timing::Instant aAt, timing::Instant aNow)
+CrashEvidence::Causes CausesOf(const RequestMetadata& aRequest)
 {
-  return std::chrono::duration_cast<milliseconds>(
-    std::max(aNow - aAt, timing::Duration(0)));
+  CrashEvidence::Causes causes;
+  std::ranges::transform(
+    SuspectsOf(aRequest), std::back_inserter(causes), &Suspect::mCause);
+  return SortedCauses(std::move(causes));
 }
 
 }
@@ -40,23 +40,47 @@
                                          timing::Instant aNow)
 {
   mEvidence.RecordSound(aCause, aAt);
-  const auto it = mCauses.find(aCause);
-  if (it == mCauses.end()) {
+  const auto watched = mWatched.find(aCause);
+  const bool acquitted =
+    watched != mWatched.end() && aAt + CrashEvidence::kSoundTime > watched->second;
+  if (acquitted) {
+    mWatched.erase(watched);
+    mTests.Reset({ aCause });
+  }
+  const auto it = mVerdictOf.find(aCause);
+  if (it == mVerdictOf.end()) {
+    return acquitted;
+  }
+  const std::uint64_t id = it->second;
+  const QuarantineVerdict& verdict = mVerdicts.at(id);
+  if (aAt + CrashEvidence::kSoundTime <= verdict.mSince) {
+    return ReconsiderSound(id, aCause, aNow);
+  }
+  CrashEvidence::Causes left = verdict.mCauses;
+  std::erase(left, aCause);
+  mTests.Reset(verdict.mCauses);
+  Narrow(id, left, false, "a request with it was answered", aNow);
+  return true;
+}
+
+bool RequestQuarantine::ReconsiderSound(std::uint64_t aVerdict,
+                                        std::uint64_t aCause,
+                                        timing::Instant aNow)
+{
+  if (mEvidence.CrashesWith(aCause) == 0) {
     return false;
   }
-  if (aAt + CrashEvidence::kSoundTime > it->second.mSince) {
-    Lift(aCause, "a request with it was answered", aNow);
-    return true;
-  }
-  // With the older answer another cause may be the better explanation.
-  std::set<std::uint64_t> others = Known();
-  others.erase(aCause);
-  if (mEvidence.CrashesWith(aCause) > 0 &&
-      std::ranges::count(mEvidence.Blame(others), aCause) == 0) {
-    Lift(aCause, "another cause explains the crashes", aNow);
-    return true;
+  const std::vector<CrashEvidence::Causes> blamed =
+    mEvidence.Blame(KnownWithout(aVerdict), aNow);
+  const bool still = std::ranges::any_of(blamed, [&](const auto& aCauses) {
+    return std::ranges::binary_search(aCauses, aCause);
+  });
+  if (!still) {
+    CrashEvidence::Causes left = mVerdicts.at(aVerdict).mCauses;
+    std::erase(left, aCause);
+    Narrow(aVerdict, left, true, "another cause explains the crashes", aNow);
   }
-  return false;
+  return !still;
 }
 
 void RequestQuarantine::OnBroken(std::uint64_t aEndpointHash,
@@ -104,7 +128,7 @@
   // Causes that are known as sound would only take room.
   std::erase_if(suspects,
                 [&](const Suspect& aSuspect) { return IsSound(aSuspect.mCause, aNow); });
-  if (suspects.empty() || !mEvidence.RecordCrash(aEndpointHash, suspects, aNow)) {
+  if (suspects.empty() || !mEvidence.RecordCrash(aEndpointHash, suspects, aNow, aNow)) {
     return;
   }
   mEvidenceChanged = true;
@@ -126,14 +150,14 @@
   const auto unproven = std::ranges::count_if(mBroken, [aIdentity](const auto& aRow) {
     return std::ranges::count(aRow.second.mSuspects, aIdentity, &Suspect::mCause) > 0;
   });
-  const std::vector<std::uint64_t> engines = mEvidence.EnginesOf(aIdentity);
+  const std::vector<std::uint64_t> engines = mEvidence.EnginesOf({ aIdentity });
   if (engines.empty()) {
     return static_cast<std::size_t>(unproven);
   }
-  // Engines that ended under a cause in quarantine say nothing against the request.
+  // Engines that ended under causes in quarantine say nothing against the request.
   std::set<std::uint64_t> explained;
-  for (const auto& [cause, quarantined] : mCauses) {
-    std::ranges::copy(mEvidence.EnginesOf(cause),
+  for (const auto& [id, verdict] : mVerdicts) {
+    std::ranges::copy(mEvidence.EnginesOf(verdict.mCauses),
                       std::inserter(explained, explained.end()));
   }
   const bool sound = std::ranges::all_of(
@@ -147,256 +171,309 @@
   timing::Instant aNow) const
 {
   std::optional<Block> block;
-  if (mCauses.empty()) {
+  if (mVerdicts.empty()) {
     return block;
   }
-  for (const Suspect& suspect : SuspectsOf(aRequest)) {
-    const auto it = mCauses.find(suspect.mCause);
-    if (it != mCauses.end() && aNow < it->second.mUntil &&
-        (!block || block->mUntil < it->second.mUntil)) {
-      block = Block{ suspect.mCause, it->second.mUntil };
+  const CrashEvidence::Causes causes = CausesOf(aRequest);
+  for (const std::uint64_t id : VerdictsWith(causes)) {
+    const QuarantineVerdict& verdict = mVerdicts.at(id);
+    if (Common(verdict, causes) == verdict.mCauses && aNow < verdict.mUntil &&
+        (!block || block->mUntil < verdict.mUntil)) {
+      block = Block{ verdict.mCauses, verdict.mUntil };
     }
   }
   return block;
 }
 
-bool RequestQuarantine::TryTest(const RequestMetadata& aRequest, timing::Instant aNow)
+std::vector<std::uint64_t> RequestQuarantine::BlockingVerdicts(
+  const RequestMetadata& aRequest) const
 {
-  std::vector<Quarantined*> blocking;
-  for (const Suspect& cause : SuspectsOf(aRequest)) {
-    const auto it = mCauses.find(cause.mCause);
-    if (it != mCauses.end()) {
-      blocking.push_back(&it->second);
-    }
-  }
-  const bool due = std::ranges::all_of(blocking, [aNow](const Quarantined* aCause) {
-    return aCause->mOwnRecord && aNow >= aCause->mNextTest;
-  });
-  if (!due) {
-    return false;
-  }
-  for (Quarantined* cause : blocking) {
-    cause->mTestInterval *= kTestBackoff;
-    cause->mNextTest = aNow + cause->mTestInterval;
-  }
-  return true;
+  const CrashEvidence::Causes causes = CausesOf(aRequest);
+  std::vector<std::uint64_t> blocking;
+  std::ranges::copy_if(
+    VerdictsWith(causes), std::back_inserter(blocking), [&](std::uint64_t aId) {
+      const QuarantineVerdict& verdict = mVerdicts.at(aId);
+      return Common(verdict, causes) == verdict.mCauses;
+    });
+  return blocking;
 }
 
-std::set<std::uint64_t> RequestQuarantine::Known() const
+CrashEvidence::Causes RequestQuarantine::BlockingCauses(
+  const RequestMetadata& aRequest) const
 {
-  std::set<std::uint64_t> known;
-  std::ranges::transform(mCauses,
-                         std::inserter(known, known.end()),
-                         [](const auto& aRow) { return aRow.first; });
-  return known;
+  CrashEvidence::Causes causes;
+  for (const std::uint64_t id : BlockingVerdicts(aRequest)) {
+    std::ranges::copy(mVerdicts.at(id).mCauses, std::back_inserter(causes));
+  }
+  return SortedCauses(std::move(causes));
 }
 
-void RequestQuarantine::Evaluate(timing::Instant aNow)
+bool RequestQuarantine::IsTestDue(const RequestMetadata& aRequest,
+                                  timing::Instant aNow) const
 {
-  mEvidenceChanged = false;
-  for (const std::uint64_t cause : mEvidence.Blame(Known())) {
-    if (Quarantine(cause, "engines ended under it", aNow)) {
-      AddOutgoing(cause, aNow, aNow + RandomDelay(kMaxQuarantineReportDelay));
-    }
-  }
+  // A request that carries a suspect besides says little when it ends an engine.
+  return CausesTested(aRequest).empty() &&
+         std::ranges::all_of(BlockingVerdicts(aRequest), [&](std::uint64_t aId) {
+           const QuarantineVerdict& verdict = mVerdicts.at(aId);
+           return aNow >= verdict.mNextTest +
+                            (verdict.mOwnRecord ? timing::Duration(0) : kOtherTestDelay);
+         });
 }
 
-bool RequestQuarantine::Quarantine(std::uint64_t aCause,
-                                   const char* aReason,
-                                   timing::Instant aNow)
+bool RequestQuarantine::TryTest(const RequestMetadata& aRequest, timing::Instant aNow)
 {
-  const auto [it, added] = mCauses.try_emplace(aCause);
-  if (!added) {
+  if (!IsTestDue(aRequest, aNow)) {
     return false;
   }
-  Quarantined& quarantined = it->second;
-  quarantined.mSince = aNow;
-  quarantined.mUntil = aNow + kTerm;
-  quarantined.mNextTest = aNow + kFirstTest;
-  mChanges.push_back({ aCause, true, aReason, mEvidence.EnginesOf(aCause) });
-  if (mCauses.size() > kMaxCauses) {
-    const auto oldest = std::ranges::min_element(
-      mCauses, {}, [](const auto& aRow) { return aRow.second.mSince; });
-    Lift(oldest->first, "too many causes are in quarantine", aNow);
+  for (const std::uint64_t id : BlockingVerdicts(aRequest)) {
+    QuarantineVerdict& verdict = mVerdicts.at(id);
+    verdict.RecordTest(aNow);
+    AddOutgoing(ReportedTest{ verdict.mCauses, true, false, {} }, aNow, aNow);
   }
   return true;
 }
 
-void RequestQuarantine::Lift(std::uint64_t aCause,
-                             const char* aReason,
-                             timing::Instant aNow)
+void RequestQuarantine::OnTestNotRun(const CrashEvidence::Causes& aCauses,
+                                     bool aFull,
+                                     timing::Instant aBegan,
+                                     timing::Instant aNow)
 {
-  mCauses.erase(aCause);
-  if (mRecords.contains(aCause)) {
-    mLifted.insert_or_assign(aCause, aNow);
-  } else {
-    mRecordTriedAt.erase(aCause);
+  const auto takeBack = [&](CrashEvidence::Causes aTested) {
+    aTested.resize(std::min(aTested.size(), CrashEvidence::kMaxCausesOfVerdict));
+    DropOutgoing<ReportedTest>(
+      [&](const ReportedTest& aSaid) { return aSaid.mCauses == aTested; });
+    ReportedTest test{ std::move(aTested), aFull, true, {} };
+    TakeBackTest(test, aBegan);
+    AddOutgoing(std::move(test), aBegan, aNow);
+  };
+  if (!aFull) {
+    takeBack(aCauses);
+    return;
+  }
+  for (const std::uint64_t id : VerdictsWith(aCauses)) {
+    takeBack(mVerdicts.at(id).mCauses);
   }
-  DropOutgoing<std::uint64_t>([aCause](std::uint64_t aSaid) { return aSaid == aCause; });
-  mChanges.push_back({ aCause, false, aReason, mEvidence.EnginesOf(aCause) });
 }
 
-milliseconds RequestQuarantine::RandomDelay(milliseconds aMax)
+void RequestQuarantine::TakeBackTest(const ReportedTest& aTest, timing::Instant aBegan)
 {
-  std::uniform_int_distribution<milliseconds::rep> spread(0, aMax.count());
-  return milliseconds(spread(mRandom));
+  if (!aTest.mFull) {
+    mTests.TakeBack(aTest.mCauses, aBegan);
+  } else if (const auto it = mVerdicts.find(VerdictId(aTest.mCauses));
+             it != mVerdicts.end()) {
+    it->second.TakeBackTest(aBegan);
+  }
 }
 
-template<typename Finding, typename Predicate>
-void RequestQuarantine::DropOutgoing(Predicate aIsSaid)
+CrashEvidence::Causes RequestQuarantine::CausesTested(
+  const RequestMetadata& aRequest) const
 {
-  std::erase_if(mOutgoing, [&](const Outgoing& aItem) {
-    const auto* finding = std::get_if<Finding>(&aItem.mFinding);
-    return finding != nullptr && aIsSaid(*finding);
+  CrashEvidence::Causes tested;
+  if (mVerdicts.empty() && mWatched.empty()) {
+    return tested;
+  }
+  const CrashEvidence::Causes causes = CausesOf(aRequest);
+  for (const std::uint64_t id : VerdictsWith(causes)) {
+    const QuarantineVerdict& verdict = mVerdicts.at(id);
+    if (Common(verdict, causes) != verdict.mCauses) {
+      tested.insert(tested.end(), verdict.mCauses.begin(), verdict.mCauses.end());
+    }
+  }
+  std::ranges::copy_if(causes, std::back_inserter(tested), [this](std::uint64_t aCause) {
+    return mWatched.contains(aCause) && !mVerdictOf.contains(aCause);
   });
+  return SortedCauses(std::move(tested));
 }
 
-template<typename Finding>
-void RequestQuarantine::AddOutgoing(Finding aFinding,
-                                    timing::Instant aAt,
-                                    timing::Instant aFirstReport)
+bool RequestQuarantine::TryTestCauses(const CrashEvidence::Causes& aCauses,
+                                      timing::Instant aNow)
 {
-  if (mOutgoing.size() >= kMaxReportedFindings) {
-    mOutgoing.pop_front();
+  if (!mTests.MayTest(aCauses, aNow)) {
+    return false;
   }
-  mOutgoing.push_back({ std::move(aFinding), aAt, 0, aFirstReport });
+  mTests.Begin(aCauses, aNow);
+  CrashEvidence::Causes said = aCauses;
+  said.resize(std::min(said.size(), CrashEvidence::kMaxCausesOfVerdict));
+  AddOutgoing(ReportedTest{ std::move(said), false, false, {} }, aNow, aNow);
+  return true;
 }
 
-bool RequestQuarantine::IsReportDue(timing::Instant aNow) const
+CrashEvidence::Known RequestQuarantine::KnownWithout(
+  std::optional<std::uint64_t> aVerdict) const
 {
-  return std::ranges::any_of(
-    mOutgoing, [aNow](const Outgoing& aItem) { return aNow >= aItem.mNextReport; });
+  CrashEvidence::Known known;
+  for (const auto& [id, verdict] : mVerdicts) {
+    if (id != aVerdict) {
+      known.Add(verdict.mCauses);
+    }
+  }
+  std::ranges::transform(mWatched,
+                         std::inserter(known.mWatched, known.mWatched.end()),
+                         [](const auto& aRow) { return aRow.first; });
+  return known;
 }
 
-CrashFindings RequestQuarantine::Report(timing::Instant aNow)
+void RequestQuarantine::Evaluate(timing::Instant aNow)
 {
-  CrashFindings findings;
-  for (Outgoing& item : mOutgoing) {
-    if (aNow < item.mNextReport) {
-      continue;
+  mEvidenceChanged = !mEvidence.IsSettled(aNow);
+  std::vector<std::uint64_t> undecided;
+  for (const auto& [id, verdict] : mVerdicts) {
+    if (verdict.mCauses.size() > 1) {
+      undecided.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : undecided) {
+    const QuarantineVerdict& verdict = mVerdicts.at(id);
+    const CrashEvidence::Causes left =
+      mEvidence.Narrow(verdict.mCauses, verdict.mSince, KnownWithout(id).mVerdicts, aNow);
+    if (left != verdict.mCauses) {
+      Narrow(id, left, true, "an engine ended under it without the others", aNow);
     }
-    std::visit(functional::Overloaded{
-                 [&](ReportedCrash& aCrash) {
-                   aCrash.mAge = AgeOf(item.mAt, aNow);
-                   findings.mCrashes.push_back(aCrash);
-                 },
-                 [&](ReportedSound& aSound) {
-                   aSound.mAge = AgeOf(item.mAt, aNow);
-                   findings.mSound.push_back(aSound);
-                 },
-                 [&](std::uint64_t aCause) { findings.mQuarantined.push_back(aCause); } },
-               item.mFinding);
-    ++item.mReports;
-    item.mNextReport = aNow + kReportInterval;
-  }
-  std::erase_if(mOutgoing,
-                [](const Outgoing& aItem) { return aItem.mReports >= kReportCount; });
-  return findings;
-}
-
-void RequestQuarantine::ReplySound(std::uint64_t aCause, timing::Instant aNow)
+  }
+  for (const CrashEvidence::Causes& causes :
+       mEvidence.Blame(KnownWithout(std::nullopt), aNow)) {
+    if (Adopt(causes, "engines ended under it", aNow)) {
+      AddOutgoing(
+        ReportedVerdict{ causes }, aNow, aNow + RandomDelay(kMaxQuarantineReportDelay));
+    }
+  }
+}
+
+std::set<std::uint64_t> RequestQuarantine::VerdictsWith(
+  const CrashEvidence::Causes& aCauses) const
 {
-  const auto sound = mEvidence.LastSound(aCause);
-  const bool queued = std::ranges::any_of(mOutgoing, [aCause](const Outgoing& aItem) {
-    const auto* reply = std::get_if<ReportedSound>(&aItem.mFinding);
-    return reply != nullptr && reply->mCause == aCause;
-  });
-  if (sound && !queued) {
-    AddOutgoing(ReportedSound{ aCause, {} }, *sound, aNow + RandomDelay(kMaxReplyDelay));
+  std::set<std::uint64_t> verdicts;
+  for (const std::uint64_t cause : aCauses) {
+    if (const auto it = mVerdictOf.find(cause); it != mVerdictOf.end()) {
+      verdicts.insert(it->second);
+    }
   }
+  return verdicts;
 }
 
-void RequestQuarantine::Merge(const CrashFindings& aFindings, timing::Instant aNow)
+CrashEvidence::Causes RequestQuarantine::Common(const QuarantineVerdict& aVerdict,
+                                                const CrashEvidence::Causes& aCauses)
 {
-  for (const ReportedSound& sound : aFindings.mSound) {
-    // This entry need not say what another one has said.
-    std::erase_if(mOutgoing, [&](const Outgoing& aItem) {
-      const auto* reply = std::get_if<ReportedSound>(&aItem.mFinding);
-      return reply != nullptr && reply->mCause == sound.mCause &&
-             aItem.mAt <= aNow - sound.mAge + CrashEvidence::kSoundTime;
-    });
-    RecordSoundCause(sound.mCause, aNow - sound.mAge, aNow);
+  CrashEvidence::Causes common;
+  std::ranges::set_intersection(aVerdict.mCauses, aCauses, std::back_inserter(common));
+  return common;
+}
+
+bool RequestQuarantine::Adopt(const CrashEvidence::Causes& aCauses,
+                              const char* aReason,
+                              timing::Instant aNow)
+{
+  const std::set<std::uint64_t> known = VerdictsWith(aCauses);
+  if (known.empty()) {
+    Quarantine(aCauses, aReason, aNow);
+    return true;
   }
-  for (const ReportedCrash& crash : aFindings.mCrashes) {
-    if (!mEvidence.RecordCrash(crash.mEndpointHash, crash.mSuspects, aNow - crash.mAge)) {
-      continue;
-    }
-    mEvidenceChanged = true;
-    for (const Suspect& suspect : crash.mSuspects) {
-      if (mEvidence.CrashesWith(suspect.mCause) >= kMinCrashesForReply) {
-        ReplySound(suspect.mCause, aNow);
-      }
+  bool changed = false;
+  for (const std::uint64_t id : known) {
+    const QuarantineVerdict& verdict = mVerdicts.at(id);
+    const CrashEvidence::Causes common = Common(verdict, aCauses);
+    if (common != verdict.mCauses) {
+      Narrow(id, common, true, aReason, aNow);
+      changed = true;
     }
   }
-  for (const std::uint64_t cause : aFindings.mQuarantined) {
-    ReplySound(cause, aNow);
-    DropOutgoing<std::uint64_t>([cause](std::uint64_t aSaid) { return aSaid == cause; });
-    if (!IsSound(cause, aNow)) {
-      Quarantine(cause, "another entry blames it", aNow);
-    }
+  return changed;
+}
+
+void RequestQuarantine::Quarantine(const CrashEvidence::Causes& aCauses,
+                                   const char* aReason,
+                                   timing::Instant aNow)
+{
+  const std::uint64_t id = VerdictId(aCauses);
+  QuarantineVerdict& verdict = mVerdicts[id];
+  verdict.mCauses = aCauses;
+  verdict.mSince = aNow;
+  verdict.mUntil = aNow + kTerm;
+  verdict.mNextTest = aNow + kFirstTest;
+  verdict.mTestInterval = kFirstTest;
+  for (const std::uint64_t cause : aCauses) {
+    mVerdictOf.insert_or_assign(cause, id);
+    mWatched.erase(cause);
+  }
+  if (aCauses.size() > 1) {
+    mTests.Delay(aCauses, aNow + RandomDelay(kMaxFirstTestDelay));
+  }
+  mChanges.push_back({ aCauses, true, {}, aReason, mEvidence.EnginesOf(aCauses) });
+  if (mVerdicts.size() > kMaxCauses) {
+    const auto oldest = std::ranges::min_element(
+      mVerdicts, {}, [](const auto& aRow) { return aRow.second.mSince; });
+    Lift(oldest->first, "too many causes are in quarantine", aNow);
   }
 }
 
-std::vector<RequestQuarantine::RecordChange> RequestQuarantine::RecordChanges(
-  bool aLeads,
-  timing::Instant aNow)
+QuarantineVerdict RequestQuarantine::Remove(std::uint64_t aVerdict,
+                                            std::uint64_t aSuccessor,
+                                            timing::Instant aNow)
 {
-  std::vector<RecordChange> changes;
-  const auto tryChange = [&](std::uint64_t aCause, bool aCreate) {
-    const auto [it, first] = mRecordTriedAt.try_emplace(aCause, aNow);
-    if (first || it->second + kRecordDelay <= aNow) {
-      it->second = aNow;
-      changes.push_back({ aCause, aCreate });
-    }
-  };
-  for (const auto& [id, cause] : mCauses) {
-    if (!mRecords.contains(id) && (aLeads || cause.mSince + kRecordDelay <= aNow)) {
-      tryChange(id, true);
-    }
+  QuarantineVerdict verdict = std::move(mVerdicts.extract(aVerdict).mapped());
+  for (const std::uint64_t cause : verdict.mCauses) {
+    mVerdictOf.erase(cause);
   }
-  for (const auto& [id, since] : mLifted) {
-    if (aLeads || since + kRecordDelay <= aNow) {
-      tryChange(id, false);
-    }
+  if (mRecords.contains(aVerdict)) {
+    mObsolete.insert_or_assign(aVerdict, ObsoleteRecord{ aNow, aSuccessor });
+  } else {
+    mRecordTriedAt.erase(aVerdict);
   }
-  return changes;
+  DropOutgoing<ReportedVerdict>(
+    [&](const ReportedVerdict& aSaid) { return aSaid.mCauses == verdict.mCauses; });
+  return verdict;
 }
 
-void RequestQuarantine::OnRecord(std::uint64_t aCause,
-                                 bool aPresent,
-                                 bool aOwn,
-                                 timing::Instant aNow)
+void RequestQuarantine::Narrow(std::uint64_t aVerdict,
+                               const CrashEvidence::Causes& aLeft,
+                               bool aWatchDropped,
+                               const char* aReason,
+                               timing::Instant aNow)
 {
-  mRecordTriedAt.erase(aCause);
-  mLifted.erase(aCause);
-  if (!aPresent) {
-    if (mRecords.erase(aCause) > 0 && mCauses.contains(aCause)) {
-      // Who lifts it by hand wants what was seen until then to count no more.
-      mEvidence.RecordSound(aCause, aNow);
-      Lift(aCause, "its record was deleted", aNow);
-    }
+  if (aLeft.empty()) {
+    Lift(aVerdict, aReason, aNow);
     return;
   }
-  mRecords.insert(aCause);
-  ReplySound(aCause, aNow);
-  if (!mCauses.contains(aCause) && IsSound(aCause, aNow)) {
-    mLifted.insert_or_assign(aCause, aNow);
-    return;
+  const std::uint64_t id = VerdictId(aLeft);
+  QuarantineVerdict verdict = Remove(aVerdict, id, aNow);
+  const CrashEvidence::Causes before = std::exchange(verdict.mCauses, aLeft);
+  verdict.mOwnRecord = false;
+  for (auto& [obsoleteId, obsolete] : mObsolete) {
+    obsolete.mSuccessor = obsolete.mSuccessor == aVerdict ? id : obsolete.mSuccessor;
+  }
+  if (aWatchDropped) {
+    verdict.mNextTest = std::min(verdict.mNextTest, aNow + kFirstTestOfNarrowed);
+    const timing::Instant firstTest = aNow + RandomDelay(kMaxFirstTestDelay);
+    for (const std::uint64_t cause : before) {
+      if (mWatched.size() < kMaxCauses && !std::ranges::binary_search(aLeft, cause)) {
+        mWatched.insert_or_assign(cause, aNow);
+        mTests.Delay({ cause }, firstTest);
+      }
+    }
   }
-  Quarantine(aCause, "the store has a record of it", aNow);
-  if (const auto it = mCauses.find(aCause); it != mCauses.end()) {
-    it->second.mOwnRecord = aOwn;
+  for (const std::uint64_t cause : aLeft) {
+    mVerdictOf.insert_or_assign(cause, id);
   }
+  mObsolete.erase(id);
+  mVerdicts.insert_or_assign(id, std::move(verdict));
+  mChanges.push_back({ aLeft, true, before, aReason, mEvidence.EnginesOf(aLeft) });
+  AddOutgoing(
+    ReportedVerdict{ aLeft }, aNow, aNow + RandomDelay(kMaxQuarantineReportDelay));
 }
 
-void RequestQuarantine::RetainRecords(const std::set<std::uint64_t>& aCauses,
-                                      timing::Instant aNow)
+void RequestQuarantine::Lift(std::uint64_t aVerdict,
+                             const char* aReason,
+                             timing::Instant aNow)
 {
-  std::vector<std::uint64_t> gone;
-  std::ranges::set_difference(mRecords, aCauses, std::back_inserter(gone));
-  for (const std::uint64_t cause : gone) {
-    OnRecord(cause, false, false, aNow);
-  }
+  const QuarantineVerdict verdict = Remove(aVerdict, 0, aNow);
+  mChanges.push_back(
+    { verdict.mCauses, false, {}, aReason, mEvidence.EnginesOf(verdict.mCauses) });
+}
+
+CrashEvidence::Causes RequestQuarantine::CausesOfVerdict(std::uint64_t aVerdict) const
+{
+  const auto it = mVerdicts.find(aVerdict);
+  return it == mVerdicts.end() ? CrashEvidence::Causes() : it->second.mCauses;
 }
 
 std::vector<RequestQuarantine::Change> RequestQuarantine::TakeChanges()
@@ -407,17 +484,21 @@
 void RequestQuarantine::Tick(timing::Instant aNow)
 {
   mEvidence.Tick(aNow);
+  mTests.Tick(aNow);
   std::erase_if(mBroken, [aNow](const auto& aRow) {
     return aRow.second.mLastAt + kProofTime <= aNow;
   });
+  std::erase_if(mWatched, [aNow](const auto& aRow) {
+    return aRow.second + CrashEvidence::kMemory <= aNow;
+  });
   std::vector<std::uint64_t> over;
-  for (const auto& [id, cause] : mCauses) {
-    if (cause.mUntil <= aNow) {
+  for (const auto& [id, verdict] : mVerdicts) {
+    if (verdict.mUntil <= aNow) {
       over.push_back(id);
     }
   }
-  for (const std::uint64_t cause : over) {
-    Lift(cause, "its term is over", aNow);
+  for (const std::uint64_t verdict : over) {
+    Lift(verdict, "its term is over", aNow);
   }
   if (mEvidenceChanged) {
     Evaluate(aNow);
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -1,6 +1,7 @@
 #include "components/gateway/trafficcontrol.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphiresail::gateway {
 
@@ -37,6 +38,9 @@
   if (choice.mEndpoint == nullptr) {
     return choice;
   }
+  if (const auto reason = TryBeginTest(metadata, choice.mAttempt, aNow)) {
+    return { nullptr, *reason, {}, {} };
+  }
   if (suspect) {
     choice.mAttempt.mSuspect = metadata.mIdentity;
     mSuspectAttempts.Begin(choice.mAttempt.mEndpoint, metadata.mIdentity);
@@ -54,6 +58,32 @@
   return choice;
 }
 
+std::optional<NoEndpoint> TrafficControl::TryBeginTest(const RequestMetadata& aRequest,
+                                                       Attempt& aAttempt,
+                                                       timing::Instant aNow)
+{
+  if (mQuarantine.BlockOf(aRequest, aNow)) {
+    if (!mQuarantine.TryTest(aRequest, aNow)) {
+      return NoEndpoint::Quarantined;
+    }
+    aAttempt.mTested = mQuarantine.BlockingCauses(aRequest);
+    aAttempt.mFullTest = true;
+    return std::nullopt;
+  }
+  aAttempt.mTested = mQuarantine.CausesTested(aRequest);
+  const bool allowed =
+    aAttempt.mTested.empty() || mQuarantine.TryTestCauses(aAttempt.mTested, aNow);
+  return allowed ? std::nullopt : std::optional(NoEndpoint::SuspectTested);
+}
+
+bool TrafficControl::MayStillSend(const Admission& aAdmission,
+                                  const Attempt& aAttempt,
+                                  timing::Instant aNow) const
+{
+  return mDirectory.TakesRequests(aAttempt.mEndpoint, aNow) &&
+         (!aAttempt.mTested.empty() || !mQuarantine.BlockOf(aAdmission.mMetadata, aNow));
+}
+
 bool TrafficControl::IsQuarantined(const Admission& aAdmission,
                                    const std::vector<ids::EndpointId>& aTried,
                                    timing::Instant aNow) const
@@ -259,6 +289,11 @@
   if (aAttempt.mSuspect != 0) {
     mSuspectAttempts.End(aAttempt.mEndpoint, aAttempt.mSuspect);
   }
+  const bool mayHaveRun = aAttempt.mRequestSent && aEnd != AttemptEnd::Refused;
+  if (!mayHaveRun && !aAttempt.mTested.empty()) {
+    mQuarantine.OnTestNotRun(
+      aAttempt.mTested, aAttempt.mFullTest, aAttempt.mSentAt, aNow);
+  }
   Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
   if (endpoint == nullptr) {
     return;
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -170,7 +170,7 @@
     return RefuseInOutage("the route has no service");
   }
   const auto block = mQuarantine.BlockOf(aMetadata, aNow);
-  const bool tests = block && mQuarantine.TryTest(aMetadata, aNow);
+  const bool tests = block && mQuarantine.IsTestDue(aMetadata, aNow);
   if (block && !tests) {
     return RefuseQuarantined(*route, aMetadata, aNow);
   }
@@ -348,6 +348,12 @@
     case NoEndpoint::Quarantined:
       refusal = RefuseQuarantined(*aAdmission.mRoute, aAdmission.mMetadata, aNow);
       break;
+    case NoEndpoint::SuspectTested:
+      ++mQuarantineRefusals;
+      refusal.mReason = "endpoints end under a part, another request tells which: " +
+                        PartNames(mQuarantine.CausesTested(aAdmission.mMetadata));
+      refusal.mRetryAfter = RetryAfter(kMinSuspectRetry, kMaxSuspectRetry);
+      break;
     case NoEndpoint::Stopping: {
       const Refusal stopping = RefuseStopping(aAdmission.mRoute, aNow);
       refusal.mReason = stopping.mReason;
@@ -370,10 +376,12 @@
   Refusal refusal;
   refusal.mRoute = aRoute.mName;
   if (const auto block = mQuarantine.BlockOf(aMetadata, aNow)) {
-    const bool whole = block->mCause == aMetadata.mIdentity;
-    refusal.mReason =
-      (whole ? "endpoints end under this request: " : "endpoints end under a part: ") +
-      PartName(block->mCause);
+    const bool whole = block->mCauses.front() == aMetadata.mIdentity;
+    const bool several = block->mCauses.size() > 1;
+    refusal.mReason = (whole     ? "endpoints end under this request: "
+                       : several ? "endpoints end under these parts together: "
+                                 : "endpoints end under a part: ") +
+                      PartNames(block->mCauses);
     refusal.mRetryAfter = std::chrono::ceil<milliseconds>(block->mUntil - aNow);
   } else {
     refusal.mReason = "endpoints ended under this request, another one tries it: " +
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -127,6 +127,12 @@
                const std::vector<ids::EndpointId>& aTried,
                timing::Instant aNow);
 
+  /// Returns false if, since the attempt began, its endpoint has been withdrawn or the
+  /// request has been put into quarantine.
+  bool MayStillSend(const Admission& aAdmission,
+                    const Attempt& aAttempt,
+                    timing::Instant aNow) const;
+
   /// Records that an endpoint responded that it did not run the request. If it is not
   /// full, it lacks the model or adapter, or is about to unload it.
   void ObserveRefusal(const ids::EndpointId& aEndpoint,
@@ -214,6 +220,11 @@
   bool IsQuarantined(const Admission& aAdmission,
                      const std::vector<ids::EndpointId>& aTried,
                      timing::Instant aNow) const;
+  /// Counts the attempt as a test if the quarantine allows the request as one only.
+  /// Returns why it must not be sent; none if it may.
+  std::optional<NoEndpoint> TryBeginTest(const RequestMetadata& aRequest,
+                                         Attempt& aAttempt,
+                                         timing::Instant aNow);
   /// Chooses an endpoint; for a request under which one ended, preferably none that has
   /// another such request.
   Choice ChooseApart(const Admission& aAdmission,
