Send requests that share a suspected part to one endpoint, one at a time after two ends

A deadly part ended four to seven of the engines within 0.2 to 0.6 s, before three ends had proved it: first attempts that came at the same time, and second attempts of what had just ended an engine, each took another one, and their models were missing for seconds. The proof itself took 10 to 60 ms.

Requests with a part under which an endpoint ended, and that was not answered since, prefer one endpoint, picked by rendezvous hashing over those that can take them, so that entries agree without an exchange. Once two endpoints have ended under it, second attempts wait for the verdict and first ones go one at a time, for 0.4 s at most. After one end nothing waits, so that victims of a crash go on at once.

--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -118,6 +118,8 @@
           deadline;
       return hopeless ? aNow : deadline;
     }
+    case gateway::NoEndpoint::Suspected:
+      return admission.mDeadline;
     case gateway::NoEndpoint::ModelAbsent:
     case gateway::NoEndpoint::NoneUsable:
     case gateway::NoEndpoint::Paused:
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string>
+#include <utility>
 
 #include "components/gateway/demandmeter.hpp"
+#include "components/random/rendezvous.hpp"
 
 namespace samphiresail::gateway {
 
@@ -150,6 +153,19 @@
   }
 }
 
+EndpointChooser::Candidate& EndpointChooser::PreferredFor(
+  std::uint64_t aCause,
+  std::vector<Candidate>& aCandidates,
+  timing::Instant aNow)
+{
+  const std::string topic = std::to_string(aCause);
+  return *std::ranges::max_element(aCandidates, {}, [&](const Candidate& aCandidate) {
+    const Endpoint& endpoint = *aCandidate.mEndpoint;
+    return std::pair(Penalty(endpoint, aNow) < kUnreachablePenalty,
+                     random::RendezvousWeight(endpoint.mReport.mId.Str(), topic));
+  });
+}
+
 Choice EndpointChooser::Choose(const RoutingRequest& aRequest, timing::Instant aNow)
 {
   const RequestMetadata& metadata = aRequest.mMetadata;
@@ -200,7 +216,9 @@
     std::ranges::transform(candidates, std::back_inserter(spread), &Candidate::mSpread);
     std::uniform_real_distribution<double> draw(0.0, 1.0);
     Candidate& chosen =
-      candidates[SpreadOver(spread, aRequest.mUnreported, draw(mRandom))];
+      aRequest.mSuspectedCause
+        ? PreferredFor(*aRequest.mSuspectedCause, candidates, aNow)
+        : candidates[SpreadOver(spread, aRequest.mUnreported, draw(mRandom))];
     choice.mEndpoint = chosen.mEndpoint;
     choice.mAttempt = std::move(chosen.mAttempt);
     choice.mAttempt.mEndpoint = chosen.mEndpoint->mReport.mId;
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -33,6 +33,8 @@
   /// Endpoints end under a part of the prompt or another one; another request tests
   /// which.
   SuspectTested,
+  /// Endpoints may have ended under a part of the request, the last one just now.
+  Suspected,
   /// This process stops, and the request would not end before that.
   Stopping,
 };
@@ -53,8 +55,8 @@
   double mKeptTokens{ 0.0 };
   /// No response has begun to arrive.
   bool mUnanswered{ true };
-  /// RequestIdentity() of the request if endpoints had ended under it when the attempt
-  /// began, else 0.
+  /// RequestIdentity() of the request if endpoints had ended under it or a part of it
+  /// when the attempt began, else 0.
   std::uint64_t mSuspect{ 0 };
   /// Causes in quarantine that the attempt tells from each other.
   std::vector<std::uint64_t> mTested;
@@ -100,6 +102,9 @@
   /// Number of similar requests that the other entries send before their next peer
   /// reports.
   double mUnreported{ 0.0 };
+  /// If set, the endpoint is the one that all entries prefer for this cause, of those
+  /// that can take the request; otherwise the load is spread.
+  std::optional<std::uint64_t> mSuspectedCause;
 };
 
 /// Workload: ordinary traffic on every day, with prompts of very different lengths.
@@ -163,6 +168,10 @@
                                 const std::vector<std::uint64_t>& aLeadingParts,
                                 Choice& aChoice,
                                 timing::Instant aNow) const;
+  /// Returns the candidate that all entries prefer for the cause.
+  static Candidate& PreferredFor(std::uint64_t aCause,
+                                 std::vector<Candidate>& aCandidates,
+                                 timing::Instant aNow);
   /// Penalty of outliers and of unreachable or silent endpoints, so that they are chosen
   /// last.
   static double Penalty(const Endpoint& aEndpoint, timing::Instant aNow);
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "components/gateway/suspectedcause.hpp"
+
 namespace samphiresail::gateway {
 
 namespace {
@@ -33,17 +35,25 @@
   if (!MayBegin(aAdmission, aNow)) {
     return { nullptr, NoEndpoint::Stopping, {}, {} };
   }
-  const bool suspect = mQuarantine.EndsUnder(metadata.mIdentity, aNow) > 0;
-  Choice choice = ChooseApart(aAdmission, aTried, suspect, aNow);
+  const std::optional<std::uint64_t> cause = SuspectedCause(
+    metadata, [&](std::uint64_t aCause) { return mQuarantine.EndsUnder(aCause, aNow); });
+  if (cause && mSuspectAttempts.WaitsForOthers(metadata.mIdentity,
+                                               *cause,
+                                               mQuarantine.EndsUnder(*cause, aNow),
+                                               aAdmission.mArrived,
+                                               aNow)) {
+    return { nullptr, NoEndpoint::Suspected, {}, {} };
+  }
+  Choice choice = ChooseApart(aAdmission, aTried, cause, aNow);
   if (choice.mEndpoint == nullptr) {
     return choice;
   }
   if (const auto reason = TryBeginTest(metadata, choice.mAttempt, aNow)) {
     return { nullptr, *reason, {}, {} };
   }
-  if (suspect) {
+  if (cause && metadata.mIdentity != 0) {
     choice.mAttempt.mSuspect = metadata.mIdentity;
-    mSuspectAttempts.Begin(choice.mAttempt.mEndpoint, metadata.mIdentity);
+    mSuspectAttempts.Begin(choice.mAttempt.mEndpoint, metadata.mIdentity, *cause);
   }
   RecordStart(*choice.mEndpoint, choice.mAttempt);
   mCold.Record(choice.mAttempt.mEndpoint, aNow);
@@ -103,7 +113,7 @@
 
 Choice TrafficControl::ChooseApart(const Admission& aAdmission,
                                    const std::vector<ids::EndpointId>& aTried,
-                                   bool aSuspect,
+                                   std::optional<std::uint64_t> aSuspectedCause,
                                    timing::Instant aNow)
 {
   const auto choose = [&](const std::vector<ids::EndpointId>& aExcluded) {
@@ -112,12 +122,13 @@
                                   aExcluded,
                                   aAdmission.mRoute->mLatencyTolerant,
                                   Allowance(aAdmission, aNow).mAtEngine,
-                                  UnreportedRequests(aAdmission, aNow) };
+                                  UnreportedRequests(aAdmission, aNow),
+                                  aSuspectedCause };
     return mChooser.Choose(request, aNow);
   };
-  if (aSuspect) {
+  if (aSuspectedCause) {
     std::vector<ids::EndpointId> excluded =
-      mSuspectAttempts.EndpointsOfOthers(aAdmission.mMetadata.mIdentity);
+      mSuspectAttempts.EndpointsOfOthers(*aSuspectedCause);
     excluded.insert(excluded.end(), aTried.begin(), aTried.end());
     Choice choice = choose(excluded);
     if (choice.mEndpoint != nullptr) {
@@ -133,6 +144,7 @@
 {
   const std::uint64_t hash = HashName(aAttempt.mEndpoint.Str());
   mQuarantine.OnBroken(hash, aAdmission.mMetadata, aNow);
+  mSuspectAttempts.RecordBreak(aAdmission.mMetadata.mIdentity, aNow);
   return mQuarantine.TryProbe(hash, aNow);
 }
 
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -354,6 +354,10 @@
                         PartNames(mQuarantine.CausesTested(aAdmission.mMetadata));
       refusal.mRetryAfter = RetryAfter(kMinSuspectRetry, kMaxSuspectRetry);
       break;
+    case NoEndpoint::Suspected:
+      refusal.mReason = "endpoints may have ended under a part of it";
+      refusal.mRetryAfter = RetryAfter(kMinFullRetry, kMaxFullRetry);
+      break;
     case NoEndpoint::Stopping: {
       const Refusal stopping = RefuseStopping(aAdmission.mRoute, aNow);
       refusal.mReason = stopping.mReason;
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -225,11 +225,11 @@
   std::optional<NoEndpoint> TryBeginTest(const RequestMetadata& aRequest,
                                          Attempt& aAttempt,
                                          timing::Instant aNow);
-  /// Chooses an endpoint; for a request under which one ended, preferably none that has
-  /// another such request.
+  /// Chooses an endpoint; for a request with a suspected cause preferably the one to
+  /// which all with that cause go, and none that has a request with another one.
   Choice ChooseApart(const Admission& aAdmission,
                      const std::vector<ids::EndpointId>& aTried,
-                     bool aSuspect,
+                     std::optional<std::uint64_t> aSuspectedCause,
                      timing::Instant aNow);
   /// Refuses a request for which IsQuarantined() is true.
   Refusal RefuseQuarantined(const Route& aRoute,
