Tell a response without a length from the end of its endpoint

Callers could get a part of a stream, or of a plain response, as a whole one: a response with neither a length nor chunks ends with its connection, and an endpoint that ends at the boundary of an event ends it in the same way. A sound response of this kind never counted as an answer of its request.

When such a response ends cleanly, the entry opens a connection to the endpoint. If that is refused and the endpoint was not leaving, the response broke off: it is resumed or repeated where that is allowed. If the endpoint runs, the response is whole and speaks for its request. A refusal or a late response without a length is known by its head and not read to its end. An empty response of the store without a length is no success.

--- a/apps/tests/platform/httpclienttest.cpp
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -115,6 +115,56 @@
   CHECK(Await(calls.Order(endpoint, action, 41)) == gateway::OrderOutcome::Conflict);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "http client: a response without a length ends with its connection",
+                 "[platform]")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  const std::string body = R"({"stage":"running"})";
+  SECTION("whole")
+  {
+    ScriptedEndpoint::Script script{ head + body.substr(0, 4), true };
+    script.mSecondPart = body.substr(4);
+    mServer.AddScript(script);
+    const HttpReply reply = Call();
+    CHECK(reply.mOutcome == HttpReply::Outcome::Answered);
+    CHECK(reply.mBody == body);
+    mServer.AddScript({ Response(200, "next") });
+    CHECK(Call().mBody == "next");
+    CHECK(mServer.Connections() == 2);
+  }
+  SECTION("but is no answer if it is reset")
+  {
+    for (std::size_t n = 0; n <= body.size(); ++n) {
+      ScriptedEndpoint::Script script{ head + body.substr(0, n), true };
+      script.mReset = true;
+      mServer.AddScript(script);
+      CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
+    }
+  }
+  SECTION("and is bounded")
+  {
+    mServer.AddScript({ head + std::string(9U << 20U, 'x') });
+    CHECK(Call().mOutcome == HttpReply::Outcome::TooLarge);
+  }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "engine calls: a report without a length that is cut is no report",
+                 "[platform]")
+{
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [](const auto&) {});
+  gateway::EndpointReport endpoint;
+  endpoint.mAddress = mAddress;
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  const std::string body = R"({"stage":"running","models":[],"sequence":3})";
+  for (std::size_t n = 0; n <= body.size(); ++n) {
+    INFO(n << " of " << body.size());
+    mServer.AddScript({ head + body.substr(0, n), true });
+    CHECK(Await(calls.Report(endpoint)).has_value() == (n == body.size()));
+  }
+}
+
 TEST_CASE_METHOD(Fixture,
                  "http client: a response that is cut at any byte is not an answer",
                  "[platform]")
--- a/apps/tests/platform/storetest.cpp
+++ b/apps/tests/platform/storetest.cpp
@@ -180,6 +180,44 @@
   CHECK(mServer.Connections() == 2);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "store: an answer without a length is whole only with its body",
+                 "[platform]")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  SECTION("of a write")
+  {
+    const std::string body = R"({"revision":12})";
+    for (std::size_t n = 0; n < body.size(); ++n) {
+      INFO(n << " of " << body.size());
+      mServer.AddScript({ head + body.substr(0, n), true });
+      CHECK(Write().mOutcome == StoreOutcome::Unknown);
+    }
+    mServer.AddScript({ head + body, true });
+    const store::StoreReply reply = Write();
+    CHECK(reply.mOutcome == StoreOutcome::Answered);
+    CHECK(reply.mRevision == 12);
+  }
+  SECTION("of a page and of a watch")
+  {
+    const bool page = GENERATE(true, false);
+    const std::string list = page ? "items" : "events";
+    const std::string body =
+      R"({")" + list + R"(":[{"key":"a","revision":3}],"storeRevision":9})";
+    const auto read = [&] {
+      return Await(page ? mStore.ReadPage("", kLongLimits)
+                        : mStore.Watch(7, 1ms, kLongLimits));
+    };
+    for (std::size_t n = 0; n < body.size(); ++n) {
+      INFO(n << " of " << body.size());
+      mServer.AddScript({ head + body.substr(0, n), true });
+      CHECK(read().mOutcome != platform::StoreReading::Outcome::Answered);
+    }
+    mServer.AddScript({ head + body, true });
+    CHECK(read().mOutcome == platform::StoreReading::Outcome::Answered);
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "store: pages and changes are decoded", "[platform]")
 {
   mServer.AddScript({ JsonResponse(
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -49,6 +49,8 @@
   bool mResponseBegan{ false };
   /// The response has neither a length nor chunks, so that it ends with its connection.
   bool mHasNoLength{ false };
+  /// For such a response that has ended: its endpoint accepted a connection afterwards.
+  bool mEndpointRuns{ false };
   /// Blocks of events that the response has brought.
   std::size_t mEvents{ 0 };
   /// The error that ended the connection, if any.
--- a/components/frontend/endpointprobe.cpp
+++ b/components/frontend/endpointprobe.cpp
@@ -15,16 +15,17 @@
 
 }
 
-asio::awaitable<void> ProbeEndpoint(FrontendContext& aContext,
-                                    ids::EndpointId aEndpoint,
-                                    settings::SocketAddress aAddress)
+asio::awaitable<ProbeOutcome> ProbeEndpoint(FrontendContext& aContext,
+                                            ids::EndpointId aEndpoint,
+                                            settings::SocketAddress aAddress)
 {
   ErrorCode ec;
   const auto host = asio::ip::make_address_v4(aAddress.mHost, ec);
   if (ec) {
-    co_return;
+    co_return ProbeOutcome::Unknown;
   }
-  std::shared_ptr<BackendConnection> connection = aContext.mBackends.CreateConnection();
+  const std::shared_ptr<BackendConnection> connection =
+    aContext.mBackends.CreateConnection();
   asio::steady_timer timeout(aContext.mIo, kProbeTimeout);
   timeout.async_wait([connection](const ErrorCode& aEc) {
     if (!aEc) {
@@ -32,15 +33,20 @@
     }
   });
   const tcp::endpoint endpoint(host, aAddress.mPort);
-  co_await connection->mSocket.async_connect(endpoint, RedirectError(ec));
+  tcp::socket& socket = connection->mSocket;
+  co_await socket.async_connect(endpoint, RedirectError(ec));
   timeout.cancel();
-  const bool refused = ec == asio::error::connection_refused;
-  if (!ec || refused) {
-    aContext.mControl.OnProbe(aEndpoint, refused, aContext.mClock.Now());
-  }
-  if (refused) {
+  const timing::Instant now = aContext.mClock.Now();
+  if (ec == asio::error::connection_refused) {
+    aContext.mControl.OnProbe(aEndpoint, true, now);
     aContext.mLogger.Info("endpoint has ended", { { "endpoint", aEndpoint.Str() } });
+    co_return ProbeOutcome::Ended;
+  }
+  if (ec || !socket.is_open()) {
+    co_return ProbeOutcome::Unknown;
   }
+  aContext.mControl.OnProbe(aEndpoint, false, now);
+  co_return ProbeOutcome::Running;
 }
 
 }
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -113,6 +113,10 @@
   static asio::awaitable<ErrorCode> ReadSome(AttemptState& aAttempt,
                                              std::string_view& aRead);
   static asio::awaitable<bool> DiscardBody(AttemptState& aAttempt);
+  /// Learns whether a response without a length, which ended with its connection, ended
+  /// with its endpoint as well and so may be a part of the response. Returns true if it
+  /// did; an endpoint that leaves ends after its last response.
+  asio::awaitable<bool> EndedWithEndpoint(AttemptState& aAttempt);
   asio::awaitable<Result> ForwardBufferedResponse(AttemptState& aAttempt);
   asio::awaitable<Result> ForwardEventStream(AttemptState& aAttempt);
   /// Records how an attempt ended and keeps its connection if it can be used again.
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -235,6 +235,10 @@
 
 asio::awaitable<bool> Forwarder::DiscardBody(AttemptState& aAttempt)
 {
+  if (aAttempt.mHasNoLength) {
+    // It ends with its connection, which cannot be used again.
+    co_return false;
+  }
   ErrorCode ec;
   std::string_view skipped;
   std::size_t discarded = 0;
@@ -270,7 +274,7 @@
   }
   if (aResult == Result::Delivered) {
     // The end of the endpoint looks like the end of a response without a length.
-    if (aAttempt.mHasNoLength && !mExchange.mAnswered) {
+    if (aAttempt.mHasNoLength && !aAttempt.mEndpointRuns && !mExchange.mAnswered) {
       RecordBrokenAttempt(aAttempt);
     } else {
       RecordAnswered();
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "components/frontend/endpointprobe.hpp"
+
 namespace samphiresail::frontend {
 
 namespace {
@@ -70,6 +72,10 @@
     aAttempt.mError = http::error::end_of_stream;
     co_return Result::Failed;
   }
+  if (IsSuccess(status) && aAttempt.mHasNoLength &&
+      co_await EndedWithEndpoint(aAttempt)) {
+    co_return Result::Failed;
+  }
   std::string response = ResponseHead(parser.get().base());
   AppendHeader(response, "Content-Length", std::to_string(body.size()));
   if (!SayKeepAlive()) {
@@ -155,8 +161,15 @@
   if (mExchange.mEvents.Partial() || aAttempt.mError) {
     co_return Result::Failed;
   }
+  if (aAttempt.mHasNoLength && co_await EndedWithEndpoint(aAttempt)) {
+    co_return Result::Failed;
+  }
   // The stream ended after its last event was forwarded, or had no event.
   DropStandby();
+  if (aAttempt.mEndpointRuns) {
+    mContext.mControl.OnStreamComplete(
+      aAttempt.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
+  }
   std::string out;
   if (!mExchange.mResponseHeadSent) {
     out = ResponseHead(parser.get().base());
@@ -173,6 +186,27 @@
   co_return delivered ? Result::Delivered : Result::Ended;
 }
 
+asio::awaitable<bool> Forwarder::EndedWithEndpoint(AttemptState& aAttempt)
+{
+  const gateway::Endpoint* endpoint =
+    mContext.mControl.mDirectory.Find(aAttempt.mAttempt.mEndpoint);
+  if (endpoint == nullptr || endpoint->IsLeaving()) {
+    co_return false;
+  }
+  aAttempt.mDeadline = timing::Instant::max();
+  if (!mExchange.mAnswered) {
+    mContext.mControl.OnUnansweredBreak(
+      aAttempt.mAttempt, mExchange.mAdmission, mContext.mClock.Now());
+  }
+  const ProbeOutcome outcome =
+    co_await ProbeEndpoint(mContext, aAttempt.mAttempt.mEndpoint, aAttempt.mAddress);
+  aAttempt.mEndpointRuns = outcome == ProbeOutcome::Running;
+  if (outcome == ProbeOutcome::Ended) {
+    aAttempt.mError = http::error::end_of_stream;
+  }
+  co_return outcome == ProbeOutcome::Ended || aAttempt.mAborted;
+}
+
 void Forwarder::RecordFirstEvent(AttemptState& aAttempt)
 {
   const timing::Instant now = mContext.mClock.Now();
