--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "apps/samphiresail/gateway/recordkeys.hpp"
+#include "components/frontend/quarantinelog.hpp"
 #include "components/gateway/peercodec.hpp"
 
 namespace samphiresail::gatewayapp {
@@ -35,22 +36,6 @@
 /// How long the load of an adapter is included in reports, since datagrams can be lost.
 constexpr milliseconds kLoadedAdapterReportTime{ 700 };
 
-/// Returns the names of the endpoints with these hashes, separated by spaces; the hash of
-/// one that is not listed any more.
-std::string EndpointNames(const gateway::EndpointDirectory& aDirectory,
-                          const std::vector<std::uint64_t>& aHashes)
-{
-  std::string names;
-  for (const std::uint64_t hash : aHashes) {
-    const auto& all = aDirectory.All();
-    const auto it = std::ranges::find_if(
-      all, [hash](const auto& aRow) { return aRow.second.mHash == hash; });
-    names.append(names.empty() ? "" : " ")
-      .append(it == all.end() ? gateway::PartName(hash) : it->first.Str());
-  }
-  return names;
-}
-
 }
 
 void GatewayProcess::StoreEntryCount()
@@ -231,16 +216,9 @@
 void GatewayProcess::ReportFindings(timing::Instant aNow)
 {
   for (const auto& change : mControl.mQuarantine.TakeChanges()) {
-    const char* const begins =
-      change.mReplaced.empty() ? "quarantine begins" : "quarantine narrowed";
-    mLogger.Warn(
-      change.mBegins ? begins : "quarantine lifted",
-      { { "cause", gateway::PartNames(change.mCauses) },
-        { "before", gateway::PartNames(change.mReplaced) },
-        { "reason", change.mReason },
-        { "crashes", change.mEngines.size() },
-        { "endpoints", EndpointNames(mControl.mDirectory, change.mEngines) } });
+    frontend::LogVerdict(mLogger, mControl, change, aNow);
   }
+  mMetrics.mQuarantineVerdicts.Set(static_cast<double>(mControl.mQuarantine.Size()));
   mMetrics.mQuarantineRefusals.Increment(
     static_cast<double>(mControl.TakeQuarantineRefusals()));
   if (!mControl.mQuarantine.IsReportDue(aNow)) {
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -1,6 +1,7 @@
 #include "apps/samphiresail/gateway/gatewayprocess.hpp"
 
 #include "apps/samphiresail/gateway/recordkeys.hpp"
+#include "components/frontend/quarantinelog.hpp"
 #include "components/gateway/peercodec.hpp"
 
 namespace samphiresail::gatewayapp {
@@ -147,6 +148,8 @@
                                   record.mWriter == mSettings.mName.Str(),
                                   now,
                                   std::move(record.mCauses));
+    frontend::LogVerdictRecord(
+      mLogger, mControl.mQuarantine, *verdict, record.mWriter, now);
   } else if (aKey.starts_with(kMemberPrefix)) {
     const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
--- a/apps/tests/gateway/requestquarantinetest.cpp
+++ b/apps/tests/gateway/requestquarantinetest.cpp
@@ -221,6 +221,51 @@
   CHECK_FALSE(changes[0].mCreate);
 }
 
+TEST_CASE_METHOD(
+  Entry,
+  "quarantine: what is lifted by hand is not refused again for late reports",
+  "[gateway]")
+{
+  Entry other;
+  std::vector<CrashFindings> late;
+  for (std::uint64_t engine = 1; engine <= 3; ++engine) {
+    Crash(engine, { { kDeadlyPart } });
+    Advance(milliseconds(300));
+    late.push_back(mQuarantine.Report(mNow));
+    other.Advance(mNow - other.mNow);
+    other.mQuarantine.Merge(late.back(), mNow);
+  }
+  for (Entry* entry : { static_cast<Entry*>(this), &other }) {
+    entry->mQuarantine.OnRecord(kDeadlyPart, true, entry == this, mNow);
+    REQUIRE(entry->Blocks(kDeadlyPart));
+    entry->mQuarantine.OnRecord(kDeadlyPart, false, false, mNow);
+  }
+  Entry cutOff;
+  cutOff.mNow = mNow;
+  cutOff.mQuarantine.OnRecord(kDeadlyPart, true, false, mNow);
+  CHECK(mQuarantine.Report(mNow).mVerdicts.empty());
+  CrashFindings said;
+  said.mVerdicts.push_back({ { kDeadlyPart } });
+  late.push_back(said);
+  for (int i = 0; i < 20; ++i) {
+    for (Entry* entry : { static_cast<Entry*>(this), &other }) {
+      for (const CrashFindings& findings : i < 5 ? late : std::vector<CrashFindings>()) {
+        entry->mQuarantine.Merge(findings, entry->mNow);
+      }
+      CHECK_FALSE(entry->Blocks(kDeadlyPart));
+      CHECK(entry->mQuarantine.RecordChanges(true, entry->mNow).empty());
+      entry->Advance(milliseconds(300));
+    }
+    // It neither tells the others nor writes the record again.
+    cutOff.Advance(milliseconds(300));
+    CHECK(cutOff.Blocks(kDeadlyPart));
+    CHECK(cutOff.mQuarantine.Report(cutOff.mNow).Empty());
+    CHECK(cutOff.mQuarantine.RecordChanges(true, cutOff.mNow).empty());
+  }
+  cutOff.mQuarantine.RetainRecords({}, cutOff.mNow);
+  CHECK_FALSE(cutOff.Blocks(kDeadlyPart));
+}
+
 TEST_CASE_METHOD(
   Entry,
   "quarantine: the entry that wrote the record tests the part, ever more rarely",
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "components/frontend/quarantinelog.hpp"
 #include "components/gateway/requestidentity.hpp"
 
 namespace samphiresail::frontend {
@@ -284,6 +285,7 @@
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
   mContext.mMetrics.mQueued.Observe(exchange.mQueued);
   LogRequest(exchange, forwarder);
+  RecordTest(mContext.mLogger, mContext.mMetrics, exchange);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
   // A head that was sent before a planned stop says that the connection is kept.
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -54,6 +54,8 @@
   bool mCallerCutOff{ false };
   /// An attempt was answered beyond its first event.
   bool mAnswered{ false };
+  /// The response to an attempt broke off before its second event.
+  bool mBrokeOff{ false };
   tcp::socket* mCaller{ nullptr };
   /// The head of a streamed response was sent to the caller.
   bool mResponseHeadSent{ false };
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -334,6 +334,7 @@
   if (aAttempt.mAborted || IsAborted() || mExchange.mAnswered) {
     return;
   }
+  mExchange.mBrokeOff = true;
   if (mContext.mControl.OnUnansweredBreak(
         aAttempt.mAttempt, mExchange.mAdmission, mContext.mClock.Now())) {
     asio::co_spawn(
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -1,6 +1,8 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_FRONTEND_GATEWAYMETRICS_HPP
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_GATEWAYMETRICS_HPP
 
+#include <string>
+
 #include "components/metrics/registry.hpp"
 
 namespace samphiresail::frontend {
@@ -15,6 +17,12 @@
     , mQuarantineRefusals(
         aRegistry.AddCounter("samphiresail_quarantine_refusals_total",
                              "Requests refused since endpoints end under them"))
+    , mQuarantineVerdicts(
+        aRegistry.AddGauge("samphiresail_quarantine_verdicts",
+                           "Verdicts in force, for which requests are refused"))
+    , mQuarantineTestsAnswered(AddTests(aRegistry, "answered"))
+    , mQuarantineTestsBroken(AddTests(aRegistry, "broke_off"))
+    , mQuarantineTestsUndecided(AddTests(aRegistry, "undecided"))
     , mRetries(aRegistry.AddCounter("samphiresail_repeats_total",
                                     "Requests sent to one more endpoint"))
     , mInterruptedStreams(aRegistry.AddCounter("samphiresail_broken_answers_total",
@@ -35,12 +43,26 @@
   metrics::Counter mRequests;
   metrics::Counter mRefusals;
   metrics::Counter mQuarantineRefusals;
+  metrics::Gauge mQuarantineVerdicts;
+  /// Requests that were sent as tests of a verdict, by their outcome.
+  metrics::Counter mQuarantineTestsAnswered;
+  metrics::Counter mQuarantineTestsBroken;
+  metrics::Counter mQuarantineTestsUndecided;
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
   metrics::Histogram mLatency;
   metrics::Histogram mFirstEvent;
   metrics::Histogram mQueued;
   metrics::Histogram mForecastError;
+
+private:
+  static metrics::Counter AddTests(metrics::Registry& aRegistry,
+                                   const std::string& aOutcome)
+  {
+    return aRegistry.AddCounter("samphiresail_quarantine_tests_total",
+                                "Requests that tested a verdict, by their outcome",
+                                { { "outcome", aOutcome } });
+  }
 };
 
 }
--- a/components/gateway/requestquarantine.cpp
+++ b/components/gateway/requestquarantine.cpp
@@ -481,6 +481,29 @@
   return std::exchange(mChanges, {});
 }
 
+RequestQuarantine::CauseDescription RequestQuarantine::Describe(
+  std::uint64_t aCause,
+  timing::Instant aNow) const
+{
+  CauseDescription description;
+  description.mEnds = mEvidence.CrashesOf(aCause);
+  description.mExcusedEnds = mEvidence.CrashesWith(aCause) - description.mEnds;
+  if (const auto sound = mEvidence.LastSound(aCause)) {
+    description.mSinceAnswer = std::max(aNow - *sound, timing::Duration(0));
+  }
+  return description;
+}
+
+std::optional<timing::Duration> RequestQuarantine::UntilTest(std::uint64_t aVerdict,
+                                                             timing::Instant aNow) const
+{
+  const auto it = mVerdicts.find(aVerdict);
+  if (it == mVerdicts.end() || !it->second.mOwnRecord) {
+    return std::nullopt;
+  }
+  return std::max(it->second.mNextTest - aNow, timing::Duration(0));
+}
+
 void RequestQuarantine::Tick(timing::Instant aNow)
 {
   mEvidence.Tick(aNow);
--- a/components/gateway/requestquarantine.hpp
+++ b/components/gateway/requestquarantine.hpp
@@ -156,6 +156,22 @@
   /// Returns the changes since the last call, for the log.
   std::vector<Change> TakeChanges();
 
+  /// What speaks for and against one cause.
+  struct CauseDescription
+  {
+    /// Ends of engines that speak against it, and those that it was in but that an
+    /// answered request excuses.
+    std::size_t mEnds{ 0 };
+    std::size_t mExcusedEnds{ 0 };
+    /// Time since a request with it was answered.
+    std::optional<timing::Duration> mSinceAnswer;
+  };
+  CauseDescription Describe(std::uint64_t aCause, timing::Instant aNow) const;
+  /// Returns the time until this entry sends a refused request as the next test of the
+  /// verdict; none if another entry does.
+  std::optional<timing::Duration> UntilTest(std::uint64_t aVerdict,
+                                            timing::Instant aNow) const;
+
   /// Returns the causes of the verdict; none if it is not known.
   CrashEvidence::Causes CausesOfVerdict(std::uint64_t aVerdict) const;
   std::size_t Size() const { return mVerdicts.size(); }
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -176,6 +176,7 @@
   }
   Admission admission;
   admission.mTestsQuarantine = tests;
+  admission.mTestedCause = tests ? VerdictId(block->mCauses) : 0;
   admission.mConfiguration = mConfiguration;
   admission.mRoute = route;
   admission.mService = service;
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -63,6 +63,8 @@
   int mPriority{ 5 };
   /// The request tests whether its cause in quarantine still crashes engines.
   bool mTestsQuarantine{ false };
+  /// Identifier of that verdict.
+  std::uint64_t mTestedCause{ 0 };
   /// Staleness of keys and routes at admission.
   timing::Duration mConfigurationAge{ 0 };
 };
