--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -137,7 +137,7 @@
       mPeers.SetRecordedEntries(*entries);
     }
   } else if (const auto verdict = QuarantineVerdictOf(aKey)) {
-    QuarantineRecord record = ParseQuarantineRecord(aValue.value_or(std::string()));
+    const QuarantineRecord record = ParseQuarantineRecord(aValue.value_or(std::string()));
     if (!IsRecordOf(record, *verdict)) {
       mLogger.Warn("quarantine record cannot be read", { { "key", aKey } });
       return;
@@ -147,7 +147,7 @@
                                   aValue.has_value(),
                                   record.mWriter == mSettings.mName.Str(),
                                   now,
-                                  std::move(record.mCauses));
+                                  record.mCauses);
     frontend::LogVerdictRecord(
       mLogger, mControl.mQuarantine, *verdict, record.mWriter, now);
   } else if (aKey.starts_with(kMemberPrefix)) {
--- a/components/gateway/quarantineexchange.cpp
+++ b/components/gateway/quarantineexchange.cpp
@@ -181,7 +181,7 @@
                                  bool aPresent,
                                  bool aOwn,
                                  timing::Instant aNow,
-                                 CrashEvidence::Causes aCauses)
+                                 const CrashEvidence::Causes& aCauses)
 {
   mRecordTriedAt.erase(aVerdict);
   mObsolete.erase(aVerdict);
--- a/components/gateway/quarantineverdict.cpp
+++ b/components/gateway/quarantineverdict.cpp
@@ -27,8 +27,7 @@
 CrashEvidence::Causes SortedCauses(CrashEvidence::Causes aCauses)
 {
   std::ranges::sort(aCauses);
-  const auto rest = std::ranges::unique(aCauses);
-  aCauses.erase(rest.begin(), rest.end());
+  aCauses.erase(std::unique(aCauses.begin(), aCauses.end()), aCauses.end());
   return aCauses;
 }
 
--- a/components/gateway/requestquarantine.hpp
+++ b/components/gateway/requestquarantine.hpp
@@ -138,7 +138,7 @@
                 bool aPresent,
                 bool aOwn,
                 timing::Instant aNow,
-                CrashEvidence::Causes aCauses = {});
+                const CrashEvidence::Causes& aCauses = {});
   /// Records all verdicts that the store has a record of.
   void RetainRecords(const std::set<std::uint64_t>& aVerdicts, timing::Instant aNow);
 
