Take over no record of a verdict whose causes are not known

A leader that had no such verdict wrote the record of several causes anew without them. Entries that start later would read a verdict on the record's identifier, which no request has, and be without protection. Found by reading; no run shows it.

--- a/apps/samphiresail/gateway/quarantinerecords.cpp
+++ b/apps/samphiresail/gateway/quarantinerecords.cpp
@@ -40,14 +40,15 @@
   std::vector<ids::ProcessId> present = mPeers.Known();
   present.push_back(mSettings.mName);
   for (const auto& orphan : mQuarantineWriters.TakeOrphans(present, aNow)) {
-    if (mLeading) {
+    const auto causes = mControl.mQuarantine.CausesOfVerdict(orphan.mCause);
+    // A record without its causes would protect nobody.
+    if (mLeading && !causes.empty()) {
       mLogger.Info("quarantine record taken over",
                    { { "cause", gateway::PartName(orphan.mCause) } });
       const std::string key = QuarantineKey(orphan.mCause);
       store::TransactionRequest write;
       write.mCompares.push_back({ key, orphan.mRevision });
-      write.mWrites.emplace_back(store::PutOperation{
-        key, recordOf(mControl.mQuarantine.CausesOfVerdict(orphan.mCause)), 0 });
+      write.mWrites.emplace_back(store::PutOperation{ key, recordOf(causes), 0 });
       execute(std::move(write));
     }
   }
