--- a/components/gateway/requestquarantine.cpp
+++ b/components/gateway/requestquarantine.cpp
@@ -233,38 +233,6 @@
   return true;
 }
 
-void RequestQuarantine::OnTestNotRun(const CrashEvidence::Causes& aCauses,
-                                     bool aFull,
-                                     timing::Instant aBegan,
-                                     timing::Instant aNow)
-{
-  const auto takeBack = [&](CrashEvidence::Causes aTested) {
-    aTested.resize(std::min(aTested.size(), CrashEvidence::kMaxCausesOfVerdict));
-    DropOutgoing<ReportedTest>(
-      [&](const ReportedTest& aSaid) { return aSaid.mCauses == aTested; });
-    ReportedTest test{ std::move(aTested), aFull, true, {} };
-    TakeBackTest(test, aBegan);
-    AddOutgoing(std::move(test), aBegan, aNow);
-  };
-  if (!aFull) {
-    takeBack(aCauses);
-    return;
-  }
-  for (const std::uint64_t id : VerdictsWith(aCauses)) {
-    takeBack(mVerdicts.at(id).mCauses);
-  }
-}
-
-void RequestQuarantine::TakeBackTest(const ReportedTest& aTest, timing::Instant aBegan)
-{
-  if (!aTest.mFull) {
-    mTests.TakeBack(aTest.mCauses, aBegan);
-  } else if (const auto it = mVerdicts.find(VerdictId(aTest.mCauses));
-             it != mVerdicts.end()) {
-    it->second.TakeBackTest(aBegan);
-  }
-}
-
 CrashEvidence::Causes RequestQuarantine::CausesTested(
   const RequestMetadata& aRequest) const
 {
