--- a/apps/tests/frontend/exchangetest.cpp
+++ b/apps/tests/frontend/exchangetest.cpp
@@ -73,7 +73,7 @@
   CHECK_FALSE(exchange.mCurrent->mAborted);
 }
 
-TEST_CASE("exchanges: a silent attempt ends once the response of its standby has begun",
+TEST_CASE("exchanges: a standby is given up at its deadline unless it has taken over",
           "[frontend]")
 {
   WaitingExchange exchange;
