--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,6 +8,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import subprocess
 import sys
@@ -259,6 +260,9 @@
                 process.kill()
         for process in self.children:
             process.wait()
+        for entry in self.entries:
+            entry.log.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.record_file.close()
 
 
