--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-from deployment import LIMITS, Client, play, route
+from deployment import LIMITS, CannotRun, Client, play, route
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 16
@@ -80,7 +80,10 @@
     d.note("%d attempts, %d answered with 200; entry-1 ended %d times" % (
         len(answers), good, len(ends)))
     d.note("%d requests from kept connections were run by sound workers and got no answer" % lost)
-    return lost <= 3 and not ends
+    handed_out = sum(1 for line in d.events if line["what"] == "endless")
+    if good < 500 or handed_out != (1 if TROUBLE else 0):
+        raise CannotRun("hardly any request was served, or the endless answer was not asked for")
+    return lost <= 3
 
 
 play(case, sys.argv[1])
