--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -193,13 +193,13 @@
     def __init__(self, record_path):
         self.record_file = open(record_path, "w")
         self.begin = time.monotonic()
-        self.folder = tempfile.mkdtemp(prefix="samphiresail-review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             role = tomllib.load(file)["roles"]["entry"]
         self.run_line = shlex.split(role["run"])
         if not os.access(os.path.join(ROOT, self.run_line[0]), os.X_OK):
             raise CannotRun("%s is not built" % self.run_line[0])
         self.run_line[0] = os.path.join(ROOT, self.run_line[0])
+        self.folder = tempfile.mkdtemp(prefix="samphiresail-review-")
         self.net = "127.%d.%d." % (random.randint(10, 250), random.randint(1, 250))
         self.last_ip = 0
         self.children, self.readers = [], []
