Keep no more than 64 KiB of an endpoint's answer that cannot be parsed yet

Cause: the parser looks for the end of a chunk's size line, and of the trailer after the last chunk, in the buffer and reads on until it comes. The buffer had no maximum; the limits on head and body count other bytes. Bodies that are discarded, and those that are held, were bounded without their framing.

Change: the buffer of a connection to an endpoint has a maximum, and both bounds count all bytes after the head. The connection ends; the request is answered 502 or goes on at another endpoint, as with any broken answer.

--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -118,7 +118,8 @@
       ++mDisconnects;
       co_return;
     }
-    co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
+    mBytesSent +=
+      co_await asio::async_write(aSocket, asio::buffer(script.mBytes), RedirectError(ec));
     if (!script.mSecondPart.empty()) {
       asio::steady_timer timer(mIo, std::chrono::milliseconds(30));
       co_await timer.async_wait(RedirectError(ec));
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -52,6 +52,8 @@
 
   void AddScript(const Script& aScript) { mScripts.push_back(aScript); }
   std::uint16_t Port() const { return mPort; }
+  /// Bytes that the peers' system has taken of the scripts' first parts.
+  std::size_t BytesSent() const { return mBytesSent; }
   /// Heads and bodies of the received requests.
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// Connections that the peer closed while a silent script waited.
@@ -74,6 +76,7 @@
   std::vector<std::string> mRequests;
   int mDisconnects{ 0 };
   int mConnections{ 0 };
+  std::size_t mBytesSent{ 0 };
 };
 
 /// Clock of the operating system, moved ahead by the test.
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -61,6 +61,8 @@
   bool mTookOver{ false };
   /// This entry ended the attempt itself.
   bool mAborted{ false };
+  /// Bytes of the current response after its head, with the framing of its chunks.
+  std::size_t mBytesAfterHead{ 0 };
   /// Buffer for the bytes of a body.
   std::array<char, 8192> mBytes{};
 
--- a/components/frontend/backendpool.hpp
+++ b/components/frontend/backendpool.hpp
@@ -15,13 +15,17 @@
 /// Connection to an endpoint, with the bytes that were read but not yet parsed.
 struct BackendConnection
 {
+  /// Largest number of such bytes. The parser keeps the head of a response, the line with
+  /// the size of a chunk and the trailer after the last chunk until they are complete.
+  static constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
+
   explicit BackendConnection(asio::io_context& aContext)
     : mSocket(aContext)
   {
   }
 
   tcp::socket mSocket;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   /// Time after which the endpoint closes the connection if it is idle.
   timing::Duration mKeepAlive{ std::chrono::seconds(4) };
   timing::Instant mIdleSince{};
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -29,8 +29,8 @@
 constexpr int kMaxStaleResponses = 3;
 /// Largest head of an endpoint's response, in bytes.
 constexpr std::uint32_t kMaxResponseHeadBytes = 16384;
-/// Largest body that is read only to reuse its connection, in bytes; the outcome of the
-/// request does not wait for a longer one.
+/// Most bytes of a body, with the framing of its chunks, that are read only to reuse the
+/// connection; the outcome of the request does not wait for more.
 constexpr std::size_t kMaxDiscardedBytes = 64U << 10U;
 /// Longest list of prompt parts in a log line, in characters.
 constexpr std::size_t kMaxLoggedPartNames = 400;
@@ -142,6 +142,7 @@
 {
   ErrorCode ec;
   ResponseParser& parser = aAttempt.mParser.emplace();
+  aAttempt.mBytesAfterHead = 0;
   parser.header_limit(kMaxResponseHeadBytes);
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   co_await http::async_read_header(aAttempt.mConnection->mSocket,
@@ -221,10 +222,11 @@
   body.data = aAttempt.mBytes.data();
   body.size = aAttempt.mBytes.size();
   body.more = true;
-  co_await http::async_read_some(aAttempt.mConnection->mSocket,
-                                 aAttempt.mConnection->mBuffer,
-                                 *aAttempt.mParser,
-                                 RedirectError(ec));
+  aAttempt.mBytesAfterHead +=
+    co_await http::async_read_some(aAttempt.mConnection->mSocket,
+                                   aAttempt.mConnection->mBuffer,
+                                   *aAttempt.mParser,
+                                   RedirectError(ec));
   aRead = { aAttempt.mBytes.data(), aAttempt.mBytes.size() - body.size };
   if (ec == http::error::need_buffer) {
     ec = {};
@@ -241,10 +243,9 @@
   }
   ErrorCode ec;
   std::string_view skipped;
-  std::size_t discarded = 0;
-  while (!ec && !aAttempt.mParser->is_done() && discarded <= kMaxDiscardedBytes) {
+  while (!ec && !aAttempt.mParser->is_done() &&
+         aAttempt.mBytesAfterHead <= kMaxDiscardedBytes) {
     ec = co_await ReadSome(aAttempt, skipped);
-    discarded += skipped.size();
   }
   co_return !ec && aAttempt.mParser->is_done();
 }
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -13,7 +13,8 @@
 /// Longest pause in a stream before it is resumed at another endpoint; callers disconnect
 /// after a pause of two seconds.
 constexpr milliseconds kStreamIdleTimeout{ 1300 };
-/// Largest body of a response that is buffered before it is forwarded, in bytes.
+/// Largest body of a response that is buffered before it is forwarded, in bytes, with the
+/// framing of its chunks.
 constexpr std::size_t kMaxBufferedResponseBytes = 8U << 20U;
 
 bool IsSuccess(unsigned aStatus)
@@ -62,7 +63,8 @@
     aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
     const ErrorCode ec = co_await ReadSome(aAttempt, read);
     body.append(read);
-    if (ec || aAttempt.mAborted || body.size() > kMaxBufferedResponseBytes) {
+    if (ec || aAttempt.mAborted ||
+        aAttempt.mBytesAfterHead > kMaxBufferedResponseBytes) {
       co_return Result::Failed;
     }
   }
