--- a/apps/tests/platform/httpclienttest.cpp
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -15,6 +15,11 @@
 
 namespace {
 
+/// More bytes than the buffers of two sockets take; stands for bytes without end.
+constexpr std::size_t kEndless = 64U << 20U;
+/// Bytes that the buffers of two sockets take on top of the largest response.
+constexpr std::size_t kMostTaken = 40U << 20U;
+
 std::string Response(unsigned aStatus, const std::string& aBody)
 {
   return "HTTP/1.1 " + std::to_string(aStatus) +
@@ -149,6 +154,54 @@
   }
 }
 
+// The store's or an engine's answer was kept however long its framing was.
+TEST_CASE_METHOD(Fixture, "http client: bytes without end are not kept", "[platform]")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string bytes;
+  SECTION("in the size line of a chunk")
+  {
+    bytes = head + "5;" + std::string(kEndless, 'x');
+  }
+  SECTION("in the trailer")
+  {
+    bytes = head + "0\r\nX: " + std::string(kEndless, 'x');
+  }
+  SECTION("in the size lines of many chunks")
+  {
+    const std::string chunk = "1;" + std::string(4000, 'x') + "\r\ny\r\n";
+    bytes = head;
+    while (bytes.size() < kEndless) {
+      bytes.append(chunk);
+    }
+  }
+  SECTION("in the head")
+  {
+    bytes = "HTTP/1.1 200 OK\r\nX: " + std::string(kEndless, 'x');
+  }
+  mServer.AddScript({ bytes });
+  mServer.AddScript({ Response(200, "next") });
+  const auto outcome = Call().mOutcome;
+  CHECK(
+    (outcome == HttpReply::Outcome::Unknown || outcome == HttpReply::Outcome::TooLarge));
+  mIo.run_for(50ms);
+  CHECK(mServer.BytesSent() < kMostTaken);
+  CHECK(Call().mBody == "next");
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "engine calls: a report that is larger than any engine's is not read",
+                 "[platform]")
+{
+  platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [](const auto&) {});
+  gateway::EndpointReport endpoint;
+  endpoint.mAddress = mAddress;
+  mServer.AddScript({ "HTTP/1.1 200 OK\r\n\r\n" + std::string(1U << 20U, ' ') +
+                        R"({"stage":"running","models":[],"sequence":3})",
+                      true });
+  CHECK_FALSE(Await(calls.Report(endpoint)).has_value());
+}
+
 TEST_CASE_METHOD(Fixture,
                  "engine calls: a report without a length that is cut is no report",
                  "[platform]")
