End a caller's request whose framing has no end, or that always has more bytes

Causes: the buffer of a caller's connection had no maximum. And the tick cancels a read that takes too long only once; a read whose bytes are there has completed by then, is not cancelled, and the request was never looked at again, so that neither the time for a head nor that for a body ended it.

Change: a maximum for the buffer, 431 beyond it; the tick repeats the cancellation while the request is overdue, and an overdue body is read no further. The discarding of what a refused caller still sends ends in time again.

The new tests fail with the maximum, or the repetition, taken out.

--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -21,6 +21,13 @@
 /// after the others were closed.
 constexpr std::chrono::milliseconds kMinStopIdleTime{ 400 };
 
+/// Least room for bytes that were read but not yet parsed. Beside the head, the parser
+/// keeps the line with the size of a chunk and the trailer after the last chunk until
+/// they are complete.
+constexpr std::size_t kMinUnparsedBytes = 64U << 10U;
+/// Room for such bytes beyond the largest head.
+constexpr std::size_t kUnparsedBytesBeyondHead = 4U << 10U;
+
 /// Time for the body of a request whose caller states no timeout.
 constexpr std::chrono::milliseconds kDefaultBodyTime{ 10000 };
 /// Longest time, and most bytes, for which the rest of a refused request is discarded.
@@ -42,6 +49,9 @@
   if (aEc == http::error::body_limit) {
     return LocalResponse(413, "the body is too large");
   }
+  if (aEc == http::error::buffer_overflow) {
+    return LocalResponse(431, "the framing of the body is too large");
+  }
   const auto& category = http::make_error_code(http::error::bad_field).category();
   if (aEc.category() != category || aEc == http::error::end_of_stream ||
       aEc == http::error::partial_message) {
@@ -121,10 +131,11 @@
 
 void CallerSession::Tick(timing::Instant aNow)
 {
-  if (mTooSlow || !IsOverdue(aNow)) {
+  if (!IsOverdue(aNow)) {
     return;
   }
   if (mState == State::ReadingHead || mState == State::ReadingBody) {
+    // Repeated by each tick: a read that has just completed is not cancelled.
     mTooSlow = true;
     ErrorCode ec;
     mSocket.cancel(ec);
@@ -159,6 +170,9 @@
 {
   ErrorCode ec;
   Enter(State::ReadingHead);
+  mBuffer.max_size(std::max({ kMinUnparsedBytes,
+                              mLimitsSince.mMaxHeaderBytes + kUnparsedBytesBeyondHead,
+                              mBuffer.size() }));
   aParser.header_limit(mLimitsSince.mMaxHeaderBytes);
   aParser.body_limit(mLimitsSince.mMaxBodyBytes);
   co_await http::async_read_header(mSocket, mBuffer, aParser, RedirectError(ec));
@@ -175,6 +189,9 @@
     mContext.mClock.Now() +
     (aFacts && aFacts->mCallerTimeout ? *aFacts->mCallerTimeout : kDefaultBodyTime);
   while (!ec && !aParser.is_done()) {
+    if (mTooSlow) {
+      co_return asio::error::operation_aborted;
+    }
     mState = State::ReadingBody;
     mStateSince = mContext.mClock.Now();
     co_await http::async_read_some(mSocket, mBuffer, aParser, RedirectError(ec));
