Bound bytes, time and connections on the ports for readiness and metrics

A request there has 16 KiB and 10 s, a response 5 s; of more than 64 connections the one that has waited longest is closed.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -89,6 +89,7 @@
                : mSettings.mMaxDescriptors / 2)
   , mStop(mFrontend, mCallers)
   , mReadiness(mIo,
+               mClock,
                mSettings.mStatusListenAddress,
                [this](std::string_view) { return Readiness(); })
   , mPeerSocket(mIo)
@@ -98,6 +99,7 @@
   if (mOptions.mMetricsPort != 0) {
     mMetricsListener = std::make_unique<frontend::StatusListener>(
       mIo,
+      mClock,
       settings::SocketAddress{ mSettings.mIp, mOptions.mMetricsPort },
       [this](std::string_view) {
         return frontend::StatusListener::Response{ 200, mRegistry.Text() };
@@ -173,6 +175,10 @@
     return mControl.IsStalled(aExchange.mAdmission, aExchange.mCurrent->mAttempt, aNow);
   });
   mCallers.Tick(aNow);
+  mReadiness.Tick(aNow);
+  if (mMetricsListener) {
+    mMetricsListener->Tick(aNow);
+  }
   mControl.Tick(aNow);
   mPeers.Tick(aNow);
   mPlacementChanged.Notify();
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/listener.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,6 +14,8 @@
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
 constexpr int kListenBacklog = 512;
+/// Largest request for a status, in bytes. The parser accepts a smaller head.
+constexpr std::size_t kMaxStatusRequestBytes = 16U << 10U;
 
 tcp::acceptor Bind(asio::io_context& aIo, const settings::SocketAddress& aAddress)
 {
@@ -99,9 +102,11 @@
 }
 
 StatusListener::StatusListener(asio::io_context& aIo,
+                               const timing::Clock& aClock,
                                const settings::SocketAddress& aAddress,
                                Handler aHandler)
   : mIo(aIo)
+  , mClock(aClock)
   , mAcceptor(Bind(aIo, aAddress))
   , mHandler(std::move(aHandler))
 {
@@ -113,6 +118,15 @@
     mIo, [this] { return Accept(); }, asio::detached);
 }
 
+void StatusListener::Tick(timing::Instant aNow)
+{
+  for (Connection& connection : mConnections) {
+    if (aNow >= connection.mDeadline) {
+      CloseSocket(connection.mSocket);
+    }
+  }
+}
+
 asio::awaitable<void> StatusListener::Accept()
 {
   for (;;) {
@@ -124,18 +138,33 @@
       continue;
     }
     SetConnectionOptions(socket);
-    asio::co_spawn(mIo, Serve(std::move(socket)), asio::detached);
+    if (mConnections.size() >= kMaxConnections) {
+      const auto waiting = std::ranges::find_if(
+        mConnections, [](const Connection& aIt) { return aIt.mSocket.is_open(); });
+      if (waiting != mConnections.end()) {
+        CloseSocket(waiting->mSocket);
+      }
+    }
+    mConnections.push_back({ std::move(socket), mClock.Now() + kRequestTime });
+    asio::co_spawn(mIo, Serve(std::prev(mConnections.end())), asio::detached);
   }
 }
 
-asio::awaitable<void> StatusListener::Serve(tcp::socket aSocket)
+asio::awaitable<void> StatusListener::Serve(ConnectionList::iterator aConnection)
+{
+  co_await Converse(aConnection);
+  mConnections.erase(aConnection);
+}
+
+asio::awaitable<void> StatusListener::Converse(ConnectionList::iterator aConnection)
 {
-  beast::flat_buffer buffer;
+  tcp::socket& socket = aConnection->mSocket;
+  beast::flat_buffer buffer(kMaxStatusRequestBytes);
   bool keep = true;
   while (keep) {
     ErrorCode ec;
     http::request<http::empty_body> request;
-    co_await http::async_read(aSocket, buffer, request, RedirectError(ec));
+    co_await http::async_read(socket, buffer, request, RedirectError(ec));
     if (ec) {
       co_return;
     }
@@ -147,7 +176,10 @@
     response.keep_alive(request.keep_alive());
     response.body() = result.mBody;
     response.prepare_payload();
-    co_await http::async_write(aSocket, response, RedirectError(ec));
+    aConnection->mDeadline = mClock.Now() + kResponseTime;
+    co_await http::async_write(socket, response, RedirectError(ec));
+    aConnection->mDeadline = mClock.Now() + kRequestTime;
+    mConnections.splice(mConnections.end(), mConnections, aConnection);
     keep = !ec && request.keep_alive();
   }
 }
--- a/components/frontend/listener.hpp
+++ b/components/frontend/listener.hpp
@@ -2,6 +2,7 @@
 #define SAMPHIRESAIL_COMPONENTS_FRONTEND_LISTENER_HPP
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,10 +39,20 @@
   timing::Instant mIdleDeadline{ timing::Instant::max() };
 };
 
-/// Serves short texts over HTTP: readiness and metrics.
+/// Serves short texts over HTTP: readiness and metrics. Neither bytes without end nor
+/// connections that are never used take more than a fixed amount of memory, descriptors
+/// and time.
 class StatusListener
 {
 public:
+  /// Most connections at a time. For one more, the one that has waited longest for its
+  /// request is closed.
+  static constexpr std::size_t kMaxConnections = 64;
+  /// Time for a whole request, from the connection's begin or the response before it.
+  static constexpr timing::Duration kRequestTime = std::chrono::seconds(10);
+  /// Time in which the caller must have read a response.
+  static constexpr timing::Duration kResponseTime = std::chrono::seconds(5);
+
   struct Response
   {
     unsigned mStatus{ 200 };
@@ -50,17 +61,33 @@
   using Handler = std::function<Response(std::string_view aPath)>;
 
   StatusListener(asio::io_context& aIo,
+                 const timing::Clock& aClock,
                  const settings::SocketAddress& aAddress,
                  Handler aHandler);
   void Start();
+  /// Closes the connections whose time is over.
+  void Tick(timing::Instant aNow);
+  std::size_t Connections() const { return mConnections.size(); }
 
 private:
+  struct Connection
+  {
+    tcp::socket mSocket;
+    timing::Instant mDeadline;
+  };
+  /// In the order in which their last waits began.
+  using ConnectionList = std::list<Connection>;
+
   asio::awaitable<void> Accept();
-  asio::awaitable<void> Serve(tcp::socket aSocket);
+  asio::awaitable<void> Serve(ConnectionList::iterator aConnection);
+  /// Reads requests and responds until the connection ends.
+  asio::awaitable<void> Converse(ConnectionList::iterator aConnection);
 
   asio::io_context& mIo;
+  const timing::Clock& mClock;
   tcp::acceptor mAcceptor;
   Handler mHandler;
+  ConnectionList mConnections;
 };
 
 }
