Keep a bounded number of names from reports of other entries

Adapters, client accounts, zones and refused requests that a datagram names were kept however many there were; zones and accounts for good. Found by reading while the readers of foreign bytes were gone through; not seen outside. An entry's sums count for its own zone only, as it sends them.

The new test fails with the bounds taken out.

--- a/apps/tests/gateway/peertabletest.cpp
+++ b/apps/tests/gateway/peertabletest.cpp
@@ -2,6 +2,7 @@
 
 #include "components/gateway/peercodec.hpp"
 #include "components/gateway/peertable.hpp"
+#include "components/gateway/returningcallers.hpp"
 
 using namespace samphiresail;
 using namespace std::chrono_literals;
@@ -129,3 +130,49 @@
   CHECK(peers.Receive(Report(4, 2), kNow + PeerTable::kMaxReportAge));
   CHECK_FALSE(peers.Receive(Report(4, 2), kNow + PeerTable::kMaxReportAge));
 }
+
+// Whatever a datagram named was kept, and some of it for good.
+TEST_CASE("peers: reports with ever new names do not fill the memory", "[gateway]")
+{
+  const ids::AvailabilityZoneId ownZone("z1");
+  PeerTable peers(kOwn, kNow, ownZone);
+  peers.Register(kPeer, { "127.0.0.1", 1 }, 0.5, kNow, ownZone);
+  ReturningCallers callers;
+  std::uint64_t name = 0;
+  constexpr std::size_t kNamesPerReport = 4000;
+  const auto newNames = [&] {
+    std::vector<std::uint64_t> names;
+    for (std::size_t i = 0; i < kNamesPerReport; ++i) {
+      names.push_back(++name);
+    }
+    return names;
+  };
+  for (std::uint64_t it = 1; it <= 50; ++it) {
+    PeerReport report;
+    report.mProcess = kPeer;
+    report.mIncarnation = 4;
+    report.mSequence = it;
+    for (const std::uint64_t account : newNames()) {
+      report.mAdmitted.emplace(account, 1.0);
+    }
+    CHECK(peers.Receive(report, kNow));
+    PeerReport notice;
+    notice.mProcess = kPeer;
+    notice.mNotice = true;
+    notice.mAwaitedAdapters = newNames();
+    CHECK(peers.Receive(notice, kNow));
+    PeerReport otherZone;
+    otherZone.mProcess = kPeer;
+    otherZone.mZone = ids::AvailabilityZoneId("z" + std::to_string(it + 1));
+    otherZone.mModelDemand.emplace(name, 1.0);
+    CHECK_FALSE(peers.Receive(otherZone, kNow));
+    callers.AddReported(newNames(), kNow);
+  }
+  CHECK(peers.AwaitedAdapters(kNow).size() <= PeerTable::kMaxNames);
+  CHECK(peers.ModelDemand(kNow).empty());
+  CHECK(peers.ZoneReport(PeerReport(), kNow).mAdmitted.size() <=
+        PeerTable::kMaxNames + kNamesPerReport);
+  CHECK(callers.Remembered() <= ReturningCallers::kMaxRemembered);
+  callers.Refuse(1, kNow, kNow);
+  CHECK(callers.FirstAttempt(1) == kNow);
+}
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -122,7 +122,11 @@
     return aRow.second.mHash == aLoaded.mEndpointHash;
   });
   if (it != mEndpoints.end()) {
-    it->second.mLoadedSinceReport[aLoaded.mModelAdapterHash] = aNow;
+    auto& loaded = it->second.mLoadedSinceReport;
+    if (loaded.size() < kMaxLoadedAdapters ||
+        loaded.contains(aLoaded.mModelAdapterHash)) {
+      loaded[aLoaded.mModelAdapterHash] = aNow;
+    }
     it->second.mUnavailableUntil.erase(aLoaded.mModelAdapterHash);
   }
 }
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -21,6 +21,8 @@
   /// store. The platform guarantees its return within about 2 s.
   static constexpr timing::Duration kLapsedRecordGracePeriod =
     std::chrono::milliseconds(1700);
+  /// Most adapters of an endpoint that are known from reports of other entries only.
+  static constexpr std::size_t kMaxLoadedAdapters = 1024;
   /// How long an adapter that was loaded on the leader's order counts as held; by the end
   /// of this time the endpoint's own record shows it.
   static constexpr timing::Duration kLoadedAdapterLifetime =
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -46,12 +46,15 @@
   }
   if (aReport.mNotice) {
     for (const std::uint64_t key : aReport.mAwaitedAdapters) {
-      mAwaitedByNotice[key] = aNow;
+      if (mAwaitedByNotice.size() < kMaxNames || mAwaitedByNotice.contains(key)) {
+        mAwaitedByNotice[key] = aNow;
+      }
     }
     return true;
   }
   if (!aReport.mZone.Empty()) {
-    return ReceiveZone(std::move(aReport), aNow);
+    // An entry reports the sums of no zone but its own.
+    return aReport.mZone == it->second.mZone && ReceiveZone(std::move(aReport), aNow);
   }
   Peer& peer = it->second;
   const PeerReport& last = peer.mReport;
@@ -94,7 +97,9 @@
     const auto before = aLast.mAdmitted.find(account);
     const bool continues =
       aLast.mIncarnation == aReport.mIncarnation && before != aLast.mAdmitted.end();
-    mZoneAdmitted[account] += std::max(total - (continues ? before->second : 0.0), 0.0);
+    if (mZoneAdmitted.size() < kMaxNames || mZoneAdmitted.contains(account)) {
+      mZoneAdmitted[account] += std::max(total - (continues ? before->second : 0.0), 0.0);
+    }
   }
 }
 
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -92,6 +92,9 @@
   /// Number of entries of a zone, those with the most cores, to which the aggregators of
   /// the other zones report.
   static constexpr std::size_t kZoneReceivers = 2;
+  /// Most adapters, and most client accounts, that are kept by reports of other entries;
+  /// a fleet has far fewer.
+  static constexpr std::size_t kMaxNames = 16384;
   /// Largest fraction of the entries that may be missing from the reports while quotas
   /// are still shared; the missing ones are assumed to use their equal shares.
   static constexpr double kMaxUncoveredFraction = 0.1;
--- a/components/gateway/returningcallers.cpp
+++ b/components/gateway/returningcallers.cpp
@@ -24,7 +24,9 @@
                               timing::Instant aFirst,
                               timing::Instant aNow)
 {
-  mRefused[aKey] = { aFirst, aNow };
+  if (mRefused.size() < kMaxRemembered || mRefused.contains(aKey)) {
+    mRefused[aKey] = { aFirst, aNow };
+  }
   mOwn.push_back({ aKey, aNow });
   if (mOwn.size() > kMaxReported) {
     mOwn.pop_front();
@@ -35,6 +37,9 @@
                                    timing::Instant aNow)
 {
   for (const std::uint64_t key : aKeys) {
+    if (mRefused.size() >= kMaxReportedRemembered) {
+      return;
+    }
     mRefused.try_emplace(key, Refused{ aNow, aNow });
   }
 }
--- a/components/gateway/returningcallers.hpp
+++ b/components/gateway/returningcallers.hpp
@@ -23,6 +23,10 @@
   static constexpr timing::Duration kLifetime = std::chrono::seconds(6);
   /// How long an own refusal is included in peer reports, since datagrams can be lost.
   static constexpr timing::Duration kReportTime = std::chrono::milliseconds(700);
+  /// Most requests that are remembered at a time. The reports of peers leave room for
+  /// this entry's own refusals.
+  static constexpr std::size_t kMaxRemembered = 65536;
+  static constexpr std::size_t kMaxReportedRemembered = kMaxRemembered / 2;
   /// Maximum number of refusals in one peer report.
   static constexpr std::size_t kMaxReported = 64;
 
@@ -39,6 +43,7 @@
 
   /// Returns the latest own refusals for a peer report.
   std::vector<std::uint64_t> Recent(timing::Instant aNow) const;
+  std::size_t Remembered() const { return mRefused.size(); }
   void Tick(timing::Instant aNow);
 
 private:
