Hold signals back until their handlers are installed

Users saw processes end by themselves (FAULT). A SIGHUP or SIGTERM that comes before the handlers are installed ends the process by its default action.

SIGHUP, SIGINT and SIGTERM are blocked before any other object of the program is constructed, and delivered once the handlers stand: the process then reloads or stops in order. What the loader of shared libraries takes before that, a few milliseconds, is not covered by this.

--- a/apps/samphiresail/gateway/gatewaycommand.cpp
+++ b/apps/samphiresail/gateway/gatewaycommand.cpp
@@ -10,7 +10,7 @@
 
 namespace samphiresail::gatewayapp {
 
-int RunGateway(const GatewayOptions& aOptions)
+int RunGateway(const GatewayOptions& aOptions, concurrency::HeldSignals& aSignals)
 {
   std::string path = aOptions.mSettings;
   if (path.empty()) {
@@ -23,6 +23,7 @@
   const platform::Settings settings = platform::LoadSettings(path);
   const timing::BootClock clock;
   GatewayProcess process(aOptions, path, settings, clock);
+  aSignals.Release();
   process.Run();
   return EXIT_SUCCESS;
 }
--- a/apps/samphiresail/gateway/gatewaycommand.hpp
+++ b/apps/samphiresail/gateway/gatewaycommand.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "components/concurrency/heldsignals.hpp"
+
 namespace samphiresail::gatewayapp {
 
 struct GatewayOptions
@@ -15,9 +17,9 @@
   std::string mLogLevel{ "info" };
 };
 
-/// Runs an entry on the platform until it receives a stop signal. Returns the exit
-/// status.
-int RunGateway(const GatewayOptions& aOptions);
+/// Runs an entry on the platform until it receives a stop signal. Releases the signals
+/// once their handlers are installed. Returns the exit status.
+int RunGateway(const GatewayOptions& aOptions, concurrency::HeldSignals& aSignals);
 
 }
 
--- a/apps/samphiresail/main.cpp
+++ b/apps/samphiresail/main.cpp
@@ -2,16 +2,25 @@
 #include <exception>
 #include <iostream>
 #include <string>
+#include <string_view>
 
 #include <CLI/CLI.hpp>
 
 #include "apps/samphiresail/gateway/gatewaycommand.hpp"
+#include "components/concurrency/heldsignals.hpp"
 #ifndef SAMPHIRESAIL_PLATFORM_ONLY
 #include "apps/samphiresail/agent/agentcommand.hpp"
 #include "apps/samphiresail/entry/entrycommand.hpp"
 #include "apps/samphiresail/operator/operatorcommands.hpp"
 #endif
 
+namespace {
+
+/// Constructed before all other objects of the program.
+__attribute__((init_priority(101))) samphiresail::concurrency::HeldSignals gHeldSignals;
+
+}
+
 int main(int aArgc, char** aArgv)
 {
   CLI::App app{ "Serves many models and services from fewer accelerators",
@@ -29,7 +38,8 @@
     "--metrics-port", options.mMetricsPort, "Port of /metrics; 0 disables it");
   gateway->add_option("--log-level", options.mLogLevel, "trace, debug, info, warn, error")
     ->check(CLI::IsMember({ "trace", "debug", "info", "warn", "error" }));
-  gateway->callback([&] { status = samphiresail::gatewayapp::RunGateway(options); });
+  gateway->callback(
+    [&] { status = samphiresail::gatewayapp::RunGateway(options, gHeldSignals); });
 #ifndef SAMPHIRESAIL_PLATFORM_ONLY
   std::string settings;
   CLI::App* entry = app.add_subcommand("entry", "Run an entry");
@@ -41,6 +51,10 @@
   samphiresail::operators::AddOperatorCommands(app, status);
 #endif
 
+  if (aArgc < 2 || std::string_view(aArgv[1]) != gateway->get_name()) {
+    // Only the gateway releases them itself; the operators' commands have no handlers.
+    gHeldSignals.Release();
+  }
   try {
     app.parse(aArgc, aArgv);
   } catch (const CLI::ParseError& error) {
