Try a port that is in use again, and name it if it stays so

A port in use for a moment at the start ended the process (FAULT), with "bind: Address already in use", which names no port. An outgoing connection of any process can hold a port for a moment, and the process before may not have ended. Two entries on one address never both started, since the run line gives both the same port for metrics.

Each port is opened by a loop that tries one in use again, for 10 s; the error names address and use. Readiness waits for the callers' port.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <stdexcept>
 
 #include <unistd.h>
 
@@ -29,6 +30,10 @@
 constexpr milliseconds kMaxSignalDelay{ 300 };
 /// Time that a new leader waits after the orders of an earlier one have expired.
 constexpr milliseconds kOrderExpiryMargin{ 300 };
+/// Time for which a port that is in use is tried again before the process ends.
+constexpr std::chrono::seconds kPortRetryTime{ 10 };
+/// The same for the port of the metrics, without which the process goes on.
+constexpr std::chrono::hours kMetricsPortRetryTime{ 24 };
 /// File descriptors reserved for connections to endpoints and the store, and for files.
 constexpr std::size_t kReservedDescriptors = 1200;
 
@@ -105,10 +110,53 @@
         return frontend::StatusListener::Response{ 200, mRegistry.Text() };
       });
   }
-  mPeerSocket.open(udp::v4());
-  mPeerSocket.bind(
-    { asio::ip::make_address_v4(mSettings.mIp), mSettings.mFirstPeerPort });
-  mPeerSocket.non_blocking(true);
+}
+
+void GatewayProcess::OpenPeerSocket()
+{
+  udp::socket socket(mIo);
+  socket.open(udp::v4());
+  socket.bind({ asio::ip::make_address_v4(mSettings.mIp), mSettings.mFirstPeerPort });
+  socket.non_blocking(true);
+  mPeerSocket = std::move(socket);
+  asio::co_spawn(
+    mIo, [this] { return ReceivePeerReports(); }, asio::detached);
+}
+
+void GatewayProcess::OpenPorts()
+{
+  const auto open = [this](std::string aPurpose,
+                           settings::SocketAddress aAddress,
+                           std::function<void()> aOpen) {
+    const auto onFailure = [this](const std::string& aError) {
+      mFailure = aError;
+      mIo.stop();
+    };
+    frontend::PortOpening port{ std::move(aPurpose),
+                                std::move(aAddress),
+                                kPortRetryTime,
+                                std::move(aOpen),
+                                onFailure };
+    asio::co_spawn(
+      mIo, frontend::OpenPort(mIo, mLogger, std::move(port)), asio::detached);
+  };
+  open("callers", mSettings.mCallerListenAddress, [this] { mCallers.Start(); });
+  open("readiness", mSettings.mStatusListenAddress, [this] { mReadiness.Start(); });
+  open("messages between entries", { mSettings.mIp, mSettings.mFirstPeerPort }, [this] {
+    OpenPeerSocket();
+  });
+  if (mMetricsListener) {
+    const auto onFailure = [this](const std::string& aError) {
+      mLogger.Error("metrics are not served", { { "error", aError } });
+    };
+    frontend::PortOpening port{ "metrics",
+                                { mSettings.mIp, mOptions.mMetricsPort },
+                                kMetricsPortRetryTime,
+                                [this] { mMetricsListener->Start(); },
+                                onFailure };
+    asio::co_spawn(
+      mIo, frontend::OpenPort(mIo, mLogger, std::move(port)), asio::detached);
+  }
 }
 
 void GatewayProcess::ApplySettings()
@@ -130,24 +178,22 @@
                { { "zone", mSettings.mZone.Str() },
                  { "first_start", mSettings.mFirstStart },
                  { "incarnation", mIncarnation } });
-  mCallers.Start();
-  mReadiness.Start();
-  if (mMetricsListener) {
-    mMetricsListener->Start();
-  }
+  OpenPorts();
   asio::co_spawn(
     mIo, [this] { return mStoreWatcher.Run(); }, asio::detached);
   asio::co_spawn(
     mIo, [this] { return LeadershipLoop(); }, asio::detached);
-  asio::co_spawn(
-    mIo, [this] { return ReceivePeerReports(); }, asio::detached);
   asio::co_spawn(
     mIo, [this] { return HandleSignals(); }, asio::detached);
   asio::co_spawn(
     mIo, [this] { return TickLoop(); }, asio::detached);
   mIo.run();
-  mLogger.Info("stop", { { "requests_left", mExchanges.Size() } });
+  mLogger.Info("stop",
+               { { "requests_left", mExchanges.Size() }, { "failure", mFailure } });
   mLogOutput.Flush();
+  if (!mFailure.empty()) {
+    throw std::runtime_error(mFailure);
+  }
 }
 
 asio::awaitable<void> GatewayProcess::TickLoop()
@@ -262,8 +308,8 @@
 
 bool GatewayProcess::Ready(timing::Instant aNow) const
 {
-  return !mStop.Begun() && mControl.Configuration() && mEndpointsRead &&
-         mControl.mStoreFreshness.IsReady(aNow);
+  return !mStop.Begun() && mCallers.IsOpen() && mControl.Configuration() &&
+         mEndpointsRead && mControl.mStoreFreshness.IsReady(aNow);
 }
 
 frontend::StatusListener::Response GatewayProcess::Readiness() const
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -16,6 +16,7 @@
 
 #include "apps/samphiresail/gateway/gatewaycommand.hpp"
 #include "components/frontend/plannedstop.hpp"
+#include "components/frontend/portopening.hpp"
 #include "components/gateway/leadership.hpp"
 #include "components/gateway/ordertracker.hpp"
 #include "components/gateway/peertable.hpp"
@@ -44,7 +45,8 @@
                  const timing::Clock& aClock);
 
   /// Runs until a stop signal is received and the last request has finished, or until the
-  /// grace period for the stop is nearly over.
+  /// grace period for the stop is nearly over. Throws std::runtime_error if a port that
+  /// it needs cannot be opened.
   void Run();
 
   void OnConfiguration(
@@ -126,6 +128,10 @@
   bool Ready(timing::Instant aNow) const;
   frontend::StatusListener::Response Readiness() const;
   void ApplySettings();
+  /// Opens the ports; one that is in use is tried again for a while. Only that of the
+  /// metrics may fail.
+  void OpenPorts();
+  void OpenPeerSocket();
 
   GatewayOptions mOptions;
   std::string mSettingsPath;
@@ -183,6 +189,8 @@
   /// The endpoints were read completely from the store at least once.
   bool mEndpointsRead{ false };
   bool mStopped{ false };
+  /// The error for which the process ends; empty if there is none.
+  std::string mFailure;
 };
 
 }
--- a/apps/tests/processes/gatewaystarttest.cpp
+++ b/apps/tests/processes/gatewaystarttest.cpp
@@ -172,4 +172,66 @@
   CHECK(held > 0);
 }
 
+// A port in use for a moment, as by the process before it or by an outgoing connection,
+// ended the process with an error that did not name the port.
+TEST_CASE("gateway start: a port that is in use for a moment is tried again",
+          "[must-hold][processes]")
+{
+  boost::asio::io_context io;
+  Gateway gateway;
+  std::function<void()> release;
+  tcp::acceptor acceptor(io);
+  udp::socket socket(io);
+  const auto taken = GENERATE(0, 1, 2, 3);
+  if (taken == 2) {
+    socket = udp::socket(io, udp::endpoint(kLoopback, gateway.mPeerPort));
+  } else {
+    const std::array<std::uint16_t, 4> ports{
+      gateway.mCallerPort, gateway.mReadyPort, 0, gateway.mMetricsPort
+    };
+    acceptor =
+      tcp::acceptor(io, tcp::endpoint(kLoopback, ports.at(taken)), /*reuse_addr=*/true);
+  }
+  // The gateway must not inherit the sockets.
+  for (const int handle : { acceptor.native_handle(), socket.native_handle() }) {
+    fcntl(handle, F_SETFD, FD_CLOEXEC);
+  }
+  gateway.Start();
+  CHECK_FALSE(gateway.Process().Wait(700ms).has_value());
+  acceptor.close();
+  socket.close();
+  CHECK(Gateway::Answers(gateway.mReadyPort));
+  CHECK(Gateway::Answers(gateway.mCallerPort));
+  CHECK(Gateway::Answers(gateway.mMetricsPort));
+  CHECK(gateway.Process().IsRunning());
+}
+
+TEST_CASE("gateway start: a port that stays in use is named, and ends the process",
+          "[must-hold][processes]")
+{
+  boost::asio::io_context io;
+  Gateway gateway;
+  const tcp::acceptor acceptor(io, tcp::endpoint(kLoopback, gateway.mCallerPort));
+  gateway.Start();
+  CHECK(gateway.Process().Wait(20s) == EXIT_FAILURE);
+  const std::string output = gateway.Process().ReadAll();
+  CHECK_THAT(output, Catch::Contains("127.0.0.1:" + std::to_string(gateway.mCallerPort)));
+  CHECK_THAT(output, Catch::Contains("callers"));
+}
+
+// The port of the metrics is the same in the run line of each entry of a machine.
+TEST_CASE("gateway start: two entries with one metrics port both serve",
+          "[must-hold][processes]")
+{
+  Gateway first;
+  Gateway second;
+  second.mMetricsPort = first.mMetricsPort;
+  first.Start();
+  REQUIRE(Gateway::Answers(first.mMetricsPort));
+  second.Start();
+  CHECK(Gateway::Answers(second.mReadyPort));
+  CHECK(Gateway::Answers(second.mCallerPort));
+  CHECK(second.Process().IsRunning());
+}
+
 }
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -17,15 +17,16 @@
 /// Largest request for a status, in bytes. The parser accepts a smaller head.
 constexpr std::size_t kMaxStatusRequestBytes = 16U << 10U;
 
-tcp::acceptor Bind(asio::io_context& aIo, const settings::SocketAddress& aAddress)
+/// Opens an acceptor. Throws boost::system::system_error if the address is in use.
+void Listen(tcp::acceptor& aAcceptor, const settings::SocketAddress& aAddress)
 {
   const tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.mHost), aAddress.mPort);
-  tcp::acceptor acceptor(aIo);
+  tcp::acceptor acceptor(aAcceptor.get_executor());
   acceptor.open(endpoint.protocol());
   acceptor.set_option(asio::socket_base::reuse_address(true));
   acceptor.bind(endpoint);
   acceptor.listen(kListenBacklog);
-  return acceptor;
+  aAcceptor = std::move(acceptor);
 }
 
 asio::awaitable<void> PauseBeforeAcceptRetry(asio::io_context& aIo)
@@ -41,13 +42,15 @@
                                const settings::SocketAddress& aAddress,
                                std::size_t aMaxSessions)
   : mContext(aContext)
-  , mAcceptor(Bind(aContext.mIo, aAddress))
+  , mAddress(aAddress)
+  , mAcceptor(aContext.mIo)
   , mMaxSessions(aMaxSessions)
 {
 }
 
 void CallerListener::Start()
 {
+  Listen(mAcceptor, mAddress);
   asio::co_spawn(
     mContext.mIo, [this] { return Accept(); }, asio::detached);
 }
@@ -107,13 +110,15 @@
                                Handler aHandler)
   : mIo(aIo)
   , mClock(aClock)
-  , mAcceptor(Bind(aIo, aAddress))
+  , mAddress(aAddress)
+  , mAcceptor(aIo)
   , mHandler(std::move(aHandler))
 {
 }
 
 void StatusListener::Start()
 {
+  Listen(mAcceptor, mAddress);
   asio::co_spawn(
     mIo, [this] { return Accept(); }, asio::detached);
 }
--- a/components/frontend/listener.hpp
+++ b/components/frontend/listener.hpp
@@ -15,12 +15,14 @@
 class CallerListener
 {
 public:
-  /// Binds the address; throws boost::system::system_error if it is in use.
   CallerListener(FrontendContext& aContext,
                  const settings::SocketAddress& aAddress,
                  std::size_t aMaxSessions);
 
+  /// Opens the port and accepts connections; throws boost::system::system_error if the
+  /// address is in use.
   void Start();
+  bool IsOpen() const { return mAcceptor.is_open(); }
   void Tick(timing::Instant aNow);
   /// Closes each connection after its next response, and idle ones at aIdleDeadline.
   void Drain(timing::Instant aIdleDeadline);
@@ -32,6 +34,7 @@
   asio::awaitable<void> Accept();
 
   FrontendContext& mContext;
+  settings::SocketAddress mAddress;
   tcp::acceptor mAcceptor;
   std::size_t mMaxSessions;
   std::vector<std::weak_ptr<CallerSession>> mSessions;
@@ -64,6 +67,8 @@
                  const timing::Clock& aClock,
                  const settings::SocketAddress& aAddress,
                  Handler aHandler);
+  /// Opens the port and accepts connections; throws boost::system::system_error if the
+  /// address is in use.
   void Start();
   /// Closes the connections whose time is over.
   void Tick(timing::Instant aNow);
@@ -85,6 +90,7 @@
 
   asio::io_context& mIo;
   const timing::Clock& mClock;
+  settings::SocketAddress mAddress;
   tcp::acceptor mAcceptor;
   Handler mHandler;
   ConnectionList mConnections;
