Raise the soft limit on descriptors, and divide what is in force

The program went by the settings' 4,100 descriptors alone. Under the usual soft limit of 1,024, idle callers took those that endpoints and the store needed: no request was served (1,100 idle callers, real process, before). The soft limit is raised to the settings' value as far as the hard one allows, and the bound on callers comes from the limit in force. `start` logs both.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "apps/samphiresail/gateway/recordkeys.hpp"
+#include "components/limits/descriptorlimit.hpp"
 
 namespace samphiresail::gatewayapp {
 
@@ -66,6 +67,7 @@
   , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel), mLogStream)
   , mMetrics(mRegistry)
   , mIncarnation(WallClockMilliseconds(aClock))
+  , mMaxDescriptors(limits::RaiseDescriptorLimit(mSettings.mMaxDescriptors))
   , mControl(mSettings.mZone, RandomSeed())
   , mPeers(mSettings.mName, aClock.Now(), mSettings.mZone, mSettings.mCores)
   , mLeadership(mSettings.mOrderLease + kOrderExpiryMargin, mSettings.mFirstStart)
@@ -89,9 +91,9 @@
                [this](const auto& aMetadata) { RequestAdapter(aMetadata); } }
   , mCallers(mFrontend,
              mSettings.mCallerListenAddress,
-             mSettings.mMaxDescriptors > 2 * kReservedDescriptors
-               ? mSettings.mMaxDescriptors - kReservedDescriptors
-               : mSettings.mMaxDescriptors / 2)
+             mMaxDescriptors > 2 * kReservedDescriptors
+               ? mMaxDescriptors - kReservedDescriptors
+               : mMaxDescriptors / 2)
   , mStop(mFrontend, mCallers)
   , mReadiness(mIo,
                mClock,
@@ -177,7 +179,9 @@
   mLogger.Info("start",
                { { "zone", mSettings.mZone.Str() },
                  { "first_start", mSettings.mFirstStart },
-                 { "incarnation", mIncarnation } });
+                 { "incarnation", mIncarnation },
+                 { "descriptors", mMaxDescriptors },
+                 { "descriptors_wanted", mSettings.mMaxDescriptors } });
   OpenPorts();
   asio::co_spawn(
     mIo, [this] { return mStoreWatcher.Run(); }, asio::detached);
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -145,6 +145,8 @@
   frontend::GatewayMetrics mMetrics;
   boost::asio::io_context mIo{ 1 };
   std::uint64_t mIncarnation;
+  /// Descriptors that the process may have.
+  std::size_t mMaxDescriptors;
   gateway::TrafficControl mControl;
   gateway::PeerTable mPeers;
   gateway::Leadership mLeadership;
