Bound the memory of all bodies and of all held responses together

Each message had a bound, their sum had none: 40 callers with bodies of 4 MB, which the manifest allows, took a real process of 260 MB to 268 MB, and it was killed; 12 callers of endpoints with bodies without end to 188 MB. Bodies were copied once more for each attempt, held responses once more for the caller.

ByteBudget divides a part of the memory in the settings: 0.3 for bodies, 0.2 for held responses. Heads and bodies are written from where they are. A response whose length says that it is too large is not read.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -38,6 +38,16 @@
 /// File descriptors reserved for connections to endpoints and the store, and for files.
 constexpr std::size_t kReservedDescriptors = 1200;
 
+/// Shares of the process's memory for the bodies of requests and for responses that are
+/// held. The rest is for connections, records of the store and the program itself.
+constexpr double kRequestMemoryShare = 0.3;
+constexpr double kResponseMemoryShare = 0.2;
+
+std::size_t ShareOf(std::size_t aMemory, double aShare)
+{
+  return static_cast<std::size_t>(static_cast<double>(aMemory) * aShare);
+}
+
 std::uint64_t RandomSeed()
 {
   std::random_device device;
@@ -78,6 +88,8 @@
              [this](const auto& aEndpoint) { OnEndpointLeaving(aEndpoint); })
   , mStoreWatcher(mIo, mStore, *this, aClock, mLogger, RandomSeed())
   , mBackends(mIo)
+  , mRequestBytes(ShareOf(mSettings.mMaxMemory, kRequestMemoryShare))
+  , mResponseBytes(ShareOf(mSettings.mMaxMemory, kResponseMemoryShare))
   , mPlacementChanged(mIo)
   , mFrontend{ mIo,
                mClock,
@@ -87,6 +99,8 @@
                mExchanges,
                mLogger,
                mMetrics,
+               mRequestBytes,
+               mResponseBytes,
                mPlacementChanged,
                [this](const auto& aMetadata) { RequestAdapter(aMetadata); } }
   , mCallers(mFrontend,
@@ -181,7 +195,8 @@
                  { "first_start", mSettings.mFirstStart },
                  { "incarnation", mIncarnation },
                  { "descriptors", mMaxDescriptors },
-                 { "descriptors_wanted", mSettings.mMaxDescriptors } });
+                 { "descriptors_wanted", mSettings.mMaxDescriptors },
+                 { "memory", mSettings.mMaxMemory } });
   OpenPorts();
   asio::co_spawn(
     mIo, [this] { return mStoreWatcher.Run(); }, asio::detached);
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -158,6 +158,8 @@
   platform::StoreWatcher mStoreWatcher;
   frontend::BackendPool mBackends;
   frontend::ExchangeTable mExchanges;
+  limits::ByteBudget mRequestBytes;
+  limits::ByteBudget mResponseBytes;
   frontend::Signal mPlacementChanged;
   frontend::FrontendContext mFrontend;
   frontend::CallerListener mCallers;
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -168,6 +168,8 @@
               mExchanges,
               mLogger,
               mMetrics,
+              mRequestBytes,
+              mResponseBytes,
               mSignal,
               [this](const gateway::RequestMetadata& aMetadata) {
                 if (mOnWaitingForAdapter) {
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -167,6 +167,9 @@
   static constexpr std::chrono::milliseconds kFastTickStep{ 20 };
   static constexpr std::chrono::milliseconds kTickPause{ 1 };
 
+  /// Memory for the bodies of requests, and for responses.
+  static constexpr std::size_t kMemoryOfBudget = 48U << 20U;
+
   void StartTicks(std::chrono::milliseconds aStep);
   asio::awaitable<void> TickLoop(std::chrono::milliseconds aStep);
   std::string RunCaller(const std::string& aBytes,
@@ -181,6 +184,8 @@
   platform::PlatformDialect mDialect;
   BackendPool mBackends{ mIo };
   ExchangeTable mExchanges;
+  limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
+  limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
   Signal mSignal{ mIo };
   FrontendContext mContext;
   std::unique_ptr<CallerListener> mListener;
--- a/components/frontend/attemptrequest.cpp
+++ b/components/frontend/attemptrequest.cpp
@@ -9,11 +9,11 @@
 
 using std::chrono::milliseconds;
 
-std::string BuildAttemptRequest(const Dialect& aDialect,
-                                const CallerRequest& aRequest,
-                                const Exchange& aExchange,
-                                const ids::EndpointId& aEndpoint,
-                                timing::Instant aNow)
+std::string BuildAttemptHead(const Dialect& aDialect,
+                             const CallerRequest& aRequest,
+                             const Exchange& aExchange,
+                             const ids::EndpointId& aEndpoint,
+                             timing::Instant aNow)
 {
   const gateway::Admission& admission = aExchange.mAdmission;
   std::string head;
@@ -40,7 +40,7 @@
   if (!aRequest.body().empty() || aRequest.method() != http::verb::get) {
     AppendHeader(head, "Content-Length", std::to_string(aRequest.body().size()));
   }
-  return head.append("\r\n").append(aRequest.body());
+  return head.append("\r\n");
 }
 
 }
--- a/components/frontend/attemptrequest.hpp
+++ b/components/frontend/attemptrequest.hpp
@@ -10,15 +10,15 @@
 
 using CallerRequest = http::request<http::string_body>;
 
-/// Returns the bytes of the caller's request as it is sent to an endpoint: the caller's
-/// end-to-end headers without those that only this system may set, the headers of the
-/// attempt, and the body with its length. A stream that has begun is resumed after its
-/// last event.
-std::string BuildAttemptRequest(const Dialect& aDialect,
-                                const CallerRequest& aRequest,
-                                const Exchange& aExchange,
-                                const ids::EndpointId& aEndpoint,
-                                timing::Instant aNow);
+/// Returns the head of the caller's request as it is sent to an endpoint, before the
+/// body: the caller's end-to-end headers without those that only this system may set, the
+/// headers of the attempt, and the length of the body. A stream that has begun is resumed
+/// after its last event.
+std::string BuildAttemptHead(const Dialect& aDialect,
+                             const CallerRequest& aRequest,
+                             const Exchange& aExchange,
+                             const ids::EndpointId& aEndpoint,
+                             timing::Instant aNow);
 
 }
 
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -30,6 +30,11 @@
 
 /// Time for the body of a request whose caller states no timeout.
 constexpr std::chrono::milliseconds kDefaultBodyTime{ 10000 };
+/// Longest wait for memory for a body, which is not read meanwhile. A caller that waits
+/// for its request to be read gives up after a second.
+constexpr std::chrono::milliseconds kMaxMemoryWait{ 500 };
+/// When a caller may come back for whose body there is no memory.
+constexpr std::chrono::milliseconds kMemoryRetryAfter{ 1000 };
 /// Longest time, and most bytes, for which the rest of a refused request is discarded.
 constexpr std::chrono::milliseconds kMaxDiscardTime{ 1000 };
 constexpr std::size_t kMaxDiscardedBytes = 1U << 20U;
@@ -166,7 +171,8 @@
 
 asio::awaitable<ErrorCode> CallerSession::ReadRequest(
   RequestParser& aParser,
-  std::optional<gateway::RequestMetadata>& aFacts)
+  std::optional<gateway::RequestMetadata>& aFacts,
+  limits::ByteBudget::Share& aBytes)
 {
   ErrorCode ec;
   Enter(State::ReadingHead);
@@ -188,13 +194,8 @@
   mBodyDeadline =
     mContext.mClock.Now() +
     (aFacts && aFacts->mCallerTimeout ? *aFacts->mCallerTimeout : kDefaultBodyTime);
-  while (!ec && !aParser.is_done()) {
-    if (mTooSlow) {
-      co_return asio::error::operation_aborted;
-    }
-    mState = State::ReadingBody;
-    mStateSince = mContext.mClock.Now();
-    co_await http::async_read_some(mSocket, mBuffer, aParser, RedirectError(ec));
+  if (!ec) {
+    ec = co_await ReadBody(aParser, aBytes);
   }
   if (!ec) {
     mTooSlow = false;
@@ -208,18 +209,62 @@
   co_return ec;
 }
 
-asio::awaitable<void> CallerSession::RefuseUnreadable(ErrorCode aEc)
+asio::awaitable<ErrorCode> CallerSession::ReadBody(RequestParser& aParser,
+                                                   limits::ByteBudget::Share& aBytes)
+{
+  ErrorCode ec;
+  const std::uint64_t length = std::min<std::uint64_t>(
+    aParser.content_length().value_or(0), mLimitsSince.mMaxBodyBytes);
+  while (!ec && !aParser.is_done()) {
+    mState = State::ReadingBody;
+    mStateSince = mContext.mClock.Now();
+    const std::size_t size = std::max<std::size_t>(static_cast<std::size_t>(length),
+                                                   aParser.get().body().capacity());
+    if (size > aBytes.Size() && !co_await AwaitMemory(aBytes, size)) {
+      co_return asio::error::no_memory;
+    }
+    if (mTooSlow) {
+      co_return asio::error::operation_aborted;
+    }
+    co_await http::async_read_some(mSocket, mBuffer, aParser, RedirectError(ec));
+  }
+  co_return ec;
+}
+
+asio::awaitable<bool> CallerSession::AwaitMemory(limits::ByteBudget::Share& aBytes,
+                                                 std::size_t aSize)
+{
+  using Outcome = limits::ByteBudget::Outcome;
+  const timing::Instant until =
+    std::min(mContext.mClock.Now() + kMaxMemoryWait, mBodyDeadline);
+  Outcome outcome = aBytes.Grow(aSize - aBytes.Size());
+  while (outcome == Outcome::Wait && mContext.mClock.Now() < until) {
+    co_await mContext.mPlacementChanged.Wait();
+    outcome = aBytes.Grow(aSize - aBytes.Size());
+  }
+  co_return outcome == Outcome::Granted;
+}
+
+asio::awaitable<void> CallerSession::RefuseUnreadable(
+  ErrorCode aEc,
+  const std::optional<gateway::RequestMetadata>& aFacts)
 {
   std::optional<gateway::Refusal> refusal = ResponseToUnreadable(aEc);
-  if (mTooSlow) {
+  const gateway::RequestMetadata facts = aFacts.value_or(gateway::RequestMetadata());
+  if (aEc == asio::error::no_memory) {
+    refusal = LocalResponse(503, "no memory for the body");
+    refusal->mRetryAfter = kMemoryRetryAfter;
+    mContext.mMetrics.mRequestsWithoutMemory.Increment();
+    LogRefusal(facts, *refusal);
+  } else if (mTooSlow) {
     refusal = LocalResponse(408, "the request did not arrive in time");
-    LogRefusal(gateway::RequestMetadata(), *refusal);
+    LogRefusal(facts, *refusal);
   } else if (aEc == http::error::header_limit || aEc == http::error::body_limit) {
     refusal = mContext.mControl.RefuseTooLarge(*refusal, mContext.mClock.Now());
   }
   if (refusal) {
     mHasUnreadRest = true;
-    co_await Refuse(gateway::RequestMetadata(), *refusal, false);
+    co_await Refuse(facts, *refusal, false);
   }
 }
 
@@ -246,10 +291,11 @@
   }
   RequestParser parser;
   std::optional<gateway::RequestMetadata> facts;
-  ec = co_await ReadRequest(parser, facts);
+  limits::ByteBudget::Share bytes(mContext.mRequestBytes);
+  ec = co_await ReadRequest(parser, facts, bytes);
   Enter(State::Serving);
   if (ec) {
-    co_await RefuseUnreadable(ec);
+    co_await RefuseUnreadable(ec, facts);
     co_return false;
   }
   mContext.mMetrics.mRequests.Increment();
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -48,9 +48,18 @@
   /// Reads a request; facts are those of its head. Returns the error that ended it, if
   /// any.
   asio::awaitable<ErrorCode> ReadRequest(RequestParser& aParser,
-                                         std::optional<gateway::RequestMetadata>& aFacts);
+                                         std::optional<gateway::RequestMetadata>& aFacts,
+                                         limits::ByteBudget::Share& aBytes);
+  /// Reads the body; the bytes are those that it may take.
+  asio::awaitable<ErrorCode> ReadBody(RequestParser& aParser,
+                                      limits::ByteBudget::Share& aBytes);
+  /// Waits for a moment until there is memory for a body of the size. Returns false if
+  /// there is none.
+  asio::awaitable<bool> AwaitMemory(limits::ByteBudget::Share& aBytes, std::size_t aSize);
   /// Answers a request that could not be read, unless its connection ended.
-  asio::awaitable<void> RefuseUnreadable(ErrorCode aEc);
+  asio::awaitable<void> RefuseUnreadable(
+    ErrorCode aEc,
+    const std::optional<gateway::RequestMetadata>& aFacts);
   /// Discards what the caller still sends: bytes that stay unread would reset the
   /// connection before the caller has read the last response.
   asio::awaitable<void> DiscardRest();
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -257,10 +257,11 @@
     mContext.mMetrics.mInterruptedStreams.Increment();
     co_return false;
   }
-  if (!mFailureResponse.empty()) {
+  if (!mFailureHead.empty()) {
     SetOutcome("endpoint failed");
     mStatus = mFailureStatus;
-    const bool written = co_await WriteToCaller(std::move(mFailureResponse));
+    const bool written =
+      co_await WriteToCaller(std::move(mFailureHead), std::move(mFailureBody));
     co_return written&& mSaidKeepAlive;
   }
   const bool sent = mExchange.mAttemptsSent > 0;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -16,6 +16,7 @@
 #include "components/frontend/httpmessage.hpp"
 #include "components/frontend/signal.hpp"
 #include "components/gateway/trafficcontrol.hpp"
+#include "components/limits/bytebudget.hpp"
 #include "components/logging/logger.hpp"
 
 namespace samphiresail::frontend {
@@ -31,6 +32,10 @@
   ExchangeTable& mExchanges;
   logging::Logger& mLogger;
   GatewayMetrics& mMetrics;
+  /// Memory for the bodies of the callers' requests.
+  limits::ByteBudget& mRequestBytes;
+  /// Memory for responses that are held until they are complete.
+  limits::ByteBudget& mResponseBytes;
   /// Notified on each tick and when an endpoint has loaded an adapter.
   Signal& mPlacementChanged;
   /// Called repeatedly while a request waits for an adapter, so that the leader learns of
@@ -118,6 +123,17 @@
   /// did; an endpoint that leaves ends after its last response.
   asio::awaitable<bool> EndedWithEndpoint(AttemptState& aAttempt);
   asio::awaitable<Result> ForwardBufferedResponse(AttemptState& aAttempt);
+  /// Appends to a body that is held, once there is memory for it. Returns false if there
+  /// is none or the attempt was ended.
+  asio::awaitable<bool> AppendHeld(AttemptState& aAttempt,
+                                   limits::ByteBudget::Share& aHeld,
+                                   std::string& aBody,
+                                   std::string_view aRead);
+  /// Waits until there is memory for a response that is held and then has the size.
+  /// Returns false if there is none or the attempt was ended.
+  asio::awaitable<bool> AwaitMemory(AttemptState& aAttempt,
+                                    limits::ByteBudget::Share& aHeld,
+                                    std::size_t aSize);
   asio::awaitable<Result> ForwardEventStream(AttemptState& aAttempt);
   /// Records how an attempt ended and keeps its connection if it can be used again.
   void EndAttempt(AttemptState& aAttempt, Result aResult);
@@ -136,7 +152,7 @@
   /// Sends the final response. aChoice is the last choice of an endpoint, for the reason
   /// and the retry time of a refusal.
   asio::awaitable<bool> Finish(Result aResult, const gateway::Choice& aChoice);
-  asio::awaitable<bool> WriteToCaller(std::string aBytes);
+  asio::awaitable<bool> WriteToCaller(std::string aHead, std::string aBody = {});
 
   /// Gives up the attempt that was to be the next one.
   void ReleaseNextAttempt();
@@ -178,7 +194,9 @@
   unsigned mStatus{ 0 };
   /// Complete 5xx response of an endpoint, sent to the caller if no later attempt
   /// succeeds.
-  std::string mFailureResponse;
+  std::string mFailureHead;
+  std::string mFailureBody;
+  std::unique_ptr<limits::ByteBudget::Share> mFailureBytes;
   unsigned mFailureStatus{ 0 };
   /// Bytes of a response were sent to the caller.
   bool mResponseSent{ false };
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/forwarder.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -87,24 +88,25 @@
     aAttempt.mHead = AttemptState::Head::Unreachable;
     co_return;
   }
-  const std::string request = BuildAttemptRequest(mContext.mDialect,
-                                                  mRequest,
-                                                  mExchange,
-                                                  aAttempt.mAttempt.mEndpoint,
-                                                  mContext.mClock.Now());
+  const std::string head = BuildAttemptHead(mContext.mDialect,
+                                            mRequest,
+                                            mExchange,
+                                            aAttempt.mAttempt.mEndpoint,
+                                            mContext.mClock.Now());
+  const std::array<asio::const_buffer, 2> request{ asio::buffer(head),
+                                                   asio::buffer(mRequest.body()) };
   ++mExchange.mAttemptsSent;
   aAttempt.mInFlight = true;
   aAttempt.mAttempt.mRequestSent = true;
   aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
   ErrorCode ec;
-  co_await asio::async_write(
-    aAttempt.mConnection->mSocket, asio::buffer(request), RedirectError(ec));
+  co_await asio::async_write(aAttempt.mConnection->mSocket, request, RedirectError(ec));
   aAttempt.mSendFailed = static_cast<bool>(ec);
-  const AttemptState::Head head = co_await ReadOwnHead(aAttempt);
-  if (head == AttemptState::Head::Refused) {
+  const AttemptState::Head outcome = co_await ReadOwnHead(aAttempt);
+  if (outcome == AttemptState::Head::Refused) {
     co_await DiscardBody(aAttempt);
   }
-  aAttempt.mHead = head;
+  aAttempt.mHead = outcome;
 }
 
 asio::awaitable<bool> Forwarder::Connect(AttemptState& aAttempt)
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -1,5 +1,7 @@
 #include "components/frontend/forwarder.hpp"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "components/frontend/endpointprobe.hpp"
@@ -54,7 +56,11 @@
   AttemptState& aAttempt)
 {
   ResponseParser& parser = *aAttempt.mParser;
+  if (parser.content_length().value_or(0) > kMaxBufferedResponseBytes) {
+    co_return Result::Failed;
+  }
   std::string body;
+  auto held = std::make_unique<limits::ByteBudget::Share>(mContext.mResponseBytes);
   if (aAttempt.IsAnswer()) {
     DropStandby();
   }
@@ -62,8 +68,8 @@
     std::string_view read;
     aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
     const ErrorCode ec = co_await ReadSome(aAttempt, read);
-    body.append(read);
-    if (ec || aAttempt.mAborted ||
+    const bool appended = co_await AppendHeld(aAttempt, *held, body, read);
+    if (ec || !appended || aAttempt.mAborted ||
         aAttempt.mBytesAfterHead > kMaxBufferedResponseBytes) {
       co_return Result::Failed;
     }
@@ -83,18 +89,66 @@
   if (!SayKeepAlive()) {
     AppendHeader(response, "Connection", "close");
   }
-  response.append("\r\n").append(body);
+  response.append("\r\n");
   if (IsServerError(status)) {
-    mFailureResponse = std::move(response);
+    mFailureHead = std::move(response);
+    mFailureBody = std::move(body);
+    mFailureBytes = std::move(held);
     mFailureStatus = status;
     co_return Result::Failed;
   }
   DropStandby();
   mStatus = status;
-  const bool delivered = co_await WriteToCaller(std::move(response));
+  const bool delivered = co_await WriteToCaller(std::move(response), std::move(body));
   co_return delivered ? Result::Delivered : Result::Ended;
 }
 
+asio::awaitable<bool> Forwarder::AppendHeld(AttemptState& aAttempt,
+                                            limits::ByteBudget::Share& aHeld,
+                                            std::string& aBody,
+                                            std::string_view aRead)
+{
+  const std::size_t size = aBody.size() + aRead.size();
+  if (size > aHeld.Size()) {
+    const std::size_t wanted = std::max<std::size_t>(
+      { size,
+        2 * aHeld.Size(),
+        static_cast<std::size_t>(aAttempt.mParser->content_length().value_or(0)) });
+    if (!co_await AwaitMemory(aAttempt, aHeld, wanted)) {
+      co_return false;
+    }
+    aBody.reserve(wanted);
+  }
+  aBody.append(aRead);
+  co_return true;
+}
+
+asio::awaitable<bool> Forwarder::AwaitMemory(AttemptState& aAttempt,
+                                             limits::ByteBudget::Share& aHeld,
+                                             std::size_t aSize)
+{
+  using Outcome = limits::ByteBudget::Outcome;
+  Outcome outcome = aHeld.Grow(aSize - aHeld.Size());
+  if (outcome == Outcome::Wait) {
+    // The endpoint is not silent: its bytes are left unread until there is room for them.
+    aAttempt.mDeadline = timing::Instant::max();
+  }
+  while (outcome == Outcome::Wait && !aAttempt.mAborted) {
+    co_await mContext.mPlacementChanged.Wait();
+    outcome = aHeld.Grow(aSize - aHeld.Size());
+  }
+  if (outcome == Outcome::Granted) {
+    co_return true;
+  }
+  mContext.mMetrics.mResponsesWithoutMemory.Increment();
+  mContext.mLogger.Warn("no memory to hold a response",
+                        { { "request", mExchange.mAdmission.mMetadata.mId.Str() },
+                          { "endpoint", aAttempt.mAttempt.mEndpoint.Str() },
+                          { "bytes", aHeld.Size() },
+                          { "bytes_of_all", mContext.mResponseBytes.Used() } });
+  co_return false;
+}
+
 asio::awaitable<Forwarder::Result> Forwarder::ForwardEventStream(AttemptState& aAttempt)
 {
   ResponseParser& parser = *aAttempt.mParser;
@@ -102,6 +156,7 @@
   bool firstEvent = true;
   timing::Instant firstEventAt{};
   mExchange.mEvents.Restart();
+  limits::ByteBudget::Share held(mContext.mResponseBytes);
   while (!parser.is_done()) {
     std::string_view read;
     const ErrorCode ec = co_await ReadSome(aAttempt, read);
@@ -109,6 +164,10 @@
       co_return Result::Failed;
     }
     const std::string_view events = mExchange.mEvents.Feed(read);
+    const std::size_t buffered = mExchange.mEvents.Size();
+    if (buffered > held.Size() && !co_await AwaitMemory(aAttempt, held, buffered)) {
+      co_return Result::Failed;
+    }
     if (!events.empty()) {
       DropStandby();
       aAttempt.mDeadline = timing::Instant::max();
@@ -222,11 +281,13 @@
   mContext.mControl.OnFirstEvent(aAttempt.mAttempt, mExchange.mAdmission, now);
 }
 
-asio::awaitable<bool> Forwarder::WriteToCaller(std::string aBytes)
+asio::awaitable<bool> Forwarder::WriteToCaller(std::string aHead, std::string aBody)
 {
   ErrorCode ec;
   mResponseSent = true;
-  co_await asio::async_write(mCaller, asio::buffer(aBytes), RedirectError(ec));
+  const std::array<asio::const_buffer, 2> bytes{ asio::buffer(aHead),
+                                                 asio::buffer(aBody) };
+  co_await asio::async_write(mCaller, bytes, RedirectError(ec));
   if (ec) {
     mExchange.mCallerDisconnected = true;
   }
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -27,6 +27,12 @@
                                     "Requests sent to one more endpoint"))
     , mInterruptedStreams(aRegistry.AddCounter("samphiresail_broken_answers_total",
                                                "Answers that broke off on the way"))
+    , mRequestsWithoutMemory(
+        aRegistry.AddCounter("samphiresail_requests_without_memory_total",
+                             "Requests refused since there was no memory for their body"))
+    , mResponsesWithoutMemory(
+        aRegistry.AddCounter("samphiresail_responses_without_memory_total",
+                             "Responses given up since there was no memory to hold them"))
     , mLatency(aRegistry.AddHistogram("samphiresail_request_seconds",
                                       "Time from a whole request to its final answer"))
     , mFirstEvent(aRegistry.AddHistogram("samphiresail_first_event_seconds",
@@ -50,6 +56,8 @@
   metrics::Counter mQuarantineTestsUndecided;
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
+  metrics::Counter mRequestsWithoutMemory;
+  metrics::Counter mResponsesWithoutMemory;
   metrics::Histogram mLatency;
   metrics::Histogram mFirstEvent;
   metrics::Histogram mQueued;
--- a/components/gateway/eventsplitter.hpp
+++ b/components/gateway/eventsplitter.hpp
@@ -22,6 +22,9 @@
   /// Identifier of the last complete event, if it had one.
   const std::optional<std::string>& LastId() const { return mLastId; }
 
+  /// Bytes that are buffered: an incomplete event and the events returned last.
+  std::size_t Size() const { return mBytes.size(); }
+
   /// True if an incomplete event is buffered.
   bool Partial() const { return mReturned < mBytes.size(); }
 
