--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -152,6 +152,12 @@
   CloseSocket(mSocket);
 }
 
+bool CallerSession::IsBusy(timing::Instant aNow) const
+{
+  const bool awaitsNext = mKeptInStop && aNow < mStateSince + kMinStopIdleTime;
+  return mState != State::Idle || awaitsNext || HasUnreadBytes();
+}
+
 bool CallerSession::HasUnreadBytes() const
 {
   ErrorCode ec;
@@ -351,9 +357,10 @@
   RecordTest(mContext.mLogger, mContext.mMetrics, exchange);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
-  // A head that was sent before a planned stop says that the connection is kept.
-  const bool wanted = !mDraining || mBuffer.size() > 0 || HasUnreadBytes();
-  co_return (keep && wanted && mSocket.is_open());
+  // The head of a stream that was sent before a planned stop says that the connection is
+  // kept, so its caller sends the next request on it.
+  mKeptInStop = keep && mDraining;
+  co_return (keep && mSocket.is_open());
 }
 
 asio::awaitable<void> CallerSession::WatchForDisconnect(Exchange& aExchange,
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -25,8 +25,10 @@
   /// Closes the connection after its next response, or at aIdleDeadline if it is idle
   /// then and has waited for a request for a moment.
   void Drain(timing::Instant aIdleDeadline);
-  /// True while a request is read, served or refused, or its bytes wait to be read.
-  bool IsBusy() const { return mState != State::Idle || HasUnreadBytes(); }
+  /// True while a request is read, served or refused, or its bytes wait to be read, and
+  /// for a moment after a response that says in a planned stop that the connection is
+  /// kept.
+  bool IsBusy(timing::Instant aNow) const;
 
 private:
   using RequestParser = http::request_parser<http::string_body>;
@@ -91,6 +93,8 @@
   /// The last response was sent before the whole request was read.
   bool mHasUnreadRest{ false };
   bool mDraining{ false };
+  /// The last response of a planned stop said that the connection is kept.
+  bool mKeptInStop{ false };
   /// The connection is kept after the current response, as its head says.
   bool mKeepAlive{ false };
   /// The exchange of the request that is being served, or null.
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -96,11 +96,11 @@
   }
 }
 
-bool CallerListener::IsBusy() const
+bool CallerListener::IsBusy(timing::Instant aNow) const
 {
-  return std::ranges::any_of(mSessions, [](const auto& aSession) {
+  return std::ranges::any_of(mSessions, [aNow](const auto& aSession) {
     const auto session = aSession.lock();
-    return session != nullptr && session->IsBusy();
+    return session != nullptr && session->IsBusy(aNow);
   });
 }
 
--- a/components/frontend/listener.hpp
+++ b/components/frontend/listener.hpp
@@ -28,7 +28,7 @@
   void Drain(timing::Instant aIdleDeadline);
   std::size_t Sessions() const { return mSessions.size(); }
   /// True while any session has a request, see CallerSession::IsBusy.
-  bool IsBusy() const;
+  bool IsBusy(timing::Instant aNow) const;
 
 private:
   asio::awaitable<void> Accept();
--- a/components/frontend/plannedstop.cpp
+++ b/components/frontend/plannedstop.cpp
@@ -20,7 +20,7 @@
     return false;
   }
   const bool drained = aNow >= mSchedule->StayUntil() &&
-                       mContext.mExchanges.Size() == 0 && !mCallers.IsBusy();
+                       mContext.mExchanges.Size() == 0 && !mCallers.IsBusy(aNow);
   return drained || aNow >= mSchedule->EndBy();
 }
 
