--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -99,6 +99,9 @@
 public:
   Fixture();
 
+  /// Memory for the bodies of requests, and for responses.
+  static constexpr std::size_t kMemoryOfBudget = 48U << 20U;
+
   /// Adds an endpoint; those in z1, the availability zone of the entry, are preferred.
   ScriptedEndpoint& AddEndpoint(const std::string& aId,
                                 const std::string& aZone = "z1",
@@ -159,6 +162,8 @@
 
   /// Called while a request waits for an adapter.
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
+  limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
+  limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
   asio::io_context mIo{ 1 };
 
@@ -167,9 +172,6 @@
   static constexpr std::chrono::milliseconds kFastTickStep{ 20 };
   static constexpr std::chrono::milliseconds kTickPause{ 1 };
 
-  /// Memory for the bodies of requests, and for responses.
-  static constexpr std::size_t kMemoryOfBudget = 48U << 20U;
-
   void StartTicks(std::chrono::milliseconds aStep);
   asio::awaitable<void> TickLoop(std::chrono::milliseconds aStep);
   std::string RunCaller(const std::string& aBytes,
@@ -184,8 +186,6 @@
   platform::PlatformDialect mDialect;
   BackendPool mBackends{ mIo };
   ExchangeTable mExchanges;
-  limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
-  limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
   Signal mSignal{ mIo };
   FrontendContext mContext;
   std::unique_ptr<CallerListener> mListener;
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -35,9 +35,10 @@
 constexpr std::chrono::milliseconds kMaxMemoryWait{ 500 };
 /// When a caller may come back for whose body there is no memory.
 constexpr std::chrono::milliseconds kMemoryRetryAfter{ 1000 };
-/// Longest time, and most bytes, for which the rest of a refused request is discarded.
+/// Longest time, and least bound on the bytes, for which the rest of a refused request is
+/// discarded. The bound is the largest body, if that is larger.
 constexpr std::chrono::milliseconds kMaxDiscardTime{ 1000 };
-constexpr std::size_t kMaxDiscardedBytes = 1U << 20U;
+constexpr std::uint64_t kDiscardedBytes = 1U << 20U;
 
 std::int64_t Millis(timing::Duration aTime)
 {
@@ -278,9 +279,10 @@
 {
   Enter(State::Closing);
   std::array<char, 4096> bytes{};
-  std::size_t discarded = 0;
+  const std::uint64_t most = std::max(kDiscardedBytes, mLimitsSince.mMaxBodyBytes);
+  std::uint64_t discarded = 0;
   ErrorCode ec;
-  while (!ec && discarded < kMaxDiscardedBytes) {
+  while (!ec && discarded < most) {
     discarded += co_await mSocket.async_read_some(asio::buffer(bytes), RedirectError(ec));
   }
 }
