Let the budgets of memory outlive the requests that hold shares of them

Requests that are cut at the end of a planned stop are destroyed with the event loop, after the budgets that their shares gave bytes back to: a use of destroyed objects at the end of the process. Found by reading the change; no end of a process was seen to come from it. The budgets are destroyed after the loop now.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -76,6 +76,8 @@
   , mLogStream(&mLogOutput)
   , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel), mLogStream)
   , mMetrics(mRegistry)
+  , mRequestBytes(ShareOf(mSettings.mMaxMemory, kRequestMemoryShare))
+  , mResponseBytes(ShareOf(mSettings.mMaxMemory, kResponseMemoryShare))
   , mIncarnation(WallClockMilliseconds(aClock))
   , mMaxDescriptors(limits::RaiseDescriptorLimit(mSettings.mMaxDescriptors))
   , mControl(mSettings.mZone, RandomSeed())
@@ -88,8 +90,6 @@
              [this](const auto& aEndpoint) { OnEndpointLeaving(aEndpoint); })
   , mStoreWatcher(mIo, mStore, *this, aClock, mLogger, RandomSeed())
   , mBackends(mIo)
-  , mRequestBytes(ShareOf(mSettings.mMaxMemory, kRequestMemoryShare))
-  , mResponseBytes(ShareOf(mSettings.mMaxMemory, kResponseMemoryShare))
   , mPlacementChanged(mIo)
   , mFrontend{ mIo,
                mClock,
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -143,6 +143,9 @@
   logging::Logger mLogger;
   metrics::Registry mRegistry;
   frontend::GatewayMetrics mMetrics;
+  // Before the event loop, which destroys the requests in progress with their shares.
+  limits::ByteBudget mRequestBytes;
+  limits::ByteBudget mResponseBytes;
   boost::asio::io_context mIo{ 1 };
   std::uint64_t mIncarnation;
   /// Descriptors that the process may have.
@@ -158,8 +161,6 @@
   platform::StoreWatcher mStoreWatcher;
   frontend::BackendPool mBackends;
   frontend::ExchangeTable mExchanges;
-  limits::ByteBudget mRequestBytes;
-  limits::ByteBudget mResponseBytes;
   frontend::Signal mPlacementChanged;
   frontend::FrontendContext mFrontend;
   frontend::CallerListener mCallers;
