Let no exception leave the coroutines that open ports and answer for the status

An exception other than the system's left the coroutine that opens a port: the process went on without it, and without a word. One in the status of a connection left its place in the list taken for good. Both are logged now and end the port's opening, or the connection. Found by reading; two tests.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -111,6 +111,7 @@
   , mStop(mFrontend, mCallers)
   , mReadiness(mIo,
                mClock,
+               mLogger,
                mSettings.mStatusListenAddress,
                [this](std::string_view) { return Readiness(); })
   , mPeerSocket(mIo)
@@ -121,6 +122,7 @@
     mMetricsListener = std::make_unique<frontend::StatusListener>(
       mIo,
       mClock,
+      mLogger,
       settings::SocketAddress{ mSettings.mIp, mOptions.mMetricsPort },
       [this](std::string_view) {
         return frontend::StatusListener::Response{ 200, mRegistry.Text() };
--- a/apps/tests/frontend/portopeningtest.cpp
+++ b/apps/tests/frontend/portopeningtest.cpp
@@ -1,4 +1,5 @@
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -67,3 +68,16 @@
   CHECK(Contains(mFailure, "callers"));
   CHECK(Contains(mFailure, "127.0.0.1:8221"));
 }
+
+// Any other exception left the coroutine, and the process went on without the port.
+TEST_CASE_METHOD(PortFixture, "port: any exception is a failure to open it", "[frontend]")
+{
+  PortOpening port{ "callers",
+                    { "127.0.0.1", 8221 },
+                    1h,
+                    [] { throw std::runtime_error("no luck"); },
+                    [this](const std::string& aText) { mFailure = aText; } };
+  asio::co_spawn(mIo, OpenPort(mIo, mLogger, std::move(port)), asio::detached);
+  mIo.run();
+  CHECK(Contains(mFailure, "no luck"));
+}
--- a/apps/tests/frontend/statuslistenertest.cpp
+++ b/apps/tests/frontend/statuslistenertest.cpp
@@ -1,5 +1,7 @@
 #include <array>
 #include <deque>
+#include <sstream>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -62,11 +64,19 @@
 
   asio::io_context mIo{ 1 };
   timing::ManualClock mClock;
+  std::ostringstream mLog;
+  logging::Logger mLogger{ "test", logging::Level::Info, mLog };
+  /// The status cannot be given.
+  bool mFails{ false };
   std::uint16_t mPort{ FreePort(mIo) };
   StatusListener mListener{ mIo,
                             mClock,
+                            mLogger,
                             settings::SocketAddress{ "127.0.0.1", mPort },
-                            [](std::string_view) {
+                            [this](std::string_view) {
+                              if (mFails) {
+                                throw std::runtime_error("no status");
+                              }
                               return StatusListener::Response{ 200, "ready" };
                             } };
   std::deque<tcp::socket> mCallers;
@@ -131,3 +141,16 @@
   CHECK(IsAnswered(used));
   CHECK(IsAnswered(Connect()));
 }
+
+// An exception left the coroutine of the connection, which stayed in the list for good.
+TEST_CASE_METHOD(StatusFixture,
+                 "status: an exception ends its connection, and is logged",
+                 "[frontend]")
+{
+  mFails = true;
+  CHECK_FALSE(IsAnswered(Connect()));
+  CHECK(mListener.Connections() == 0);
+  CHECK(mLog.str().find("no status") != std::string::npos);
+  mFails = false;
+  CHECK(IsAnswered(Connect()));
+}
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -1,6 +1,7 @@
 #include "components/frontend/listener.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <iterator>
 
 #include <boost/asio/co_spawn.hpp>
@@ -106,10 +107,12 @@
 
 StatusListener::StatusListener(asio::io_context& aIo,
                                const timing::Clock& aClock,
+                               logging::Logger& aLogger,
                                const settings::SocketAddress& aAddress,
                                Handler aHandler)
   : mIo(aIo)
   , mClock(aClock)
+  , mLogger(aLogger)
   , mAddress(aAddress)
   , mAcceptor(aIo)
   , mHandler(std::move(aHandler))
@@ -157,7 +160,12 @@
 
 asio::awaitable<void> StatusListener::Serve(ConnectionList::iterator aConnection)
 {
-  co_await Converse(aConnection);
+  try {
+    co_await Converse(aConnection);
+  } catch (const std::exception& error) {
+    mLogger.Error("status request ended by an exception",
+                  { { "error", std::string(error.what()) } });
+  }
   mConnections.erase(aConnection);
 }
 
--- a/components/frontend/listener.hpp
+++ b/components/frontend/listener.hpp
@@ -65,6 +65,7 @@
 
   StatusListener(asio::io_context& aIo,
                  const timing::Clock& aClock,
+                 logging::Logger& aLogger,
                  const settings::SocketAddress& aAddress,
                  Handler aHandler);
   /// Opens the port and accepts connections; throws boost::system::system_error if the
@@ -90,6 +91,7 @@
 
   asio::io_context& mIo;
   const timing::Clock& mClock;
+  logging::Logger& mLogger;
   settings::SocketAddress mAddress;
   tcp::acceptor mAcceptor;
   Handler mHandler;
--- a/components/frontend/portopening.cpp
+++ b/components/frontend/portopening.cpp
@@ -1,6 +1,6 @@
 #include "components/frontend/portopening.hpp"
 
-#include <algorithm>
+#include <exception>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/system_error.hpp>
@@ -22,6 +22,7 @@
   std::chrono::milliseconds waited{ 0 };
   for (;;) {
     ErrorCode failure;
+    std::string reason;
     try {
       aPort.mOpen();
       if (waited.count() > 0) {
@@ -33,10 +34,13 @@
       co_return;
     } catch (const boost::system::system_error& error) {
       failure = error.code();
+      reason = failure.message();
+    } catch (const std::exception& error) {
+      reason = error.what();
     }
     if (failure != asio::error::address_in_use || waited >= aPort.mRetryTime) {
       aPort.mOnFailure("port " + address + " for " + aPort.mPurpose + ": " +
-                       failure.message());
+                       reason);
       co_return;
     }
     if (waited.count() == 0) {
--- a/components/frontend/portopening.hpp
+++ b/components/frontend/portopening.hpp
@@ -19,7 +19,8 @@
   settings::SocketAddress mAddress;
   /// How long a port that is in use is tried again.
   std::chrono::milliseconds mRetryTime;
-  /// Opens the port; throws boost::system::system_error if that fails.
+  /// Opens the port; throws if that fails, boost::system::system_error if the system does
+  /// not allow it.
   std::function<void()> mOpen;
   /// Called with the error if the port cannot be opened.
   std::function<void(const std::string&)> mOnFailure;
