Hold a lack of memory against no endpoint, and keep the time of a stream that waits for it

A response that is given up for want of memory counted as a failure of its endpoint, which was then avoided; it says nothing of it, and the caller's 502 names the cause now. And while a stream or a response waited for memory, its time without an event was taken away and not given back, so that one that then fell silent was not resumed. Two tests; an attempt that is ended while it waits is no longer counted as one without memory.

--- a/apps/tests/frontend/sharedmemorytest.cpp
+++ b/apps/tests/frontend/sharedmemorytest.cpp
@@ -1,3 +1,5 @@
+#include <list>
+
 #include <catch2/catch.hpp>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
@@ -11,6 +13,8 @@
 namespace {
 
 constexpr std::size_t kLargeBody = 3U << 20U;
+/// Part of an event that has to wait while memory is short.
+constexpr std::size_t kLargePart = 2 * ByteBudget::kSmallShare;
 /// The largest that a scripted endpoint reads.
 constexpr std::size_t kBodyForEndpoint = 900U << 10U;
 
@@ -72,3 +76,48 @@
   CHECK(mResponseBytes.Used() == 0);
   CHECK(endpoint.Requests().size() == 1);
 }
+
+// The endpoint of a response that this entry cannot hold counted as one that fails.
+TEST_CASE_METHOD(Fixture,
+                 "memory: a response that is given up says nothing of its endpoint",
+                 "[frontend]")
+{
+  StartTicks();
+  AddEndpoint("e1").AddScript(
+    { "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n" +
+      Chunk(std::string(kLargeBody, 'y')) + "0\r\n\r\n" });
+  std::list<ByteBudget::Share> others;
+  for (int i = 0; i < 25; ++i) {
+    REQUIRE(others.emplace_back(mResponseBytes).Grow(1'900'000) ==
+            ByteBudget::Outcome::Granted);
+  }
+  const std::string response = Call(Post("/once/1"), HasHeadAndBody);
+  CHECK(response.starts_with("HTTP/1.1 502"));
+  CHECK(Contains(response, "no memory to hold the response"));
+  RunFor(milliseconds(50));
+  CHECK(Contains(MetricsText(), "samphiresail_responses_without_memory_total 1"));
+  const gateway::Endpoint* endpoint = mControl.mDirectory.Find(ids::EndpointId("e1"));
+  REQUIRE(endpoint != nullptr);
+  CHECK(endpoint->mFailureFraction == 0.0);
+}
+
+// While a part of an event waited for memory, the time of a silent stream was taken away.
+TEST_CASE_METHOD(Fixture,
+                 "memory: a stream that has waited for memory is still resumed if silent",
+                 "[frontend]")
+{
+  StartTicks();
+  ScriptedEndpoint::Script script{ StreamHead() + Chunk("id: 1\ndata: a\n\n") };
+  script.mLater = { { milliseconds(200), Chunk(std::string(kLargePart, 'x')) },
+                    { milliseconds(60000), "0\r\n\r\n" } };
+  AddEndpoint("e1").AddScript(script);
+  ScriptedEndpoint& second = AddEndpoint("e2", "z2");
+  second.AddScript({ StreamHead() + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" });
+  ByteBudget::Share others(mResponseBytes);
+  REQUIRE(others.Grow(kMemoryOfBudget) == ByteBudget::Outcome::Granted);
+  RunAfter(milliseconds(600), [&] { others.Release(); });
+  const std::string response = Call(Post("/stream/1"), HasLastChunk);
+  CHECK(response.ends_with(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"));
+  CHECK(second.Requests().size() == 1);
+}
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -61,6 +61,8 @@
   bool mTookOver{ false };
   /// This entry ended the attempt itself.
   bool mAborted{ false };
+  /// The response was given up for want of memory, which says nothing of its endpoint.
+  bool mWithoutMemory{ false };
   /// Bytes of the current response after its head, with the framing of its chunks.
   std::size_t mBytesAfterHead{ 0 };
   /// Buffer for the bytes of a body.
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -275,6 +275,8 @@
   const gateway::Refusal failure =
     mExchange.mDeadlineExceeded
       ? LocalResponse(504, "the endpoint did not answer in time")
+    : mExchange.mCurrent->mWithoutMemory
+      ? LocalResponse(502, "no memory to hold the response")
       : LocalResponse(502, "the endpoint gave no whole answer");
   SetOutcome(failure.mReason);
   const bool keep = co_await SendLocalResponse(failure);
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -271,7 +271,8 @@
       aAttempt.mAttempt.mEndpoint, std::move(aAttempt.mConnection), now);
   }
   aAttempt.mConnection = nullptr;
-  if (aResult == Result::Failed && (aAttempt.mError || mExchange.mEvents.Partial())) {
+  if (aResult == Result::Failed && !aAttempt.mWithoutMemory &&
+      (aAttempt.mError || mExchange.mEvents.Partial())) {
     LogBrokenAttempt(aAttempt);
     RecordBrokenAttempt(aAttempt);
   }
@@ -288,7 +289,7 @@
     end = gateway::AttemptEnd::Refused;
   } else if (aResult == Result::Delivered) {
     end = gateway::AttemptEnd::Answered;
-  } else if (aResult != Result::Delivered && (IsAborted() || wasDropped)) {
+  } else if (IsAborted() || wasDropped || aAttempt.mWithoutMemory) {
     end = gateway::AttemptEnd::Abandoned;
   } else if (aResult == Result::Unreachable) {
     end = gateway::AttemptEnd::Unreachable;
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -131,15 +131,21 @@
   Outcome outcome = aHeld.Grow(aSize - aHeld.Size());
   if (outcome == Outcome::Wait) {
     // The endpoint is not silent: its bytes are left unread until there is room for them.
+    const timing::Instant deadline = aAttempt.mDeadline;
+    const timing::Instant start = mContext.mClock.Now();
     aAttempt.mDeadline = timing::Instant::max();
+    while (outcome == Outcome::Wait && !aAttempt.mAborted) {
+      co_await mContext.mPlacementChanged.Wait();
+      outcome = aHeld.Grow(aSize - aHeld.Size());
+    }
+    if (deadline != timing::Instant::max()) {
+      aAttempt.mDeadline = deadline + (mContext.mClock.Now() - start);
+    }
   }
-  while (outcome == Outcome::Wait && !aAttempt.mAborted) {
-    co_await mContext.mPlacementChanged.Wait();
-    outcome = aHeld.Grow(aSize - aHeld.Size());
-  }
-  if (outcome == Outcome::Granted) {
-    co_return true;
+  if (outcome != Outcome::Denied) {
+    co_return outcome == Outcome::Granted;
   }
+  aAttempt.mWithoutMemory = true;
   mContext.mMetrics.mResponsesWithoutMemory.Increment();
   mContext.mLogger.Warn("no memory to hold a response",
                         { { "request", mExchange.mAdmission.mMetadata.mId.Str() },
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -80,7 +80,8 @@
   Refused,
   /// The endpoint could not be reached; nothing was sent.
   Unreachable,
-  /// The caller disconnected or its deadline passed.
+  /// The caller disconnected, its deadline passed, or this entry has no memory for the
+  /// response; it says nothing of the endpoint.
   Abandoned,
 };
 
