Charge the buffers of connections to a part of the memory

Each connection had a bound of 64 KiB on what cannot be parsed yet, and nothing bounded their sum: 2,500 callers with half a size line took a real process of 260 MB to 191 MB, and a machine with 160 MB allows almost 7,000 callers.

The buffers get their memory from an allocator that charges a ByteBudget of 0.2 of the memory. While that is short, a buffer above 4 KiB is not enlarged: a caller gets 503 with Retry-After, an attempt ends and says nothing of its endpoint. An empty buffer gives back what is above 4 KiB. An overlong framing is refused for good by current limits only, as an overlong head is.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -38,8 +38,10 @@
 /// File descriptors reserved for connections to endpoints and the store, and for files.
 constexpr std::size_t kReservedDescriptors = 1200;
 
-/// Shares of the process's memory for the bodies of requests and for responses that are
-/// held. The rest is for connections, records of the store and the program itself.
+/// Shares of the process's memory for the buffers of connections, for the bodies of
+/// requests and for responses that are held. The rest is for records of the store and the
+/// program itself.
+constexpr double kConnectionMemoryShare = 0.2;
 constexpr double kRequestMemoryShare = 0.3;
 constexpr double kResponseMemoryShare = 0.2;
 
@@ -76,6 +78,7 @@
   , mLogStream(&mLogOutput)
   , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel), mLogStream)
   , mMetrics(mRegistry)
+  , mConnectionBytes(ShareOf(mSettings.mMaxMemory, kConnectionMemoryShare))
   , mRequestBytes(ShareOf(mSettings.mMaxMemory, kRequestMemoryShare))
   , mResponseBytes(ShareOf(mSettings.mMaxMemory, kResponseMemoryShare))
   , mIncarnation(WallClockMilliseconds(aClock))
@@ -89,7 +92,7 @@
              mSettings.mName,
              [this](const auto& aEndpoint) { OnEndpointLeaving(aEndpoint); })
   , mStoreWatcher(mIo, mStore, *this, aClock, mLogger, RandomSeed())
-  , mBackends(mIo)
+  , mBackends(mIo, mConnectionBytes)
   , mPlacementChanged(mIo)
   , mFrontend{ mIo,
                mClock,
@@ -99,6 +102,7 @@
                mExchanges,
                mLogger,
                mMetrics,
+               mConnectionBytes,
                mRequestBytes,
                mResponseBytes,
                mPlacementChanged,
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -144,6 +144,7 @@
   metrics::Registry mRegistry;
   frontend::GatewayMetrics mMetrics;
   // Before the event loop, which destroys the requests in progress with their shares.
+  limits::ByteBudget mConnectionBytes;
   limits::ByteBudget mRequestBytes;
   limits::ByteBudget mResponseBytes;
   boost::asio::io_context mIo{ 1 };
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -168,6 +168,7 @@
               mExchanges,
               mLogger,
               mMetrics,
+              mConnectionBytes,
               mRequestBytes,
               mResponseBytes,
               mSignal,
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -162,6 +162,7 @@
 
   /// Called while a request waits for an adapter.
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
+  limits::ByteBudget mConnectionBytes{ kMemoryOfBudget };
   limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
   limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
   gateway::TrafficControl mControl{ ids::AvailabilityZoneId("z1"), 11 };
@@ -184,7 +185,7 @@
   metrics::Registry mRegistry;
   GatewayMetrics mMetrics{ mRegistry };
   platform::PlatformDialect mDialect;
-  BackendPool mBackends{ mIo };
+  BackendPool mBackends{ mIo, mConnectionBytes };
   ExchangeTable mExchanges;
   Signal mSignal{ mIo };
   FrontendContext mContext;
--- a/apps/tests/frontend/sharedmemorytest.cpp
+++ b/apps/tests/frontend/sharedmemorytest.cpp
@@ -121,3 +121,63 @@
   CHECK(response.ends_with(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"));
   CHECK(second.Requests().size() == 1);
 }
+
+// Each connection kept up to 64 KiB that could not be parsed yet, and nothing bounded
+// their sum: a few thousand callers with half a line took an entry over its memory.
+TEST_CASE_METHOD(Fixture,
+                 "memory: the buffers of all connections keep within their part",
+                 "[frontend]")
+{
+  StartTicks();
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ ResponseWithDigest("r1", "done") });
+  const std::size_t before = mConnectionBytes.Used();
+  REQUIRE(mConnectionBytes.TryTake(kMemoryOfBudget - before, 0));
+  SECTION("so that a long head is refused")
+  {
+    const std::string response = Call("GET /safe/1" + std::string(kCommon) +
+                                        "X: " + std::string(9000, 'x') + "\r\n\r\n",
+                                      HasHeadAndBody);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(Contains(response, "Retry-After: 1.000"));
+    CHECK(endpoint.Requests().empty());
+  }
+  SECTION("so that a long size line is refused")
+  {
+    const std::string response =
+      Call("POST /once/1" + std::string(kCommon) +
+             "Transfer-Encoding: chunked\r\n\r\n5;" + std::string(9000, 'x'),
+           HasHeadAndBody);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(Contains(response, "Attempt-Id: r1"));
+  }
+  SECTION("so that a long head of an endpoint ends its attempt")
+  {
+    ScriptedEndpoint& other = AddEndpoint("e2");
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nX: ";
+    other.AddScript({ head + std::string(9000, 'x') + "\r\nContent-Length: 0\r\n\r\n" });
+    mControl.mDirectory.Remove(ids::EndpointId("e1"), false, Now());
+    const std::string response = Call(Post("/once/1"), HasHeadAndBody);
+    CHECK(response.starts_with("HTTP/1.1 502"));
+    CHECK(Contains(response, "no memory to hold the response"));
+  }
+  SECTION("and usual messages pass")
+  {
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("done"));
+  }
+  CHECK(mConnectionBytes.Used() < kMemoryOfBudget + 100'000);
+}
+
+TEST_CASE("memory: an empty buffer of a connection gives back what is not small",
+          "[frontend]")
+{
+  ByteBudget budget(1U << 20U);
+  frontend::ConnectionBuffer buffer{ limits::BudgetAllocator<char>(budget) };
+  buffer.prepare(20000);
+  buffer.commit(20000);
+  frontend::ShrinkIfEmpty(buffer);
+  CHECK(budget.Used() >= 20000);
+  buffer.consume(20000);
+  frontend::ShrinkIfEmpty(buffer);
+  CHECK(budget.Used() == 0);
+}
--- a/apps/tests/realprocesses/memorybounds.py
+++ b/apps/tests/realprocesses/memorybounds.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import sys
 import time
 
@@ -171,6 +172,10 @@
     if kind == "half-heads":
         begin = b"POST /book/1 HTTP/1.1\r\nHost: depot.example\r\nX: " + b"x" * 15000
         return "%d open" % await hold_open(entry.ip, entry.ports[0], 1000, seconds, begin)
+    if kind == "half-size-lines":
+        begin = (b"POST /book/1 HTTP/1.1\r\nHost: depot.example\r\nAttempt-Id: a1\r\n"
+                 b"Deadline-Ms: 60000\r\nTransfer-Encoding: chunked\r\n\r\n5;" + b"x" * 60000)
+        return "%d open" % await hold_open(entry.ip, entry.ports[0], 2500, seconds, begin)
     if kind in ("bodies", "unfinished-bodies"):
         results = await asyncio.gather(*(
             send_body(entry, 4 * MB, seconds, kind.startswith("unfinished"))
@@ -181,7 +186,7 @@
 
 
 TRIALS = [*FAULTY_ANSWERS, *FAULTY_REQUESTS, "ready-size-line", "metrics-size-line",
-          "ready-idle", "half-heads", "bodies", "unfinished-bodies"]
+          "ready-idle", "half-heads", "half-size-lines", "bodies", "unfinished-bodies"]
 
 
 async def play(kind, options):
@@ -266,6 +271,8 @@
     parser.add_argument("--callers", type=int, default=40, help="how many send bodies")
     parser.add_argument("--most", type=float, default=0.8, help="part of the memory allowed")
     options = parser.parse_args()
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     good = [asyncio.run(play(kind, options)) for kind in options.trials]
     print("%d passed, %d failed" % (sum(good), len(good) - sum(good)))
     return 0 if all(good) else 1
--- a/components/frontend/backendpool.cpp
+++ b/components/frontend/backendpool.cpp
@@ -75,7 +75,7 @@
 
 std::unique_ptr<BackendConnection> BackendPool::CreateConnection()
 {
-  return std::make_unique<BackendConnection>(mContext);
+  return std::make_unique<BackendConnection>(mContext, mBytes);
 }
 
 void BackendPool::Release(const ids::EndpointId& aEndpoint,
@@ -86,6 +86,7 @@
   if (idle.size() >= kMaxIdlePerEndpoint || aConnection->mBuffer.size() > 0) {
     return;
   }
+  ShrinkIfEmpty(aConnection->mBuffer);
   aConnection->mIdleSince = aNow;
   aConnection->mUsedBefore = true;
   idle.push_back(std::move(aConnection));
--- a/components/frontend/backendpool.hpp
+++ b/components/frontend/backendpool.hpp
@@ -19,13 +19,14 @@
   /// the size of a chunk and the trailer after the last chunk until they are complete.
   static constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
 
-  explicit BackendConnection(asio::io_context& aContext)
+  BackendConnection(asio::io_context& aContext, limits::ByteBudget& aBytes)
     : mSocket(aContext)
+    , mBuffer(kMaxUnparsedBytes, limits::BudgetAllocator<char>(aBytes))
   {
   }
 
   tcp::socket mSocket;
-  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
+  ConnectionBuffer mBuffer;
   /// Time after which the endpoint closes the connection if it is idle.
   timing::Duration mKeepAlive{ std::chrono::seconds(4) };
   timing::Instant mIdleSince{};
@@ -47,8 +48,10 @@
   static constexpr timing::Duration kMaxIdleTimeForIrreversible =
     std::chrono::milliseconds(1000);
 
-  explicit BackendPool(asio::io_context& aContext)
+  /// aBytes is the memory for the buffers of connections.
+  BackendPool(asio::io_context& aContext, limits::ByteBudget& aBytes)
     : mContext(aContext)
+    , mBytes(aBytes)
   {
   }
 
@@ -67,6 +70,7 @@
   static bool IsReusable(BackendConnection& aConnection, timing::Instant aNow);
 
   asio::io_context& mContext;
+  limits::ByteBudget& mBytes;
   std::map<ids::EndpointId, std::vector<std::unique_ptr<BackendConnection>>> mIdle;
 };
 
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -38,7 +38,7 @@
 /// Longest time, and least bound on the bytes, for which the rest of a refused request is
 /// discarded. The bound is the largest body, if that is larger.
 constexpr std::chrono::milliseconds kMaxDiscardTime{ 1000 };
-constexpr std::uint64_t kDiscardedBytes = 1U << 20U;
+constexpr std::uint64_t kMinDiscardLimit = 1U << 20U;
 
 std::int64_t Millis(timing::Duration aTime)
 {
@@ -78,6 +78,7 @@
 CallerSession::CallerSession(FrontendContext& aContext, tcp::socket aSocket)
   : mContext(aContext)
   , mSocket(std::move(aSocket))
+  , mBuffer(limits::BudgetAllocator<char>(aContext.mConnectionBytes))
   , mStateSince(aContext.mClock.Now())
 {
 }
@@ -258,15 +259,18 @@
 {
   std::optional<gateway::Refusal> refusal = ResponseToUnreadable(aEc);
   const gateway::RequestMetadata facts = aFacts.value_or(gateway::RequestMetadata());
-  if (aEc == asio::error::no_memory) {
-    refusal = LocalResponse(503, "no memory for the body");
+  const bool noMemoryForBuffer = IsWithoutMemory(aEc, mBuffer);
+  if (aEc == asio::error::no_memory || noMemoryForBuffer) {
+    refusal = LocalResponse(
+      503, noMemoryForBuffer ? "no memory for the head" : "no memory for the body");
     refusal->mRetryAfter = kMemoryRetryAfter;
     mContext.mMetrics.mRequestsWithoutMemory.Increment();
     LogRefusal(facts, *refusal);
   } else if (mTooSlow) {
     refusal = LocalResponse(408, "the request did not arrive in time");
     LogRefusal(facts, *refusal);
-  } else if (aEc == http::error::header_limit || aEc == http::error::body_limit) {
+  } else if (aEc == http::error::header_limit || aEc == http::error::body_limit ||
+             aEc == http::error::buffer_overflow) {
     refusal = mContext.mControl.RefuseTooLarge(*refusal, mContext.mClock.Now());
   }
   if (refusal) {
@@ -279,7 +283,7 @@
 {
   Enter(State::Closing);
   std::array<char, 4096> bytes{};
-  const std::uint64_t most = std::max(kDiscardedBytes, mLimitsSince.mMaxBodyBytes);
+  const std::uint64_t most = std::max(kMinDiscardLimit, mLimitsSince.mMaxBodyBytes);
   std::uint64_t discarded = 0;
   ErrorCode ec;
   while (!ec && discarded < most) {
@@ -291,6 +295,7 @@
 {
   ErrorCode ec;
   Enter(State::Idle);
+  ShrinkIfEmpty(mBuffer);
   if (mBuffer.size() == 0) {
     co_await mSocket.async_wait(tcp::socket::wait_read, RedirectError(ec));
     if (ec) {
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -81,7 +81,7 @@
 
   FrontendContext& mContext;
   tcp::socket mSocket;
-  beast::flat_buffer mBuffer;
+  ConnectionBuffer mBuffer;
   State mState{ State::Idle };
   timing::Instant mStateSince;
   /// The limits when the state began. A change of the configuration shortens none of them
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -32,6 +32,8 @@
   ExchangeTable& mExchanges;
   logging::Logger& mLogger;
   GatewayMetrics& mMetrics;
+  /// Memory for the buffers of connections.
+  limits::ByteBudget& mConnectionBytes;
   /// Memory for the bodies of the callers' requests.
   limits::ByteBudget& mRequestBytes;
   /// Memory for responses that are held until they are complete.
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -153,6 +153,7 @@
                                    RedirectError(ec));
   if (ec) {
     aAttempt.mError = ec;
+    aAttempt.mWithoutMemory = IsWithoutMemory(ec, aAttempt.mConnection->mBuffer);
     co_return false;
   }
   aAttempt.mResponseBegan = true;
@@ -234,6 +235,7 @@
     ec = {};
   }
   aAttempt.mError = ec;
+  aAttempt.mWithoutMemory = IsWithoutMemory(ec, aAttempt.mConnection->mBuffer);
   co_return ec;
 }
 
--- a/components/limits/bytebudget.cpp
+++ b/components/limits/bytebudget.cpp
@@ -35,6 +35,15 @@
   mBudget.mLargeShares.erase(this);
 }
 
+bool ByteBudget::TryTake(std::size_t aBytes, std::size_t aAlways)
+{
+  if (aBytes > aAlways && mUsed + aBytes > mLimit) {
+    return false;
+  }
+  mUsed += aBytes;
+  return true;
+}
+
 bool ByteBudget::IsLargest(const Share& aShare) const
 {
   return std::ranges::all_of(
--- a/components/limits/bytebudget.hpp
+++ b/components/limits/bytebudget.hpp
@@ -51,6 +51,11 @@
   {
   }
 
+  /// Takes bytes without a share. Returns false if they don't fit, unless they are at
+  /// most aAlways.
+  bool TryTake(std::size_t aBytes, std::size_t aAlways);
+  void Return(std::size_t aBytes) { mUsed -= aBytes; }
+
   std::size_t Limit() const { return mLimit; }
   std::size_t Used() const { return mUsed; }
 
