--- a/apps/tests/platform/oddentriestest.cpp
+++ b/apps/tests/platform/oddentriestest.cpp
@@ -4,6 +4,7 @@
 
 #include "apps/tests/platform/storewatcherfixture.hpp"
 #include "platform/decode.hpp"
+#include "platform/foreignjson.hpp"
 
 using namespace samphiresail;
 using namespace samphiresail::platform;
@@ -55,6 +56,24 @@
   CHECK(DecodeEndpoint("e1", EndpointWith(R"("new":)" + Nested(60))));
 }
 
+// A page of the store with small values without end took many times its size in memory.
+TEST_CASE("decode: text with very many values is not parsed", "[platform]")
+{
+  const std::string value = GENERATE("[],", "{},", "0,", R"({"a":0},)");
+  std::string text = "[";
+  while (text.size() < kMaxTextBytes - 20) {
+    text.append(value);
+  }
+  CHECK_THROWS_AS(ParseForeignJson(text + "0]"), UnreadableText);
+  std::string page = "[";
+  for (int i = 0; i < 50'000; ++i) {
+    page.append(
+      R"({"key":"servers/i-7f3a91c2","value":"eyJzZXJ2aWNlIjoiYSJ9","revision":1},)");
+  }
+  CHECK(ParseForeignJson(page + "0]").size() == 50'001);
+  CHECK(ParseForeignJson(R"([")" + std::string(1'000'000, ',') + R"("])").size() == 1);
+}
+
 TEST_CASE("decode: a record larger than the store accepts is not read", "[platform]")
 {
   const std::string large = R"("new":")" + std::string(1U << 20U, 'x') + R"(")";
