Let the caller idle longest give way where callers have all their places

Once callers had all the descriptors that are theirs, each further connection was accepted and closed without an answer, while idle ones kept their places. The connection that has waited longest for a request is closed instead; where none is idle the next ones wait to be accepted.

--- a/apps/tests/frontend/callersessiontest.cpp
+++ b/apps/tests/frontend/callersessiontest.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <deque>
+
 #include <catch2/catch.hpp>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
@@ -112,3 +115,33 @@
     CallInParts(parts, [](const auto& aText) { return aText.ends_with("second"); });
   CHECK(response.ends_with("second"));
 }
+
+// Once callers had all the places, each further connection was closed without an answer.
+TEST_CASE_METHOD(Fixture,
+                 "caller: the connection that is idle longest gives way to a new one",
+                 "[frontend]")
+{
+  StartTicks();
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  std::deque<frontend::tcp::socket> idle;
+  for (std::size_t i = 0; i < kMaxCallers; ++i) {
+    idle.emplace_back(mIo).connect(
+      { frontend::asio::ip::address_v4::loopback(), Port() });
+    RunFor(milliseconds(2));
+  }
+  const auto isOpen = [](frontend::tcp::socket& aSocket) {
+    frontend::ErrorCode ec;
+    char byte = 0;
+    aSocket.non_blocking(true, ec);
+    aSocket.read_some(frontend::asio::buffer(&byte, 1), ec);
+    return ec == frontend::asio::error::would_block;
+  };
+  CHECK(std::ranges::all_of(idle, isOpen));
+  for (int i = 0; i < 3; ++i) {
+    endpoint.AddScript({ ResponseWithDigest("r1", "done") });
+    CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("done"));
+  }
+  CHECK_FALSE(isOpen(idle.front()));
+  CHECK(isOpen(idle.back()));
+  CHECK(std::ranges::count_if(idle, isOpen) >= static_cast<long>(kMaxCallers) - 4);
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -183,7 +183,7 @@
   mControl.mStoreFreshness.ConfirmUpTo(mClock.Now());
   mControl.mRetryBudget.SetLimits({ std::chrono::seconds(10), 0.2, 50.0 });
   mListener = std::make_unique<CallerListener>(
-    mContext, settings::SocketAddress{ "127.0.0.1", mPort }, 100);
+    mContext, settings::SocketAddress{ "127.0.0.1", mPort }, kMaxCallers);
   mListener->Start();
   mStop = std::make_unique<PlannedStop>(mContext, *mListener);
 }
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -99,6 +99,8 @@
 public:
   Fixture();
 
+  /// Most connections of callers.
+  static constexpr std::size_t kMaxCallers = 100;
   /// Memory for the bodies of requests, and for responses.
   static constexpr std::size_t kMemoryOfBudget = 48U << 20U;
 
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -160,6 +160,22 @@
   return mState != State::Idle || awaitsNext || HasUnreadBytes();
 }
 
+std::optional<timing::Instant> CallerSession::IdleSince() const
+{
+  const bool idle = mState == State::Idle && mSocket.is_open();
+  return idle ? std::optional(mStateSince) : std::nullopt;
+}
+
+bool CallerSession::CloseIdle()
+{
+  if (mBuffer.size() > 0 || HasUnreadBytes()) {
+    return false;
+  }
+  LogClosed("its place is needed", mContext.mClock.Now());
+  CloseSocket(mSocket);
+  return true;
+}
+
 bool CallerSession::HasUnreadBytes() const
 {
   ErrorCode ec;
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -29,6 +29,11 @@
   /// for a moment after a response that says in a planned stop that the connection is
   /// kept.
   bool IsBusy(timing::Instant aNow) const;
+  /// Since when the connection has waited for a request; none if it does not.
+  std::optional<timing::Instant> IdleSince() const;
+  /// Closes an idle connection, since its place is needed. Returns false if part of a
+  /// request has arrived.
+  bool CloseIdle();
 
 private:
   using RequestParser = http::request_parser<http::string_body>;
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -61,8 +61,15 @@
   for (;;) {
     ErrorCode ec;
     tcp::socket socket(mContext.mIo);
+    if (mSessions.size() >= mMaxSessions) {
+      co_await mAcceptor.async_wait(tcp::acceptor::wait_read, RedirectError(ec));
+    }
+    while (mSessions.size() >= mMaxSessions && !CloseLongestIdle()) {
+      // The next connections wait to be accepted, rather than being closed.
+      co_await PauseBeforeAcceptRetry(mContext.mIo);
+    }
     co_await mAcceptor.async_accept(socket, RedirectError(ec));
-    if (ec || mSessions.size() >= mMaxSessions) {
+    if (ec) {
       co_await PauseBeforeAcceptRetry(mContext.mIo);
       continue;
     }
@@ -76,6 +83,23 @@
   }
 }
 
+bool CallerListener::CloseLongestIdle()
+{
+  std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
+  if (mSessions.size() < mMaxSessions) {
+    return true;
+  }
+  std::shared_ptr<CallerSession> longest;
+  for (const auto& weak : mSessions) {
+    const auto session = weak.lock();
+    const bool idle = session != nullptr && session->IdleSince().has_value();
+    if (idle && (longest == nullptr || session->IdleSince() < longest->IdleSince())) {
+      longest = session;
+    }
+  }
+  return longest != nullptr && longest->CloseIdle();
+}
+
 void CallerListener::Tick(timing::Instant aNow)
 {
   std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
--- a/components/frontend/listener.hpp
+++ b/components/frontend/listener.hpp
@@ -32,6 +32,8 @@
 
 private:
   asio::awaitable<void> Accept();
+  /// Closes the connection that has been idle longest. Returns false if none is idle.
+  bool CloseLongestIdle();
 
   FrontendContext& mContext;
   settings::SocketAddress mAddress;
