--- a/apps/samphiresail/main.cpp
+++ b/apps/samphiresail/main.cpp
@@ -52,7 +52,8 @@
 #endif
 
   if (aArgc < 2 || std::string_view(aArgv[1]) != gateway->get_name()) {
-    // Only the gateway releases them itself; the operators' commands have no handlers.
+    // The gateway releases them itself. The other roles block the signals that they wait
+    // for as they start, and the operators' commands have no handlers.
     gHeldSignals.Release();
   }
   try {
