--- a/components/frontend/portopening.cpp
+++ b/components/frontend/portopening.cpp
@@ -39,8 +39,7 @@
       reason = error.what();
     }
     if (failure != asio::error::address_in_use || waited >= aPort.mRetryTime) {
-      aPort.mOnFailure("port " + address + " for " + aPort.mPurpose + ": " +
-                       reason);
+      aPort.mOnFailure("port " + address + " for " + aPort.mPurpose + ": " + reason);
       co_return;
     }
     if (waited.count() == 0) {
