Test that a response without room waits until there is some

The test passed also with a budget that grants everything, as a build without its guard showed. It now requires that the share before it was given back first; with that it fails there and passes on the code as it is.

--- a/apps/tests/frontend/sharedmemorytest.cpp
+++ b/apps/tests/frontend/sharedmemorytest.cpp
@@ -72,6 +72,7 @@
   REQUIRE(others.Grow(kMemoryOfBudget) == ByteBudget::Outcome::Granted);
   RunAfter(milliseconds(3000), [&] { others.Release(); });
   CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with(body));
+  CHECK(others.Size() == 0);
   RunFor(milliseconds(50));
   CHECK(mResponseBytes.Used() == 0);
   CHECK(endpoint.Requests().size() == 1);
