Satisfy the linter in the allocator of buffers and in the opening of ports

The linter found the allocator's functions, whose names the standard gives, and a text put together in a loop.

--- a/components/frontend/portopening.cpp
+++ b/components/frontend/portopening.cpp
@@ -11,6 +11,13 @@
 
 constexpr std::chrono::milliseconds kRetryPause{ 100 };
 
+std::string FailureText(const std::string& aAddress,
+                        const std::string& aPurpose,
+                        const std::string& aReason)
+{
+  return "port " + aAddress + " for " + aPurpose + ": " + aReason;
+}
+
 }
 
 asio::awaitable<void> OpenPort(asio::io_context& aIo,
@@ -39,7 +46,7 @@
       reason = error.what();
     }
     if (failure != asio::error::address_in_use || waited >= aPort.mRetryTime) {
-      aPort.mOnFailure("port " + address + " for " + aPort.mPurpose + ": " + reason);
+      aPort.mOnFailure(FailureText(address, aPort.mPurpose, reason));
       co_return;
     }
     if (waited.count() == 0) {
--- a/components/limits/budgetallocator.hpp
+++ b/components/limits/budgetallocator.hpp
@@ -32,6 +32,8 @@
   {
   }
 
+  // The standard names the functions of an allocator.
+  // NOLINTBEGIN(readability-identifier-naming)
   T* allocate(std::size_t aCount)
   {
     const std::size_t bytes = aCount * sizeof(T);
@@ -50,6 +52,7 @@
     std::allocator<T>().deallocate(aPointer, aCount);
     mBudget->Return(aCount * sizeof(T));
   }
+  // NOLINTEND(readability-identifier-naming)
 
   ByteBudget* Budget() const { return mBudget; }
   friend bool operator==(const BudgetAllocator&, const BudgetAllocator&) = default;
