Choose engines by the pauses of their streams; learn how much each endpoint takes well

Traces show stalls of whole engines while prompts arrive from many entries at once, most of them while other work slows the engine's machine down.

--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -89,6 +89,7 @@
     std::min(
       { mSettings.mConfigurationTime, mSettings.mDrainTime, mSettings.mEvacuationTime }));
   UpdatePeersLoad(aNow);
+  mControl.UpdateLimits(mPeers.Outcomes(aNow), aNow);
   if (!mControl.Configuration()) {
     return;
   }
@@ -121,6 +122,8 @@
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
     if (endpoint.mOwnLoad.mRequests > 0) {
       report.mInFlight.emplace(endpoint.mHash, endpoint.mOwnLoad);
+      report.mOutcomes.emplace(endpoint.mHash,
+                               mControl.mLimits.Own(endpoint.mHash, aNow));
     }
   }
   if (mControl.Configuration()) {
@@ -186,6 +189,7 @@
   }
   // The entries of this zone have the loads themselves; they learn whether they count.
   sums.mInFlight.clear();
+  sums.mOutcomes.clear();
   sums.mAdmitted.clear();
   sums.mModelDemand.clear();
   sums.mLoadedAdapters.clear();
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -197,7 +197,8 @@
         RecordFirstEvent(aAttempt);
         firstEvent = false;
       } else {
-        mContext.mControl.OnProgress(aAttempt.mAttempt, mContext.mClock.Now());
+        mContext.mControl.OnProgress(
+          aAttempt.mAttempt, mExchange.mAdmission, mContext.mClock.Now());
         if (!mExchange.mAnswered) {
           RecordAnswered();
         }
--- a/components/gateway/endpoint.hpp
+++ b/components/gateway/endpoint.hpp
@@ -72,6 +72,8 @@
   timing::Instant mSilentSince{};
   /// How long the endpoint may be silent by the forecasts of the unanswered requests.
   Milliseconds mSilenceLimit{ 0 };
+  /// The endpoint's responses say how long work takes on its machine.
+  bool mReportsMachine{ false };
   /// When a response of the endpoint last reported its load.
   timing::Instant mObservedAt{};
 
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -19,6 +19,12 @@
 /// their forecasts. It also weighs the requests that an engine generates for: they slow
 /// each other down without delaying a first event.
 constexpr Milliseconds kDelayPerSlotUnit{ 100.0 };
+/// Fraction of the longest pause that reading may take without a penalty; the rest is for
+/// the engine's steps and for prompts that other entries send meanwhile.
+constexpr double kFreePauseFraction = 0.5;
+/// Delay for each millisecond of reading beyond that: it pauses all streams of the
+/// engine.
+constexpr double kPauseWeight = 2.0;
 /// Weight of penalties of endpoints that fail, which exceeds every wait that is allowed.
 constexpr double kFailurePenaltyFactor = 10.0;
 
@@ -27,18 +33,33 @@
   return { std::max(1U, aEndpoint.mReport.mSlots), aSpec.mMemoryTokens };
 }
 
+/// Delay that stands for the pauses that a request causes at an engine by the forecast.
+Milliseconds PausePenalty(const EngineForecast& aForecast, Milliseconds aLongestPause)
+{
+  if (aLongestPause <= Milliseconds(0)) {
+    return Milliseconds(0);
+  }
+  const Milliseconds excess =
+    aForecast.mWait + aForecast.mRead - kFreePauseFraction * aLongestPause;
+  return kPauseWeight * std::max(excess, Milliseconds(0));
+}
+
 }
 
 EndpointChooser::EndpointChooser(EndpointDirectory& aDirectory,
                                  ColdLimiter& aCold,
                                  const EngineModel& aModel,
                                  const PromptCacheEstimate& aCache,
+                                 const StreamPace& aPace,
+                                 const EndpointLimits& aLimits,
                                  ids::AvailabilityZoneId aOwnZone,
                                  std::uint64_t aSeed)
   : mDirectory(aDirectory)
   , mCold(aCold)
   , mModel(aModel)
   , mCache(aCache)
+  , mPace(aPace)
+  , mLimits(aLimits)
   , mOwnZone(std::move(aOwnZone))
   , mRandom(aSeed)
 {
@@ -93,6 +114,7 @@
   const bool engine = aRequest.mService.mEngine.has_value();
   const EngineLoad load = aEndpoint.Load();
   const double slots = std::max(1U, aEndpoint.mReport.mSlots);
+  const double limit = mLimits.Limit(aEndpoint.mHash, aEndpoint.mReport.mSlots);
   const double zonePenalty = aEndpoint.mReport.mZone == mOwnZone ? 0.0 : kZonePenalty;
   const double penalty = Penalty(aEndpoint, aNow);
   Candidate candidate;
@@ -115,6 +137,11 @@
     candidate.mAttempt.mKeptTokens = kept;
     candidate.mAttempt.mForecast = mModel.Predict(
       aEndpoint.mReport.mId, load, CapacityOf(aEndpoint, spec), work, aNow);
+    if (aRequest.mLongestPause > Milliseconds(0)) {
+      const Milliseconds stall = mPace.Stall(aEndpoint.mReport.mId, aNow);
+      candidate.mAttempt.mForecast.mWait += stall;
+      candidate.mAttempt.mForecast.mFirstEvent += stall;
+    }
     candidate.mAttempt.mLoad.mUnread = mModel.ReadTime(work.mModel, work.mUnreadTokens);
     candidate.mAttempt.mLoad.mMemoryTokens = prompt + output;
   }
@@ -126,9 +153,10 @@
       return std::nullopt;
     }
     const Milliseconds score =
-      forecast.mFirstEvent + kDelayPerSlotUnit * (load.mRequests / slots + zonePenalty +
-                                                  kFailurePenaltyFactor * penalty);
-    const Milliseconds perRequest = forecast.mRead + kDelayPerSlotUnit / slots;
+      forecast.mFirstEvent + PausePenalty(forecast, aRequest.mLongestPause) +
+      kDelayPerSlotUnit *
+        (load.mRequests / limit + zonePenalty + kFailurePenaltyFactor * penalty);
+    const Milliseconds perRequest = forecast.mRead + kDelayPerSlotUnit / limit;
     candidate.mSpread = { score.count(), 1.0 / std::max(perRequest.count(), 0.1) };
     return candidate;
   }
@@ -138,7 +166,7 @@
   if (load.mRequests >= slots * (1.0 + queue)) {
     return std::nullopt;
   }
-  candidate.mSpread = { load.mRequests / slots + zonePenalty + penalty, slots };
+  candidate.mSpread = { load.mRequests / limit + zonePenalty + penalty, limit };
   return candidate;
 }
 
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -7,11 +7,13 @@
 
 #include "components/gateway/coldlimiter.hpp"
 #include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/endpointlimits.hpp"
 #include "components/gateway/enginemodel.hpp"
 #include "components/gateway/loadspread.hpp"
 #include "components/gateway/promptcacheestimate.hpp"
 #include "components/gateway/requestmetadata.hpp"
 #include "components/gateway/servingconfiguration.hpp"
+#include "components/gateway/streampace.hpp"
 
 namespace samphiresail::gateway {
 
@@ -55,6 +57,12 @@
   double mKeptTokens{ 0.0 };
   /// No response has begun to arrive.
   bool mUnanswered{ true };
+  /// When the last event of its stream arrived; none before the first one.
+  std::optional<timing::Instant> mLastEventAt;
+  /// Target latency; 0 if the endpoint's responses are not judged by it.
+  Milliseconds mTarget{ 0 };
+  /// The response was later than its target, or paused for longer than it may.
+  bool mLate{ false };
   /// RequestIdentity() of the request if endpoints had ended under it or a part of it
   /// when the attempt began, else 0.
   std::uint64_t mSuspect{ 0 };
@@ -102,6 +110,8 @@
   /// Number of similar requests that the other entries send before their next peer
   /// reports.
   double mUnreported{ 0.0 };
+  /// Longest pause that the route allows in a stream; 0 if it states none.
+  Milliseconds mLongestPause{ 0 };
   /// If set, the endpoint is the one that all entries prefer for this cause, of those
   /// that can take the request; otherwise the load is spread.
   std::optional<std::uint64_t> mSuspectedCause;
@@ -110,7 +120,9 @@
 /// Workload: ordinary traffic on every day, with prompts of very different lengths.
 /// Chooses an endpoint that holds the request's model and adapter. Among engines it is
 /// the one with the earliest forecast of the first event, and none at which the request
-/// waits longer than it may; among plain services the one with the fewest requests of all
+/// waits longer than it may. If the route limits the pauses of streams, an engine whose
+/// streams are stalled comes later, and so does one at which reading would pause them for
+/// too long. Among plain services the one with the fewest requests of all
 /// entries relative to its slots. The entry's own availability zone is preferred while
 /// that costs little time.
 class EndpointChooser
@@ -134,6 +146,8 @@
                   ColdLimiter& aCold,
                   const EngineModel& aModel,
                   const PromptCacheEstimate& aCache,
+                  const StreamPace& aPace,
+                  const EndpointLimits& aLimits,
                   ids::AvailabilityZoneId aOwnZone,
                   std::uint64_t aSeed);
 
@@ -180,6 +194,8 @@
   ColdLimiter& mCold;
   const EngineModel& mModel;
   const PromptCacheEstimate& mCache;
+  const StreamPace& mPace;
+  const EndpointLimits& mLimits;
   ids::AvailabilityZoneId mOwnZone;
   EnginePolicy mPolicy;
   std::size_t mEntries{ 1 };
--- a/components/gateway/enginemodel.cpp
+++ b/components/gateway/enginemodel.cpp
@@ -87,7 +87,7 @@
 
 double EngineModel::Slowness(const ids::EndpointId& aEndpoint, timing::Instant aNow) const
 {
-  return std::exp(LogSlowness(aEndpoint, aNow));
+  return std::exp(LogSlowness(aEndpoint, aNow)) * mMachines.Slowness(aEndpoint);
 }
 
 EngineForecast EngineModel::Predict(const ids::EndpointId& aEndpoint,
--- a/components/gateway/enginemodel.hpp
+++ b/components/gateway/enginemodel.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <unordered_map>
 
+#include "components/gateway/machinespeeds.hpp"
 #include "components/ids/ids.hpp"
 #include "components/timing/clock.hpp"
 
@@ -109,11 +110,21 @@
                          Milliseconds aGenerating,
                          Milliseconds aTook);
 
+  /// Records what an engine reported of its machine, see MachineSpeeds.
+  void ObserveMachine(const ids::EndpointId& aEndpoint, double aSlowness)
+  {
+    mMachines.Observe(aEndpoint, aSlowness);
+  }
+
   /// Factor by which the engine is slower than the average; 1 if nothing recent is known.
   double Slowness(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
 
   /// Erases what is known of an engine that has ended or restarted.
-  void Forget(const ids::EndpointId& aEndpoint) { mEngines.erase(aEndpoint); }
+  void Forget(const ids::EndpointId& aEndpoint)
+  {
+    mEngines.erase(aEndpoint);
+    mMachines.Forget(aEndpoint);
+  }
 
 private:
   struct ReadSpeed
@@ -135,7 +146,9 @@
 
   ReadSpeed mAverage;
   std::unordered_map<ids::ModelId, ReadSpeed> mModels;
+  /// Deviations beyond the slowness that the engines' machines report.
   std::unordered_map<ids::EndpointId, Deviation> mEngines;
+  MachineSpeeds mMachines;
   /// Time from sending to the first event beyond reading: the network and the engine's
   /// current step.
   Milliseconds mOverhead{ 15.0 };
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -18,6 +18,8 @@
 
 /// Largest number of requests at an engine, of engines in demand and of cores.
 constexpr double kMaxAmount = 1e6;
+/// Largest number of recent responses of an endpoint.
+constexpr double kMaxOutcomes = 1e5;
 constexpr Milliseconds kMaxUnread = std::chrono::hours(24);
 /// Tokens that an entry may admit in its lifetime. A double counts them exactly.
 constexpr double kMaxAdmittedTokens = 1e15;
@@ -28,6 +30,20 @@
   return std::isfinite(aNumber) && std::abs(aNumber) <= aMax;
 }
 
+/// Outcomes travel as whole eighths of a response, which take a byte or two.
+constexpr double kOutcomeUnits = 8.0;
+
+std::uint32_t ToEighths(double aOutcomes)
+{
+  return static_cast<std::uint32_t>(
+    std::lround(std::clamp(aOutcomes, 0.0, kMaxOutcomes) * kOutcomeUnits));
+}
+
+double FromEighths(std::uint32_t aEighths)
+{
+  return std::min(aEighths / kOutcomeUnits, kMaxOutcomes);
+}
+
 /// True if all numbers of a report can be reckoned with.
 bool HasSoundNumbers(const wire::PeerLoad& aLoad)
 {
@@ -145,6 +161,11 @@
     item->set_count(engineLoad.mRequests);
     item->set_unread_ms(static_cast<float>(engineLoad.mUnread.count()));
     item->set_memory_tokens(static_cast<std::uint32_t>(engineLoad.mMemoryTokens));
+    const auto outcomes = aReport.mOutcomes.find(key);
+    if (outcomes != aReport.mOutcomes.end()) {
+      item->set_ended_eighths(ToEighths(outcomes->second.mEnded));
+      item->set_late_eighths(ToEighths(outcomes->second.mLate));
+    }
   }
   for (const auto& [key, total] : aReport.mAdmitted) {
     auto* item = load.add_admitted();
@@ -188,6 +209,11 @@
                              EngineLoad{ item.count(),
                                          Milliseconds(std::max(item.unread_ms(), 0.0F)),
                                          static_cast<double>(item.memory_tokens()) });
+    if (item.ended_eighths() > 0) {
+      report.mOutcomes.emplace(item.key(),
+                               EndpointOutcomes{ FromEighths(item.ended_eighths()),
+                                                 FromEighths(item.late_eighths()) });
+    }
   }
   for (const auto& item : load.admitted()) {
     report.mAdmitted.emplace(item.key(), item.total());
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -280,6 +280,9 @@
     for (const auto& [key, load] : peer.mReport.mInFlight) {
       sums.mInFlight[key] += load;
     }
+    for (const auto& [key, outcomes] : peer.mReport.mOutcomes) {
+      sums.mOutcomes[key] += outcomes;
+    }
     for (const auto& [key, demand] : peer.mReport.mModelDemand) {
       sums.mModelDemand[key] += demand;
     }
@@ -315,6 +318,18 @@
   return most;
 }
 
+std::unordered_map<std::uint64_t, EndpointOutcomes> PeerTable::Outcomes(
+  timing::Instant aNow) const
+{
+  std::unordered_map<std::uint64_t, EndpointOutcomes> sums;
+  ForEachFresh(aNow, [&sums](const PeerReport& aReport) {
+    for (const auto& [key, outcomes] : aReport.mOutcomes) {
+      sums[key] += outcomes;
+    }
+  });
+  return sums;
+}
+
 std::unordered_map<std::uint64_t, EngineLoad> PeerTable::InFlight(
   timing::Instant aNow) const
 {
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "components/gateway/endpointlimits.hpp"
 #include "components/gateway/enginemodel.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/requestquarantine.hpp"
@@ -48,6 +49,8 @@
   bool mReceivesFromAll{ false };
   /// Requests in flight by endpoint.
   std::unordered_map<std::uint64_t, EngineLoad> mInFlight;
+  /// Recent outcomes of the same endpoints, see EndpointLimits.
+  std::unordered_map<std::uint64_t, EndpointOutcomes> mOutcomes;
   /// Tokens admitted since the start of the process, by client account.
   std::unordered_map<std::uint64_t, double> mAdmitted;
   /// Demand in engines by model, and by model and adapter, see DemandMeter; only the
@@ -182,6 +185,9 @@
   /// Requests in flight by HashName of the endpoint, summed over the fresh reports of the
   /// other entries.
   std::unordered_map<std::uint64_t, EngineLoad> InFlight(timing::Instant aNow) const;
+  /// Outcomes by HashName of the endpoint, summed over the same reports.
+  std::unordered_map<std::uint64_t, EndpointOutcomes> Outcomes(
+    timing::Instant aNow) const;
   /// Demand in engines, summed over the same reports, by HashName of the model or of the
   /// model and adapter.
   std::unordered_map<std::uint64_t, double> ModelDemand(timing::Instant aNow) const;
--- a/components/gateway/requestmetadata.hpp
+++ b/components/gateway/requestmetadata.hpp
@@ -52,6 +52,9 @@
   /// Running and waiting requests, if the endpoint reports its load.
   std::optional<unsigned> mRunning;
   std::optional<unsigned> mWaiting;
+  /// Factor by which work on the endpoint's machine takes longer than usual at this
+  /// moment, if the endpoint reports it.
+  std::optional<double> mMachineSlowness;
   /// How long the endpoint keeps the connection open while it is idle.
   std::optional<std::chrono::seconds> mKeepAlive;
 };
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -22,6 +22,14 @@
 /// The same as a multiple of the forecast of a first event.
 constexpr double kSilenceLimitForecasts = 3.0;
 
+/// True if late responses count against the endpoint: the route limits the pauses of its
+/// streams, or the endpoint says that it shares its machine.
+bool IsJudged(const Admission& aAdmission, const Endpoint& aEndpoint)
+{
+  return aAdmission.mService->mEngine ? aAdmission.mRoute->mGapAim.count() > 0
+                                      : aEndpoint.mReportsMachine;
+}
+
 }
 
 Choice TrafficControl::Begin(const Admission& aAdmission,
@@ -55,6 +63,9 @@
     choice.mAttempt.mSuspect = metadata.mIdentity;
     mSuspectAttempts.Begin(choice.mAttempt.mEndpoint, metadata.mIdentity, *cause);
   }
+  if (IsJudged(aAdmission, *choice.mEndpoint)) {
+    choice.mAttempt.mTarget = ToMilliseconds(aAdmission.mRoute->mTargetLatency);
+  }
   RecordStart(*choice.mEndpoint, choice.mAttempt);
   mCold.Record(choice.mAttempt.mEndpoint, aNow);
   if (aAdmission.mService->mEngine) {
@@ -123,6 +134,7 @@
                                   aAdmission.mRoute->mLatencyTolerant,
                                   Allowance(aAdmission, aNow).mAtEngine,
                                   UnreportedRequests(aAdmission, aNow),
+                                  ToMilliseconds(aAdmission.mRoute->mGapAim),
                                   aSuspectedCause };
     return mChooser.Choose(request, aNow);
   };
@@ -205,6 +217,10 @@
     aAttempt.mUnanswered = false;
     endpoint->mUnanswered -= std::min(endpoint->mUnanswered, 1U);
   }
+  if (aMetadata.mMachineSlowness) {
+    endpoint->mReportsMachine = true;
+    mEngineModel.ObserveMachine(aAttempt.mEndpoint, *aMetadata.mMachineSlowness);
+  }
   if (!aMetadata.mRunning || !aMetadata.mWaiting) {
     return;
   }
@@ -238,7 +254,10 @@
     endpoint->mSilentSince = aNow;
   }
   aAttempt.mLoad.mUnread = Milliseconds(0);
+  aAttempt.mLastEventAt = aNow;
   if (aAdmission.mService->mEngine) {
+    mPace.OnEvent(aAttempt.mEndpoint, true, aNow);
+    aAttempt.mLate = ToMilliseconds(aNow - aAttempt.mSentAt) > aAttempt.mTarget;
     mEngineModel.ObserveFirstEvent(aAttempt.mEndpoint,
                                    aAdmission.mMetadata.mModel,
                                    aAttempt.mForecast,
@@ -247,11 +266,19 @@
   }
 }
 
-void TrafficControl::OnProgress(const Attempt& aAttempt, timing::Instant aNow)
+void TrafficControl::OnProgress(Attempt& aAttempt,
+                                const Admission& aAdmission,
+                                timing::Instant aNow)
 {
   if (Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint)) {
     endpoint->mSilentSince = aNow;
   }
+  const timing::Duration longest = aAdmission.mRoute->mGapAim;
+  if (longest > timing::Duration(0) && aAttempt.mLastEventAt) {
+    mPace.OnEvent(aAttempt.mEndpoint, false, aNow);
+    aAttempt.mLate = aAttempt.mLate || aNow - *aAttempt.mLastEventAt > longest;
+  }
+  aAttempt.mLastEventAt = aNow;
 }
 
 void TrafficControl::OnStreamComplete(const Attempt& aAttempt,
@@ -270,6 +297,8 @@
 void TrafficControl::ForgetEndpoint(const ids::EndpointId& aEndpoint)
 {
   mEngineModel.Forget(aEndpoint);
+  mPace.Forget(aEndpoint);
+  mLimits.Forget(HashName(aEndpoint.Str()));
   mPromptCache.Forget(HashName(aEndpoint.Str()));
 }
 
@@ -306,11 +335,15 @@
     mQuarantine.OnTestNotRun(
       aAttempt.mTested, aAttempt.mFullTest, aAttempt.mSentAt, aNow);
   }
+  if (aAttempt.mLastEventAt) {
+    mPace.OnEnd(aAttempt.mEndpoint);
+  }
   Endpoint* endpoint = mDirectory.Find(aAttempt.mEndpoint);
   if (endpoint == nullptr) {
     return;
   }
   endpoint->mOwnLoad -= aAttempt.mLoad;
+  RecordOutcome(*endpoint, aAttempt, aEnd, aNow);
   if (aAttempt.mUnanswered) {
     endpoint->mUnanswered -= std::min(endpoint->mUnanswered, 1U);
   }
@@ -334,6 +367,41 @@
   }
 }
 
+void TrafficControl::RecordOutcome(const Endpoint& aEndpoint,
+                                   const Attempt& aAttempt,
+                                   AttemptEnd aEnd,
+                                   timing::Instant aNow)
+{
+  const bool ended = aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::Failed;
+  // A caller that leaves after a late event may have left for that reason.
+  const bool leftLate = aEnd == AttemptEnd::Abandoned && aAttempt.mLate;
+  if (aAttempt.mTarget <= Milliseconds(0) || (!ended && !leftLate)) {
+    return;
+  }
+  const bool slow =
+    !aAttempt.mLastEventAt && ToMilliseconds(aNow - aAttempt.mSentAt) > aAttempt.mTarget;
+  mLimits.Record(
+    aEndpoint.mHash, aAttempt.mLate || slow || aEnd == AttemptEnd::Failed, aNow);
+}
+
+void TrafficControl::UpdateLimits(
+  const std::unordered_map<std::uint64_t, EndpointOutcomes>& aReported,
+  timing::Instant aNow)
+{
+  std::unordered_map<ids::ServiceId, std::vector<LimitedEndpoint>> services;
+  for (const auto& [id, endpoint] : mDirectory.All()) {
+    const auto reported = aReported.find(endpoint.mHash);
+    services[endpoint.mReport.mService].push_back(
+      { endpoint.mHash,
+        endpoint.mReport.mSlots,
+        endpoint.Load().mRequests,
+        reported == aReported.end() ? EndpointOutcomes{} : reported->second });
+  }
+  for (const auto& [service, endpoints] : services) {
+    mLimits.Step(endpoints, aNow);
+  }
+}
+
 bool TrafficControl::IsStalled(const Admission& aAdmission,
                                const Attempt& aAttempt,
                                timing::Instant aNow)
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -70,7 +70,14 @@
 
 TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
   : mQuarantine(aSeed)
-  , mChooser(mDirectory, mCold, mEngineModel, mPromptCache, std::move(aOwnZone), aSeed)
+  , mChooser(mDirectory,
+             mCold,
+             mEngineModel,
+             mPromptCache,
+             mPace,
+             mLimits,
+             std::move(aOwnZone),
+             aSeed)
   , mRandom(aSeed)
 {
 }
@@ -265,6 +272,7 @@
   urgency.mTarget = TargetOf(route);
   urgency.mTightestTarget =
     route.mTightestTarget.count() > 0 ? route.mTightestTarget : kDefaultTarget;
+  urgency.mLongestPause = ToMilliseconds(route.mGapAim);
   urgency.mRank = route.mUrgencyRank;
   urgency.mLatencyTolerant = route.mLatencyTolerant;
   urgency.mReturned = aAdmission.mEarlierAttempts > timing::Duration(0);
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -13,11 +13,13 @@
 #include "components/gateway/demandmeter.hpp"
 #include "components/gateway/endpointchooser.hpp"
 #include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/endpointlimits.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/requestquarantine.hpp"
 #include "components/gateway/returningcallers.hpp"
 #include "components/gateway/stopschedule.hpp"
 #include "components/gateway/storefreshness.hpp"
+#include "components/gateway/streampace.hpp"
 #include "components/gateway/suspectattempts.hpp"
 #include "components/gateway/waitpolicy.hpp"
 #include "components/gateway/windowedretrybudget.hpp"
@@ -104,6 +106,8 @@
   ColdLimiter mCold;
   EngineModel mEngineModel;
   PromptCacheEstimate mPromptCache;
+  StreamPace mPace;
+  EndpointLimits mLimits;
   ReturningCallers mReturningCallers;
   RequestQuarantine mQuarantine;
 
@@ -154,8 +158,8 @@
                   timing::Instant aNow);
   /// Records that the first event of a streamed response was received.
   void OnFirstEvent(Attempt& aAttempt, const Admission& aAdmission, timing::Instant aNow);
-  /// Records that more of a response was received.
-  void OnProgress(const Attempt& aAttempt, timing::Instant aNow);
+  /// Records that one more event of a streamed response was received.
+  void OnProgress(Attempt& aAttempt, const Admission& aAdmission, timing::Instant aNow);
   /// Records that a streamed response was complete; its first event had come at
   /// aFirstEvent.
   void OnStreamComplete(const Attempt& aAttempt,
@@ -176,6 +180,10 @@
   void Avoid(const ids::EndpointId& aEndpoint, timing::Instant aNow);
   /// Records the end of an attempt that Begin started.
   void End(const Attempt& aAttempt, AttemptEnd aEnd, timing::Instant aNow);
+  /// Changes the limits of the endpoints by their outcomes, own ones and those that the
+  /// other entries reported, by HashName of the endpoint.
+  void UpdateLimits(const std::unordered_map<std::uint64_t, EndpointOutcomes>& aReported,
+                    timing::Instant aNow);
   /// Erases what was observed of an endpoint that has restarted.
   void ForgetEndpoint(const ids::EndpointId& aEndpoint);
 
@@ -250,6 +258,11 @@
   void RecordRefusal(const RequestMetadata& aMetadata,
                      timing::Instant aFirst,
                      timing::Instant aNow);
+  /// Records how the response to an attempt ended, for the limit of its endpoint.
+  void RecordOutcome(const Endpoint& aEndpoint,
+                     const Attempt& aAttempt,
+                     AttemptEnd aEnd,
+                     timing::Instant aNow);
   /// Adds an attempt to the load of its endpoint.
   static void RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt);
   const ids::ServiceId& PickService(const Route& aRoute);
