Check that the caller is still connected before every send

One check (HasPeerClosed: poll for POLLRDHUP, which also finds a close behind unread bytes) runs before each request is admitted, so that it uses no quota, and before each send: first attempt, repeat, standby and resumed stream. As in WatchForDisconnect(), a caller that closes its sending side has left.

--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "components/frontend/peerclose.hpp"
 #include "components/frontend/quarantinelog.hpp"
 #include "components/gateway/requestidentity.hpp"
 
@@ -337,6 +338,12 @@
     const bool keep = co_await Refuse(gateway::RequestMetadata(), refusal, false);
     co_return keep;
   }
+  if (HasPeerClosed(mSocket)) {
+    mContext.mMetrics.mCallersLeft.Increment();
+    mContext.mLogger.Info("caller left before its request was admitted",
+                          { { "request", facts->mId.Str() } });
+    co_return false;
+  }
   facts->mIdentity = gateway::RequestIdentity(
     { { request.method_string().data(), request.method_string().size() },
       { request.target().data(), request.target().size() },
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -109,6 +109,9 @@
   /// Opens a connection or takes an idle one. Returns false if there is none, or if the
   /// request must not be sent any more.
   asio::awaitable<bool> Connect(AttemptState& aAttempt);
+  /// Called before each send of the request. Returns true if its caller has left, and
+  /// then ends the other attempt.
+  bool HasCallerLeft(const AttemptState& aAttempt);
   /// Reads heads until the one that belongs to the request.
   asio::awaitable<AttemptState::Head> ReadOwnHead(AttemptState& aAttempt);
   asio::awaitable<bool> ReadResponseHead(AttemptState& aAttempt);
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "components/frontend/endpointprobe.hpp"
+#include "components/frontend/peerclose.hpp"
 
 namespace samphiresail::frontend {
 
@@ -84,7 +85,7 @@
 asio::awaitable<void> Forwarder::RequestHead(AttemptState& aAttempt)
 {
   const bool connected = co_await Connect(aAttempt);
-  if (!connected) {
+  if (!connected || HasCallerLeft(aAttempt)) {
     aAttempt.mHead = AttemptState::Head::Unreachable;
     co_return;
   }
@@ -109,6 +110,18 @@
   aAttempt.mHead = outcome;
 }
 
+bool Forwarder::HasCallerLeft(const AttemptState& aAttempt)
+{
+  if (!mExchange.mCallerDisconnected && HasPeerClosed(mCaller)) {
+    mContext.mMetrics.mCallersLeft.Increment();
+    mExchange.mCallerDisconnected = true;
+    if (mExchange.mCurrent.get() != &aAttempt) {
+      mExchange.mCurrent->Abort();
+    }
+  }
+  return mExchange.mCallerDisconnected;
+}
+
 asio::awaitable<bool> Forwarder::Connect(AttemptState& aAttempt)
 {
   const ids::EndpointId& endpoint = aAttempt.mAttempt.mEndpoint;
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -27,6 +27,8 @@
                                     "Requests sent to one more endpoint"))
     , mInterruptedStreams(aRegistry.AddCounter("samphiresail_broken_answers_total",
                                                "Answers that broke off on the way"))
+    , mCallersLeft(aRegistry.AddCounter("samphiresail_callers_left_total",
+                                        "Requests not sent since their callers had left"))
     , mRequestsWithoutMemory(
         aRegistry.AddCounter("samphiresail_requests_without_memory_total",
                              "Requests refused since there was no memory for their body"))
@@ -56,6 +58,7 @@
   metrics::Counter mQuarantineTestsUndecided;
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
+  metrics::Counter mCallersLeft;
   metrics::Counter mRequestsWithoutMemory;
   metrics::Counter mResponsesWithoutMemory;
   metrics::Histogram mLatency;
