Fill no engine beyond the memory that it holds without preemption

Cause: the forecast of the wait for memory scaled the excess by the mean slot time, so that an engine got requests for a large part more than its memory before any of them waited, and preempted streams. It also counted the stated output, a maximum, as certain, and all entries that saw the same room filled it together between two peer reports.

Change: EngineMemory learns the part of the stated output that is generated from the number of events of complete responses. A request goes only to an engine with room for the expected tokens. Requests that may wait less at engines than the most urgent ones leave them the memory that becomes free within the difference. If the entries together would send more requests than there is room for before the next reports, each draws once per engine and interval whether it sends. Requests of others that no report explains count with the mean memory of the known ones. Engines without stated memory are chosen as before.

--- a/apps/load/trials/enginetrial.cpp
+++ b/apps/load/trials/enginetrial.cpp
@@ -19,6 +19,7 @@
 constexpr timing::Duration kReportInterval = 250ms;
 constexpr timing::Duration kTick = 40ms;
 constexpr timing::Duration kOneWay = 1ms;
+constexpr double kTokensOfEvent = 4.0;
 const ids::ServiceId kService("engines");
 const ids::ModelId kModel("m");
 
@@ -95,6 +96,7 @@
     double read = 0.0;
     for (const auto& engine : mEngines) {
       read += engine->TokensRead();
+      mResult.mPreemptions += engine->Preemptions();
     }
     mResult.mKeptFraction = 1.0 - read / std::max(mPromptTokensServed, 1.0);
     return mResult;
@@ -110,6 +112,7 @@
   {
     std::size_t mClass{ 0 };
     gateway::RequestMetadata mMetadata;
+    double mUsedTokens{ 0.0 };
     timing::Instant mFirst{};
     timing::Instant mDeadline{};
     bool mReturned{ false };
@@ -122,6 +125,7 @@
     gateway::Admission mAdmission;
     gateway::Attempt mAttempt;
     timing::Instant mFirstToken{};
+    bool mEnded{ false };
   };
   using ExchangePointer = std::shared_ptr<Exchange>;
 
@@ -186,7 +190,14 @@
     metadata.mPromptParts = { { shared(mRandom), kSharedTokens },
                               { 1000000 + mRequests, scaled(figures.mPrompt) } };
     metadata.mPromptTokens = kSharedTokens + metadata.mPromptParts.back().mTokens;
-    metadata.mOutputTokens = scaled(figures.mOutput);
+    metadata.mOutputTokens = scaled(static_cast<std::int64_t>(
+      static_cast<double>(figures.mOutput) * mOptions.mOutputFactors[caller->mClass]));
+    const double used =
+      mOptions.mLeastOutput < 1.0
+        ? mOptions.mLeastOutput +
+            (mOptions.mMostOutput - mOptions.mLeastOutput) * unit(mRandom)
+        : 1.0;
+    caller->mUsedTokens = std::ceil(static_cast<double>(metadata.mOutputTokens) * used);
     caller->mFirst = mEvents.Now();
     caller->mDeadline = mEvents.Now() + figures.mTimeout;
     ++mResult.mClasses[caller->mClass].mAsked;
@@ -256,6 +267,7 @@
       request.mParts = aExchange->mCaller->mMetadata.mPromptParts;
       request.mOutputTokens =
         static_cast<double>(aExchange->mCaller->mMetadata.mOutputTokens);
+      request.mUsedTokens = aExchange->mCaller->mUsedTokens;
       request.mPriority =
         mOptions.mPolicy.mByUrgency ? aExchange->mAdmission.mPriority : 5;
       request.mOnFirstToken = [this, aExchange, engine] {
@@ -266,11 +278,13 @@
       };
       const std::uint64_t number = mEngines[engine]->Accept(std::move(request));
       mEvents.At(aExchange->mCaller->mDeadline, [this, aExchange, engine, number] {
-        if (aExchange->mFirstToken == timing::Instant{}) {
+        if (!aExchange->mEnded) {
+          aExchange->mEnded = true;
           mEngines[engine]->Cancel(number);
           Control(*aExchange)
             .End(aExchange->mAttempt, AttemptEnd::Abandoned, mEvents.Now());
-          ++mResult.mClasses[aExchange->mCaller->mClass].mRefused;
+          EngineTrialClassResult& result = mResult.mClasses[aExchange->mCaller->mClass];
+          ++(aExchange->mFirstToken == timing::Instant{} ? result.mRefused : result.mCut);
         }
       });
     });
@@ -280,6 +294,9 @@
   {
     const timing::Instant now = mEvents.Now();
     const Caller& caller = *aExchange->mCaller;
+    if (aExchange->mEnded) {
+      return;
+    }
     aExchange->mFirstToken = now;
     gateway::ResponseMetadata response;
     response.mRunning = mEngines[aEngine]->Running();
@@ -302,7 +319,14 @@
   void OnEnd(const ExchangePointer& aExchange)
   {
     const timing::Instant now = mEvents.Now();
+    if (aExchange->mEnded) {
+      return;
+    }
+    aExchange->mEnded = true;
     gateway::TrafficControl& control = Control(*aExchange);
+    control.OnOutput(aExchange->mAdmission,
+                     static_cast<std::size_t>(
+                       std::ceil(aExchange->mCaller->mUsedTokens / kTokensOfEvent)));
     control.OnStreamComplete(
       aExchange->mAttempt, aExchange->mAdmission, aExchange->mFirstToken, now);
     control.End(aExchange->mAttempt, AttemptEnd::Answered, now);
--- a/apps/load/trials/enginetrial.hpp
+++ b/apps/load/trials/enginetrial.hpp
@@ -34,6 +34,11 @@
   double mFirstSlowness{ 1.0 };
   /// Number of different first parts of prompts.
   std::uint64_t mSharedParts{ 40 };
+  /// Factors of the stated outputs of each class.
+  std::array<double, kEngineTrialClasses> mOutputFactors{ 1.0, 1.0, 1.0 };
+  /// Part of the stated output that responses have, at least and at most.
+  double mLeastOutput{ 1.0 };
+  double mMostOutput{ 1.0 };
 };
 
 struct EngineTrialClassResult
@@ -43,6 +48,8 @@
   std::size_t mOnTime{ 0 };
   std::size_t mLate{ 0 };
   std::size_t mRefused{ 0 };
+  /// Responses that began and had not ended when the caller's time was over.
+  std::size_t mCut{ 0 };
   double OnTime() const
   {
     return static_cast<double>(mOnTime) / static_cast<double>(mAsked);
@@ -65,6 +72,8 @@
   double mErrorFactor90{ 1.0 };
   /// Fraction of the prompt tokens that engines did not have to read.
   double mKeptFraction{ 0.0 };
+  /// Times that an engine preempted a request.
+  std::size_t mPreemptions{ 0 };
 };
 
 /// Plays requests of several entries that decide by TrafficControl on simulated engines.
--- a/apps/load/trials/simulatedengine.cpp
+++ b/apps/load/trials/simulatedengine.cpp
@@ -66,8 +66,62 @@
   return unread;
 }
 
+void SimulatedEngine::AdmitWhileFree()
+{
+  double memory = 0.0;
+  unsigned running = 0;
+  for (const Row& row : mRows) {
+    memory += row.mRunning ? row.mPromptTokens + row.mGenerated : 0.0;
+    running += row.mRunning ? 1 : 0;
+  }
+  for (Row& row : mRows) {
+    if (row.mRunning) {
+      continue;
+    }
+    const double tokens = row.mPromptTokens + row.mGenerated;
+    const bool fits = memory + tokens < mFigures.mMemoryTokens || running == 0;
+    if (running >= mFigures.mSlots || !fits) {
+      return;
+    }
+    row.mRunning = true;
+    row.mUnread = ReadAndKeep(row.mRequest.mParts) + row.mGenerated;
+    memory += tokens;
+    ++running;
+  }
+}
+
+void SimulatedEngine::Preempt()
+{
+  for (;;) {
+    double memory = 0.0;
+    unsigned running = 0;
+    Row* last = nullptr;
+    for (Row& row : mRows) {
+      if (!row.mRunning) {
+        continue;
+      }
+      ++running;
+      memory += row.mPromptTokens + row.mGenerated + 1.0;
+      if (last == nullptr || std::pair(row.mRequest.mPriority, row.mNumber) >
+                               std::pair(last->mRequest.mPriority, last->mNumber)) {
+        last = &row;
+      }
+    }
+    if (memory <= mFigures.mMemoryTokens || running <= 1) {
+      return;
+    }
+    last->mRunning = false;
+    ++mPreemptions;
+  }
+}
+
 void SimulatedEngine::Admit()
 {
+  if (mFigures.mPreempts) {
+    AdmitWhileFree();
+    Preempt();
+    return;
+  }
   double memory = 0.0;
   unsigned running = 0;
   for (Row& row : mRows) {
@@ -124,7 +178,7 @@
     if (row.mGenerated == 1) {
       calls.push_back(row.mRequest.mOnFirstToken);
     }
-    if (row.mGenerated >= row.mRequest.mOutputTokens) {
+    if (row.mGenerated >= row.mRequest.mUsedTokens) {
       calls.push_back(row.mRequest.mOnEnd);
       it = mRows.erase(it);
     } else {
--- a/apps/load/trials/simulatedengine.hpp
+++ b/apps/load/trials/simulatedengine.hpp
@@ -22,6 +22,10 @@
   double mMemoryTokens{ 60000.0 };
   /// Prompt tokens that are read in one step at most.
   double mChunkTokens{ 512.0 };
+  /// Memory is occupied as responses grow. Once it is full the newest of the least urgent
+  /// requests is preempted and its tokens are read again later. Otherwise each request
+  /// occupies its maximum from its beginning on.
+  bool mPreempts{ false };
 };
 
 /// An engine that batches requests. In each step it generates one token for every request
@@ -34,6 +38,8 @@
   {
     std::vector<gateway::PromptPart> mParts;
     double mOutputTokens{ 0.0 };
+    /// Tokens that it generates.
+    double mUsedTokens{ 0.0 };
     int mPriority{ 5 };
     std::function<void()> mOnFirstToken;
     std::function<void()> mOnEnd;
@@ -54,6 +60,8 @@
   unsigned Waiting() const;
   /// Prompt tokens that were read so far.
   double TokensRead() const { return mTokensRead; }
+  /// Requests that were preempted so far.
+  std::size_t Preemptions() const { return mPreemptions; }
   /// Makes the engine slower by a factor from the next step on.
   void SetSlowness(double aFactor) { mSlowness = aFactor; }
 
@@ -69,6 +77,10 @@
   };
 
   void Admit();
+  /// Gives requests slots while memory for their present tokens is free.
+  void AdmitWhileFree();
+  /// Preempts requests until one more token of each of the others fits.
+  void Preempt();
   void ScheduleStep();
   void Step();
   /// Returns the tokens of the prompt that the engine does not keep, and keeps its parts
@@ -85,6 +97,7 @@
   double mTokensRead{ 0.0 };
   double mSlowness{ 1.0 };
   bool mStepping{ false };
+  std::size_t mPreemptions{ 0 };
 };
 
 }
--- a/apps/load/trials/trialcommands.cpp
+++ b/apps/load/trials/trialcommands.cpp
@@ -219,29 +219,34 @@
       total.mClasses[i].mAsked += result.mClasses[i].mAsked;
       total.mClasses[i].mOnTime += result.mClasses[i].mOnTime;
       total.mClasses[i].mLate += result.mClasses[i].mLate;
+      total.mClasses[i].mCut += result.mClasses[i].mCut;
     }
     total.mReturned += result.mReturned;
     total.mReturnedServed += result.mReturnedServed;
     total.mMedianErrorFactor += result.mMedianErrorFactor / count;
     total.mErrorFactor90 += result.mErrorFactor90 / count;
     total.mKeptFraction += result.mKeptFraction / count;
+    total.mPreemptions += result.mPreemptions;
   }
   std::printf(
     "%-16s load %.1f slow %.0f |", aName, aOptions.mLoad, aOptions.mFirstSlowness);
   constexpr std::array kNames{ "long prompt", "long response", "tolerant" };
   for (std::size_t i = 0; i < kEngineTrialClasses; ++i) {
-    std::printf(" %s on time %.1f%% served %.1f%%",
+    std::printf(" %s on time %.1f%% served %.1f%% cut %zu",
                 kNames[i],
                 100.0 * total.mClasses[i].OnTime(),
-                100.0 * total.mClasses[i].Served());
+                100.0 * total.mClasses[i].Served(),
+                total.mClasses[i].mCut);
   }
   std::printf(
-    " | returned %zu served %zu | forecast factor p50 %.2f p90 %.2f | kept %.1f%%\n",
+    " | returned %zu served %zu | forecast factor p50 %.2f p90 %.2f | kept %.1f%% "
+    "| preemptions %zu\n",
     total.mReturned,
     total.mReturnedServed,
     total.mMedianErrorFactor,
     total.mErrorFactor90,
-    100.0 * total.mKeptFraction);
+    100.0 * total.mKeptFraction,
+    total.mPreemptions);
 }
 
 void RunEngine(const SeedRange& aSeeds)
@@ -253,10 +258,10 @@
   };
   constexpr std::array kCases{
     Case{ "work", {} },
-    Case{ "slots", { false, true, true } },
+    Case{ "slots", { false, true, true, false } },
     Case{ "no kept parts", { true, false, true } },
     Case{ "no urgency", { true, true, false } },
-    Case{ "none of them", { false, false, false } },
+    Case{ "none of them", { false, false, false, false } },
   };
   for (const double slowness : { 1.0, 4.0 }) {
     for (const double load : { 0.5, 0.8, 1.3 }) {
@@ -271,6 +276,36 @@
   }
 }
 
+/// Plays engines whose memory is full before their slots are.
+void RunMemory(const SeedRange& aSeeds)
+{
+  struct Case
+  {
+    const char* mName;
+    gateway::EnginePolicy mPolicy;
+  };
+  constexpr std::array kCases{
+    Case{ "memory", {} },
+    Case{ "forecast waits", { true, true, true, false } },
+  };
+  for (const double load : { 0.3, 0.5, 0.7, 1.0 }) {
+    for (const Case& it : kCases) {
+      EngineTrialOptions options;
+      options.mEntries = 12;
+      options.mLoad = load;
+      options.mFigures.mPreempts = true;
+      options.mFigures.mMemoryTokens = 48000.0;
+      options.mFigures.mChunkTokens = 2048.0;
+      options.mFigures.mReadTime = gateway::Milliseconds(0.02);
+      options.mOutputFactors = { 10.0, 4.0, 30.0 };
+      options.mLeastOutput = 0.2;
+      options.mMostOutput = 0.6;
+      options.mPolicy = it.mPolicy;
+      PrintEngine(aSeeds, options, it.mName);
+    }
+  }
+}
+
 void AddTrial(CLI::App& aTrial,
               const char* aName,
               const char* aDescription,
@@ -299,6 +334,11 @@
            "Engines compared by their work against slots and first in first out",
            RunEngine,
            seeds);
+  AddTrial(*trial,
+           "memory",
+           "Engines filled to what their memory holds against a forecast of waits",
+           RunMemory,
+           seeds);
   AddTrial(*trial, "route", "Two choices against the baselines", RunRoute, seeds);
 }
 
--- a/apps/tests/gateway/engineplaytest.cpp
+++ b/apps/tests/gateway/engineplaytest.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kLongPrompt = 0;
 constexpr std::size_t kLongResponse = 1;
 constexpr std::size_t kTolerant = 2;
-constexpr EnginePolicy kSlots{ false, false, false };
+constexpr EnginePolicy kSlots{ false, false, false, false };
 
 EngineTrialResult Play(double aLoad,
                        const EnginePolicy& aPolicy = {},
@@ -87,3 +87,43 @@
   INFO("read time " << options.mFigures.mReadTime.count());
   CHECK(result.mMedianErrorFactor < 2.0);
 }
+
+// Guards against engines that are filled until they preempt streams again and again.
+TEST_CASE("play: engines whose memory is short preempt few streams", "[gateway]")
+{
+  struct Sum
+  {
+    std::size_t mPreemptions{ 0 };
+    std::size_t mCut{ 0 };
+    std::size_t mOnTime{ 0 };
+  };
+  const auto play = [](bool aByMemory) {
+    Sum sum;
+    for (const std::uint64_t seed : { 1U, 2U, 3U }) {
+      EngineTrialOptions options;
+      options.mSeed = seed;
+      options.mEntries = 12;
+      options.mLoad = 0.5;
+      options.mFigures.mPreempts = true;
+      options.mFigures.mMemoryTokens = 48000.0;
+      options.mFigures.mChunkTokens = 2048.0;
+      options.mFigures.mReadTime = Milliseconds(0.02);
+      options.mOutputFactors = { 10.0, 4.0, 30.0 };
+      options.mLeastOutput = 0.2;
+      options.mMostOutput = 0.6;
+      options.mPolicy.mByMemory = aByMemory;
+      const EngineTrialResult result = RunEngineTrial(options);
+      sum.mPreemptions += result.mPreemptions;
+      for (const EngineTrialClassResult& it : result.mClasses) {
+        sum.mCut += it.mCut;
+        sum.mOnTime += it.mOnTime;
+      }
+    }
+    return sum;
+  };
+  const Sum byMemory = play(true);
+  const Sum byForecast = play(false);
+  CHECK(byMemory.mPreemptions * 2 <= byForecast.mPreemptions);
+  CHECK(byMemory.mCut * 2 <= byForecast.mCut);
+  CHECK(byMemory.mOnTime >= byForecast.mOnTime);
+}
--- a/apps/tests/gateway/eventsplittertest.cpp
+++ b/apps/tests/gateway/eventsplittertest.cpp
@@ -33,3 +33,17 @@
   splitter.Feed("id: 3\r\ndata: id: 9\r\n\r\n");
   CHECK(splitter.LastId() == "3");
 }
+
+// Guards against wrong counts of events when several arrive at once or one in parts.
+TEST_CASE("events: they are counted, however they arrive", "[gateway]")
+{
+  EventSplitter splitter;
+  splitter.Feed("id: 1\ndata: a\n\ndata: b\r\n\r\nda");
+  CHECK(splitter.Count() == 2);
+  splitter.Feed("ta: c\n");
+  CHECK(splitter.Count() == 2);
+  splitter.Feed("\n");
+  CHECK(splitter.Count() == 3);
+  splitter.Restart();
+  CHECK(splitter.Count() == 0);
+}
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -215,6 +215,7 @@
       if (parser.is_done() && !mExchange.mEvents.Partial()) {
         mContext.mControl.OnStreamComplete(
           aAttempt.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
+        RecordOutput();
         co_return Result::Delivered;
       }
     }
@@ -236,6 +237,7 @@
   if (aAttempt.mEndpointRuns) {
     mContext.mControl.OnStreamComplete(
       aAttempt.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
+    RecordOutput();
   }
   std::string out;
   if (!mExchange.mResponseHeadSent) {
@@ -287,6 +289,14 @@
   mContext.mControl.OnFirstEvent(aAttempt.mAttempt, mExchange.mAdmission, now);
 }
 
+void Forwarder::RecordOutput()
+{
+  // A resumed stream brings only a part of its events from the last endpoint.
+  if (mExchange.mAttemptsSent == 1) {
+    mContext.mControl.OnOutput(mExchange.mAdmission, mExchange.mEvents.Count());
+  }
+}
+
 asio::awaitable<bool> Forwarder::WriteToCaller(std::string aHead, std::string aBody)
 {
   ErrorCode ec;
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -32,15 +32,18 @@
 EndpointChooser::EndpointChooser(EndpointDirectory& aDirectory,
                                  ColdLimiter& aCold,
                                  const EngineModel& aModel,
+                                 const EngineMemory& aMemory,
                                  const PromptCacheEstimate& aCache,
                                  ids::AvailabilityZoneId aOwnZone,
                                  std::uint64_t aSeed)
   : mDirectory(aDirectory)
   , mCold(aCold)
   , mModel(aModel)
+  , mMemory(aMemory)
   , mCache(aCache)
   , mOwnZone(std::move(aOwnZone))
   , mRandom(aSeed)
+  , mSeed(aSeed)
 {
 }
 
@@ -109,18 +112,28 @@
                                                                  spec.mMemoryTokens,
                                                                  mEntries)
                                              : 0.0;
-    const EngineWork work{
-      metadata.mModel, std::max(prompt - kept, 0.0), prompt, output
-    };
+    EngineWork work{ metadata.mModel, std::max(prompt - kept, 0.0), prompt, output };
+    if (mPolicy.mByMemory) {
+      const double expected = mMemory.ExpectedTokens(work);
+      work.mOutputTokens = expected - prompt;
+      const double room = EngineMemory::Room(
+        load, CapacityOf(aEndpoint, spec), aRequest.mBehind, mModel.SlotTime());
+      candidate.mWaitForRoom =
+        EngineMemory::WaitForRoom(load, room, expected, mModel.SlotTime());
+      const double freed =
+        load.mMemoryTokens * (ToMilliseconds(mPeerReportInterval) / mModel.SlotTime());
+      candidate.mRoom = (std::max(room, 0.0) + freed) / std::max(expected, 1.0);
+    }
     candidate.mAttempt.mKeptTokens = kept;
     candidate.mAttempt.mForecast = mModel.Predict(
       aEndpoint.mReport.mId, load, CapacityOf(aEndpoint, spec), work, aNow);
     candidate.mAttempt.mLoad.mUnread = mModel.ReadTime(work.mModel, work.mUnreadTokens);
-    candidate.mAttempt.mLoad.mMemoryTokens = prompt + output;
+    candidate.mAttempt.mLoad.mMemoryTokens = prompt + work.mOutputTokens;
   }
   if (engine && mPolicy.mByWork) {
     const EngineForecast& forecast = candidate.mAttempt.mForecast;
-    const Milliseconds excess = forecast.mWait - aRequest.mMaxWait;
+    const Milliseconds excess =
+      std::max(forecast.mWait - aRequest.mMaxWait, candidate.mWaitForRoom);
     if (excess > Milliseconds(0)) {
       aChoice.mFreeAfter = std::min(aChoice.mFreeAfter.value_or(excess), excess);
       return std::nullopt;
@@ -166,6 +179,26 @@
   });
 }
 
+void EndpointChooser::LeaveRoomToOthers(double aUnreported,
+                                        std::vector<Candidate>& aCandidates,
+                                        timing::Instant aNow) const
+{
+  double rooms = 0.0;
+  for (const Candidate& candidate : aCandidates) {
+    rooms += std::max(candidate.mRoom, 1.0);
+  }
+  if (rooms >= aUnreported + 1.0 || mPeerReportInterval <= timing::Duration(0)) {
+    return;
+  }
+  // One draw for each engine and interval, as a repeated one would succeed in the end.
+  const auto interval =
+    static_cast<std::uint64_t>(aNow.time_since_epoch() / mPeerReportInterval);
+  std::erase_if(aCandidates, [&](const Candidate& aCandidate) {
+    std::mt19937_64 draw(mSeed ^ aCandidate.mEndpoint->mHash ^ interval);
+    return std::uniform_real_distribution<double>(0.0, aUnreported + 1.0)(draw) > rooms;
+  });
+}
+
 Choice EndpointChooser::Choose(const RoutingRequest& aRequest, timing::Instant aNow)
 {
   const RequestMetadata& metadata = aRequest.mMetadata;
@@ -211,6 +244,9 @@
       candidates.push_back(std::move(*candidate));
     }
   }
+  if (engine && mPolicy.mByMemory) {
+    LeaveRoomToOthers(aRequest.mUnreported, candidates, aNow);
+  }
   if (!candidates.empty()) {
     std::vector<SpreadCandidate> spread;
     std::ranges::transform(candidates, std::back_inserter(spread), &Candidate::mSpread);
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -1,12 +1,14 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTCHOOSER_HPP
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_ENDPOINTCHOOSER_HPP
 
+#include <limits>
 #include <optional>
 #include <random>
 #include <vector>
 
 #include "components/gateway/coldlimiter.hpp"
 #include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/enginememory.hpp"
 #include "components/gateway/enginemodel.hpp"
 #include "components/gateway/loadspread.hpp"
 #include "components/gateway/promptcacheestimate.hpp"
@@ -87,6 +89,8 @@
   bool mByKeptParts{ true };
   /// Less urgent requests leave room in the engines' queues, see AllowedWait.
   bool mByUrgency{ true };
+  /// No engine gets more requests than its memory holds without preemption.
+  bool mByMemory{ true };
 };
 
 /// A request for which an endpoint is chosen.
@@ -99,6 +103,8 @@
   bool mLatencyTolerant{ false };
   /// Longest wait at an engine.
   Milliseconds mMaxWait{ 0 };
+  /// See WaitAllowance.
+  Milliseconds mBehind{ 0 };
   /// Number of similar requests that the other entries send before their next peer
   /// reports.
   double mUnreported{ 0.0 };
@@ -133,11 +139,16 @@
   EndpointChooser(EndpointDirectory& aDirectory,
                   ColdLimiter& aCold,
                   const EngineModel& aModel,
+                  const EngineMemory& aMemory,
                   const PromptCacheEstimate& aCache,
                   ids::AvailabilityZoneId aOwnZone,
                   std::uint64_t aSeed);
 
-  void SetEntries(std::size_t aEntries) { mEntries = aEntries; }
+  void SetEntries(std::size_t aEntries, timing::Duration aPeerReportInterval)
+  {
+    mEntries = aEntries;
+    mPeerReportInterval = aPeerReportInterval;
+  }
   void SetPolicy(const EnginePolicy& aPolicy) { mPolicy = aPolicy; }
 
   Choice Choose(const RoutingRequest& aRequest, timing::Instant aNow);
@@ -148,6 +159,10 @@
   {
     Endpoint* mEndpoint{ nullptr };
     Attempt mAttempt;
+    /// Until the engine has memory for the request.
+    Milliseconds mWaitForRoom{ 0 };
+    /// Such requests for which it has memory until the next peer reports.
+    double mRoom{ std::numeric_limits<double>::infinity() };
     SpreadCandidate mSpread;
   };
 
@@ -168,6 +183,12 @@
                                 const std::vector<std::uint64_t>& aLeadingParts,
                                 Choice& aChoice,
                                 timing::Instant aNow) const;
+  /// Erases engines whose last room is left to other entries: those that send such a
+  /// request before the next peer reports see the same room, and together they may only
+  /// fill it.
+  void LeaveRoomToOthers(double aUnreported,
+                         std::vector<Candidate>& aCandidates,
+                         timing::Instant aNow) const;
   /// Returns the candidate that all entries prefer for the cause.
   static Candidate& PreferredFor(std::uint64_t aCause,
                                  std::vector<Candidate>& aCandidates,
@@ -179,11 +200,15 @@
   EndpointDirectory& mDirectory;
   ColdLimiter& mCold;
   const EngineModel& mModel;
+  const EngineMemory& mMemory;
   const PromptCacheEstimate& mCache;
   ids::AvailabilityZoneId mOwnZone;
   EnginePolicy mPolicy;
   std::size_t mEntries{ 1 };
+  timing::Duration mPeerReportInterval{ 0 };
   std::mt19937_64 mRandom;
+  /// Distinguishes this entry's draws from those of the others.
+  std::uint64_t mSeed{ 0 };
 };
 
 }
--- a/components/gateway/enginemodel.hpp
+++ b/components/gateway/enginemodel.hpp
@@ -112,6 +112,9 @@
   /// Factor by which the engine is slower than the average; 1 if nothing recent is known.
   double Slowness(const ids::EndpointId& aEndpoint, timing::Instant aNow) const;
 
+  /// Mean time that a request occupies a slot.
+  Milliseconds SlotTime() const { return mSlotTime; }
+
   /// Erases what is known of an engine that has ended or restarted.
   void Forget(const ids::EndpointId& aEndpoint) { mEngines.erase(aEndpoint); }
 
--- a/components/gateway/eventsplitter.cpp
+++ b/components/gateway/eventsplitter.cpp
@@ -8,6 +8,22 @@
 
 constexpr std::string_view kIdField = "id:";
 
+/// Returns the number of blank lines, each of which ends an event.
+std::size_t CountEvents(std::string_view aEvents)
+{
+  std::size_t count = 0;
+  for (std::size_t at = aEvents.find('\n'); at != std::string_view::npos;) {
+    const std::size_t next = aEvents.find_first_not_of('\r', at + 1);
+    if (next != std::string_view::npos && aEvents[next] == '\n') {
+      ++count;
+      at = aEvents.find('\n', next + 1);
+    } else {
+      at = aEvents.find('\n', at + 1);
+    }
+  }
+  return count;
+}
+
 /// Returns the end of the last blank line, which ends an event, or npos.
 std::size_t EndOfLastEvent(std::string_view aBytes)
 {
@@ -36,6 +52,7 @@
   }
   mReturned = end;
   const std::string_view events = std::string_view(mBytes).substr(0, end);
+  mCount += CountEvents(events);
   RecordLastId(events);
   return events;
 }
@@ -44,6 +61,7 @@
 {
   mBytes.clear();
   mReturned = 0;
+  mCount = 0;
 }
 
 void EventSplitter::RecordLastId(std::string_view aEvents)
--- a/components/gateway/eventsplitter.hpp
+++ b/components/gateway/eventsplitter.hpp
@@ -22,6 +22,9 @@
   /// Identifier of the last complete event, if it had one.
   const std::optional<std::string>& LastId() const { return mLastId; }
 
+  /// Number of complete events since the last Restart().
+  std::size_t Count() const { return mCount; }
+
   /// Bytes that are buffered: an incomplete event and the events returned last.
   std::size_t Size() const { return mBytes.size(); }
 
@@ -39,6 +42,7 @@
 
   std::string mBytes;
   std::size_t mReturned{ 0 };
+  std::size_t mCount{ 0 };
   std::optional<std::string> mLastId;
 };
 
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -116,12 +116,14 @@
                                    std::optional<std::uint64_t> aSuspectedCause,
                                    timing::Instant aNow)
 {
+  const WaitAllowance allowance = Allowance(aAdmission, aNow);
   const auto choose = [&](const std::vector<ids::EndpointId>& aExcluded) {
     const RoutingRequest request{ *aAdmission.mService,
                                   aAdmission.mMetadata,
                                   aExcluded,
                                   aAdmission.mRoute->mLatencyTolerant,
-                                  Allowance(aAdmission, aNow).mAtEngine,
+                                  allowance.mAtEngine,
+                                  allowance.mBehind,
                                   UnreportedRequests(aAdmission, aNow),
                                   aSuspectedCause };
     return mChooser.Choose(request, aNow);
@@ -217,13 +219,15 @@
     known.mUnread *= left;
     known.mMemoryTokens *= left;
   } else {
-    // Requests that no peer has reported yet are assumed to be like this one. Those that
-    // wait for a slot are unread, most of the running ones are read.
+    // Requests that no peer has reported yet are assumed to be like this one, or in their
+    // memory like the mean of those that are known. Those that wait for a slot are
+    // unread, most of the running ones are read.
     const double unknown = peers - known.mRequests;
     const double waiting = std::min<double>(unknown, *aMetadata.mWaiting);
     known.mUnread +=
       aAttempt.mLoad.mUnread * (waiting + kUnreadFractionOfRunning * (unknown - waiting));
-    known.mMemoryTokens += aAttempt.mLoad.mMemoryTokens * unknown;
+    const EngineLoad load = endpoint->Load();
+    known.mMemoryTokens += load.mMemoryTokens / std::max(load.mRequests, 1U) * unknown;
   }
   known.mRequests = peers;
   endpoint->mObservedAt = aNow;
@@ -267,6 +271,16 @@
   }
 }
 
+void TrafficControl::OnOutput(const Admission& aAdmission, std::size_t aEvents)
+{
+  const RequestMetadata& metadata = aAdmission.mMetadata;
+  if (aAdmission.mService->mEngine && metadata.mLastEventId.empty()) {
+    mEngineMemory.ObserveOutput(metadata.mModel,
+                                static_cast<double>(metadata.mOutputTokens),
+                                static_cast<double>(aEvents));
+  }
+}
+
 void TrafficControl::ForgetEndpoint(const ids::EndpointId& aEndpoint)
 {
   mEngineModel.Forget(aEndpoint);
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -70,7 +70,13 @@
 
 TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
   : mQuarantine(aSeed)
-  , mChooser(mDirectory, mCold, mEngineModel, mPromptCache, std::move(aOwnZone), aSeed)
+  , mChooser(mDirectory,
+             mCold,
+             mEngineModel,
+             mEngineMemory,
+             mPromptCache,
+             std::move(aOwnZone),
+             aSeed)
   , mRandom(aSeed)
 {
 }
@@ -88,7 +94,7 @@
 {
   mEntries = aEntries;
   mPeerReportInterval = aPeerReportInterval;
-  mChooser.SetEntries(aEntries);
+  mChooser.SetEntries(aEntries, aPeerReportInterval);
 }
 
 void TrafficControl::SetEnginePolicy(const EnginePolicy& aPolicy)
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -103,6 +103,7 @@
   DemandMeter mDemand;
   ColdLimiter mCold;
   EngineModel mEngineModel;
+  EngineMemory mEngineMemory;
   PromptCacheEstimate mPromptCache;
   ReturningCallers mReturningCallers;
   RequestQuarantine mQuarantine;
@@ -162,6 +163,9 @@
                         const Admission& aAdmission,
                         timing::Instant aFirstEvent,
                         timing::Instant aNow);
+  /// Records that the only attempt of a request had a complete response of aEvents
+  /// events.
+  void OnOutput(const Admission& aAdmission, std::size_t aEvents);
   /// Records that the response to an attempt broke off before its second event. Returns
   /// true if a connection to the endpoint should be tried, to learn whether it has ended.
   bool OnUnansweredBreak(const Attempt& aAttempt,
--- a/components/gateway/waitpolicy.cpp
+++ b/components/gateway/waitpolicy.cpp
@@ -17,6 +17,7 @@
 constexpr double kMinUrgentFraction = 0.5;
 /// Added for callers that were refused before and can still be served in time.
 constexpr double kReturnedBonus = 0.15;
+constexpr double kMostFraction = kUrgentFraction + kReturnedBonus;
 /// Latency-tolerant requests, when they arrive and when they reach their target. They try
 /// for longer than urgent ones, so a higher fraction would serve them more often.
 constexpr double kTolerantFraction = 0.05;
@@ -51,6 +52,7 @@
                             used * (kTolerantLateFraction - kTolerantFraction) +
                             (aUrgency.mReturned ? kReturnedBonus : 0.0);
     allowance.mAtEngine = fraction * tightest;
+    allowance.mBehind = kMostFraction * tightest - allowance.mAtEngine;
     allowance.mAtEntry = kTolerantEntryFraction * aUrgency.mTarget;
   } else {
     const double cap =
@@ -59,6 +61,7 @@
     const double most = cap + (aUrgency.mReturned && onTime ? kReturnedBonus : 0.0);
     const double least = aUrgency.mReturned ? kLateReturnedFraction : kLateFraction;
     allowance.mAtEngine = std::clamp(targetLeft, least * tightest, most * tightest);
+    allowance.mBehind = (kMostFraction - (onTime ? most : least)) * tightest;
     allowance.mAtEntry = std::max(targetLeft + aUrgency.mWaited, Milliseconds(0));
   }
   if (aUrgency.mReturned) {
@@ -75,7 +78,8 @@
 WaitAllowance AllowedWaitWithoutUrgency(const RequestUrgency& aUrgency)
 {
   return { std::min(aUrgency.mTarget, aUrgency.mTimeLeft),
-           std::min(aUrgency.mTarget / 2, aUrgency.mTimeLeft + aUrgency.mWaited) };
+           std::min(aUrgency.mTarget / 2, aUrgency.mTimeLeft + aUrgency.mWaited),
+           Milliseconds(0) };
 }
 
 }
--- a/components/gateway/waitpolicy.hpp
+++ b/components/gateway/waitpolicy.hpp
@@ -35,6 +35,10 @@
   Milliseconds mAtEngine{ 0 };
   /// Longest wait at this entry until some engine can take it, since it arrived.
   Milliseconds mAtEntry{ 0 };
+  /// How much shorter the wait at an engine is than that of the most urgent requests,
+  /// however much of its target latency has passed. The request leaves the memory that
+  /// becomes free within this time to them.
+  Milliseconds mBehind{ 0 };
 };
 
 /// Workload: more requests than the engines of a model can read. What an engine has
