--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -73,6 +73,7 @@
   , mChooser(mDirectory,
              mCold,
              mEngineModel,
+             mEngineMemory,
              mPromptCache,
              mPace,
              mLimits,
@@ -95,7 +96,7 @@
 {
   mEntries = aEntries;
   mPeerReportInterval = aPeerReportInterval;
-  mChooser.SetEntries(aEntries);
+  mChooser.SetEntries(aEntries, aPeerReportInterval);
 }
 
 void TrafficControl::SetEnginePolicy(const EnginePolicy& aPolicy)
