Count the usage of client accounts and report it under the leader's fencing token

Deployments with a table cloudApi expect a report of each window; nothing sent it.

- The frontend counts each request once, at its first event, at the send of the attempt that ran, or at a failure response.
- Entries send their counts to the leader and to two other entries as notices; the leader records a report in the store before it sends it.

Without the table no field, record, call or log line is added.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -56,6 +56,18 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/// Returns the shortest time between two calls that keeps all limits, each in calls a
+/// second; 0 is no limit.
+milliseconds CallInterval(std::initializer_list<double> aRates)
+{
+  constexpr double kMsPerSecond = 1000.0;
+  double longest = 0.0;
+  for (const double rate : aRates) {
+    longest = std::max(longest, rate > 0.0 ? kMsPerSecond / rate : 0.0);
+  }
+  return milliseconds(static_cast<std::int64_t>(longest));
+}
+
 std::uint64_t WallClockMilliseconds(const timing::Clock& aClock)
 {
   return static_cast<std::uint64_t>(
@@ -122,6 +134,7 @@
   , mSignals(mIo, SIGTERM, SIGHUP, SIGINT)
 {
   ApplySettings();
+  CreateUsageDuty();
   if (mOptions.mMetricsPort != 0) {
     mMetricsListener = std::make_unique<frontend::StatusListener>(
       mIo,
@@ -134,6 +147,35 @@
   }
 }
 
+void GatewayProcess::CreateUsageDuty()
+{
+  if (!mSettings.mCloudApi || !mSettings.mCloudApi->mReportsUsage) {
+    return;
+  }
+  const platform::Settings::CloudApi& api = *mSettings.mCloudApi;
+  mDutyCalls =
+    std::make_unique<platform::DutyCalls>(mClient, api.mAddress, mSettings.mName);
+  mUsageDuty = std::make_unique<UsageDuty>(
+    UsageDuty::Context{
+      mIo,
+      mClock,
+      mLogger,
+      mRegistry,
+      mStore,
+      *mDutyCalls,
+      mPeers,
+      mLeadership,
+      [this](const auto& aBytes, const auto& aTo) { SendDatagram(aBytes, aTo); } },
+    duties::UsageTerms{ mSettings.mReportWindow,
+                        mSettings.mReportLate,
+                        CallInterval({ api.mRate, api.mDutyRate }) },
+    mSettings.mName,
+    mIncarnation);
+  mFrontend.mOnRan = [this](const auto& aAccount, timing::Instant aBegan) {
+    mUsageDuty->Count(aAccount, aBegan);
+  };
+}
+
 void GatewayProcess::OpenPeerSocket()
 {
   udp::socket socket(mIo);
@@ -236,6 +278,9 @@
     }
     mStopped = mStop.IsOver(mClock.Now());
   }
+  if (mUsageDuty) {
+    mUsageDuty->SendLast(mClock.Now(), mLeader);
+  }
   mIo.stop();
 }
 
@@ -267,6 +312,10 @@
     mNextPlacement = aNow + kPlacementInterval;
     PlaceModels(aNow);
   }
+  if (mUsageDuty) {
+    mExchanges.RecordLongRuns(aNow, UsageDuty::kLongRun);
+    mUsageDuty->Tick(aNow, mLeader, mStop.Begun());
+  }
   ReportFindings(aNow);
   UpdateQuarantineRecords(aNow);
   mLogOutput.Flush();
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "apps/samphiresail/gateway/gatewaycommand.hpp"
+#include "apps/samphiresail/gateway/usageduty.hpp"
 #include "components/frontend/plannedstop.hpp"
 #include "components/frontend/portopening.hpp"
 #include "components/gateway/leadership.hpp"
@@ -28,6 +29,7 @@
 #include "components/metrics/registry.hpp"
 #include "components/settings/filewatch.hpp"
 #include "platform/dialect.hpp"
+#include "platform/dutycalls.hpp"
 #include "platform/enginecalls.hpp"
 #include "platform/settings.hpp"
 #include "platform/storewatcher.hpp"
@@ -128,6 +130,8 @@
   bool Ready(timing::Instant aNow) const;
   frontend::StatusListener::Response Readiness() const;
   void ApplySettings();
+  /// Creates the duty of reporting usage, if the settings ask for it.
+  void CreateUsageDuty();
   /// Opens the ports; one that is in use is tried again for a while. Only that of the
   /// metrics may fail.
   void OpenPorts();
@@ -170,6 +174,9 @@
   std::unique_ptr<frontend::StatusListener> mMetricsListener;
   boost::asio::ip::udp::socket mPeerSocket;
   boost::asio::signal_set mSignals;
+  /// Not set unless usage is reported.
+  std::unique_ptr<platform::DutyCalls> mDutyCalls;
+  std::unique_ptr<UsageDuty> mUsageDuty;
   std::array<char, 65536> mDatagram{};
   std::uint64_t mPeerReportSequence{ 0 };
   gateway::QuarantineWriters mQuarantineWriters;
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -130,6 +130,9 @@
     }
   }
   report.mRefused = mControl.mReturningCallers.Recent(aNow);
+  if (mUsageDuty) {
+    report.mTrueTime = mUsageDuty->TimeAt(aNow);
+  }
   AddAdapters(report, aNow);
   return report;
 }
@@ -274,6 +277,9 @@
   const timing::Instant now = mClock.Now();
   mControl.mReturningCallers.AddReported(aReport.mRefused, now);
   mControl.mQuarantine.Merge(aReport.mFindings, now);
+  if (mUsageDuty) {
+    mUsageDuty->OnReport(aReport, now);
+  }
   const std::vector<gateway::LoadedAdapter> loaded = aReport.mLoadedAdapters;
   const bool waitsForAdapter = !aReport.mAwaitedAdapters.empty();
   const bool notice = aReport.mNotice;
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -150,6 +150,8 @@
                                   record.mCauses);
     frontend::LogVerdictRecord(
       mLogger, mControl.mQuarantine, *verdict, record.mWriter, now);
+  } else if (mUsageDuty && aKey.starts_with(kUsagePrefix)) {
+    mUsageDuty->OnRecord(aKey, aValue);
   } else if (aKey.starts_with(kMemberPrefix)) {
     const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
--- a/apps/samphiresail/gateway/recordkeys.hpp
+++ b/apps/samphiresail/gateway/recordkeys.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "components/duties/usagerow.hpp"
 #include "components/gateway/promptpart.hpp"
 #include "components/gateway/quarantineverdict.hpp"
 
@@ -44,6 +45,29 @@
            : std::nullopt;
 }
 
+/// Key prefix of the reports of usage, followed by the window. The record holds the exact
+/// body of the report, with which it is sent and repeated.
+inline constexpr std::string_view kUsagePrefix = "samphiresail/usage/";
+
+/// Returns the key of a window's report.
+inline std::string UsageKey(duties::Window aWindow)
+{
+  return std::string(kUsagePrefix) + std::to_string(aWindow);
+}
+
+/// Returns the window whose report has the key; none if it is another record.
+inline std::optional<duties::Window> UsageWindowOf(std::string_view aKey)
+{
+  if (!aKey.starts_with(kUsagePrefix)) {
+    return std::nullopt;
+  }
+  aKey.remove_prefix(kUsagePrefix.size());
+  duties::Window window = 0;
+  const char* const last = aKey.data() + aKey.size();
+  const auto [end, ec] = std::from_chars(aKey.data(), last, window);
+  return ec == std::errc{} && end == last ? std::optional(window) : std::nullopt;
+}
+
 /// What the record of a verdict holds.
 struct QuarantineRecord
 {
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -38,6 +38,8 @@
   bool mConnecting{ false };
   /// The request was sent, and the attempt has not ended.
   bool mInFlight{ false };
+  /// When the endpoint was sent the request.
+  timing::Instant mSentAt{};
   /// Part of the request could not be written.
   bool mSendFailed{ false };
   /// When ExchangeTable::Tick() acts on the attempt if it has brought nothing until then.
@@ -77,6 +79,14 @@
              ? mFacts.mHasResponseDigest
              : status != http::status_class::server_error;
   }
+  /// True if the head that has arrived is that of a failure or of a response that must be
+  /// discarded.
+  bool IsFailure() const
+  {
+    return http::to_status_class(mParser->get().result()) !=
+             http::status_class::successful ||
+           !mFacts.mHasResponseDigest;
+  }
   /// Closes the connection; the coroutine that waits for it receives an error.
   void Close()
   {
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -350,6 +350,7 @@
   }
   Exchange exchange(std::move(std::get<gateway::Admission>(admitted)));
   exchange.mCaller = &mSocket;
+  exchange.mOnRan = mContext.mOnRan;
   mExchange = &exchange;
   mContext.mExchanges.Add(&exchange);
   asio::co_spawn(
--- a/components/frontend/exchange.cpp
+++ b/components/frontend/exchange.cpp
@@ -4,6 +4,17 @@
 
 namespace samphiresail::frontend {
 
+void ExchangeTable::RecordLongRuns(timing::Instant aNow, timing::Duration aAge)
+{
+  for (Exchange* exchange : mExchanges) {
+    const AttemptState& attempt = *exchange->mCurrent;
+    if (exchange->mOnRan && !exchange->IsStream() && attempt.mInFlight &&
+        attempt.mHead == AttemptState::Head::Awaited && attempt.mSentAt + aAge <= aNow) {
+      exchange->RecordRan(attempt.mSentAt);
+    }
+  }
+}
+
 void ExchangeTable::LimitDeadlines(timing::Instant aInstant)
 {
   for (Exchange* exchange : mExchanges) {
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "components/frontend/attemptstate.hpp"
@@ -18,6 +19,10 @@
 /// connections with which ExchangeTable::Tick() ends it.
 struct Exchange
 {
+  /// Called once for each request of a client account that an endpoint began to run, with
+  /// the instant at which it began.
+  using RanHandler = std::function<void(const ids::ClientAccountId&, timing::Instant)>;
+
   explicit Exchange(gateway::Admission aAdmission)
     : mAdmission(std::move(aAdmission))
   {
@@ -60,7 +65,22 @@
   /// The head of a streamed response was sent to the caller.
   bool mResponseHeadSent{ false };
   gateway::EventSplitter mEvents;
+  /// Empty if requests that run are not counted, or once this one was.
+  RanHandler mOnRan;
 
+  bool IsStream() const
+  {
+    return mAdmission.mRoute->mKind == gateway::RequestKind::Stream;
+  }
+  /// Counts the request as run, unless it was counted before. No account is charged for
+  /// requests of open routes.
+  void RecordRan(timing::Instant aBegan)
+  {
+    if (const RanHandler onRan = std::exchange(mOnRan, nullptr);
+        onRan && mAdmission.mAccount != nullptr) {
+      onRan(mAdmission.mAccount->mName, aBegan);
+    }
+  }
   /// Ends the current attempt in favour of the standby, whose response has begun.
   void HandOver() { mCurrent->Abort(); }
   /// True if the current attempt was ended in favour of the standby.
@@ -93,6 +113,10 @@
   /// another one should be tried.
   using IsSilent = std::function<bool(const Exchange&)>;
 
+  /// Counts the requests as run that are no streams and were sent that long ago without
+  /// a response: an endpoint that does not run a request says so at once.
+  void RecordLongRuns(timing::Instant aNow, timing::Duration aAge);
+
   /// Lets no request in progress last longer than until the given instant.
   void LimitDeadlines(timing::Instant aInstant);
 
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -43,6 +43,8 @@
   /// Called repeatedly while a request waits for an adapter, so that the leader learns of
   /// it.
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
+  /// Empty unless usage is reported.
+  Exchange::RanHandler mOnRan{};
 };
 
 /// Forwards one admitted request: chooses an endpoint, sends the request, forwards the
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -98,6 +98,7 @@
   ++mExchange.mAttemptsSent;
   aAttempt.mInFlight = true;
   aAttempt.mAttempt.mRequestSent = true;
+  aAttempt.mSentAt = mContext.mClock.Now();
   aAttempt.mDeadline = mContext.mClock.Now() + ResponseTimeout();
   ErrorCode ec;
   co_await asio::async_write(aAttempt.mConnection->mSocket, request, RedirectError(ec));
@@ -211,6 +212,12 @@
     LogNotRun(aAttempt);
     control.ObserveRefusal(aAttempt.mAttempt.mEndpoint, mExchange.mAdmission, facts, now);
   }
+  if (!aNotRun && !mExchange.IsStream()) {
+    mExchange.RecordRan(aAttempt.mSentAt);
+  } else if (!aNotRun && aAttempt.IsFailure()) {
+    // No event follows, so the failure itself shows that the endpoint ran the request.
+    mExchange.RecordRan(now);
+  }
   control.OnResponse(aAttempt.mAttempt, facts, now);
   if (facts.mKeepAlive) {
     aAttempt.mConnection->mKeepAlive = *facts.mKeepAlive;
@@ -266,6 +273,11 @@
     // It ran nowhere, so the request may be sent to one more endpoint.
     --mExchange.mAttemptsSent;
   }
+  if (aAttempt.mInFlight && aAttempt.mHead != AttemptState::Head::Refused &&
+      !mExchange.IsStream()) {
+    // No response says that it was not run.
+    mExchange.RecordRan(aAttempt.mSentAt);
+  }
   aAttempt.mInFlight = false;
   aAttempt.mDeadline = timing::Instant::max();
   if (aAttempt.mConnection != nullptr && (withdrawn || IsReusable(aAttempt))) {
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -284,6 +284,7 @@
     mContext.mMetrics.mForecastError.Observe(
       std::chrono::duration_cast<timing::Duration>(std::chrono::abs(error)));
   }
+  mExchange.RecordRan(now);
   mContext.mControl.OnFirstEvent(aAttempt.mAttempt, mExchange.mAdmission, now);
 }
 
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -21,6 +21,10 @@
 constexpr Milliseconds kMaxUnread = std::chrono::hours(24);
 /// Tokens that an entry may admit in its lifetime. A double counts them exactly.
 constexpr double kMaxAdmittedTokens = 1e15;
+/// Latest time since the Unix epoch with which is reckoned.
+constexpr std::chrono::milliseconds kMaxTrueTime = std::chrono::hours(24 * 365 * 200);
+/// Requests that an entry may run in one window. Sums over a fleet do not overflow.
+constexpr std::uint64_t kMaxUsage = 1'000'000'000'000;
 
 /// True if the number is finite and no farther from 0 than aMax.
 bool IsWithin(double aNumber, double aMax)
@@ -117,6 +121,42 @@
   return findings;
 }
 
+void EncodeUsage(const PeerReport& aReport, wire::PeerLoad& aLoad)
+{
+  aLoad.set_true_time_ms(aReport.mTrueTime.count());
+  aLoad.set_usage_complete_before(aReport.mUsage.mCompleteBefore);
+  for (const duties::UsageRow& row : aReport.mUsage.mRows) {
+    auto* item = aLoad.add_usage();
+    item->set_process(row.mProcess.Str());
+    item->set_incarnation(row.mIncarnation);
+    item->set_window(row.mWindow);
+    item->set_total(row.mTotal);
+    for (const auto& [account, count] : row.mCounts) {
+      auto* pair = item->add_counts();
+      pair->set_account(account);
+      pair->set_count(count);
+    }
+  }
+}
+
+void DecodeUsage(const wire::PeerLoad& aLoad, PeerReport& aReport)
+{
+  aReport.mTrueTime = std::chrono::milliseconds(
+    std::clamp<std::int64_t>(aLoad.true_time_ms(), 0, kMaxTrueTime.count()));
+  aReport.mUsage.mCompleteBefore = aLoad.usage_complete_before();
+  for (const auto& item : aLoad.usage()) {
+    duties::UsageRow row{ ids::ProcessId(item.process()),
+                          item.incarnation(),
+                          item.window(),
+                          std::min(item.total(), kMaxUsage),
+                          {} };
+    for (const auto& pair : item.counts()) {
+      row.mCounts[pair.account()] = std::min(pair.count(), kMaxUsage);
+    }
+    aReport.mUsage.mRows.push_back(std::move(row));
+  }
+}
+
 }
 
 std::string EncodePeerReport(const PeerReport& aReport)
@@ -162,6 +202,7 @@
     item->set_key(loaded.mModelAdapterHash);
   }
   EncodeFindings(aReport.mFindings, load);
+  EncodeUsage(aReport, load);
   return load.SerializeAsString();
 }
 
@@ -199,6 +240,7 @@
     report.mLoadedAdapters.push_back({ item.endpoint(), item.key() });
   }
   report.mFindings = DecodeFindings(load);
+  DecodeUsage(load, report);
   return report;
 }
 
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -1,6 +1,7 @@
 #include "components/gateway/peertable.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "components/random/rendezvous.hpp"
@@ -211,6 +212,33 @@
   return addresses;
 }
 
+std::optional<settings::SocketAddress> PeerTable::AddressOf(
+  const ids::ProcessId& aProcess) const
+{
+  const auto it = mPeers.find(aProcess);
+  return it == mPeers.end() ? std::nullopt : std::optional(it->second.mAddress);
+}
+
+PeerTable::Addresses PeerTable::StrongestEntries(std::size_t aCount,
+                                                 const ids::ProcessId& aExcept) const
+{
+  // A larger number of cores first, and so by its negative.
+  std::set<std::pair<double, ids::ProcessId>> entries{ { -mOwnCores, mOwn } };
+  for (const auto& [process, peer] : mPeers) {
+    if (peer.mRegistered) {
+      entries.emplace(-peer.mCores, process);
+    }
+  }
+  Addresses addresses;
+  std::size_t chosen = 0;
+  for (const auto& [cores, process] : entries) {
+    if (process != aExcept && chosen++ < aCount && process != mOwn) {
+      addresses.emplace_back(process, mPeers.at(process).mAddress);
+    }
+  }
+  return addresses;
+}
+
 PeerTable::Addresses PeerTable::ReportReceivers() const
 {
   Addresses addresses;
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -4,11 +4,13 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
+#include "components/duties/usagerow.hpp"
 #include "components/gateway/enginemodel.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/requestquarantine.hpp"
@@ -36,8 +38,8 @@
   std::vector<std::uint64_t> mCovered;
   /// An entry of the receiver's zone passed the report on.
   bool mForwarded{ false };
-  /// Only mAwaitedAdapters, mLoadedAdapters and mFindings are set; the message replaces
-  /// no report.
+  /// Only mAwaitedAdapters, mLoadedAdapters, mFindings, mTrueTime and mUsage are set; the
+  /// message replaces no report.
   bool mNotice{ false };
   /// Set at the start of the process. A report with a larger incarnation replaces one
   /// with a smaller incarnation at once; the reverse happens only after the last report
@@ -60,6 +62,9 @@
   /// Adapters that were recently loaded on an order of the sender.
   std::vector<LoadedAdapter> mLoadedAdapters;
   CrashFindings mFindings;
+  /// Time since the Unix epoch at which the report was sent; 0 unless usage is reported.
+  std::chrono::milliseconds mTrueTime{ 0 };
+  duties::UsageMessage mUsage;
 };
 
 /// Returns the hash by which peer reports identify an endpoint, a client account, a
@@ -157,6 +162,12 @@
   Addresses ZoneReceivers() const;
   /// All other entries.
   Addresses AllAddresses() const;
+  /// Address of another entry; none if it is not known.
+  std::optional<settings::SocketAddress> AddressOf(const ids::ProcessId& aProcess) const;
+  /// The aCount registered entries with the most cores, then by name, without aExcept.
+  /// All entries that see the same registrations choose the same ones, of which each
+  /// leaves out itself.
+  Addresses StrongestEntries(std::size_t aCount, const ids::ProcessId& aExcept) const;
 
   /// True if reports between zones carry sums.
   bool IsGroupedByZone() const
