--- a/apps/samphiresail/gateway/usageduty.cpp
+++ b/apps/samphiresail/gateway/usageduty.cpp
@@ -142,9 +142,11 @@
 void UsageDuty::Tick(timing::Instant aNow, const ids::ProcessId& aLeader, bool aStopping)
 {
   SampleTime(aNow);
+  const Window complete = mCounter.CompleteBefore();
   mCounter.Complete(mTime.WindowAt(aNow - kMaxBackdating));
   ForgetFixed(aNow);
-  if (aNow >= mNextSend) {
+  // The report of a window that has just become complete waits for its counts.
+  if (aNow >= mNextSend || mCounter.CompleteBefore() != complete) {
     SendCounts(aNow, aLeader);
   }
   Hold(aNow, aStopping);
