Derive the time in each refusal from the condition that refused

A rejection by the rule on an entry's part of the bucket told the time in which the bucket would have had the tokens, which it had: the time was negative. A refusal of full endpoints without a forecast told the end of another endpoint's pause, and one after the caller's deadline, or of a pause that had just ended, told 0.

The ledger names the condition and tells when all of its conditions are met. The time of a pause is used for full endpoints only beside a forecast. No time is below the resolution of the header.

--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -142,17 +142,6 @@
   return candidate;
 }
 
-void EndpointChooser::ObservePause(const Endpoint& aEndpoint,
-                                   Choice& aChoice,
-                                   timing::Instant aNow)
-{
-  const Milliseconds left = aEndpoint.mPausedUntil - aNow;
-  aChoice.mFreeAfter = std::min(aChoice.mFreeAfter.value_or(left), left);
-  if (aChoice.mReason != NoEndpoint::Full) {
-    aChoice.mReason = NoEndpoint::Paused;
-  }
-}
-
 EndpointChooser::Candidate& EndpointChooser::PreferredFor(
   std::uint64_t aCause,
   std::vector<Candidate>& aCandidates,
@@ -180,6 +169,8 @@
     engine ? PromptCacheEstimate::LeadingParts(adapter, metadata.mPromptParts)
            : std::vector<std::uint64_t>{};
   Choice choice;
+  // End of the first pause. It says nothing of endpoints that are full.
+  std::optional<Milliseconds> pause;
   std::vector<Candidate> candidates;
   for (auto& [id, endpoint] : mDirectory.All()) {
     if (endpoint.mReport.mService != aRequest.mService.mName ||
@@ -198,7 +189,11 @@
       continue;
     }
     if (paused) {
-      ObservePause(endpoint, choice, aNow);
+      const Milliseconds left = endpoint.mPausedUntil - aNow;
+      pause = std::min(pause.value_or(left), left);
+      if (choice.mReason != NoEndpoint::Full) {
+        choice.mReason = NoEndpoint::Paused;
+      }
       continue;
     }
     choice.mReason = NoEndpoint::Full;
@@ -211,6 +206,9 @@
       candidates.push_back(std::move(*candidate));
     }
   }
+  if (pause && (choice.mReason == NoEndpoint::Paused || choice.mFreeAfter)) {
+    choice.mFreeAfter = std::min(choice.mFreeAfter.value_or(*pause), *pause);
+  }
   if (!candidates.empty()) {
     std::vector<SpreadCandidate> spread;
     std::ranges::transform(candidates, std::back_inserter(spread), &Candidate::mSpread);
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -73,7 +73,8 @@
   NoEndpoint mReason{ NoEndpoint::NoneUsable };
   Attempt mAttempt;
   /// If mReason is Full or Paused: the time until the first endpoint can take the
-  /// request, by the forecast or by the end of its pause.
+  /// request, by the forecast or by the end of its pause. None if the endpoints that are
+  /// full have no forecast.
   std::optional<Milliseconds> mFreeAfter;
 };
 
@@ -158,10 +159,6 @@
                     std::uint64_t aModelHash,
                     std::uint64_t aAdapterHash,
                     NoEndpoint& aReason);
-  /// Updates the reason for finding no endpoint by one that asked for a pause.
-  static void ObservePause(const Endpoint& aEndpoint,
-                           Choice& aChoice,
-                           timing::Instant aNow);
   /// Returns the endpoint as a candidate, or none if it is full.
   std::optional<Candidate> Rate(Endpoint& aEndpoint,
                                 const RoutingRequest& aRequest,
--- a/components/gateway/quotaledger.cpp
+++ b/components/gateway/quotaledger.cpp
@@ -30,6 +30,14 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/// Returns the time in which a bucket gains the tokens, greater than 0.
+timing::Duration RefillTime(double aTokens, double aRate)
+{
+  const std::chrono::duration<double> time(aTokens / std::max(aRate, 1.0));
+  return std::max(std::chrono::duration_cast<timing::Duration>(time),
+                  timing::Duration(1));
+}
+
 }
 
 void QuotaLedger::Bucket::Refill(double aSeconds)
@@ -119,6 +127,7 @@
     StopSharing(account);
   }
   account.mAllPeersFresh = aAllPeersFresh;
+  account.mAppliedInterval = std::min(aNow - account.mAppliedAt, kMaxAppliedAge);
   account.mAppliedAt = aNow;
   account.mBeyondShare = 0.0;
   account.mShare.Resize(account.mSharesSize / entries, account.mCommon.mRate / entries);
@@ -226,10 +235,30 @@
     account.mAdmitted += aTokens;
     return { true, {} };
   }
-  const double rate = std::max(bucket.mRate, 1.0);
-  return { false,
-           std::chrono::duration_cast<timing::Duration>(
-             std::chrono::duration<double>((needed - bucket.mLevel) / rate)) };
+  const QuotaCondition condition =
+    bucket.mLevel < needed ? QuotaCondition::OverRate : QuotaCondition::Contended;
+  timing::Duration wait = RefillTime(needed - bucket.mLevel, bucket.mRate);
+  if (account.mAllPeersFresh) {
+    wait = std::max(wait, UncontendedAfter(account, needed, fraction, aNow));
+  }
+  return { false, wait, condition };
+}
+
+timing::Duration QuotaLedger::UncontendedAfter(const Account& aAccount,
+                                               double aNeeded,
+                                               double aFraction,
+                                               timing::Instant aNow)
+{
+  const Bucket& common = aAccount.mCommon;
+  const timing::Duration untilReports =
+    aAccount.mAppliedAt + aAccount.mAppliedInterval - aNow;
+  const double level = std::min(aNeeded / aFraction, kAmpleLevelFraction * common.mSize);
+  const timing::Duration byLevel =
+    std::max(untilReports, RefillTime(level - common.mLevel, common.mRate));
+  const Bucket& share = aAccount.mShare;
+  return aNeeded <= share.mSize
+           ? std::min(byLevel, RefillTime(aNeeded - share.mLevel, share.mRate))
+           : byLevel;
 }
 
 void QuotaLedger::Refund(const ids::ClientAccountId& aAccount, double aTokens)
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -11,12 +11,24 @@
 
 namespace samphiresail::gateway {
 
+/// Condition by which tokens were rejected.
+enum class QuotaCondition
+{
+  /// All entries together used the account's tokens.
+  OverRate,
+  /// The account has tokens, but other entries may be using them.
+  Contended,
+};
+
 /// Result of a request for tokens.
 struct QuotaDecision
 {
   bool mAdmitted{ false };
-  /// Time until enough tokens are available, if rejected.
+  /// If rejected: time until the condition that rejected the tokens is expected to end,
+  /// greater than 0.
   timing::Duration mRetryAfter{ 0 };
+  /// Only if rejected.
+  QuotaCondition mCondition{ QuotaCondition::OverRate };
 };
 
 /// How an account's limits are enforced: in any window it may use rate x window + burst
@@ -125,12 +137,19 @@
     std::size_t mEntries{ 1 };
     std::size_t mUncovered{ 0 };
     bool mAllPeersFresh{ false };
-    /// When reports were last applied.
+    /// When reports were last applied, and the time between the last two such times.
     timing::Instant mAppliedAt{};
+    timing::Duration mAppliedInterval{ 0 };
     std::map<ids::ProcessId, Peer> mPeers;
   };
 
   void Advance(Account& aAccount, timing::Instant aNow) const;
+  /// Returns the time until the tokens can no longer be rejected because other entries
+  /// may be using them.
+  static timing::Duration UncontendedAfter(const Account& aAccount,
+                                           double aNeeded,
+                                           double aFraction,
+                                           timing::Instant aNow);
   /// Begins to use the equal share alone.
   static void StopSharing(Account& aAccount);
   static void ApplyPeerReport(Account& aAccount,
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -10,6 +10,8 @@
 
 using std::chrono::milliseconds;
 
+/// A refusal never asks for a retry at once; the header has this resolution.
+constexpr milliseconds kMinRetryAfter{ 1 };
 /// Timeout of a caller that states none; the route's timeout applies as well.
 constexpr milliseconds kDefaultCallerTimeout{ 10000 };
 /// Retry-After while the store or the configuration cannot be reached.
@@ -58,6 +60,13 @@
   return it == models.end() ? milliseconds(0) : it->mLoadTime;
 }
 
+std::string QuotaReason(QuotaCondition aCondition)
+{
+  return aCondition == QuotaCondition::OverRate
+           ? "the account is over its rate"
+           : "the account is over this entry's part of its rate";
+}
+
 EngineWork WorkOf(const RequestMetadata& aMetadata)
 {
   const auto prompt = static_cast<double>(aMetadata.mPromptTokens);
@@ -99,7 +108,9 @@
 
 milliseconds TrafficControl::RetryAfter(milliseconds aMin, milliseconds aMax)
 {
-  std::uniform_int_distribution<milliseconds::rep> spread(aMin.count(), aMax.count());
+  const milliseconds first = std::max(aMin, kMinRetryAfter);
+  std::uniform_int_distribution<milliseconds::rep> spread(first.count(),
+                                                          std::max(first, aMax).count());
   return milliseconds(spread(mRandom));
 }
 
@@ -227,7 +238,7 @@
       RecordRefusal(aMetadata, aNow - admission.mEarlierAttempts, aNow);
       const auto wait = std::chrono::ceil<milliseconds>(quota.mRetryAfter);
       return Refusal{ 429,
-                      "the account is over its rate",
+                      QuotaReason(quota.mCondition),
                       wait + RetryAfter(milliseconds(0), kMinOutageRetry),
                       route->mName,
                       account->mName,
@@ -300,12 +311,13 @@
   }
   const auto free = std::chrono::ceil<milliseconds>(*aChoice.mFreeAfter);
   const auto spread = std::chrono::duration_cast<milliseconds>(free * kFullRetrySpread);
+  const milliseconds end = free + std::max(spread, kMinFullRetrySpread);
+  if (aNow >= aAdmission.mCallerDeadline) {
+    return RetryAfter(free, end);
+  }
   const auto most = std::chrono::duration_cast<milliseconds>(
     kMaxRetryFraction * ToMilliseconds(aAdmission.mCallerDeadline - aNow));
-  const milliseconds first = std::max(std::min(free, most), milliseconds(0));
-  const milliseconds last =
-    std::max(std::min(free + std::max(spread, kMinFullRetrySpread), most), first);
-  return RetryAfter(first, last);
+  return RetryAfter(std::min(free, most), std::min(end, most));
 }
 
 Refusal TrafficControl::RefuseNotRun(const Admission& aAdmission,
