Check a configuration before it is sent: check-configuration for catalogues and the platform's form

An operator saw a broken configuration only when entries rejected it, and only its first fault. The decoder of the platform's configuration now reports each fault with its place to a receiver: entries throw at the first one as before, and the check collects all, so that both judge by the same rules. Rules on entries that never match, contradictory limits and a diff by meaning work on gateway::ServingConfiguration and on the catalogue, in components/configurationcheck. The overlap of routes in a catalogue is found by an ordered set; it compared each route with each other one.

--- a/apps/samphiresail/operator/operatorcommands.cpp
+++ b/apps/samphiresail/operator/operatorcommands.cpp
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 
 #include "apps/samphiresail/operator/cataloguecommands.hpp"
+#include "apps/samphiresail/operator/checkconfigurationcommand.hpp"
 #include "apps/samphiresail/operator/curvekeyscommand.hpp"
 #include "apps/samphiresail/operator/keycommands.hpp"
 #include "apps/samphiresail/operator/statuscommand.hpp"
@@ -14,6 +15,7 @@
 void AddOperatorCommands(CLI::App& aApp, int& aStatus)
 {
   AddCatalogueCommands(aApp, aStatus);
+  AddCheckConfigurationCommand(aApp, aStatus);
   AddKeyCommands(aApp, aStatus);
   AddZoneCommands(aApp, aStatus);
   AddStatusCommand(aApp, aStatus);
--- /dev/null
+++ b/apps/tests/configurationcheck/configurationchecktest.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <filesystem>
+#include <iterator>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "apps/samphiresail/operator/configurationchecker.hpp"
+#include "components/configurationcheck/findingkinds.hpp"
+#include "components/yaml/document.hpp"
+#include "platform/decode.hpp"
+
+using namespace samphiresail;
+using namespace samphiresail::operators;
+
+namespace {
+
+const std::filesystem::path kFolder =
+  SAMPHIRESAIL_SOURCE_DIR "/apps/tests/configurationcheck";
+
+std::vector<std::filesystem::path> Files(const std::filesystem::path& aFolder)
+{
+  std::vector<std::filesystem::path> files;
+  std::ranges::transform(std::filesystem::directory_iterator(aFolder),
+                         std::back_inserter(files),
+                         [](const auto& aEntry) { return aEntry.path(); });
+  std::ranges::sort(files);
+  return files;
+}
+
+CheckResult Check(const std::string& aText, CheckTerms aTerms = {})
+{
+  aTerms.mBudget.emplace();
+  CheckResult result = CheckText(aText, DetectFormat(aText), aTerms);
+  INFO(FormatCheckText("file", result));
+  CHECK(result.mUnreadable.empty());
+  return result;
+}
+
+CheckResult CheckFile(const std::filesystem::path& aFile, CheckTerms aTerms = {})
+{
+  return Check(yaml::ReadFile(aFile.string()), std::move(aTerms));
+}
+
+/// Part of a file's name before the first dot.
+std::string KindOf(const std::filesystem::path& aFile)
+{
+  const std::string name = aFile.filename().string();
+  return name.substr(0, name.find('.'));
+}
+
+std::vector<std::string> Kinds(const CheckResult& aResult)
+{
+  std::vector<std::string> names;
+  std::ranges::transform(
+    aResult.mFindings, std::back_inserter(names), &configurationcheck::Finding::mKind);
+  for (const auto& difference : aResult.mDifferences) {
+    if (!difference.mKind.empty()) {
+      names.push_back(difference.mKind);
+    }
+  }
+  return names;
+}
+
+std::set<std::string> KnownKinds()
+{
+  std::set<std::string> names;
+  for (const auto& kind : configurationcheck::AllFindingKinds()) {
+    names.emplace(kind.mName);
+  }
+  return names;
+}
+
+/// Configuration of the platform with many entries of each table.
+std::string LargeConfiguration(std::size_t aRoutes)
+{
+  std::string text = R"({"version":1,"services":[{"name":"s"}],"routes":[)";
+  for (std::size_t i = 0; i < aRoutes; ++i) {
+    text += (i == 0 ? "" : ",");
+    text += R"({"name":"r)" + std::to_string(i) + R"(","host":"h)" +
+            std::to_string(i % 100) + R"(.example","pathPrefix":"/p)" +
+            std::to_string(i) + R"(/","kind":"safe","service":"s"})";
+  }
+  return text + "]}";
+}
+
+}
+
+// Guards against a rule that no longer finds its fault, or that finds others with it.
+TEST_CASE("check: each broken file has the one finding of its name", "[check]")
+{
+  for (const std::filesystem::path& file : Files(kFolder / "broken")) {
+    const CheckResult result = CheckFile(file);
+    INFO(FormatCheckText(file.filename().string(), result));
+    CHECK(Kinds(result) == std::vector{ KindOf(file) });
+  }
+}
+
+TEST_CASE("check: sound files have no findings", "[check]")
+{
+  std::vector<std::filesystem::path> files = Files(kFolder / "sound");
+  std::ranges::copy(Files(SAMPHIRESAIL_SOURCE_DIR "/examples"),
+                    std::back_inserter(files));
+  for (const std::filesystem::path& file : files) {
+    const CheckResult result = CheckFile(file);
+    INFO(FormatCheckText(file.filename().string(), result));
+    CHECK(result.Count() == 0);
+  }
+}
+
+TEST_CASE("check: each kind of finding has a broken file or a difference", "[check]")
+{
+  std::set<std::string> kinds = KnownKinds();
+  // Shown with generated text below.
+  kinds.erase("too-large");
+  for (const char* folder : { "broken", "differences" }) {
+    for (const std::filesystem::path& file : Files(kFolder / folder)) {
+      kinds.erase(KindOf(file));
+    }
+  }
+  CHECK(kinds == std::set<std::string>());
+}
+
+TEST_CASE("check: each difference has the effect of its name", "[check]")
+{
+  for (const std::filesystem::path& file : Files(kFolder / "differences")) {
+    std::string before = file.string();
+    const std::size_t at = before.rfind(".after.");
+    if (at == std::string::npos) {
+      continue;
+    }
+    before.replace(at, std::string(".after.").size(), ".before.");
+    const CheckResult result = CheckFile(file, { .mAgainst = yaml::ReadFile(before) });
+    INFO(FormatCheckText(file.filename().string(), result));
+    const std::string kind = KindOf(file);
+    const bool isFinding = KnownKinds().contains(kind);
+    CHECK(Kinds(result) ==
+          (isFinding ? std::vector{ kind } : std::vector<std::string>()));
+    CHECK(result.mDifferences.empty() == (kind == "none"));
+  }
+}
+
+TEST_CASE("check: no finding masks another", "[check]")
+{
+  const CheckResult result = Check(R"({"version":"1","services":[{"name":5}],"routes":[
+    {"name":"r","host":"h","pathPrefix":"/a","timeoutMs":-1,"service":"s",
+     "maxAttempts":"x"},
+    {"host":"H","pathPrefix":"a","timeoutMs":5,"targetLatencyMs":6,
+     "trafficSplit":[{"service":"q","weight":0}]}, []],
+    "tenants":[{"name":"t","apiKeys":[1,"k"],"ratePerS":1,"burst":0}]})");
+  std::vector<std::string> places;
+  std::ranges::transform(
+    result.mFindings, std::back_inserter(places), &configurationcheck::Finding::mPlace);
+  CHECK_THAT(places,
+             Catch::Matchers::UnorderedEquals(
+               std::vector<std::string>{ "version",
+                                         "services[0].name",
+                                         "routes[0].timeoutMs",
+                                         "routes[0].maxAttempts",
+                                         "routes[0].service",
+                                         "routes[1].name",
+                                         "routes[1].host",
+                                         "routes[1].pathPrefix",
+                                         "routes[1].trafficSplit[0].service",
+                                         "routes[1].trafficSplit[0].weight",
+                                         "routes[1].targetLatencyMs",
+                                         "routes[2]",
+                                         "tenants[0].apiKeys[0]",
+                                         "tenants[0].burst" }));
+}
+
+// The check and an entry share the decoder; this guards against a second set of rules.
+TEST_CASE("check: an entry rejects exactly the files with errors", "[check]")
+{
+  const std::set<std::string> errors{ "missing-field", "wrong-type", "out-of-range" };
+  for (const std::filesystem::path& file : Files(kFolder / "broken")) {
+    if (file.extension() != ".json") {
+      continue;
+    }
+    INFO(file);
+    const std::string text = yaml::ReadFile(file.string());
+    if (errors.contains(KindOf(file))) {
+      CHECK_THROWS(platform::DecodeConfiguration(text));
+    } else {
+      CHECK_NOTHROW(platform::DecodeConfiguration(text));
+    }
+  }
+}
+
+TEST_CASE("check: ignored findings are left out and counted", "[check]")
+{
+  const std::filesystem::path file = kFolder / "broken" / "zero-weight.json";
+  const CheckResult result = CheckFile(file, { .mIgnored = { "zero-weight" } });
+  CHECK(result.Count() == 0);
+  CHECK(result.mIgnored == 1);
+  CHECK(CheckFile(file, { .mIgnored = { "duplicate-key" } }).Count() == 1);
+  const std::filesystem::path lowered = kFolder / "differences" / "quota-lowered";
+  const CheckResult difference =
+    CheckFile(lowered.string() + ".after.json",
+              { .mAgainst = yaml::ReadFile(lowered.string() + ".before.json"),
+                .mIgnored = { "quota-lowered" } });
+  CHECK(difference.Count() == 0);
+  CHECK(difference.mDifferences.size() == 1);
+}
+
+TEST_CASE("check: a text that cannot be parsed is unreadable", "[check]")
+{
+  for (const std::string& text :
+       { std::string("{"), "{" + std::string(100, '['), std::string("a: [") }) {
+    INFO(text);
+    CHECK_FALSE(CheckText(text, DetectFormat(text), {}).mUnreadable.empty());
+  }
+  const std::string sound = yaml::ReadFile((kFolder / "sound" / "full.json").string());
+  const CheckTerms against{ .mAgainst = "{" };
+  CHECK_FALSE(
+    CheckText(sound, ConfigurationFormat::Platform, against).mUnreadable.empty());
+}
+
+TEST_CASE("check: no output names a key", "[check]")
+{
+  const std::string text =
+    R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"t","apiKeys":
+      ["secret","secret"]},{"name":"u","apiKeys":["secret"]}]})";
+  const std::string before =
+    R"({"version":0,"routes":[],"services":[],"tenants":[{"name":"t","apiKeys":
+      ["secret-before"]}]})";
+  const CheckResult result = Check(text, { .mAgainst = before });
+  CHECK(result.Count() == 3);
+  CHECK(FormatCheckText("f", result).find("secret") == std::string::npos);
+  CHECK(FormatCheckJson("f", result).find("secret") == std::string::npos);
+}
+
+TEST_CASE("check: the JSON output has the names, places and effects", "[check]")
+{
+  const CheckResult result = CheckFile(kFolder / "broken" / "zero-weight.json");
+  const auto json = nlohmann::json::parse(FormatCheckJson("f", result));
+  CHECK(json.at("findings").at(0).at("name") == "zero-weight");
+  CHECK(json.at("findings").at(0).at("place") == "routes[0].trafficSplit[1].weight");
+  CHECK(json.at("unreadable").is_null());
+}
+
+// A rule that compares each route with each other one would not end within the test's
+// time limit.
+TEST_CASE("check: a text larger than an entry reads is checked to its end", "[check]")
+{
+  const std::string text = LargeConfiguration(100'000);
+  CHECK_THROWS(platform::DecodeConfiguration(text));
+  const CheckResult result = Check(text, { .mAgainst = text });
+  CHECK(Kinds(result) == std::vector<std::string>{ "too-large", "too-large" });
+  CHECK(result.mDifferences.empty());
+}
--- a/components/catalogue/entryreader.cpp
+++ b/components/catalogue/entryreader.cpp
@@ -193,7 +193,8 @@
     };
     if (std::ranges::count_if(calls, same) > 1) {
       reader.Report("path",
-                    "call '" + call.mMethod + " " + call.mPath + "' stands twice");
+                    "call '" + call.mMethod + " " + call.mPath + "' stands twice",
+                    "duplicate-name");
     }
   }
   if (calls.empty()) {
--- a/components/catalogue/referencecheck.cpp
+++ b/components/catalogue/referencecheck.cpp
@@ -14,7 +14,7 @@
   for (Declared<Entry>& it : aEntries) {
     const std::string& name = it.mEntry.mName.Str();
     if (!name.empty() && !seen.insert(name).second) {
-      it.mReader.Report("name", "name '" + name + "' stands twice");
+      it.mReader.Report("name", "name '" + name + "' stands twice", "duplicate-name");
     }
   }
 }
@@ -39,11 +39,13 @@
   }
   const EndpointPool* pool = Find(aCatalogue.mPools, name);
   if (pool == nullptr) {
-    aItem.mReader.Report("pool", "pool '" + name.Str() + "' is not declared");
+    aItem.mReader.Report(
+      "pool", "pool '" + name.Str() + "' is not declared", "unknown-pool");
   } else if (pool->mKind != aKind) {
     aItem.mReader.Report("pool",
                          "pool '" + name.Str() + "' must be of kind " +
-                           (aKind == PoolKind::Engine ? "engine" : "service"));
+                           (aKind == PoolKind::Engine ? "engine" : "service"),
+                         "unknown-pool");
   }
   return pool;
 }
@@ -54,14 +56,16 @@
   const Model* base = Find(aCatalogue.mModels, adapter.mBase);
   const std::string text = "base '" + adapter.mBase.Str() + "' ";
   if (base == nullptr) {
-    aAdapter.mReader.Report("base", text + "is not declared");
+    aAdapter.mReader.Report("base", text + "is not declared", "adapter-without-model");
     return {};
   }
   if (!base->mBase.Empty()) {
-    aAdapter.mReader.Report("base", text + "is an adapter itself");
+    aAdapter.mReader.Report(
+      "base", text + "is an adapter itself", "adapter-without-model");
   }
   if (base->mPool != adapter.mPool) {
-    aAdapter.mReader.Report("base", text + "is in pool '" + base->mPool.Str() + "'");
+    aAdapter.mReader.Report(
+      "base", text + "is in pool '" + base->mPool.Str() + "'", "adapter-without-model");
   }
   return base->mMemory;
 }
@@ -77,29 +81,40 @@
     if (pool != nullptr && pool->mKind == PoolKind::Engine && memory > pool->mMemory) {
       it.mReader.Report("limits",
                         "needs more memory than an endpoint of pool '" +
-                          pool->mName.Str() + "' has");
+                          pool->mName.Str() + "' has",
+                        "model-too-large");
     }
   }
 }
 
-bool Hides(const std::string& aRoute, const std::string& aOther)
+/// Returns a route of the ordered set that covers the route or is covered by it.
+const std::string* FindOverlap(const std::set<std::string>& aRoutes,
+                               const std::string& aRoute)
 {
-  return aOther == aRoute || aOther.starts_with(aRoute + "/");
+  for (std::size_t end = aRoute.size(); end != std::string::npos && end > 0;
+       end = aRoute.rfind('/', end - 1)) {
+    if (const auto it = aRoutes.find(aRoute.substr(0, end)); it != aRoutes.end()) {
+      return &*it;
+    }
+  }
+  const auto below = aRoutes.lower_bound(aRoute + "/");
+  return below != aRoutes.end() && below->starts_with(aRoute + "/") ? &*below : nullptr;
 }
 
 void CheckServices(DeclaredCatalogue& aCatalogue)
 {
-  std::vector<std::string> routes;
+  std::set<std::string> routes;
   for (Declared<Service>& it : aCatalogue.mServices) {
     CheckPool(aCatalogue, it, PoolKind::Service);
     const std::string& route = it.mEntry.mRoute;
-    const auto clash = std::ranges::find_if(routes, [&](const std::string& aOther) {
-      return Hides(route, aOther) || Hides(aOther, route);
-    });
-    if (clash != routes.end() && !route.empty()) {
-      it.mReader.Report("route", "route '" + route + "' overlaps '" + *clash + "'");
+    if (route.empty()) {
+      continue;
+    }
+    if (const std::string* other = FindOverlap(routes, route)) {
+      it.mReader.Report(
+        "route", "route '" + route + "' overlaps '" + *other + "'", "shadowed-route");
     }
-    routes.push_back(route);
+    routes.insert(route);
   }
 }
 
--- a/components/findings/findings.cpp
+++ b/components/findings/findings.cpp
@@ -20,9 +20,9 @@
 {
 }
 
-void Findings::Add(int aLine, int aColumn, std::string aText)
+void Findings::Add(int aLine, int aColumn, std::string aText, std::string aKind)
 {
-  mFindings.push_back({ { mFile, aLine, aColumn }, std::move(aText) });
+  mFindings.push_back({ { mFile, aLine, aColumn }, std::move(aText), std::move(aKind) });
 }
 
 void Findings::ThrowIfAny() const
--- a/components/findings/findings.hpp
+++ b/components/findings/findings.hpp
@@ -19,6 +19,8 @@
 {
   SourceLocation mLocation;
   std::string mText;
+  /// Name of the kind of error, as in `missing-field`; empty if it has none of its own.
+  std::string mKind;
 };
 
 /// Returns the finding as `file:line:column: text`.
@@ -30,7 +32,7 @@
 public:
   explicit Findings(std::string aFile);
 
-  void Add(int aLine, int aColumn, std::string aText);
+  void Add(int aLine, int aColumn, std::string aText, std::string aKind = {});
   bool Empty() const { return mFindings.empty(); }
   const std::vector<Finding>& All() const { return mFindings; }
 
--- a/components/yaml/mapreader.cpp
+++ b/components/yaml/mapreader.cpp
@@ -50,7 +50,7 @@
   , mReadable(mNode.IsDefined() && mNode.IsMap())
 {
   if (mNode.IsDefined() && !mReadable) {
-    AddFinding(mNode, "must be a map");
+    AddFinding(mNode, "must be a map", "wrong-type");
   }
 }
 
@@ -77,7 +77,9 @@
   if (value && *value >= aRange.mMin && *value <= aRange.mMax) {
     return *value;
   }
-  Report(aKey, "'" + aKey + "' must be a whole number " + DescribeRange(aRange));
+  Report(aKey,
+         "'" + aKey + "' must be a whole number " + DescribeRange(aRange),
+         "out-of-range");
   return fallback;
 }
 
@@ -94,7 +96,8 @@
   if (value && *value >= aRange.mMin && *value <= aRange.mMax) {
     return *value;
   }
-  Report(aKey, "'" + aKey + "' must be a number " + DescribeRange(aRange));
+  Report(
+    aKey, "'" + aKey + "' must be a number " + DescribeRange(aRange), "out-of-range");
   return fallback;
 }
 
@@ -105,7 +108,7 @@
     return aDefault.value_or(false);
   }
   if (*text != "true" && *text != "false") {
-    Report(aKey, "'" + aKey + "' must be true or false");
+    Report(aKey, "'" + aKey + "' must be true or false", "wrong-type");
   }
   return *text == "true";
 }
@@ -135,7 +138,7 @@
     return {};
   }
   if (!node.IsSequence()) {
-    AddFinding(node, "'" + aKey + "' must be a list");
+    AddFinding(node, "'" + aKey + "' must be a list", "wrong-type");
     return {};
   }
   return { node.begin(), node.end() };
@@ -148,10 +151,21 @@
          });
 }
 
-void MapReader::Report(const std::string& aKey, const std::string& aText)
+bool MapReader::HasNumber(const std::string& aKey) const
+{
+  return mReadable && std::any_of(mNode.begin(), mNode.end(), [&](const auto& aItem) {
+           return aItem.first.IsScalar() && aItem.first.Scalar() == aKey &&
+                  aItem.second.IsScalar() &&
+                  ParseNumber<double>(aItem.second.Scalar()).has_value();
+         });
+}
+
+void MapReader::Report(const std::string& aKey,
+                       const std::string& aText,
+                       const std::string& aKind)
 {
   const YAML::Node value = Has(aKey) ? Find(aKey, false) : mNode;
-  AddFinding(value, aText);
+  AddFinding(value, aText, aKind);
 }
 
 void MapReader::Finish()
@@ -165,9 +179,11 @@
     if (!key.IsScalar()) {
       AddFinding(key, "a key must be a word");
     } else if (!mKnown.contains(key.Scalar())) {
-      AddFinding(key, "unknown key '" + key.Scalar() + "'; known: " + Join(mKnown));
+      AddFinding(key,
+                 "unknown key '" + key.Scalar() + "'; known: " + Join(mKnown),
+                 "unknown-field");
     } else if (!seen.insert(key.Scalar()).second) {
-      AddFinding(key, "key '" + key.Scalar() + "' stands twice");
+      AddFinding(key, "key '" + key.Scalar() + "' stands twice", "duplicate-field");
     }
   }
 }
@@ -182,7 +198,7 @@
       }
     }
     if (aRequired) {
-      AddFinding(mNode, "'" + aKey + "' is missing");
+      AddFinding(mNode, "'" + aKey + "' is missing", "missing-field");
     }
   }
   return YAML::Node(YAML::NodeType::Undefined);
@@ -197,21 +213,23 @@
     return std::nullopt;
   }
   if (!node.IsScalar()) {
-    AddFinding(node, "'" + aKey + "' must be a single value");
+    AddFinding(node, "'" + aKey + "' must be a single value", "wrong-type");
     return std::nullopt;
   }
   const bool quoted = node.Tag() == "!";
   if (aPlain && quoted) {
-    AddFinding(node, "'" + aKey + "' must not be quoted");
+    AddFinding(node, "'" + aKey + "' must not be quoted", "wrong-type");
     return std::nullopt;
   }
   return node.Scalar();
 }
 
-void MapReader::AddFinding(const YAML::Node& aNode, const std::string& aText)
+void MapReader::AddFinding(const YAML::Node& aNode,
+                           const std::string& aText,
+                           const std::string& aKind)
 {
   const YAML::Mark mark = aNode.IsDefined() ? aNode.Mark() : YAML::Mark();
-  mFindings->Add(mark.line + 1, mark.column + 1, mWhat + ": " + aText);
+  mFindings->Add(mark.line + 1, mark.column + 1, mWhat + ": " + aText, aKind);
 }
 
 }
--- a/components/yaml/mapreader.hpp
+++ b/components/yaml/mapreader.hpp
@@ -52,8 +52,13 @@
 
   /// True if the key is present with any value.
   bool Has(const std::string& aKey) const;
-  /// Adds a finding at the value of the key, or at the map if it is absent.
-  void Report(const std::string& aKey, const std::string& aText);
+  /// True if the key is present with a number, also one out of range.
+  bool HasNumber(const std::string& aKey) const;
+  /// Adds a finding at the value of the key, or at the map if it is absent. aKind is the
+  /// name of the kind of error.
+  void Report(const std::string& aKey,
+              const std::string& aText,
+              const std::string& aKind = {});
   /// Changes the name of the map in findings.
   void Rename(std::string aWhat) { mWhat = std::move(aWhat); }
   /// Adds a finding for each key that was never asked for.
@@ -62,7 +67,9 @@
 private:
   YAML::Node Find(const std::string& aKey, bool aRequired);
   std::optional<std::string> Scalar(const std::string& aKey, bool aRequired, bool aPlain);
-  void AddFinding(const YAML::Node& aNode, const std::string& aText);
+  void AddFinding(const YAML::Node& aNode,
+                  const std::string& aText,
+                  const std::string& aKind = {});
 
   YAML::Node mNode;
   std::string mWhat;
