Find duplicate calls and references of a catalogue by index; test the version in force

Each reference of an adapter and each call were compared with all others, so that time grew with the square of the entries.

--- a/components/catalogue/catalogueparser.cpp
+++ b/components/catalogue/catalogueparser.cpp
@@ -24,6 +24,16 @@
 
 }
 
+Catalogue TakeCatalogue(DeclaredCatalogue& aDeclared)
+{
+  return { .mAvailabilityZones = TakeEntries(aDeclared.mAvailabilityZones),
+           .mClientAccounts = TakeEntries(aDeclared.mClientAccounts),
+           .mModels = TakeEntries(aDeclared.mModels),
+           .mPools = TakeEntries(aDeclared.mPools),
+           .mServices = TakeEntries(aDeclared.mServices),
+           .mWeightStore = aDeclared.mWeightStore };
+}
+
 Catalogue ParseCatalogue(const std::string& aText, const std::string& aFile)
 {
   findings::Findings findings(aFile);
@@ -36,12 +46,7 @@
   CheckReferences(declared);
   findings.ThrowIfAny();
 
-  return { .mAvailabilityZones = TakeEntries(declared.mAvailabilityZones),
-           .mClientAccounts = TakeEntries(declared.mClientAccounts),
-           .mModels = TakeEntries(declared.mModels),
-           .mPools = TakeEntries(declared.mPools),
-           .mServices = TakeEntries(declared.mServices),
-           .mWeightStore = declared.mWeightStore };
+  return TakeCatalogue(declared);
 }
 
 Catalogue LoadCatalogue(const std::string& aPath)
--- a/components/catalogue/catalogueparser.hpp
+++ b/components/catalogue/catalogueparser.hpp
@@ -4,9 +4,13 @@
 #include <string>
 
 #include "components/catalogue/catalogue.hpp"
+#include "components/catalogue/entryreader.hpp"
 
 namespace samphiresail::catalogue {
 
+/// Moves the entries of a catalogue without findings out of their declarations.
+Catalogue TakeCatalogue(DeclaredCatalogue& aDeclared);
+
 /// Reads the operators' catalogue from YAML text; aFile names it in findings. Throws
 /// findings::FindingsError with all faults: syntax, types, ranges, unknown keys, names
 /// that stand twice and references that do not resolve.
--- a/components/catalogue/entryreader.cpp
+++ b/components/catalogue/entryreader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -184,14 +185,12 @@
 std::vector<ServiceCall> ReadCalls(MapReader& aReader, findings::Findings& aFindings)
 {
   std::vector<ServiceCall> calls;
+  std::set<std::pair<std::string, std::string>> seen;
   for (const YAML::Node& node : aReader.List("calls")) {
     MapReader reader(node, "call", aFindings);
     ServiceCall& call = calls.emplace_back();
     Read(reader, call);
-    const auto same = [&](const ServiceCall& aOther) {
-      return aOther.mMethod == call.mMethod && aOther.mPath == call.mPath;
-    };
-    if (std::ranges::count_if(calls, same) > 1) {
+    if (!seen.emplace(call.mMethod, call.mPath).second) {
       reader.Report("path",
                     "call '" + call.mMethod + " " + call.mPath + "' stands twice",
                     "duplicate-name");
--- a/components/catalogue/referencecheck.cpp
+++ b/components/catalogue/referencecheck.cpp
@@ -1,7 +1,7 @@
 #include "components/catalogue/referencecheck.hpp"
 
-#include <algorithm>
 #include <set>
+#include <unordered_map>
 
 namespace samphiresail::catalogue {
 
@@ -19,17 +19,30 @@
   }
 }
 
+/// Entries by name; of several with the same name, the first.
+template<typename Entry>
+using Index = std::unordered_map<std::string, const Entry*>;
+
+template<typename Entry>
+Index<Entry> IndexOf(const std::vector<Declared<Entry>>& aEntries)
+{
+  Index<Entry> index;
+  for (const Declared<Entry>& it : aEntries) {
+    index.emplace(it.mEntry.mName.Str(), &it.mEntry);
+  }
+  return index;
+}
+
 template<typename Entry, typename Id>
-const Entry* Find(const std::vector<Declared<Entry>>& aEntries, const Id& aName)
+const Entry* Find(const Index<Entry>& aIndex, const Id& aName)
 {
-  const auto it = std::ranges::find(
-    aEntries, aName, [](const Declared<Entry>& aItem) { return aItem.mEntry.mName; });
-  return it == aEntries.end() ? nullptr : &it->mEntry;
+  const auto it = aIndex.find(aName.Str());
+  return it == aIndex.end() ? nullptr : it->second;
 }
 
 /// Returns the pool that an entry names, if it exists and is of the kind.
 template<typename Entry>
-const EndpointPool* CheckPool(const DeclaredCatalogue& aCatalogue,
+const EndpointPool* CheckPool(const Index<EndpointPool>& aPools,
                               Declared<Entry>& aItem,
                               PoolKind aKind)
 {
@@ -37,7 +50,7 @@
   if (name.Empty()) {
     return nullptr;
   }
-  const EndpointPool* pool = Find(aCatalogue.mPools, name);
+  const EndpointPool* pool = Find(aPools, name);
   if (pool == nullptr) {
     aItem.mReader.Report(
       "pool", "pool '" + name.Str() + "' is not declared", "unknown-pool");
@@ -50,10 +63,10 @@
   return pool;
 }
 
-units::Bytes CheckBase(const DeclaredCatalogue& aCatalogue, Declared<Model>& aAdapter)
+units::Bytes CheckBase(const Index<Model>& aModels, Declared<Model>& aAdapter)
 {
   const Model& adapter = aAdapter.mEntry;
-  const Model* base = Find(aCatalogue.mModels, adapter.mBase);
+  const Model* base = Find(aModels, adapter.mBase);
   const std::string text = "base '" + adapter.mBase.Str() + "' ";
   if (base == nullptr) {
     aAdapter.mReader.Report("base", text + "is not declared", "adapter-without-model");
@@ -70,13 +83,14 @@
   return base->mMemory;
 }
 
-void CheckModels(DeclaredCatalogue& aCatalogue)
+void CheckModels(DeclaredCatalogue& aCatalogue, const Index<EndpointPool>& aPools)
 {
+  const Index<Model> models = IndexOf(aCatalogue.mModels);
   for (Declared<Model>& it : aCatalogue.mModels) {
-    const EndpointPool* pool = CheckPool(aCatalogue, it, PoolKind::Engine);
+    const EndpointPool* pool = CheckPool(aPools, it, PoolKind::Engine);
     units::Bytes memory = it.mEntry.mMemory;
     if (!it.mEntry.mBase.Empty()) {
-      memory += CheckBase(aCatalogue, it);
+      memory += CheckBase(models, it);
     }
     if (pool != nullptr && pool->mKind == PoolKind::Engine && memory > pool->mMemory) {
       it.mReader.Report("limits",
@@ -101,11 +115,11 @@
   return below != aRoutes.end() && below->starts_with(aRoute + "/") ? &*below : nullptr;
 }
 
-void CheckServices(DeclaredCatalogue& aCatalogue)
+void CheckServices(DeclaredCatalogue& aCatalogue, const Index<EndpointPool>& aPools)
 {
   std::set<std::string> routes;
   for (Declared<Service>& it : aCatalogue.mServices) {
-    CheckPool(aCatalogue, it, PoolKind::Service);
+    CheckPool(aPools, it, PoolKind::Service);
     const std::string& route = it.mEntry.mRoute;
     if (route.empty()) {
       continue;
@@ -127,8 +141,9 @@
   CheckUniqueNames(aCatalogue.mModels);
   CheckUniqueNames(aCatalogue.mPools);
   CheckUniqueNames(aCatalogue.mServices);
-  CheckModels(aCatalogue);
-  CheckServices(aCatalogue);
+  const Index<EndpointPool> pools = IndexOf(aCatalogue.mPools);
+  CheckModels(aCatalogue, pools);
+  CheckServices(aCatalogue, pools);
 }
 
 }
--- a/components/configurationcheck/cataloguecheck.cpp
+++ b/components/configurationcheck/cataloguecheck.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 
 #include "components/catalogue/cataloguediff.hpp"
 #include "components/catalogue/catalogueparser.hpp"
@@ -166,7 +168,7 @@
   CheckCallCosts(declared);
   report.mFindings = ToFindings(findings.All());
   if (accepted) {
-    report.mCatalogue = catalogue::ParseCatalogue(aText, "");
+    report.mCatalogue = catalogue::TakeCatalogue(declared);
   }
   return report;
 }
@@ -208,16 +210,17 @@
                         "requests for it are not served");
                   }
                 });
+  std::set<std::string> routes;
+  for (const catalogue::Service& service : aAfter.mServices) {
+    routes.insert(service.mRoute);
+  }
   ForEachBefore(
     aBefore.mServices,
     aAfter.mServices,
     [&](const catalogue::Service& aOld, const catalogue::Service* aNew) {
       const std::string subject = "service " + Quote(aOld.mName.Str());
       if (aNew == nullptr || aNew->mRoute != aOld.mRoute) {
-        const bool taken = std::ranges::any_of(aAfter.mServices, [&](const auto& aOther) {
-          return aOther.mRoute == aOld.mRoute;
-        });
-        if (!taken) {
+        if (!routes.contains(aOld.mRoute)) {
           add(kinds::kRouteDropped,
               subject,
               "route " + aOld.mRoute + " removed",
@@ -228,11 +231,12 @@
       if (aOld.mOpen && !aNew->mOpen) {
         add(kinds::kRouteClosed, subject, "no longer open", "callers need a key");
       }
+      std::set<std::pair<std::string, std::string>> calls;
+      for (const catalogue::ServiceCall& call : aNew->mCalls) {
+        calls.emplace(call.mMethod, call.mPath);
+      }
       for (const catalogue::ServiceCall& call : aOld.mCalls) {
-        const bool kept = std::ranges::any_of(aNew->mCalls, [&](const auto& aOther) {
-          return aOther.mMethod == call.mMethod && aOther.mPath == call.mPath;
-        });
-        if (!kept) {
+        if (!calls.contains({ call.mMethod, call.mPath })) {
           add(kinds::kRouteDropped,
               subject,
               "call " + Quote(call.mMethod + " " + call.mPath) + " removed",
