--- a/apps/tests/configurationcheck/configurationchecktest.cpp
+++ b/apps/tests/configurationcheck/configurationchecktest.cpp
@@ -143,6 +143,47 @@
   }
 }
 
+// Guards against a difference that is not shown since it takes nothing from callers.
+TEST_CASE("check: differences are shown with their effect on callers", "[check]")
+{
+  const std::string before = R"({"version":1,
+    "routes":[{"name":"a","host":"h","pathPrefix":"/a","kind":"safe","timeoutMs":9,
+      "service":"s"},{"name":"all","host":"h","pathPrefix":"/","service":"s"}],
+    "services":[{"name":"s","engine":{"slots":1,"weightsMb":9,"models":[{"name":"m",
+      "weightsMb":1}]}},{"name":"old"}],
+    "tenants":[{"name":"t","apiKeys":["k"],"ratePerS":5,"burst":9},
+      {"name":"gone","apiKeys":["g"]}]})";
+  const std::string after = R"({"version":2,
+    "routes":[{"name":"a","host":"h","pathPrefix":"/a","kind":"unsafe","timeoutMs":8,
+      "priority":1,"service":"new"},{"name":"b","host":"h","pathPrefix":"/b",
+      "service":"s"},{"name":"all","host":"h","pathPrefix":"/","service":"s"}],
+    "services":[{"name":"s","engine":{"slots":2,"weightsMb":9,"models":[{"name":"m",
+      "weightsMb":1},{"name":"n","weightsMb":1}]}},{"name":"new"}],
+    "tenants":[{"name":"t","apiKeys":["k","g","l"],"ratePerS":6,"burst":9},
+      {"name":"u","apiKeys":["x"]}]})";
+  std::vector<std::string> lines;
+  for (const auto& difference : Check(after, { .mAgainst = before }).mDifferences) {
+    lines.push_back(difference.mSubject + ": " + difference.mText + "; " +
+                    difference.mEffect);
+  }
+  CHECK(lines ==
+        std::vector<std::string>{
+          "route h/a: kind may run again -> runs at most once; timeout 9 ms -> 8 ms; "
+          "priority 0 -> 1; services s 100 % -> new 100 %; requests are not repeated "
+          "once they may have run; requests end earlier; requests are less urgent",
+          "route h/b: added; takes requests that route h/ had",
+          "service 'old': removed; ",
+          "service 's': model 'n' added; ",
+          "service 's': slots 1 -> 2; ",
+          "service 'new': added; ",
+          "account 'gone': removed; ",
+          "account 'gone': 1 key moved to account 't'; requests with them count against "
+          "that quota",
+          "account 't': rate 5 -> 6; ",
+          "account 't': 2 keys added; ",
+          "account 'u': added with 1 key; " });
+}
+
 TEST_CASE("check: no finding masks another", "[check]")
 {
   const CheckResult result = Check(R"({"version":"1","services":[{"name":5}],"routes":[
--- a/components/configurationcheck/servingdiff.cpp
+++ b/components/configurationcheck/servingdiff.cpp
@@ -38,6 +38,11 @@
   return std::to_string(aTime.count()) + " ms";
 }
 
+std::string Show(int aNumber)
+{
+  return std::to_string(aNumber);
+}
+
 std::string Show(bool aFlag)
 {
   return aFlag ? "yes" : "no";
@@ -203,9 +208,7 @@
          "requests end earlier");
     changes.Compare("target latency", aBefore.mTargetLatency, aAfter.mTargetLatency);
     changes.Compare("longest pause", aBefore.mGapAim, aAfter.mGapAim);
-    note(changes.Compare("priority",
-                         std::to_string(aBefore.mPriority),
-                         std::to_string(aAfter.mPriority)) &&
+    note(changes.Compare("priority", aBefore.mPriority, aAfter.mPriority) &&
            aAfter.mPriority > aBefore.mPriority,
          "requests are less urgent");
     changes.Compare(
