--- a/apps/tests/configurationcheck/configurationchecktest.cpp
+++ b/apps/tests/configurationcheck/configurationchecktest.cpp
@@ -124,6 +124,16 @@
   CHECK(kinds == std::set<std::string>());
 }
 
+TEST_CASE("check: each finding is documented with an example and a remedy", "[check]")
+{
+  const std::string page =
+    yaml::ReadFile(SAMPHIRESAIL_SOURCE_DIR "/docs/CONFIGURATION.md");
+  for (const std::string& kind : KnownKinds()) {
+    INFO(kind);
+    CHECK(page.find("\n| `" + kind + "` | ") != std::string::npos);
+  }
+}
+
 TEST_CASE("check: each difference has the effect of its name", "[check]")
 {
   for (const std::filesystem::path& file : Files(kFolder / "differences")) {
