Keep keys out of the messages of malformed text; judge no memory that cannot be read

The parser's message quoted the text that it read last, which may be a key. A pool without a readable memory made each of its models a finding.

--- a/apps/samphiresail/operator/checkconfigurationcommand.cpp
+++ b/apps/samphiresail/operator/checkconfigurationcommand.cpp
@@ -105,9 +105,13 @@
 CheckStatus Run(const CheckOptions& aOptions, const OperatorOptions& aOperator)
 {
   const CheckResult result = Check(aOptions, aOperator);
-  std::cout << (aOptions.mJson ? FormatCheckJson(aOptions.mFile, result)
-                               : FormatCheckText(aOptions.mFile, result));
-  if (!result.mUnreadable.empty()) {
+  const bool isUnreadable = !result.mUnreadable.empty();
+  if (aOptions.mJson) {
+    std::cout << FormatCheckJson(aOptions.mFile, result);
+  } else {
+    (isUnreadable ? std::cerr : std::cout) << FormatCheckText(aOptions.mFile, result);
+  }
+  if (isUnreadable) {
     return Unreadable;
   }
   return result.Count() == 0 ? Clean : HasFindings;
@@ -155,7 +159,7 @@
                       check->mSettings,
                       "Settings file of the platform's entries, for the retry budget");
   command->add_option("--ignore", check->mIgnored, "Leave out findings of this name")
-    ->check(CLI::IsMember(FindingNames()))
+    ->check(CLI::IsMember(FindingNames()).description("NAME, see --list-findings"))
     ->allow_extra_args(false);
   command->add_flag("--json", check->mJson, "Print one JSON document");
   command->add_flag("--list-findings", check->mListFindings, "List the names of findings")
--- a/apps/tests/configurationcheck/configurationchecktest.cpp
+++ b/apps/tests/configurationcheck/configurationchecktest.cpp
@@ -282,6 +282,10 @@
   CHECK(result.Count() == 3);
   CHECK(FormatCheckText("f", result).find("secret") == std::string::npos);
   CHECK(FormatCheckJson("f", result).find("secret") == std::string::npos);
+  const CheckResult malformed =
+    CheckText(R"({"tenants":[{"apiKeys":["secret)", ConfigurationFormat::Platform, {});
+  CHECK_FALSE(malformed.mUnreadable.empty());
+  CHECK(FormatCheckText("f", malformed).find("secret") == std::string::npos);
 }
 
 TEST_CASE("check: the JSON output has the names, places and effects", "[check]")
--- a/components/catalogue/referencecheck.cpp
+++ b/components/catalogue/referencecheck.cpp
@@ -21,20 +21,20 @@
 
 /// Entries by name; of several with the same name, the first.
 template<typename Entry>
-using Index = std::unordered_map<std::string, const Entry*>;
+using Index = std::unordered_map<std::string, Declared<Entry>*>;
 
 template<typename Entry>
-Index<Entry> IndexOf(const std::vector<Declared<Entry>>& aEntries)
+Index<Entry> IndexOf(std::vector<Declared<Entry>>& aEntries)
 {
   Index<Entry> index;
-  for (const Declared<Entry>& it : aEntries) {
-    index.emplace(it.mEntry.mName.Str(), &it.mEntry);
+  for (Declared<Entry>& it : aEntries) {
+    index.emplace(it.mEntry.mName.Str(), &it);
   }
   return index;
 }
 
 template<typename Entry, typename Id>
-const Entry* Find(const Index<Entry>& aIndex, const Id& aName)
+Declared<Entry>* Find(const Index<Entry>& aIndex, const Id& aName)
 {
   const auto it = aIndex.find(aName.Str());
   return it == aIndex.end() ? nullptr : it->second;
@@ -42,19 +42,19 @@
 
 /// Returns the pool that an entry names, if it exists and is of the kind.
 template<typename Entry>
-const EndpointPool* CheckPool(const Index<EndpointPool>& aPools,
-                              Declared<Entry>& aItem,
-                              PoolKind aKind)
+Declared<EndpointPool>* CheckPool(const Index<EndpointPool>& aPools,
+                                  Declared<Entry>& aItem,
+                                  PoolKind aKind)
 {
   const ids::PoolId& name = aItem.mEntry.mPool;
   if (name.Empty()) {
     return nullptr;
   }
-  const EndpointPool* pool = Find(aPools, name);
+  Declared<EndpointPool>* pool = Find(aPools, name);
   if (pool == nullptr) {
     aItem.mReader.Report(
       "pool", "pool '" + name.Str() + "' is not declared", "unknown-pool");
-  } else if (pool->mKind != aKind) {
+  } else if (pool->mEntry.mKind != aKind) {
     aItem.mReader.Report("pool",
                          "pool '" + name.Str() + "' must be of kind " +
                            (aKind == PoolKind::Engine ? "engine" : "service"),
@@ -66,7 +66,8 @@
 units::Bytes CheckBase(const Index<Model>& aModels, Declared<Model>& aAdapter)
 {
   const Model& adapter = aAdapter.mEntry;
-  const Model* base = Find(aModels, adapter.mBase);
+  const Declared<Model>* declared = Find(aModels, adapter.mBase);
+  const Model* base = declared == nullptr ? nullptr : &declared->mEntry;
   const std::string text = "base '" + adapter.mBase.Str() + "' ";
   if (base == nullptr) {
     aAdapter.mReader.Report("base", text + "is not declared", "adapter-without-model");
@@ -87,15 +88,20 @@
 {
   const Index<Model> models = IndexOf(aCatalogue.mModels);
   for (Declared<Model>& it : aCatalogue.mModels) {
-    const EndpointPool* pool = CheckPool(aPools, it, PoolKind::Engine);
+    Declared<EndpointPool>* pool = CheckPool(aPools, it, PoolKind::Engine);
     units::Bytes memory = it.mEntry.mMemory;
     if (!it.mEntry.mBase.Empty()) {
       memory += CheckBase(models, it);
     }
-    if (pool != nullptr && pool->mKind == PoolKind::Engine && memory > pool->mMemory) {
+    if (pool == nullptr || pool->mEntry.mKind != PoolKind::Engine) {
+      continue;
+    }
+    // Without a readable memory of the pool nothing is known about what fits.
+    const bool isKnown = pool->mReader.Map("limits", false).HasNumber("memory_mib");
+    if (isKnown && memory > pool->mEntry.mMemory) {
       it.mReader.Report("limits",
                         "needs more memory than an endpoint of pool '" +
-                          pool->mName.Str() + "' has",
+                          pool->mEntry.mName.Str() + "' has",
                         "model-too-large");
     }
   }
