--- a/components/catalogue/referencecheck.cpp
+++ b/components/catalogue/referencecheck.cpp
@@ -1,7 +1,7 @@
 #include "components/catalogue/referencecheck.hpp"
 
-#include <algorithm>
 #include <set>
+#include <unordered_map>
 
 namespace samphiresail::catalogue {
 
@@ -14,92 +14,127 @@
   for (Declared<Entry>& it : aEntries) {
     const std::string& name = it.mEntry.mName.Str();
     if (!name.empty() && !seen.insert(name).second) {
-      it.mReader.Report("name", "name '" + name + "' stands twice");
+      it.mReader.Report("name", "name '" + name + "' stands twice", "duplicate-name");
     }
   }
 }
 
+/// Entries by name; of several with the same name, the first.
+template<typename Entry>
+using Index = std::unordered_map<std::string, Declared<Entry>*>;
+
+template<typename Entry>
+Index<Entry> IndexOf(std::vector<Declared<Entry>>& aEntries)
+{
+  Index<Entry> index;
+  for (Declared<Entry>& it : aEntries) {
+    index.emplace(it.mEntry.mName.Str(), &it);
+  }
+  return index;
+}
+
 template<typename Entry, typename Id>
-const Entry* Find(const std::vector<Declared<Entry>>& aEntries, const Id& aName)
+Declared<Entry>* Find(const Index<Entry>& aIndex, const Id& aName)
 {
-  const auto it = std::ranges::find(
-    aEntries, aName, [](const Declared<Entry>& aItem) { return aItem.mEntry.mName; });
-  return it == aEntries.end() ? nullptr : &it->mEntry;
+  const auto it = aIndex.find(aName.Str());
+  return it == aIndex.end() ? nullptr : it->second;
 }
 
 /// Returns the pool that an entry names, if it exists and is of the kind.
 template<typename Entry>
-const EndpointPool* CheckPool(const DeclaredCatalogue& aCatalogue,
-                              Declared<Entry>& aItem,
-                              PoolKind aKind)
+Declared<EndpointPool>* CheckPool(const Index<EndpointPool>& aPools,
+                                  Declared<Entry>& aItem,
+                                  PoolKind aKind)
 {
   const ids::PoolId& name = aItem.mEntry.mPool;
   if (name.Empty()) {
     return nullptr;
   }
-  const EndpointPool* pool = Find(aCatalogue.mPools, name);
+  Declared<EndpointPool>* pool = Find(aPools, name);
   if (pool == nullptr) {
-    aItem.mReader.Report("pool", "pool '" + name.Str() + "' is not declared");
-  } else if (pool->mKind != aKind) {
+    aItem.mReader.Report(
+      "pool", "pool '" + name.Str() + "' is not declared", "unknown-pool");
+  } else if (pool->mEntry.mKind != aKind) {
     aItem.mReader.Report("pool",
                          "pool '" + name.Str() + "' must be of kind " +
-                           (aKind == PoolKind::Engine ? "engine" : "service"));
+                           (aKind == PoolKind::Engine ? "engine" : "service"),
+                         "unknown-pool");
   }
   return pool;
 }
 
-units::Bytes CheckBase(const DeclaredCatalogue& aCatalogue, Declared<Model>& aAdapter)
+units::Bytes CheckBase(const Index<Model>& aModels, Declared<Model>& aAdapter)
 {
   const Model& adapter = aAdapter.mEntry;
-  const Model* base = Find(aCatalogue.mModels, adapter.mBase);
+  const Declared<Model>* declared = Find(aModels, adapter.mBase);
+  const Model* base = declared == nullptr ? nullptr : &declared->mEntry;
   const std::string text = "base '" + adapter.mBase.Str() + "' ";
   if (base == nullptr) {
-    aAdapter.mReader.Report("base", text + "is not declared");
+    aAdapter.mReader.Report("base", text + "is not declared", "adapter-without-model");
     return {};
   }
   if (!base->mBase.Empty()) {
-    aAdapter.mReader.Report("base", text + "is an adapter itself");
+    aAdapter.mReader.Report(
+      "base", text + "is an adapter itself", "adapter-without-model");
   }
   if (base->mPool != adapter.mPool) {
-    aAdapter.mReader.Report("base", text + "is in pool '" + base->mPool.Str() + "'");
+    aAdapter.mReader.Report(
+      "base", text + "is in pool '" + base->mPool.Str() + "'", "adapter-without-model");
   }
   return base->mMemory;
 }
 
-void CheckModels(DeclaredCatalogue& aCatalogue)
+void CheckModels(DeclaredCatalogue& aCatalogue, const Index<EndpointPool>& aPools)
 {
+  const Index<Model> models = IndexOf(aCatalogue.mModels);
   for (Declared<Model>& it : aCatalogue.mModels) {
-    const EndpointPool* pool = CheckPool(aCatalogue, it, PoolKind::Engine);
+    Declared<EndpointPool>* pool = CheckPool(aPools, it, PoolKind::Engine);
     units::Bytes memory = it.mEntry.mMemory;
     if (!it.mEntry.mBase.Empty()) {
-      memory += CheckBase(aCatalogue, it);
+      memory += CheckBase(models, it);
+    }
+    if (pool == nullptr || pool->mEntry.mKind != PoolKind::Engine) {
+      continue;
     }
-    if (pool != nullptr && pool->mKind == PoolKind::Engine && memory > pool->mMemory) {
+    // Without a readable memory of the pool nothing is known about what fits.
+    const bool isKnown = pool->mReader.Map("limits", false).HasNumber("memory_mib");
+    if (isKnown && memory > pool->mEntry.mMemory) {
       it.mReader.Report("limits",
                         "needs more memory than an endpoint of pool '" +
-                          pool->mName.Str() + "' has");
+                          pool->mEntry.mName.Str() + "' has",
+                        "model-too-large");
     }
   }
 }
 
-bool Hides(const std::string& aRoute, const std::string& aOther)
+/// Returns a route of the ordered set that covers the route or is covered by it.
+const std::string* FindOverlap(const std::set<std::string>& aRoutes,
+                               const std::string& aRoute)
 {
-  return aOther == aRoute || aOther.starts_with(aRoute + "/");
+  for (std::size_t end = aRoute.size(); end != std::string::npos && end > 0;
+       end = aRoute.rfind('/', end - 1)) {
+    if (const auto it = aRoutes.find(aRoute.substr(0, end)); it != aRoutes.end()) {
+      return &*it;
+    }
+  }
+  const auto below = aRoutes.lower_bound(aRoute + "/");
+  return below != aRoutes.end() && below->starts_with(aRoute + "/") ? &*below : nullptr;
 }
 
-void CheckServices(DeclaredCatalogue& aCatalogue)
+void CheckServices(DeclaredCatalogue& aCatalogue, const Index<EndpointPool>& aPools)
 {
-  std::vector<std::string> routes;
+  std::set<std::string> routes;
   for (Declared<Service>& it : aCatalogue.mServices) {
-    CheckPool(aCatalogue, it, PoolKind::Service);
+    CheckPool(aPools, it, PoolKind::Service);
     const std::string& route = it.mEntry.mRoute;
-    const auto clash = std::ranges::find_if(routes, [&](const std::string& aOther) {
-      return Hides(route, aOther) || Hides(aOther, route);
-    });
-    if (clash != routes.end() && !route.empty()) {
-      it.mReader.Report("route", "route '" + route + "' overlaps '" + *clash + "'");
+    if (route.empty()) {
+      continue;
+    }
+    if (const std::string* other = FindOverlap(routes, route)) {
+      it.mReader.Report(
+        "route", "route '" + route + "' overlaps '" + *other + "'", "shadowed-route");
     }
-    routes.push_back(route);
+    routes.insert(route);
   }
 }
 
@@ -112,8 +147,9 @@
   CheckUniqueNames(aCatalogue.mModels);
   CheckUniqueNames(aCatalogue.mPools);
   CheckUniqueNames(aCatalogue.mServices);
-  CheckModels(aCatalogue);
-  CheckServices(aCatalogue);
+  const Index<EndpointPool> pools = IndexOf(aCatalogue.mPools);
+  CheckModels(aCatalogue, pools);
+  CheckServices(aCatalogue, pools);
 }
 
 }
