--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -284,7 +284,6 @@
   urgency.mTarget = TargetOf(route);
   urgency.mTightestTarget =
     route.mTightestTarget.count() > 0 ? route.mTightestTarget : kDefaultTarget;
-  urgency.mLongestPause = ToMilliseconds(route.mGapAim);
   urgency.mRank = route.mUrgencyRank;
   urgency.mLatencyTolerant = route.mLatencyTolerant;
   urgency.mReturned = aAdmission.mEarlierAttempts > timing::Duration(0);
--- a/components/gateway/waitpolicy.cpp
+++ b/components/gateway/waitpolicy.cpp
@@ -29,10 +29,6 @@
 /// fraction would serve only them, all too late.
 constexpr double kLateReturnedFraction = 0.2;
 
-/// Longest wait at an engine as a fraction of the longest pause of a stream: the rest is
-/// for the request's own prompt, for the engine's steps and for what other entries send.
-constexpr double kPauseFraction = 0.4;
-
 /// Part of the target latency that is kept for the way back and for errors of forecasts.
 constexpr double kTargetMargin = 0.1;
 /// Fraction of its target latency for which a latency-tolerant request waits at the
@@ -73,10 +69,6 @@
       std::max(allowance.mAtEntry,
                kReturnedEntryFraction * (aUrgency.mTimeLeft + aUrgency.mWaited));
   }
-  if (aUrgency.mLongestPause > Milliseconds(0)) {
-    allowance.mAtEngine =
-      std::min(allowance.mAtEngine, kPauseFraction * aUrgency.mLongestPause);
-  }
   allowance.mAtEngine = std::min(allowance.mAtEngine, aUrgency.mTimeLeft);
   allowance.mAtEntry =
     std::min(allowance.mAtEntry, aUrgency.mTimeLeft + aUrgency.mWaited);
--- a/components/gateway/waitpolicy.hpp
+++ b/components/gateway/waitpolicy.hpp
@@ -12,8 +12,6 @@
   Milliseconds mTarget{ 0 };
   /// The shortest target latency of all routes to the service.
   Milliseconds mTightestTarget{ 0 };
-  /// Longest pause that the route allows in a stream; 0 if it states none.
-  Milliseconds mLongestPause{ 0 };
   /// Position of the request's route among the routes of the service that cannot wait:
   /// 0 for the most urgent one.
   unsigned mRank{ 0 };
@@ -47,9 +45,8 @@
 /// queued delays everything that comes after it, so less urgent requests are only sent
 /// while the queue is short, which keeps room for more urgent ones; what is not sent
 /// waits at the entry while it can still be served, and is refused after that. Callers
-/// that come back after a refusal go ahead of new ones of their kind. What is queued also
-/// pauses the streams that run at the engine, so a route that limits the pauses shortens
-/// the queue. aRead is the time to read the request's own prompt.
+/// that come back after a refusal go ahead of new ones of their kind. aRead is the time
+/// to read the request's own prompt.
 WaitAllowance AllowedWait(const RequestUrgency& aUrgency, Milliseconds aRead);
 
 /// The alternative that experiments compare with: every request waits as long as its
