Lead after a creation of the leader's record whose response was lost; play failures of the duty

An entry whose creation of the record took effect without a response neither led nor let others lead for as long as it lived. It now takes the record's revision as its token.

A new holder sent all recorded reports of the last 30 s again. The transaction that records a report now also says up to where all are done.

--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -116,6 +116,9 @@
   }
   mControl.mQuarantine.RetainRecords(quarantined, now);
   mQuarantineWriters.RetainOnly(quarantined);
+  if (mUsageDuty) {
+    mUsageDuty->RetainRecords(aReading.mOwnKeys);
+  }
   UpdateShares(now);
   mEndpointsRead = true;
 }
@@ -150,7 +153,7 @@
                                   record.mCauses);
     frontend::LogVerdictRecord(
       mLogger, mControl.mQuarantine, *verdict, record.mWriter, now);
-  } else if (mUsageDuty && aKey.starts_with(kUsagePrefix)) {
+  } else if (mUsageDuty && (aKey.starts_with(kUsagePrefix) || aKey == kUsageDoneKey)) {
     mUsageDuty->OnRecord(aKey, aValue);
   } else if (aKey.starts_with(kMemberPrefix)) {
     const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
--- a/apps/samphiresail/gateway/recordkeys.hpp
+++ b/apps/samphiresail/gateway/recordkeys.hpp
@@ -49,23 +49,31 @@
 /// body of the report, with which it is sent and repeated.
 inline constexpr std::string_view kUsagePrefix = "samphiresail/usage/";
 
+/// Key of the record that holds the first window of usage whose report was not yet
+/// accepted when the last one was recorded.
+inline constexpr std::string_view kUsageDoneKey = "samphiresail/usage-done";
+
 /// Returns the key of a window's report.
 inline std::string UsageKey(duties::Window aWindow)
 {
   return std::string(kUsagePrefix) + std::to_string(aWindow);
 }
 
+/// Parses a window of usage; none if the text is not a number.
+inline std::optional<duties::Window> ParseWindow(std::string_view aText)
+{
+  duties::Window window = 0;
+  const char* const last = aText.data() + aText.size();
+  const auto [end, ec] = std::from_chars(aText.data(), last, window);
+  return ec == std::errc{} && end == last && window >= 0 ? std::optional(window)
+                                                         : std::nullopt;
+}
+
 /// Returns the window whose report has the key; none if it is another record.
 inline std::optional<duties::Window> UsageWindowOf(std::string_view aKey)
 {
-  if (!aKey.starts_with(kUsagePrefix)) {
-    return std::nullopt;
-  }
-  aKey.remove_prefix(kUsagePrefix.size());
-  duties::Window window = 0;
-  const char* const last = aKey.data() + aKey.size();
-  const auto [end, ec] = std::from_chars(aKey.data(), last, window);
-  return ec == std::errc{} && end == last ? std::optional(window) : std::nullopt;
+  return aKey.starts_with(kUsagePrefix) ? ParseWindow(aKey.substr(kUsagePrefix.size()))
+                                        : std::nullopt;
 }
 
 /// What the record of a verdict holds.
--- a/apps/samphiresail/gateway/usageduty.cpp
+++ b/apps/samphiresail/gateway/usageduty.cpp
@@ -136,9 +136,23 @@
 {
   if (const auto window = UsageWindowOf(aKey)) {
     mReporter.OnRecord(*window, aValue);
+  } else if (const auto done = ParseWindow(aValue.value_or(std::string()));
+             done && aKey == kUsageDoneKey) {
+    mReporter.OnDoneBefore(*done, mTime.At(mContext.mClock.Now()));
   }
 }
 
+void UsageDuty::RetainRecords(const std::set<std::string>& aKeys)
+{
+  std::set<Window> windows;
+  for (const std::string& key : aKeys) {
+    if (const auto window = UsageWindowOf(key)) {
+      windows.insert(*window);
+    }
+  }
+  mReporter.RetainRecords(windows);
+}
+
 void UsageDuty::Tick(timing::Instant aNow, const ids::ProcessId& aLeader, bool aStopping)
 {
   SampleTime(aNow);
@@ -319,6 +333,10 @@
   store::TransactionRequest write;
   write.mCompares.push_back({ key, 0 });
   write.mWrites.emplace_back(store::PutOperation{ key, aAction.mBody, 0 });
+  if (aAction.mDoneBefore > 0) {
+    write.mWrites.emplace_back(store::PutOperation{
+      std::string(kUsageDoneKey), std::to_string(aAction.mDoneBefore), 0 });
+  }
   for (const Window expired : aAction.mExpired) {
     write.mWrites.emplace_back(store::DeleteOperation{ UsageKey(expired) });
   }
--- a/apps/samphiresail/gateway/usageduty.hpp
+++ b/apps/samphiresail/gateway/usageduty.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -63,6 +64,8 @@
   void OnReport(const gateway::PeerReport& aReport, timing::Instant aNow);
   /// Processes a record of this system in the store; ignores those of other kinds.
   void OnRecord(const std::string& aKey, const std::optional<std::string>& aValue);
+  /// Processes the keys of this system's records in a complete read of the store.
+  void RetainRecords(const std::set<std::string>& aKeys);
   /// aLeader is the leader according to the store. aStopping is true once this process
   /// has given up its lease.
   void Tick(timing::Instant aNow, const ids::ProcessId& aLeader, bool aStopping);
--- a/apps/tests/gateway/leadershiptest.cpp
+++ b/apps/tests/gateway/leadershiptest.cpp
@@ -111,3 +111,20 @@
     CHECK(leadership.Next(kNow + 1600ms) == Leadership::Step::None);
   }
 }
+
+TEST_CASE("leadership: an entry whose creation of the record got no response leads",
+          "[gateway]")
+{
+  // Otherwise its record would keep all others from leading for as long as it lives.
+  Leadership leadership(3300ms, false);
+  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
+  leadership.OnMemberWritten();
+  leadership.OnLeaderRecord(false, 0, 0);
+  REQUIRE(leadership.Next(kNow) == Leadership::Step::CreateLeader);
+  leadership.OnStepFailed(kNow);
+  leadership.OnLeaderRecord(true, kLease, kRevision);
+  leadership.Next(kNow + 1s);
+  leadership.OnLeaseKept(kNow + 4s);
+  CHECK_FALSE(leadership.Token(kNow + 4200ms));
+  CHECK(leadership.Token(kNow + 4400ms) == kRevision);
+}
--- a/components/duties/usagereporter.cpp
+++ b/components/duties/usagereporter.cpp
@@ -22,10 +22,17 @@
   }
 }
 
+void UsageReporter::OnDoneBefore(Window aWindow, milliseconds aTime)
+{
+  if (aWindow <= aTime / mTerms.mWindow) {
+    mDoneBefore = std::max(mDoneBefore, aWindow);
+  }
+}
+
 Window UsageReporter::FirstOpen(milliseconds aTime) const
 {
   const milliseconds oldestEnd = aTime - kGiveUpFactor * mTerms.mLate;
-  return std::max(mFirst, oldestEnd / mTerms.mWindow);
+  return std::max({ mFirst, mDoneBefore, oldestEnd / mTerms.mWindow });
 }
 
 bool UsageReporter::IsFixed(Window aWindow, milliseconds aTime) const
@@ -33,6 +40,18 @@
   return aWindow < FirstOpen(aTime) || mRecords.contains(aWindow);
 }
 
+Window UsageReporter::FirstNotDone(Window aFirst) const
+{
+  const auto isDone = [this](Window aWindow) {
+    const auto it = mReports.find(aWindow);
+    return it != mReports.end() && it->second.mState == State::Done;
+  };
+  while (isDone(aFirst)) {
+    ++aFirst;
+  }
+  return aFirst;
+}
+
 std::vector<Window> UsageReporter::Expired(milliseconds aTime) const
 {
   const milliseconds age = kKeepFactor * kGiveUpFactor * mTerms.mLate;
@@ -51,10 +70,11 @@
                                                        const Source& aSource)
 {
   std::vector<Action> actions;
+  mDoneBefore = std::max(mDoneBefore, FirstNotDone(FirstOpen(aTime)));
   const Window first = FirstOpen(aTime);
   for (auto it = mReports.begin(); it != mReports.end() && it->first < first;) {
     if (it->second.mState != State::Done && it->second.mLate) {
-      actions.push_back({ Step::GiveUp, it->first, {}, {} });
+      actions.push_back({ Step::GiveUp, it->first, it->second.mBody, {}, 0 });
     }
     it = mReports.erase(it);
   }
@@ -66,7 +86,7 @@
     if (report.mState != State::Done && !report.mLate &&
         aTime > EndOf(window) + mTerms.mLate) {
       report.mLate = true;
-      actions.push_back({ Step::Late, window, {}, {} });
+      actions.push_back({ Step::Late, window, report.mBody, {}, 0 });
     }
     if (auto action = StepOf(window, report, aTime, aNow, aSource)) {
       report.mInFlight = true;
@@ -94,15 +114,15 @@
       if (aReport.mBody.empty()) {
         aReport.mBody = aSource.mBody(aWindow);
       }
-      return Action{ Step::Fix, aWindow, aReport.mBody, Expired(aTime) };
+      return Action{ Step::Fix, aWindow, aReport.mBody, Expired(aTime), mDoneBefore };
     case State::Unread:
-      return Action{ Step::Read, aWindow, {}, {} };
+      return Action{ Step::Read, aWindow, {}, {}, 0 };
     case State::Recorded:
       if (aNow < mNextCallAt) {
         return std::nullopt;
       }
       mNextCallAt = aNow + mTerms.mCallInterval;
-      return Action{ Step::Send, aWindow, aReport.mBody, {} };
+      return Action{ Step::Send, aWindow, aReport.mBody, {}, 0 };
     case State::Done:
       break;
   }
--- a/components/duties/usagereporter.hpp
+++ b/components/duties/usagereporter.hpp
@@ -82,6 +82,9 @@
     Window mWindow{ 0 };
     std::string mBody;
     std::vector<Window> mExpired;
+    /// Reports of all windows before this one are done, which is to be recorded with this
+    /// one, so that the next holder does not send them again; 0 if none is.
+    Window mDoneBefore{ 0 };
   };
   /// What is known of the counts.
   struct Source
@@ -101,6 +104,14 @@
 
   /// Processes the state of a window's record in the store.
   void OnRecord(Window aWindow, const std::optional<std::string>& aBody);
+  /// Processes a complete read of the store: there are records of these windows only.
+  void RetainRecords(const std::set<Window>& aWindows)
+  {
+    std::erase_if(mRecords, [&](Window aWindow) { return !aWindows.contains(aWindow); });
+  }
+  /// Processes a holder's record that the reports of all windows before this one are
+  /// done. One that lies in the future is not sound, and ignored.
+  void OnDoneBefore(Window aWindow, std::chrono::milliseconds aTime);
   /// Windows from this one on are reported, since there are counts of them.
   void OnCountsFrom(Window aWindow) { mFirst = std::min(mFirst, aWindow); }
 
@@ -164,6 +175,8 @@
                                timing::Instant aNow,
                                const Source& aSource);
   std::vector<Window> Expired(std::chrono::milliseconds aTime) const;
+  /// Returns the first window from aFirst on whose report is not done.
+  Window FirstNotDone(Window aFirst) const;
   void Retry(Report& aReport, timing::Instant aNow);
 
   UsageTerms mTerms;
@@ -171,6 +184,7 @@
   std::map<Window, Report> mReports;
   /// Windows whose records are in the store.
   std::set<Window> mRecords;
+  Window mDoneBefore{ 0 };
   std::int64_t mFencedToken{ 0 };
   timing::Instant mNextCallAt{};
 };
--- a/components/gateway/leadership.cpp
+++ b/components/gateway/leadership.cpp
@@ -9,6 +9,7 @@
   mLeaderPresent = aPresent;
   const bool own = aPresent && mLease && aLease == *mLease;
   mSawOtherLeader = mSawOtherLeader || (aPresent && !own);
+  mUnclaimed = own && !mToken ? std::optional(aCreateRevision) : std::nullopt;
   if (!own && mToken && (!aPresent || aCreateRevision > *mToken)) {
     mToken.reset();
   }
@@ -16,6 +17,9 @@
 
 Leadership::Step Leadership::Next(timing::Instant aNow)
 {
+  if (mUnclaimed) {
+    OnLeaderCreated(*mUnclaimed, aNow);
+  }
   if (mLeaderPresent || mToken) {
     mVacantSince.reset();
   } else if (!mVacantSince) {
@@ -48,6 +52,7 @@
   mTimeToLive = aTimeToLive;
   mLeaseRenewedAt = aSent;
   mMemberRecordWritten = false;
+  mUnclaimed.reset();
   mToken.reset();
 }
 
@@ -58,6 +63,7 @@
 
 void Leadership::OnLeaseLost()
 {
+  mUnclaimed.reset();
   mLease.reset();
   mToken.reset();
 }
@@ -65,12 +71,14 @@
 void Leadership::OnLeaderCreated(std::int64_t aRevision, timing::Instant aNow)
 {
   mToken = aRevision;
+  mUnclaimed.reset();
   mLeaderPresent = true;
   mOrdersAllowedFrom = mFirstStart && !mSawOtherLeader ? aNow : aNow + mOrderGracePeriod;
 }
 
 void Leadership::OnFenced(timing::Instant aNow)
 {
+  mUnclaimed.reset();
   mToken.reset();
   mLease.reset();
   mNextStepAt = aNow + kRetryBackoff;
--- a/components/gateway/leadership.hpp
+++ b/components/gateway/leadership.hpp
@@ -83,6 +83,8 @@
   bool mLeaderPresent{ true };
   bool mSawOtherLeader{ false };
   std::optional<std::int64_t> mToken;
+  /// Revision of a leader record of this entry whose creation got no response.
+  std::optional<std::int64_t> mUnclaimed;
   timing::Duration mTakeoverDelay{ 0 };
   /// When this entry first saw that there is no leader.
   std::optional<timing::Instant> mVacantSince;
