--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -179,6 +179,9 @@
               } }
   , mPort(FreePort(mIo))
 {
+  mContext.mOnRan = [this](const ids::ClientAccountId& aAccount, timing::Instant aBegan) {
+    mRan.emplace_back(aAccount, aBegan);
+  };
   mControl.SetConfiguration(Configuration(), mClock.Now());
   mControl.mStoreFreshness.ConfirmUpTo(mClock.Now());
   mControl.mRetryBudget.SetLimits({ std::chrono::seconds(10), 0.2, 50.0 });
@@ -194,6 +197,7 @@
   mExchanges.Tick(now, [&](const Exchange& aExchange) {
     return mControl.IsStalled(aExchange.mAdmission, aExchange.mCurrent->mAttempt, now);
   });
+  mExchanges.RecordLongRuns(now, kLongRun);
   mListener->Tick(now);
   mControl.Tick(now);
   mSignal.Notify();
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -103,6 +103,8 @@
   static constexpr std::size_t kMaxCallers = 100;
   /// Memory for the bodies of requests, and for responses.
   static constexpr std::size_t kMemoryOfBudget = 48U << 20U;
+  /// Time after which a request without a response is counted as run.
+  static constexpr timing::Duration kLongRun = std::chrono::milliseconds(850);
 
   /// Adds an endpoint; those in z1, the availability zone of the entry, are preferred.
   ScriptedEndpoint& AddEndpoint(const std::string& aId,
@@ -164,6 +166,8 @@
 
   /// Called while a request waits for an adapter.
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
+  /// Requests that were counted as run, by account, with the instant at which each began.
+  std::vector<std::pair<ids::ClientAccountId, timing::Instant>> mRan;
   limits::ByteBudget mConnectionBytes{ kMemoryOfBudget };
   limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
   limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
--- a/apps/tests/platform/settingstest.cpp
+++ b/apps/tests/platform/settingstest.cpp
@@ -119,3 +119,61 @@
   CHECK_THROWS_WITH(platform::LoadSettings(file.mPath),
                     Catch::Matchers::Contains("nested"));
 }
+
+TEST_CASE("settings: the table of duties is read; without it there are none",
+          "[platform]")
+{
+  CHECK_FALSE([] {
+    const TemporaryFile file(kText);
+    return platform::LoadSettings(file.mPath).mCloudApi;
+  }());
+  const auto [duties, reports] =
+    GENERATE(table<std::string, bool>({ { R"(["autoscale","usage_report"])", true },
+                                        { R"(["autoscale"])", false },
+                                        { "[]", false } }));
+  std::string text = kText +
+                     "[cloudApi]\naddress = \"10.200.1.8:9000\"\nratePerS = 20\n" +
+                     "dutiesPerS = 2.5\nduties = " + duties + "\n";
+  text.replace(text.find("graceS = 8"),
+               10,
+               "reportWindowS = 4\nusageLateS = 12\nusageTolerance = 0.1");
+  const TemporaryFile file(text);
+  const platform::Settings settings = platform::LoadSettings(file.mPath);
+  REQUIRE(settings.mCloudApi);
+  CHECK(settings.mCloudApi->mAddress.mPort == 9000);
+  CHECK(settings.mCloudApi->mReportsUsage == reports);
+  CHECK(settings.mCloudApi->mRate == 20);
+  CHECK(settings.mCloudApi->mDutyRate == 2.5);
+  CHECK(settings.mReportWindow == 4s);
+  CHECK(settings.mReportLate == 12s);
+  CHECK(settings.mReportTolerance == 0.1);
+}
+
+TEST_CASE("settings: one error names all faults", "[platform]")
+{
+  std::string text = kText + "[cloudApi]\naddress = \"nowhere\"\nratePerS = -1\n"
+                             "dutiesPerS = nan\nduties = \"usage_report\"\n";
+  text.replace(text.find("graceS = 8"),
+               10,
+               "graceS = -8\nreportWindowS = 0\nusageLateS = 0.5\nusageTolerance = 2");
+  text.replace(text.find("10.1.0.25:8224"), 14, "nowhere");
+  const TemporaryFile file(text);
+  std::string error;
+  try {
+    platform::LoadSettings(file.mPath);
+  } catch (const std::runtime_error& thrown) {
+    error = thrown.what();
+  }
+  for (const char* field : { "graceS",
+                             "readyAddr",
+                             "address",
+                             "ratePerS",
+                             "dutiesPerS",
+                             "duties",
+                             "reportWindowS",
+                             "usageLateS",
+                             "usageTolerance" }) {
+    CAPTURE(field, error);
+    CHECK(error.find(field) != std::string::npos);
+  }
+}
