Count the time that a request lay unread at an entry that is behind

An entry with little of a core read requests up to 0.75 s after they had arrived and counted their time from then: their callers had given up, and endpoints were told of more time than was left.

EventLoopLag compares the tick of 40 ms with its schedule: an entry is behind if a tick of the last second was late by more than one interval, or the tick is overdue now. While it is behind, the age of the last bytes of a request (TCP_INFO, what the kernel received; from the ticks if it does not say) counts in Admission::mArrived, mDeadline, mCallerDeadline and the deadline told to endpoints. A request whose time was over before it was read is refused as not run, without quota. The deadline is also checked before each send, as the tick that enforces it may be late. An entry that is not behind counts as before.

The age of the bytes is used rather than the ticks' delay where it is known: the delay of a tick may exceed that of a request, and a deadline cut too short would refuse a request whose caller still waits.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -78,6 +78,7 @@
   , mLogStream(&mLogOutput)
   , mLogger(mSettings.mName.Str(), logging::ParseLevel(aOptions.mLogLevel), mLogStream)
   , mMetrics(mRegistry)
+  , mLag(kTickInterval)
   , mConnectionBytes(ShareOf(mSettings.mMaxMemory, kConnectionMemoryShare))
   , mRequestBytes(ShareOf(mSettings.mMaxMemory, kRequestMemoryShare))
   , mResponseBytes(ShareOf(mSettings.mMaxMemory, kResponseMemoryShare))
@@ -102,6 +103,7 @@
                mExchanges,
                mLogger,
                mMetrics,
+               mLag,
                mConnectionBytes,
                mRequestBytes,
                mResponseBytes,
@@ -227,7 +229,9 @@
   while (!mStopped) {
     ErrorCode ec;
     timer.expires_after(kTickInterval);
+    mLag.ExpectTick(mClock.Now() + kTickInterval);
     co_await timer.async_wait(RedirectError(ec));
+    mLag.OnTick(mClock.Now());
     try {
       Tick(mClock.Now());
     } catch (const std::exception& error) {
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -143,6 +143,7 @@
   logging::Logger mLogger;
   metrics::Registry mRegistry;
   frontend::GatewayMetrics mMetrics;
+  timing::EventLoopLag mLag;
   // Before the event loop, which destroys the requests in progress with their shares.
   limits::ByteBudget mConnectionBytes;
   limits::ByteBudget mRequestBytes;
--- a/apps/tests/frontend/callerlefttest.cpp
+++ b/apps/tests/frontend/callerlefttest.cpp
@@ -1,5 +1,6 @@
 #include <functional>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -183,6 +184,45 @@
   CHECK(Exchanges() == 0);
 }
 
+TEST_CASE_METHOD(WarmFixture,
+                 "left: a request past its deadline is not repeated before the next tick",
+                 "[frontend]")
+{
+  ScriptedEndpoint& first = AddEndpoint("e1");
+  first.AddScript({ "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: r1\r\n"
+                    "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" });
+  RunOnce([&] { return !first.Requests().empty(); },
+          [&] { Advance(milliseconds(2000)); });
+  const std::string response =
+    Call(Get("/safe/1", "Deadline-Ms: 2000\r\n"), HasHeadAndBody);
+  CHECK(response.starts_with("HTTP/1.1 503"));
+  CHECK(mSecond.Requests().size() == 1);
+}
+
+TEST_CASE_METHOD(WarmFixture,
+                 "left: a request that an entry behind reads late has less time",
+                 "[frontend]")
+{
+  constexpr milliseconds kUnread{ 60 };
+  const bool inTime = GENERATE(true, false);
+  mLag.ExpectTick(Now() - milliseconds(100));
+  BlockingCaller caller(*this);
+  caller.Send(
+    Get("/safe/1", "Deadline-Ms: " + std::string(inTime ? "9000" : "50") + "\r\n"));
+  // The bytes lie in the socket for a time of the operating system.
+  std::this_thread::sleep_for(kUnread);
+  RunFor(milliseconds(20));
+  REQUIRE(mSecond.Requests().size() == (inTime ? 2 : 1));
+  CHECK(Contains(Log(), "its time was over before it was read") != inTime);
+  if (inTime) {
+    const std::string& sent = mSecond.Requests().back();
+    const auto at = sent.find("Deadline-Ms: ");
+    REQUIRE(at != std::string::npos);
+    // The operating system counts in steps of up to 10 ms.
+    CHECK(std::stol(sent.substr(at + 13)) <= (milliseconds(9010) - kUnread).count());
+  }
+}
+
 TEST_CASE_METHOD(WarmFixture,
                  "left: a caller whose next request has arrived is served",
                  "[frontend]")
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -168,6 +168,7 @@
               mExchanges,
               mLogger,
               mMetrics,
+              mLag,
               mConnectionBytes,
               mRequestBytes,
               mResponseBytes,
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -164,6 +164,8 @@
 
   /// Called while a request waits for an adapter.
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
+  /// Is told of no ticks by itself, so that the entry is not behind.
+  timing::EventLoopLag mLag{ std::chrono::milliseconds(40) };
   limits::ByteBudget mConnectionBytes{ kMemoryOfBudget };
   limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
   limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -402,3 +402,41 @@
   mControl.OnAnswered(again, kNow);
   CHECK(mControl.TrySpendRetry(first, 1, kNow));
 }
+
+TEST_CASE_METHOD(
+  Fixture,
+  "control: the time of a request that was read late counts from its arrival",
+  "[gateway]")
+{
+  RequestMetadata metadata = Metadata();
+  metadata.mCallerTimeout = 5s;
+  const auto result = mControl.Admit(metadata, kNow, 900ms);
+  REQUIRE(std::holds_alternative<Admission>(result));
+  const Admission& admission = std::get<Admission>(result);
+  CHECK(admission.mArrived == kNow - 900ms);
+  CHECK(admission.mCallerDeadline == kNow + 4100ms);
+  CHECK(admission.mDeadline == kNow + 4100ms);
+  CHECK(mControl.Allowance(admission, kNow).mAtEngine <
+        mControl.Allowance(Admit(metadata), kNow).mAtEngine);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "control: a request whose time was over before it was read is refused",
+                 "[gateway]")
+{
+  // Guards against quota and endpoints used for a caller that has given up.
+  auto limited = std::make_shared<ServingConfiguration>(*mControl.Configuration());
+  ClientAccount& account = limited->mAccounts.front();
+  account.mTokensPerSecond = account.mBurstTokens = 1e6;
+  limited->Index();
+  mControl.SetConfiguration(limited, kNow);
+  RequestMetadata metadata = Metadata();
+  metadata.mCallerTimeout = 500ms;
+  const auto result = mControl.Admit(metadata, kNow, 500ms);
+  REQUIRE(std::holds_alternative<Refusal>(result));
+  CHECK(std::get<Refusal>(result).mStatus == 503);
+  CHECK(std::get<Refusal>(result).mRetryAfter > 0ms);
+  CHECK(mControl.mQuotas.Admitted(account.mName) == 0.0);
+  Admit(metadata);
+  CHECK(mControl.mQuotas.Admitted(account.mName) > 0.0);
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <exception>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "components/frontend/peerclose.hpp"
+#include "components/frontend/connectionstate.hpp"
 #include "components/frontend/quarantinelog.hpp"
+#include "components/frontend/requestlog.hpp"
 #include "components/gateway/requestidentity.hpp"
 
 namespace samphiresail::frontend {
@@ -217,23 +217,32 @@
       mSocket, asio::buffer(kContinue.data(), kContinue.size()), RedirectError(ec));
   }
   mBodyDeadline =
-    mContext.mClock.Now() +
+    mContext.mClock.Now() - UnreadTime() +
     (aFacts && aFacts->mCallerTimeout ? *aFacts->mCallerTimeout : kDefaultBodyTime);
   if (!ec) {
     ec = co_await ReadBody(aParser, aBytes);
   }
   if (!ec) {
     mTooSlow = false;
+    mUnread = UnreadTime();
     if (aFacts && aFacts->mCallerTimeout) {
       // The caller waits since it has sent the head.
       const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        mBodyDeadline - mContext.mClock.Now());
+        mBodyDeadline - (mContext.mClock.Now() - mUnread));
       aFacts->mCallerTimeout = std::max(left, std::chrono::milliseconds(1));
     }
   }
   co_return ec;
 }
 
+timing::Duration CallerSession::UnreadTime()
+{
+  const timing::Instant now = mContext.mClock.Now();
+  return mContext.mLag.IsBehind(now)
+           ? mContext.mLag.UnreadTime(TimeSinceLastBytes(mSocket), now)
+           : timing::Duration(0);
+}
+
 asio::awaitable<ErrorCode> CallerSession::ReadBody(RequestParser& aParser,
                                                    limits::ByteBudget::Share& aBytes)
 {
@@ -282,10 +291,10 @@
       503, noMemoryForBuffer ? "no memory for the head" : "no memory for the body");
     refusal->mRetryAfter = kMemoryRetryAfter;
     mContext.mMetrics.mRequestsWithoutMemory.Increment();
-    LogRefusal(facts, *refusal);
+    LogRefusal(mContext, facts, *refusal);
   } else if (mTooSlow) {
     refusal = LocalResponse(408, "the request did not arrive in time");
-    LogRefusal(facts, *refusal);
+    LogRefusal(mContext, facts, *refusal);
   } else if (aEc == http::error::header_limit || aEc == http::error::body_limit ||
              aEc == http::error::buffer_overflow) {
     refusal = mContext.mControl.RefuseTooLarge(*refusal, mContext.mClock.Now());
@@ -329,7 +338,9 @@
     co_return false;
   }
   mContext.mMetrics.mRequests.Increment();
-  const timing::Instant arrived = mContext.mClock.Now();
+  mContext.mMetrics.mUnread.Observe(mUnread);
+  const timing::Instant now = mContext.mClock.Now();
+  const timing::Instant arrived = now - mUnread;
   const CallerRequest request = parser.release();
   mKeepAlive = request.keep_alive() && !mDraining;
   if (!facts) {
@@ -349,9 +360,9 @@
       { request.target().data(), request.target().size() },
       request.body() },
     *facts);
-  auto admitted = mContext.mControl.Admit(*facts, arrived);
+  auto admitted = mContext.mControl.Admit(*facts, now, mUnread);
   if (const auto* refusal = std::get_if<gateway::Refusal>(&admitted)) {
-    LogRefusal(*facts, *refusal);
+    LogRefusal(mContext, *facts, *refusal);
     const bool keep = co_await Refuse(*facts, *refusal, mKeepAlive);
     co_return keep;
   }
@@ -383,7 +394,7 @@
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
   mContext.mMetrics.mQueued.Observe(exchange.mQueued);
-  LogRequest(exchange, forwarder);
+  LogRequest(mContext, exchange, forwarder);
   RecordTest(mContext.mLogger, mContext.mMetrics, exchange);
   // Ends WatchForDisconnect() for this request.
   mSocket.cancel(ec);
@@ -449,55 +460,4 @@
     { { "error", std::string(aError.what()) }, { "requests_served", mRequestsServed } });
 }
 
-void CallerSession::LogRefusal(const gateway::RequestMetadata& aFacts,
-                               const gateway::Refusal& aRefusal)
-{
-  const auto& configuration = mContext.mControl.Configuration();
-  const timing::Duration age =
-    mContext.mControl.mStoreFreshness.Staleness(mContext.mClock.Now());
-  mContext.mLogger.Info(
-    "request refused",
-    { { "request", aFacts.mId.Str() },
-      { "status", aRefusal.mStatus },
-      { "reason", aRefusal.mReason },
-      { "retry_after_ms",
-        aRefusal.mRetryAfter.value_or(std::chrono::milliseconds(-1)).count() },
-      { "route", aRefusal.mRoute },
-      { "account", aRefusal.mAccount.Str() },
-      { "tokens", aRefusal.mTokens },
-      { "configuration", configuration ? configuration->mVersion : 0 },
-      { "configuration_age_ms", configuration ? Millis(age) : -1 } });
-}
-
-void CallerSession::LogRequest(const Exchange& aExchange, const Forwarder& aForwarder)
-{
-  const gateway::Admission& admission = aExchange.mAdmission;
-  const auto& tried = aExchange.mTried;
-  const gateway::Attempt& attempt = aExchange.mCurrent->mAttempt;
-  mContext.mLogger.Info(
-    "request",
-    { { "request", admission.mMetadata.mId.Str() },
-      { "status", aForwarder.Status() },
-      { "outcome", aForwarder.Outcome() },
-      { "route", admission.mRoute->mName },
-      { "account", admission.mAccount != nullptr ? admission.mAccount->mName.Str() : "" },
-      { "tokens", admission.mTokens },
-      { "model", admission.mMetadata.mModel.Str() },
-      { "adapter", admission.mMetadata.mAdapter },
-      { "endpoint", tried.empty() ? "" : tried.back().Str() },
-      { "queued_ms", Millis(aExchange.mQueued) },
-      { "earlier_attempts_ms", Millis(admission.mEarlierAttempts) },
-      { "endpoint_load", attempt.mLoadWhenChosen.mRequests },
-      { "unread_ms", std::lround(attempt.mLoadWhenChosen.mUnread.count()) },
-      { "forecast_ms", std::lround(attempt.mForecast.mFirstEvent.count()) },
-      { "kept_tokens", std::lround(attempt.mKeptTokens) },
-      { "first_event_ms",
-        aExchange.mTimeToFirstEvent ? Millis(*aExchange.mTimeToFirstEvent) : -1 },
-      { "tried", tried.size() },
-      { "sent", aExchange.mAttemptsSent },
-      { "configuration", admission.mConfiguration->mVersion },
-      { "configuration_age_ms", Millis(admission.mConfigurationAge) },
-      { "took_ms", Millis(mContext.mClock.Now() - admission.mArrived) } });
-}
-
 }
--- a/components/frontend/callersession.hpp
+++ b/components/frontend/callersession.hpp
@@ -50,6 +50,8 @@
 
   asio::awaitable<bool> ServeOne();
   void Enter(State aState);
+  /// Returns how long ago the bytes that were just read arrived, see EventLoopLag.
+  timing::Duration UnreadTime();
   /// True if the state has lasted, or brought nothing, for longer than it may.
   bool IsOverdue(timing::Instant aNow) const;
   /// Reads a request; facts are those of its head. Returns the error that ended it, if
@@ -80,9 +82,6 @@
   void LogClosed(std::string_view aReason, timing::Instant aNow);
   bool HasUnreadBytes() const;
   void LogException(const std::exception& aError);
-  void LogRefusal(const gateway::RequestMetadata& aFacts,
-                  const gateway::Refusal& aRefusal);
-  void LogRequest(const Exchange& aExchange, const Forwarder& aForwarder);
 
   FrontendContext& mContext;
   tcp::socket mSocket;
@@ -94,6 +93,8 @@
   gateway::CallerLimits mLimitsSince;
   /// When the body must be complete: when the caller stops waiting.
   timing::Instant mBodyDeadline{ timing::Instant::max() };
+  /// How long the last part of the request has waited to be read.
+  timing::Duration mUnread{ 0 };
   bool mTooSlow{ false };
   /// The last response was sent before the whole request was read.
   bool mHasUnreadRest{ false };
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -18,6 +18,7 @@
 #include "components/gateway/trafficcontrol.hpp"
 #include "components/limits/bytebudget.hpp"
 #include "components/logging/logger.hpp"
+#include "components/timing/eventlooplag.hpp"
 
 namespace samphiresail::frontend {
 
@@ -32,6 +33,7 @@
   ExchangeTable& mExchanges;
   logging::Logger& mLogger;
   GatewayMetrics& mMetrics;
+  const timing::EventLoopLag& mLag;
   /// Memory for the buffers of connections.
   limits::ByteBudget& mConnectionBytes;
   /// Memory for the bodies of the callers' requests.
@@ -109,9 +111,9 @@
   /// Opens a connection or takes an idle one. Returns false if there is none, or if the
   /// request must not be sent any more.
   asio::awaitable<bool> Connect(AttemptState& aAttempt);
-  /// Called before each send of the request. Returns true if its caller has left, and
-  /// then ends the other attempt.
-  bool HasCallerLeft(const AttemptState& aAttempt);
+  /// Called before each send of the request. Returns false if its caller has left or its
+  /// deadline has passed, and then ends the other attempt.
+  bool MaySend(const AttemptState& aAttempt);
   /// Reads heads until the one that belongs to the request.
   asio::awaitable<AttemptState::Head> ReadOwnHead(AttemptState& aAttempt);
   asio::awaitable<bool> ReadResponseHead(AttemptState& aAttempt);
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -8,8 +8,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "components/frontend/connectionstate.hpp"
 #include "components/frontend/endpointprobe.hpp"
-#include "components/frontend/peerclose.hpp"
 
 namespace samphiresail::frontend {
 
@@ -85,7 +85,7 @@
 asio::awaitable<void> Forwarder::RequestHead(AttemptState& aAttempt)
 {
   const bool connected = co_await Connect(aAttempt);
-  if (!connected || HasCallerLeft(aAttempt)) {
+  if (!connected || !MaySend(aAttempt)) {
     aAttempt.mHead = AttemptState::Head::Unreachable;
     co_return;
   }
@@ -110,16 +110,24 @@
   aAttempt.mHead = outcome;
 }
 
-bool Forwarder::HasCallerLeft(const AttemptState& aAttempt)
+bool Forwarder::MaySend(const AttemptState& aAttempt)
 {
-  if (!mExchange.mCallerDisconnected && HasPeerClosed(mCaller)) {
+  if (IsAborted()) {
+    return false;
+  }
+  const timing::Instant now = mContext.mClock.Now();
+  if (HasPeerClosed(mCaller)) {
     mContext.mMetrics.mCallersLeft.Increment();
     mExchange.mCallerDisconnected = true;
-    if (mExchange.mCurrent.get() != &aAttempt) {
-      mExchange.mCurrent->Abort();
-    }
+  } else if (now >= mExchange.mAdmission.mDeadline) {
+    // The tick, which ends requests at their deadline, may be late.
+    mExchange.mDeadlineExceeded = true;
+    mExchange.mEndedAt = now;
+  }
+  if (IsAborted() && mExchange.mCurrent.get() != &aAttempt) {
+    mExchange.mCurrent->Abort();
   }
-  return mExchange.mCallerDisconnected;
+  return !IsAborted();
 }
 
 asio::awaitable<bool> Forwarder::Connect(AttemptState& aAttempt)
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -35,6 +35,9 @@
     , mResponsesWithoutMemory(
         aRegistry.AddCounter("samphiresail_responses_without_memory_total",
                              "Responses given up since there was no memory to hold them"))
+    , mUnread(aRegistry.AddHistogram("samphiresail_unread_seconds",
+                                     "Time that a request waited to be read, while the "
+                                     "entry was behind"))
     , mLatency(aRegistry.AddHistogram("samphiresail_request_seconds",
                                       "Time from a whole request to its final answer"))
     , mFirstEvent(aRegistry.AddHistogram("samphiresail_first_event_seconds",
@@ -61,6 +64,7 @@
   metrics::Counter mCallersLeft;
   metrics::Counter mRequestsWithoutMemory;
   metrics::Counter mResponsesWithoutMemory;
+  metrics::Histogram mUnread;
   metrics::Histogram mLatency;
   metrics::Histogram mFirstEvent;
   metrics::Histogram mQueued;
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -136,7 +136,8 @@
 }
 
 std::variant<Admission, Refusal> TrafficControl::Admit(RequestMetadata aMetadata,
-                                                       timing::Instant aNow)
+                                                       timing::Instant aNow,
+                                                       timing::Duration aUnread)
 {
   if (mStop && aNow >= mStop->RefuseFrom()) {
     return RefuseStopping(nullptr, aNow);
@@ -181,12 +182,14 @@
   admission.mRoute = route;
   admission.mService = service;
   admission.mAccount = account;
-  admission.mArrived = aNow;
+  admission.mArrived = aNow - aUnread;
+  admission.mUnread = aUnread;
   admission.mCallerDeadline =
-    aNow + aMetadata.mCallerTimeout.value_or(kDefaultCallerTimeout);
-  admission.mDeadline = route->mTimeout.count() > 0
-                          ? std::min(admission.mCallerDeadline, aNow + route->mTimeout)
-                          : admission.mCallerDeadline;
+    admission.mArrived + aMetadata.mCallerTimeout.value_or(kDefaultCallerTimeout);
+  admission.mDeadline =
+    route->mTimeout.count() > 0
+      ? std::min(admission.mCallerDeadline, admission.mArrived + route->mTimeout)
+      : admission.mCallerDeadline;
   admission.mPriority =
     account != nullptr && account->mPriority ? *account->mPriority : route->mPriority;
   if (route->mLatencyTolerant) {
@@ -194,11 +197,18 @@
   }
   admission.mPriority = std::clamp(admission.mPriority, 0, kMaxPriority);
   admission.mConfigurationAge = mStoreFreshness.Staleness(aNow);
-  admission.mEarlierAttempts = EarlierAttempts(aMetadata, aNow);
+  admission.mEarlierAttempts = EarlierAttempts(aMetadata, admission.mArrived);
+  const timing::Instant firstAttempt = admission.mArrived - admission.mEarlierAttempts;
+  if (aUnread > timing::Duration(0) && aNow >= admission.mDeadline) {
+    RecordRefusal(aMetadata, firstAttempt, aNow);
+    Refusal refusal = RefuseInOutage("its time was over before it was read");
+    refusal.mRoute = route->mName;
+    return refusal;
+  }
   if (mStop) {
     admission.mMetadata = aMetadata;
     if (!MayBegin(admission, aNow)) {
-      RecordRefusal(aMetadata, aNow - admission.mEarlierAttempts, aNow);
+      RecordRefusal(aMetadata, firstAttempt, aNow);
       return RefuseStopping(route, aNow);
     }
     admission.mDeadline = std::min(admission.mDeadline, mStop->AnswerBy());
@@ -224,7 +234,7 @@
     const QuotaDecision quota =
       mQuotas.TryConsume(account->mName, admission.mTokens, aNow);
     if (!quota.mAdmitted) {
-      RecordRefusal(aMetadata, aNow - admission.mEarlierAttempts, aNow);
+      RecordRefusal(aMetadata, firstAttempt, aNow);
       const auto wait = std::chrono::ceil<milliseconds>(quota.mRetryAfter);
       return Refusal{ 429,
                       "the account is over its rate",
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -49,6 +49,8 @@
   const ClientAccount* mAccount{ nullptr };
   double mTokens{ 0.0 };
   timing::Instant mArrived{};
+  /// How long it waited at this entry until it was read, as far as that is known.
+  timing::Duration mUnread{ 0 };
   /// When the response is due: the earlier of the caller's deadline and the route's
   /// timeout.
   timing::Instant mDeadline{};
@@ -118,8 +120,11 @@
 
   void SetEnginePolicy(const EnginePolicy& aPolicy);
 
-  /// Admits or rejects a request.
-  std::variant<Admission, Refusal> Admit(RequestMetadata aMetadata, timing::Instant aNow);
+  /// Admits or rejects a request. aUnread is how long ago it arrived, if it was read
+  /// late; its timeouts count from then.
+  std::variant<Admission, Refusal> Admit(RequestMetadata aMetadata,
+                                         timing::Instant aNow,
+                                         timing::Duration aUnread = timing::Duration(0));
 
   /// Returns aRefusal, of a request that exceeds a limit of the configuration, or a
   /// refusal for now if the limit may be out of date.
