--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -168,6 +168,8 @@
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
   /// Requests that were counted as run, by account, with the instant at which each began.
   std::vector<std::pair<ids::ClientAccountId, timing::Instant>> mRan;
+  /// Is told of no ticks by itself, so that the entry is not behind.
+  timing::EventLoopLag mLag{ std::chrono::milliseconds(40) };
   limits::ByteBudget mConnectionBytes{ kMemoryOfBudget };
   limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
   limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
