Begin no stream that cannot end in time; raise the priority of aging streams

Cause: streams that can wait were sent with the lowest priority however little time they had left, preempted in favour of newer ones and cut at the caller's timeout.

Change: GenerationTimes learns for each model how long complete responses take for their stated output. A first attempt is refused (503, not run) if even a response that is faster than the mean by the mean deviation would end after the deadline. The priority is set at each send: the offset of a tolerant request shrinks with the time that it has used and is 1 once its response has begun. A stream that has begun is continued elsewhere like the most urgent request.

--- a/apps/tests/gateway/waitpolicytest.cpp
+++ b/apps/tests/gateway/waitpolicytest.cpp
@@ -82,3 +82,13 @@
   CHECK(AllowedWait(urgency, kRead).mAtEngine <= Milliseconds(10));
   CHECK(AllowedWait(urgency, kRead).mAtEntry <= Milliseconds(15));
 }
+
+// Guards against streams that are broken off because their route is a less urgent one.
+TEST_CASE("wait: a response that has begun goes on like the most urgent one", "[gateway]")
+{
+  RequestUrgency begun = Tolerant();
+  begun.mBegun = true;
+  CHECK(AllowedWait(begun, kRead).mAtEngine >= AllowedWait(Urgent(), kRead).mAtEngine);
+  CHECK(AllowedWait(begun, kRead).mBehind == Milliseconds(0));
+  CHECK(AllowedWait(Tolerant(), kRead).mBehind > AllowedWait(Urgent(), kRead).mBehind);
+}
--- a/components/frontend/attemptrequest.cpp
+++ b/components/frontend/attemptrequest.cpp
@@ -32,7 +32,7 @@
   if (admission.mAccount != nullptr) {
     attempt.mAccount = admission.mAccount->mName;
   }
-  attempt.mPriority = admission.mPriority;
+  attempt.mPriority = gateway::PriorityAt(admission, aNow);
   const bool resumed = aExchange.mResponseHeadSent && aExchange.mEvents.LastId();
   attempt.mLastEventId =
     resumed ? *aExchange.mEvents.LastId() : admission.mMetadata.mLastEventId;
--- a/components/frontend/forwarder.cpp
+++ b/components/frontend/forwarder.cpp
@@ -125,6 +125,7 @@
     case gateway::NoEndpoint::Paused:
     case gateway::NoEndpoint::Quarantined:
     case gateway::NoEndpoint::Stopping:
+    case gateway::NoEndpoint::TooLate:
       return aNow;
   }
   return aNow;
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -174,8 +174,8 @@
   void RecordAnswered();
   /// Records the first event of a stream, for the caller and for the forecasts.
   void RecordFirstEvent(AttemptState& aAttempt);
-  /// Records how many events a complete stream had.
-  void RecordOutput();
+  /// Records how many events a complete stream had and how long it took after the first.
+  void RecordOutput(timing::Instant aFirstEvent);
   bool IsIrreversible() const { return !mExchange.mAdmission.mRoute->IsRetryable(); }
   /// Returns whether the caller's connection is kept, for a head that is being built.
   bool SayKeepAlive();
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -188,6 +188,7 @@
         out.append("\r\n");
         mStatus = parser.get().result_int();
         mExchange.mResponseHeadSent = true;
+        mExchange.mAdmission.mBegun = true;
         mExchange.mTimeToFirstEvent =
           mContext.mClock.Now() - mExchange.mAdmission.mArrived;
         mContext.mMetrics.mFirstEvent.Observe(*mExchange.mTimeToFirstEvent);
@@ -215,7 +216,7 @@
       if (parser.is_done() && !mExchange.mEvents.Partial()) {
         mContext.mControl.OnStreamComplete(
           aAttempt.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
-        RecordOutput();
+        RecordOutput(firstEventAt);
         co_return Result::Delivered;
       }
     }
@@ -237,7 +238,7 @@
   if (aAttempt.mEndpointRuns) {
     mContext.mControl.OnStreamComplete(
       aAttempt.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
-    RecordOutput();
+    RecordOutput(firstEventAt);
   }
   std::string out;
   if (!mExchange.mResponseHeadSent) {
@@ -289,11 +290,13 @@
   mContext.mControl.OnFirstEvent(aAttempt.mAttempt, mExchange.mAdmission, now);
 }
 
-void Forwarder::RecordOutput()
+void Forwarder::RecordOutput(timing::Instant aFirstEvent)
 {
   // A resumed stream brings only a part of its events from the last endpoint.
   if (mExchange.mAttemptsSent == 1) {
-    mContext.mControl.OnOutput(mExchange.mAdmission, mExchange.mEvents.Count());
+    mContext.mControl.OnOutput(mExchange.mAdmission,
+                               mExchange.mEvents.Count(),
+                               mContext.mClock.Now() - aFirstEvent);
   }
 }
 
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -39,6 +39,8 @@
   Suspected,
   /// This process stops, and the request would not end before that.
   Stopping,
+  /// The stream would not end before its caller's timeout.
+  TooLate,
 };
 
 /// An attempt of a request at an endpoint, and what it adds to the endpoint's load.
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -48,6 +48,9 @@
   if (choice.mEndpoint == nullptr) {
     return choice;
   }
+  if (aTried.empty() && !CanEnd(aAdmission, choice.mAttempt, aNow)) {
+    return { nullptr, NoEndpoint::TooLate, {}, {} };
+  }
   if (const auto reason = TryBeginTest(metadata, choice.mAttempt, aNow)) {
     return { nullptr, *reason, {}, {} };
   }
@@ -68,6 +71,20 @@
   return choice;
 }
 
+bool TrafficControl::CanEnd(const Admission& aAdmission,
+                            const Attempt& aAttempt,
+                            timing::Instant aNow) const
+{
+  if (!aAdmission.mService->mEngine || aAdmission.mRoute->mKind != RequestKind::Stream) {
+    return true;
+  }
+  const RequestMetadata& metadata = aAdmission.mMetadata;
+  const Milliseconds generating = mGenerationTimes.FastTime(
+    metadata.mModel, static_cast<double>(metadata.mOutputTokens));
+  return generating <= Milliseconds(0) || aAttempt.mForecast.mFirstEvent + generating <=
+                                            ToMilliseconds(aAdmission.mDeadline - aNow);
+}
+
 std::optional<NoEndpoint> TrafficControl::TryBeginTest(const RequestMetadata& aRequest,
                                                        Attempt& aAttempt,
                                                        timing::Instant aNow)
@@ -271,13 +288,15 @@
   }
 }
 
-void TrafficControl::OnOutput(const Admission& aAdmission, std::size_t aEvents)
+void TrafficControl::OnOutput(const Admission& aAdmission,
+                              std::size_t aEvents,
+                              timing::Duration aGenerating)
 {
   const RequestMetadata& metadata = aAdmission.mMetadata;
-  if (aAdmission.mService->mEngine && metadata.mLastEventId.empty()) {
-    mEngineMemory.ObserveOutput(metadata.mModel,
-                                static_cast<double>(metadata.mOutputTokens),
-                                static_cast<double>(aEvents));
+  if (aAdmission.mService->mEngine && metadata.mLastEventId.empty() && aEvents > 0) {
+    const auto stated = static_cast<double>(metadata.mOutputTokens);
+    mEngineMemory.ObserveOutput(metadata.mModel, stated, static_cast<double>(aEvents));
+    mGenerationTimes.Observe(metadata.mModel, stated, ToMilliseconds(aGenerating));
   }
 }
 
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -68,6 +68,21 @@
 
 }
 
+int PriorityAt(const Admission& aAdmission, timing::Instant aNow)
+{
+  if (!aAdmission.mRoute->mLatencyTolerant) {
+    return aAdmission.mPriority;
+  }
+  const Milliseconds elapsed =
+    ToMilliseconds(aNow - aAdmission.mArrived + aAdmission.mEarlierAttempts);
+  const Milliseconds left =
+    ToMilliseconds(std::max(aAdmission.mDeadline - aNow, timing::Duration(1)));
+  const double used = aAdmission.mBegun ? 1.0 : elapsed / (elapsed + left);
+  const int rise = std::min(static_cast<int>(kLatencyTolerantPriorityOffset * used),
+                            kLatencyTolerantPriorityOffset - 1);
+  return std::max(aAdmission.mPriority - rise, 0);
+}
+
 TrafficControl::TrafficControl(ids::AvailabilityZoneId aOwnZone, std::uint64_t aSeed)
   : mQuarantine(aSeed)
   , mChooser(mDirectory,
@@ -273,6 +288,7 @@
     route.mTightestTarget.count() > 0 ? route.mTightestTarget : kDefaultTarget;
   urgency.mRank = route.mUrgencyRank;
   urgency.mLatencyTolerant = route.mLatencyTolerant;
+  urgency.mBegun = aAdmission.mBegun;
   urgency.mReturned = aAdmission.mEarlierAttempts > timing::Duration(0);
   urgency.mElapsed = ToMilliseconds(aAdmission.mEarlierAttempts + waited);
   urgency.mWaited = ToMilliseconds(waited);
@@ -371,6 +387,10 @@
       refusal.mRetryAfter = stopping.mRetryAfter;
       break;
     }
+    case NoEndpoint::TooLate:
+      refusal.mReason = "the stream would not end before the caller's timeout";
+      refusal.mRetryAfter = RetryAfter(kMinFullRetry, kMaxFullRetry);
+      break;
     case NoEndpoint::NoneUsable:
       refusal.mReason = "no endpoint may get work";
       refusal.mRetryAfter = RetryAfter(kMinOutageRetry, kMaxOutageRetry);
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -13,6 +13,7 @@
 #include "components/gateway/demandmeter.hpp"
 #include "components/gateway/endpointchooser.hpp"
 #include "components/gateway/endpointdirectory.hpp"
+#include "components/gateway/generationtimes.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/requestquarantine.hpp"
 #include "components/gateway/returningcallers.hpp"
@@ -61,6 +62,9 @@
   double mEngineSeconds{ 0.0 };
   /// From 0, the most urgent, to 9.
   int mPriority{ 5 };
+  /// An endpoint has begun the response. It is then to be completed, although its route
+  /// may be a less urgent one.
+  bool mBegun{ false };
   /// The request tests whether its cause in quarantine still crashes engines.
   bool mTestsQuarantine{ false };
   /// Identifier of that verdict.
@@ -69,6 +73,11 @@
   timing::Duration mConfigurationAge{ 0 };
 };
 
+/// Returns the priority of an attempt that is sent now. Engines preempt the newest of the
+/// least urgent requests, so that of a latency-tolerant request rises as its time passes,
+/// and at once if its response has begun; it stays below that of an urgent request.
+int PriorityAt(const Admission& aAdmission, timing::Instant aNow);
+
 /// How an attempt at an endpoint ended.
 enum class AttemptEnd
 {
@@ -104,6 +113,7 @@
   ColdLimiter mCold;
   EngineModel mEngineModel;
   EngineMemory mEngineMemory;
+  GenerationTimes mGenerationTimes;
   PromptCacheEstimate mPromptCache;
   ReturningCallers mReturningCallers;
   RequestQuarantine mQuarantine;
@@ -164,8 +174,10 @@
                         timing::Instant aFirstEvent,
                         timing::Instant aNow);
   /// Records that the only attempt of a request had a complete response of aEvents
-  /// events.
-  void OnOutput(const Admission& aAdmission, std::size_t aEvents);
+  /// events, aGenerating after the first of them.
+  void OnOutput(const Admission& aAdmission,
+                std::size_t aEvents,
+                timing::Duration aGenerating);
   /// Records that the response to an attempt broke off before its second event. Returns
   /// true if a connection to the endpoint should be tried, to learn whether it has ended.
   bool OnUnansweredBreak(const Attempt& aAttempt,
@@ -214,6 +226,11 @@
   /// Returns false if the request would surely not end before this process does, in a
   /// planned stop.
   bool MayBegin(const Admission& aAdmission, timing::Instant aNow) const;
+  /// Returns false if the stream would not end at the chosen engine before its caller
+  /// stops waiting, by the times that responses took lately.
+  bool CanEnd(const Admission& aAdmission,
+              const Attempt& aAttempt,
+              timing::Instant aNow) const;
   /// Refuses a request since this process stops; another entry can serve it. The route
   /// is null if it is not known.
   Refusal RefuseStopping(const Route* aRoute, timing::Instant aNow);
--- a/components/gateway/waitpolicy.cpp
+++ b/components/gateway/waitpolicy.cpp
@@ -46,7 +46,10 @@
   const Milliseconds targetLeft =
     aUrgency.mTarget * (1.0 - kTargetMargin) - aUrgency.mElapsed - aRead;
   WaitAllowance allowance;
-  if (aUrgency.mLatencyTolerant) {
+  if (aUrgency.mBegun) {
+    allowance.mAtEngine = kMostFraction * tightest;
+    allowance.mAtEntry = aUrgency.mTimeLeft + aUrgency.mWaited;
+  } else if (aUrgency.mLatencyTolerant) {
     const double used = std::clamp(aUrgency.mElapsed / aUrgency.mTarget, 0.0, 1.0);
     const double fraction = kTolerantFraction +
                             used * (kTolerantLateFraction - kTolerantFraction) +
--- a/components/gateway/waitpolicy.hpp
+++ b/components/gateway/waitpolicy.hpp
@@ -17,6 +17,8 @@
   unsigned mRank{ 0 };
   /// The target latency leaves time to wait.
   bool mLatencyTolerant{ false };
+  /// The response has begun and is continued at another engine.
+  bool mBegun{ false };
   /// The caller was refused before and came back.
   bool mReturned{ false };
   /// Time since the caller's first attempt.
