--- a/apps/samphiresail/gateway/usageduty.cpp
+++ b/apps/samphiresail/gateway/usageduty.cpp
@@ -26,6 +26,9 @@
 /// Time without a message after which an entry whose registration has ended is not waited
 /// for.
 constexpr milliseconds kLeftSilence{ 1500 };
+/// Age of a window from which its report is overdue, as reports are recorded a few
+/// hundred milliseconds after the counts of a window are complete.
+constexpr milliseconds kOverdue = 2 * UsageDuty::kMaxBackdating;
 /// Size of the rows of a message, in bytes, well below the largest datagram, and of a row
 /// and an item besides their names.
 constexpr std::size_t kMaxMessageBytes = 32U << 10U;
@@ -208,7 +211,11 @@
   if (const auto leader = mContext.mPeers.AddressOf(aLeader)) {
     std::vector<ids::ProcessId> present = mContext.mPeers.Registered();
     present.push_back(mOwn);
-    std::vector<duties::UsageRow> all = mLedger.RowsOfLeft(present);
+    std::vector<duties::UsageRow> all =
+      mLedger.RowsToForward(present, mTime.WindowAt(aNow - kOverdue));
+    std::erase_if(all, [this](const auto& aRow) {
+      return aRow.mProcess == mOwn && aRow.mIncarnation == mIncarnation;
+    });
     all.insert(all.end(), rows.begin(), rows.end());
     SendRows(all, aNow, *leader);
   }
--- a/apps/tests/duties/usagefailurestest.cpp
+++ b/apps/tests/duties/usagefailurestest.cpp
@@ -36,6 +36,16 @@
   CHECK(world.mFaults == "");
 }
 
+TEST_CASE("usage: an entry that is cut off from the leader alone is counted", "[duties]")
+{
+  World world(5);
+  world.Run(kStart);
+  world.mCutOff = { world.Leader(), world.Leader() == 5 ? 4 : 5 };
+  world.Run(30s);
+  CHECK(world.Wrong(0.0, kDue) == "");
+  CHECK(world.mFaults == "");
+}
+
 TEST_CASE("usage: a holder that is frozen at any step stops, and the next one goes on",
           "[duties]")
 {
@@ -67,6 +77,20 @@
   CHECK(world.mFaults == "");
 }
 
+TEST_CASE("usage: a record that the holder has not seen decides over its counts",
+          "[duties]")
+{
+  constexpr std::uint64_t kCount = 12345;
+  World world(3);
+  world.Run(kStart);
+  const duties::Window window = world.mTruth.rbegin()->first;
+  world.RecordUnseen(window, kCount);
+  world.Run(20s);
+  REQUIRE(world.mReports.contains(window));
+  CHECK(world.mReports.at(window).mCount == kCount);
+  CHECK(world.mFaults == "");
+}
+
 TEST_CASE("usage: an entry that is killed costs less than the tolerance", "[duties]")
 {
   World world(20);
--- a/apps/tests/duties/usageledgertest.cpp
+++ b/apps/tests/duties/usageledgertest.cpp
@@ -61,7 +61,8 @@
   ledger.Merge({ kB, 1, 7, 1, { { "x", 1 } } });
   ledger.Merge({ kB, 2, 7, 1, { { "x", 1 } } });
   ledger.OnHeard(kB, 2, 7, kNow);
-  const auto rows = ledger.RowsOfLeft({ kB });
+  CHECK(ledger.RowsToForward({ kB }, 8).size() == 3);
+  const auto rows = ledger.RowsToForward({ kB }, 7);
   REQUIRE(rows.size() == 2);
   CHECK(rows[0].mProcess == kA);
   CHECK(rows[1].mIncarnation == 1);
--- a/apps/tests/duties/usageworld.cpp
+++ b/apps/tests/duties/usageworld.cpp
@@ -45,8 +45,12 @@
         mPeers,
         mLeadership,
         [this](const std::string& aBytes, const settings::SocketAddress& aTo) {
-          if (!mWorld.Chance(mWorld.mDatagramLoss)) {
-            mWorld.mEntries.at(aTo.mPort - 1)->mInbox.push_back(aBytes);
+          const std::size_t to = aTo.mPort;
+          const std::size_t own = std::stoul(mName.Str().substr(6));
+          const bool cut =
+            mWorld.mCutOff == std::pair(own, to) || mWorld.mCutOff == std::pair(to, own);
+          if (!cut && !mWorld.Chance(mWorld.mDatagramLoss)) {
+            mWorld.mEntries.at(to - 1)->mInbox.push_back(aBytes);
           }
         } },
       UsageTerms{ kWindow, kLate, 100ms },
@@ -244,6 +248,13 @@
   mEntries.at(aEntry - 1)->mFrozen = aFrozen;
 }
 
+void World::RecordUnseen(Window aWindow, std::uint64_t aCount)
+{
+  mRecords["samphiresail/usage/" + std::to_string(aWindow)] = {
+    std::to_string(aWindow) + " " + std::to_string(aCount), ++mRevision, 0
+  };
+}
+
 void World::SetWallClockForward(std::size_t aEntry, timing::Duration aBy)
 {
   mEntries.at(aEntry - 1)->mJump += aBy;
--- a/apps/tests/duties/usageworld.hpp
+++ b/apps/tests/duties/usageworld.hpp
@@ -30,11 +30,15 @@
   /// Starts the entry anew under the same name.
   void Restart(std::size_t aEntry);
   void Freeze(std::size_t aEntry, bool aFrozen);
+  /// Creates the record of a window with a count, without any entry seeing it.
+  void RecordUnseen(Window aWindow, std::uint64_t aCount);
   void SetWallClockForward(std::size_t aEntry, timing::Duration aBy);
 
   /// Fraction of the store's responses to transactions, and of datagrams, that are lost.
   double mStoreLoss{ 0.0 };
   double mDatagramLoss{ 0.0 };
+  /// Two entries that do not get each other's datagrams.
+  std::pair<std::size_t, std::size_t> mCutOff;
   /// Until when calls of the platform take no effect; they take effect then, although
   /// their senders have given them up.
   timing::Instant mApiSlowUntil{};
--- a/components/duties/usageledger.cpp
+++ b/components/duties/usageledger.cpp
@@ -70,8 +70,9 @@
   return missing;
 }
 
-std::vector<UsageRow> UsageLedger::RowsOfLeft(
-  const std::vector<ids::ProcessId>& aEntries) const
+std::vector<UsageRow> UsageLedger::RowsToForward(
+  const std::vector<ids::ProcessId>& aEntries,
+  Window aOverdue) const
 {
   std::vector<UsageRow> rows;
   for (const auto& [key, row] : mRows) {
@@ -79,7 +80,7 @@
     const bool sends = std::ranges::count(aEntries, row.mProcess) > 0 &&
                        process != mProcesses.end() &&
                        process->second.mIncarnation == row.mIncarnation;
-    if (!sends) {
+    if (!sends || row.mWindow < aOverdue) {
       rows.push_back(row);
     }
   }
--- a/components/duties/usageledger.hpp
+++ b/components/duties/usageledger.hpp
@@ -36,9 +36,11 @@
   std::vector<ids::ProcessId> MissingFrom(
     Window aWindow,
     const std::vector<ids::ProcessId>& aEntries) const;
-  /// Rows that their own processes no longer send: of entries that are not among
-  /// aEntries, and of earlier starts of those that are.
-  std::vector<UsageRow> RowsOfLeft(const std::vector<ids::ProcessId>& aEntries) const;
+  /// Rows that the leader may not get from their own processes: of entries that are not
+  /// among aEntries, of earlier starts of those that are, and of windows before aOverdue,
+  /// whose report waits for an entry that may be cut off from the leader alone.
+  std::vector<UsageRow> RowsToForward(const std::vector<ids::ProcessId>& aEntries,
+                                      Window aOverdue) const;
   /// Processes whose last message came after aSince.
   std::vector<ids::ProcessId> HeardSince(timing::Instant aSince) const;
   /// The first window with counts; none if there are no counts.
