Don't set the time for usage back by messages that were read late

A message's delay makes its sender seem behind, never ahead: an offset is set back only by more than 1.5 s, after 5 s without a pause.

--- a/components/duties/truetime.cpp
+++ b/components/duties/truetime.cpp
@@ -17,9 +17,14 @@
                       aBefore.time_since_epoch();
   if (!mLastSample) {
     mLastSample = sample;
+    mLastSampleAt = aBefore;
     mOffset = sample;
     return std::nullopt;
   }
+  if (aBefore - mLastSampleAt > kPause) {
+    mPeers.clear();
+  }
+  mLastSampleAt = aBefore;
   if (aAfter - aBefore > kMaxSampleTime) {
     return std::nullopt;
   }
@@ -36,22 +41,29 @@
                           milliseconds aTime,
                           timing::Instant aNow)
 {
-  Peer& peer = mPeers[aProcess];
-  peer.mLastAt = aNow;
-  peer.mOffsets.push_back(aTime - aNow.time_since_epoch());
-  if (peer.mOffsets.size() > kPeerSamples) {
-    peer.mOffsets.pop_front();
+  if (mPeers.empty()) {
+    mObservedSince = aNow;
+  }
+  const timing::Duration offset = aTime - aNow.time_since_epoch();
+  Offsets& offsets = mPeers[aProcess];
+  while (!offsets.empty() && offsets.back().second <= offset) {
+    offsets.pop_back();
   }
+  offsets.emplace_back(aNow, offset);
 }
 
 std::optional<timing::Duration> TrueTime::Check(timing::Instant aNow)
 {
-  std::erase_if(
-    mPeers, [&](const auto& aRow) { return aRow.second.mLastAt + kMaxPeerAge < aNow; });
+  for (auto& [process, offsets] : mPeers) {
+    while (!offsets.empty() && offsets.front().first + kPeerAge < aNow) {
+      offsets.pop_front();
+    }
+  }
+  std::erase_if(mPeers, [](const auto& aRow) { return aRow.second.empty(); });
   std::vector<timing::Duration> deviations{ timing::Duration(0) };
   std::ranges::transform(
     mPeers, std::back_inserter(deviations), [this](const auto& aRow) {
-      return std::ranges::max(aRow.second.mOffsets) - mOffset;
+      return aRow.second.front().second - mOffset;
     });
   if (deviations.size() < kMinEntries) {
     return std::nullopt;
@@ -62,7 +74,8 @@
   const timing::Duration upper = deviations[deviations.size() / 2];
   const timing::Duration median =
     std::chrono::abs(lower) <= std::chrono::abs(upper) ? lower : upper;
-  if (std::chrono::abs(median) <= kMaxDeviation) {
+  const bool isAhead = median < -kMaxAhead && aNow >= mObservedSince + kObservation;
+  if (median <= kMaxBehind && !isAhead) {
     return std::nullopt;
   }
   mOffset += median;
--- a/components/duties/truetime.hpp
+++ b/components/duties/truetime.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "components/duties/usagerow.hpp"
 #include "components/timing/clock.hpp"
@@ -23,14 +24,20 @@
   /// Longest time between the two steady readings around a sample of the wall clock. A
   /// thread that was suspended between them takes a wrong sample.
   static constexpr timing::Duration kMaxSampleTime = std::chrono::milliseconds(2);
-  /// Deviation from the median of all entries from which the offset is replaced by it. It
-  /// is above the delay of messages to an entry that is short of processor time.
-  static constexpr timing::Duration kMaxDeviation = std::chrono::milliseconds(400);
-  /// Samples kept of each entry. The largest offset is used, since a delay of the message
-  /// makes it smaller.
-  static constexpr std::size_t kPeerSamples = 6;
-  /// Age from which an entry's last sample is not used.
-  static constexpr timing::Duration kMaxPeerAge = std::chrono::seconds(5);
+  /// Deviation from the median of all entries from which the offset is replaced by it, if
+  /// the median is ahead. A message's delay makes its sender seem behind, never ahead.
+  static constexpr timing::Duration kMaxBehind = std::chrono::milliseconds(400);
+  /// The same if the median is behind. An entry that is short of processor time reads
+  /// messages up to a second late.
+  static constexpr timing::Duration kMaxAhead = std::chrono::milliseconds(1500);
+  /// Time for which an entry's largest offset is used, as that of its least delayed
+  /// message.
+  static constexpr timing::Duration kPeerAge = std::chrono::seconds(8);
+  /// Time for which messages must have been read without a pause of this process until
+  /// the median counts as behind: after a pause, old messages are read first.
+  static constexpr timing::Duration kObservation = std::chrono::seconds(5);
+  /// Time between two samples from which this process was paused.
+  static constexpr timing::Duration kPause = std::chrono::milliseconds(500);
   /// Entries, this one included, without which no median is taken: of two that differ,
   /// neither is known to be right.
   static constexpr std::size_t kMinEntries = 3;
@@ -64,17 +71,17 @@
   }
 
 private:
-  struct Peer
-  {
-    timing::Instant mLastAt{};
-    std::deque<timing::Duration> mOffsets;
-  };
+  /// Offsets with the time of their messages, each larger than all later ones.
+  using Offsets = std::deque<std::pair<timing::Instant, timing::Duration>>;
 
   std::chrono::milliseconds mWindow;
   /// Difference of the wall clock and the steady clock at the last sample.
   std::optional<timing::Duration> mLastSample;
   timing::Duration mOffset{ 0 };
-  std::map<ids::ProcessId, Peer> mPeers;
+  timing::Instant mLastSampleAt{};
+  std::map<ids::ProcessId, Offsets> mPeers;
+  /// When the first of the messages in mPeers came since the last pause.
+  timing::Instant mObservedSince{};
 };
 
 }
