Bound the log lines of requests that are not sent

An entry with 0.09 of a core wrote 300 lines, mostly of rejections, in 1.5 s and read its callers' requests late meanwhile.

LineLimiter bounds the lines of requests that were not sent (refused before or after admission, or left by their callers) to 50 in any second, and to 10 while the entry is behind; one line a second counts those left out, by reason. At normal load an entry has fewer requests than 50 a second, so that each has its line as before. The counters of refusals still count all of them.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "apps/samphiresail/gateway/recordkeys.hpp"
+#include "components/frontend/requestlog.hpp"
 #include "components/limits/descriptorlimit.hpp"
 
 namespace samphiresail::gatewayapp {
@@ -104,6 +105,7 @@
                mLogger,
                mMetrics,
                mLag,
+               mUnsentLines,
                mConnectionBytes,
                mRequestBytes,
                mResponseBytes,
@@ -215,6 +217,7 @@
   asio::co_spawn(
     mIo, [this] { return TickLoop(); }, asio::detached);
   mIo.run();
+  frontend::LogLeftOutLines(mFrontend, mClock.Now() + logging::LineLimiter::kWindow);
   mLogger.Info("stop",
                { { "requests_left", mExchanges.Size() }, { "failure", mFailure } });
   mLogOutput.Flush();
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -144,6 +144,7 @@
   metrics::Registry mRegistry;
   frontend::GatewayMetrics mMetrics;
   timing::EventLoopLag mLag;
+  logging::LineLimiter mUnsentLines;
   // Before the event loop, which destroys the requests in progress with their shares.
   limits::ByteBudget mConnectionBytes;
   limits::ByteBudget mRequestBytes;
--- a/apps/tests/frontend/callerlefttest.cpp
+++ b/apps/tests/frontend/callerlefttest.cpp
@@ -234,3 +234,20 @@
   CHECK(Contains(response, "second"));
   CHECK(mSecond.Requests().size() == 3);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "behind: many refusals give few lines and one with those left out",
+                 "[frontend]")
+{
+  const bool behind = GENERATE(false, true);
+  if (behind) {
+    mLag.ExpectTick(Now() - milliseconds(100));
+  }
+  for (int i = 0; i < 12; ++i) {
+    CHECK(Call(Get("/none/1"), HasHeadAndBody).starts_with("HTTP/1.1 404"));
+  }
+  CHECK(Contains(MetricsText(), "samphiresail_refusals_total 12"));
+  Advance(milliseconds(1100));
+  Tick();
+  CHECK(Contains(Log(), "\"lines\":2,\"reasons\":\"no route matches: 2\"") == behind);
+}
--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -169,6 +169,7 @@
               mLogger,
               mMetrics,
               mLag,
+              mUnsentLines,
               mConnectionBytes,
               mRequestBytes,
               mResponseBytes,
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -166,6 +166,7 @@
   std::function<void(const gateway::RequestMetadata&)> mOnWaitingForAdapter;
   /// Is told of no ticks by itself, so that the entry is not behind.
   timing::EventLoopLag mLag{ std::chrono::milliseconds(40) };
+  logging::LineLimiter mUnsentLines;
   limits::ByteBudget mConnectionBytes{ kMemoryOfBudget };
   limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
   limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -351,8 +351,7 @@
   }
   if (HasPeerClosed(mSocket)) {
     mContext.mMetrics.mCallersLeft.Increment();
-    mContext.mLogger.Info("caller left before its request was admitted",
-                          { { "request", facts->mId.Str() } });
+    LogCallerLeft(mContext, *facts);
     co_return false;
   }
   facts->mIdentity = gateway::RequestIdentity(
--- a/components/frontend/forwarder.hpp
+++ b/components/frontend/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "components/frontend/signal.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 #include "components/limits/bytebudget.hpp"
+#include "components/logging/linelimiter.hpp"
 #include "components/logging/logger.hpp"
 #include "components/timing/eventlooplag.hpp"
 
@@ -34,6 +35,8 @@
   logging::Logger& mLogger;
   GatewayMetrics& mMetrics;
   const timing::EventLoopLag& mLag;
+  /// Bounds the log lines of requests that were not sent.
+  logging::LineLimiter& mUnsentLines;
   /// Memory for the buffers of connections.
   limits::ByteBudget& mConnectionBytes;
   /// Memory for the bodies of the callers' requests.
--- a/components/frontend/listener.cpp
+++ b/components/frontend/listener.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "components/frontend/requestlog.hpp"
+
 namespace samphiresail::frontend {
 
 namespace {
@@ -102,6 +104,7 @@
 
 void CallerListener::Tick(timing::Instant aNow)
 {
+  LogLeftOutLines(mContext, aNow);
   std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
   for (const auto& weak : mSessions) {
     if (const auto session = weak.lock()) {
--- a/components/frontend/requestlog.cpp
+++ b/components/frontend/requestlog.cpp
@@ -2,11 +2,25 @@
 
 #include <chrono>
 #include <cmath>
+#include <string>
 
 namespace samphiresail::frontend {
 
 namespace {
 
+/// Most lines a second of requests that were not sent. More than an entry's share of all
+/// requests of a deployment, so that at normal load none is left out.
+constexpr std::size_t kMaxLines = 50;
+/// The same while the entry is behind, when each line delays the requests that it serves.
+constexpr std::size_t kMaxLinesBehind = 10;
+
+bool MayLogUnsent(FrontendContext& aContext, std::string_view aReason)
+{
+  const timing::Instant now = aContext.mClock.Now();
+  return aContext.mUnsentLines.Allow(
+    aReason, aContext.mLag.IsBehind(now) ? kMaxLinesBehind : kMaxLines, now);
+}
+
 std::int64_t Millis(timing::Duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -18,6 +32,9 @@
                 const gateway::RequestMetadata& aFacts,
                 const gateway::Refusal& aRefusal)
 {
+  if (!MayLogUnsent(aContext, aRefusal.mReason)) {
+    return;
+  }
   const auto& configuration = aContext.mControl.Configuration();
   const timing::Duration age =
     aContext.mControl.mStoreFreshness.Staleness(aContext.mClock.Now());
@@ -35,10 +52,40 @@
       { "configuration_age_ms", configuration ? Millis(age) : -1 } });
 }
 
+void LogCallerLeft(FrontendContext& aContext, const gateway::RequestMetadata& aFacts)
+{
+  constexpr std::string_view kReason = "caller left before its request was admitted";
+  if (MayLogUnsent(aContext, kReason)) {
+    aContext.mLogger.Info(kReason, { { "request", aFacts.mId.Str() } });
+  }
+}
+
+void LogLeftOutLines(FrontendContext& aContext, timing::Instant aNow)
+{
+  const logging::LineLimiter::Counts counts = aContext.mUnsentLines.TakeLeftOut(aNow);
+  if (counts.empty()) {
+    return;
+  }
+  std::size_t lines = 0;
+  std::string reasons;
+  for (const auto& [reason, count] : counts) {
+    lines += count;
+    reasons.append(reasons.empty() ? "" : ", ")
+      .append(reason + ": " + std::to_string(count));
+  }
+  aContext.mLogger.Warn("lines of requests that were not sent were left out",
+                        { { "lines", lines },
+                          { "reasons", reasons },
+                          { "behind_ms", Millis(aContext.mLag.Lag(aNow)) } });
+}
+
 void LogRequest(FrontendContext& aContext,
                 const Exchange& aExchange,
                 const Forwarder& aForwarder)
 {
+  if (aExchange.mAttemptsSent == 0 && !MayLogUnsent(aContext, aForwarder.Outcome())) {
+    return;
+  }
   const gateway::Admission& admission = aExchange.mAdmission;
   const auto& tried = aExchange.mTried;
   const gateway::Attempt& attempt = aExchange.mCurrent->mAttempt;
