Log the longest pause of each stream and where it arose

StreamPauses finds the longest pause between two events of a stream and what took more than half of it: the endpoint, this entry (its event loop was late), the caller (the events before could not be written), or a change of attempt. The line of a request has the new fields longest_pause_ms and pause_at, and samphiresail_streams_late_by_pause_total counts by cause the streams whose pause was above the route's mGapAim, if it states one.

--- a/apps/tests/frontend/standbytest.cpp
+++ b/apps/tests/frontend/standbytest.cpp
@@ -308,3 +308,38 @@
     CHECK(mControl.mDirectory.Find(ids::EndpointId(id))->mUnanswered == 0);
   }
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "pauses: a stream that is late by a pause says where it arose",
+                 "[frontend]")
+{
+  StartTicks();
+  ChangeConfiguration([](gateway::ServingConfiguration& aConfiguration) {
+    for (gateway::Route& route : aConfiguration.mRoutes) {
+      route.mGapAim = milliseconds(300);
+    }
+  });
+  std::string cause;
+  SECTION("at the endpoint")
+  {
+    AddEndpoint("e1").AddScript(
+      StreamWithPauses(milliseconds(0), milliseconds(0), milliseconds(700)));
+    cause = "endpoint";
+  }
+  SECTION("as it was resumed at another one")
+  {
+    ScriptedEndpoint::Script broken{ StreamHead() + Chunk(Event(1)) };
+    broken.mLater = { { milliseconds(700), "" } };
+    broken.mClose = true;
+    AddEndpoint("e1").AddScript(broken);
+    AddEndpoint("e2", "z2")
+      .AddScript({ StreamHead() + Chunk(Event(2)) + Chunk(Event(3)) + Chunk(Event(4)) +
+                   "0\r\n\r\n" });
+    cause = "resumed_elsewhere";
+  }
+  REQUIRE(IsWholeStream(Call(Post("/stream/1"), EndsCall)));
+  RunFor(milliseconds(20));
+  CHECK(Contains(Log(), "\"pause_at\":\"" + cause + "\""));
+  CHECK(Contains(MetricsText(),
+                 "samphiresail_streams_late_by_pause_total{cause=\"" + cause + "\"} 1"));
+}
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -393,6 +393,10 @@
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
   mContext.mMetrics.mQueued.Observe(exchange.mQueued);
+  const timing::Duration aim = exchange.mAdmission.mRoute->mGapAim;
+  if (aim > timing::Duration(0) && exchange.mPauses.Longest() > aim) {
+    mContext.mMetrics.LateStreams(exchange.mPauses.Cause()).Increment();
+  }
   LogRequest(mContext, exchange, forwarder);
   RecordTest(mContext.mLogger, mContext.mMetrics, exchange);
   // Ends WatchForDisconnect() for this request.
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -10,6 +10,7 @@
 
 #include "components/frontend/attemptstate.hpp"
 #include "components/gateway/eventsplitter.hpp"
+#include "components/gateway/streampauses.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 
 namespace samphiresail::frontend {
@@ -60,6 +61,7 @@
   /// The head of a streamed response was sent to the caller.
   bool mResponseHeadSent{ false };
   gateway::EventSplitter mEvents;
+  gateway::StreamPauses mPauses;
 
   /// Ends the current attempt in favour of the standby, whose response has begun.
   void HandOver() { mCurrent->Abort(); }
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -178,6 +178,8 @@
       DropStandby();
       aAttempt.mDeadline = timing::Instant::max();
       ++aAttempt.mEvents;
+      const timing::Instant readAt = mContext.mClock.Now();
+      mExchange.mPauses.OnEvents(readAt, firstEvent, mContext.mLag.Lag(readAt));
       std::string out;
       if (!mExchange.mResponseHeadSent) {
         out = ResponseHead(parser.get().base());
@@ -209,6 +211,7 @@
       if (!co_await WriteToCaller(std::move(out))) {
         co_return Result::Ended;
       }
+      mExchange.mPauses.OnWritten(mContext.mClock.Now());
       if (resumable) {
         aAttempt.mDeadline = mContext.mClock.Now() + kStreamIdleTimeout;
       }
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "components/gateway/streampauses.hpp"
 #include "components/metrics/registry.hpp"
 
 namespace samphiresail::frontend {
@@ -35,6 +36,10 @@
     , mResponsesWithoutMemory(
         aRegistry.AddCounter("samphiresail_responses_without_memory_total",
                              "Responses given up since there was no memory to hold them"))
+    , mLateByEndpoint(AddLateStreams(aRegistry, gateway::PauseCause::Endpoint))
+    , mLateByEntry(AddLateStreams(aRegistry, gateway::PauseCause::EntryBehind))
+    , mLateByCaller(AddLateStreams(aRegistry, gateway::PauseCause::CallerNotReading))
+    , mLateByResumption(AddLateStreams(aRegistry, gateway::PauseCause::ResumedElsewhere))
     , mUnread(aRegistry.AddHistogram("samphiresail_unread_seconds",
                                      "Time that a request waited to be read, while the "
                                      "entry was behind"))
@@ -64,13 +69,41 @@
   metrics::Counter mCallersLeft;
   metrics::Counter mRequestsWithoutMemory;
   metrics::Counter mResponsesWithoutMemory;
+  /// Streams with a pause above the longest that their routes state, by its cause.
+  metrics::Counter mLateByEndpoint;
+  metrics::Counter mLateByEntry;
+  metrics::Counter mLateByCaller;
+  metrics::Counter mLateByResumption;
   metrics::Histogram mUnread;
   metrics::Histogram mLatency;
   metrics::Histogram mFirstEvent;
   metrics::Histogram mQueued;
   metrics::Histogram mForecastError;
 
+  const metrics::Counter& LateStreams(gateway::PauseCause aCause) const
+  {
+    switch (aCause) {
+      case gateway::PauseCause::EntryBehind:
+        return mLateByEntry;
+      case gateway::PauseCause::CallerNotReading:
+        return mLateByCaller;
+      case gateway::PauseCause::ResumedElsewhere:
+        return mLateByResumption;
+      case gateway::PauseCause::Endpoint:
+        break;
+    }
+    return mLateByEndpoint;
+  }
+
 private:
+  static metrics::Counter AddLateStreams(metrics::Registry& aRegistry,
+                                         gateway::PauseCause aCause)
+  {
+    return aRegistry.AddCounter("samphiresail_streams_late_by_pause_total",
+                                "Streams with a longer pause than their routes allow, by "
+                                "where it arose",
+                                { { "cause", std::string(gateway::Name(aCause)) } });
+  }
   static metrics::Counter AddTests(metrics::Registry& aRegistry,
                                    const std::string& aOutcome)
   {
--- a/components/frontend/requestlog.cpp
+++ b/components/frontend/requestlog.cpp
@@ -89,6 +89,7 @@
   const gateway::Admission& admission = aExchange.mAdmission;
   const auto& tried = aExchange.mTried;
   const gateway::Attempt& attempt = aExchange.mCurrent->mAttempt;
+  const bool paused = aExchange.mPauses.Longest() > timing::Duration(0);
   aContext.mLogger.Info(
     "request",
     { { "request", admission.mMetadata.mId.Str() },
@@ -109,6 +110,8 @@
       { "kept_tokens", std::lround(attempt.mKeptTokens) },
       { "first_event_ms",
         aExchange.mTimeToFirstEvent ? Millis(*aExchange.mTimeToFirstEvent) : -1 },
+      { "longest_pause_ms", Millis(aExchange.mPauses.Longest()) },
+      { "pause_at", paused ? gateway::Name(aExchange.mPauses.Cause()) : "" },
       { "tried", tried.size() },
       { "sent", aExchange.mAttemptsSent },
       { "configuration", admission.mConfiguration->mVersion },
