--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -170,6 +170,7 @@
   std::vector<std::pair<ids::ClientAccountId, timing::Instant>> mRan;
   /// Is told of no ticks by itself, so that the entry is not behind.
   timing::EventLoopLag mLag{ std::chrono::milliseconds(40) };
+  logging::LineLimiter mUnsentLines;
   limits::ByteBudget mConnectionBytes{ kMemoryOfBudget };
   limits::ByteBudget mRequestBytes{ kMemoryOfBudget };
   limits::ByteBudget mResponseBytes{ kMemoryOfBudget };
--- a/components/frontend/callersession.cpp
+++ b/components/frontend/callersession.cpp
@@ -351,8 +351,7 @@
   }
   if (HasPeerClosed(mSocket)) {
     mContext.mMetrics.mCallersLeft.Increment();
-    mContext.mLogger.Info("caller left before its request was admitted",
-                          { { "request", facts->mId.Str() } });
+    LogCallerLeft(mContext, *facts);
     co_return false;
   }
   facts->mIdentity = gateway::RequestIdentity(
@@ -395,6 +394,10 @@
   mContext.mExchanges.Remove(&exchange);
   mContext.mMetrics.mLatency.Observe(mContext.mClock.Now() - arrived);
   mContext.mMetrics.mQueued.Observe(exchange.mQueued);
+  const timing::Duration aim = exchange.mAdmission.mRoute->mGapAim;
+  if (aim > timing::Duration(0) && exchange.mPauses.Longest() > aim) {
+    mContext.mMetrics.LateStreams(exchange.mPauses.Cause()).Increment();
+  }
   LogRequest(mContext, exchange, forwarder);
   RecordTest(mContext.mLogger, mContext.mMetrics, exchange);
   // Ends WatchForDisconnect() for this request.
--- a/components/frontend/exchange.hpp
+++ b/components/frontend/exchange.hpp
@@ -11,6 +11,7 @@
 
 #include "components/frontend/attemptstate.hpp"
 #include "components/gateway/eventsplitter.hpp"
+#include "components/gateway/streampauses.hpp"
 #include "components/gateway/trafficcontrol.hpp"
 
 namespace samphiresail::frontend {
@@ -67,6 +68,7 @@
   gateway::EventSplitter mEvents;
   /// Empty if requests that run are not counted, or once this one was.
   RanHandler mOnRan;
+  gateway::StreamPauses mPauses;
 
   bool IsStream() const
   {
