--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -70,7 +70,9 @@
 /// - The rest of the tolerance covers what the others may have admitted since their
 ///   reports at kSurge times the account's rate.
 /// - While all entries receive reports of all others: the request is within this entry's
-///   part, by demand, of what the bucket held when the reports were applied.
+///   part, by demand, of what the bucket held when the reports were applied. Where
+///   reports are rare for the account's rate, also one request between two of them while
+///   the bucket is half full.
 /// - Otherwise: it is within this entry's share, a bucket with a part, by the last known
 ///   demand, of what the common bucket held for certain and of the rate.
 class QuotaLedger
