Report all faults of the platform's settings file in one message; check it with check-configuration

The process ended at the first missing or invalid field, so that an operator mended one after the other. Values and defaults are read as before.

--- a/apps/samphiresail/operator/checkconfigurationcommand.cpp
+++ b/apps/samphiresail/operator/checkconfigurationcommand.cpp
@@ -78,11 +78,17 @@
 {
   CheckResult unreadable;
   try {
+    if (aOptions.mFormat == "settings" ||
+        (aOptions.mFormat.empty() && aOptions.mFile.ends_with(".toml"))) {
+      return CheckSettings(aOptions.mFile,
+                           { aOptions.mIgnored.begin(), aOptions.mIgnored.end() });
+    }
     const std::string text = ReadText(aOptions.mFile);
-    const ConfigurationFormat format = aOptions.mFormat.empty() ? DetectFormat(text)
-                                       : aOptions.mFormat == "platform"
-                                         ? ConfigurationFormat::Platform
-                                         : ConfigurationFormat::Catalogue;
+    ConfigurationFormat format = DetectFormat(text);
+    if (!aOptions.mFormat.empty()) {
+      format = aOptions.mFormat == "platform" ? ConfigurationFormat::Platform
+                                              : ConfigurationFormat::Catalogue;
+    }
     unreadable.mFormat = format;
     CheckTerms terms{ .mIgnored = { aOptions.mIgnored.begin(),
                                     aOptions.mIgnored.end() } };
@@ -141,7 +147,7 @@
   const auto check = std::make_shared<CheckOptions>();
   CLI::App* command = aApp.add_subcommand(
     "check-configuration",
-    "Check a catalogue or a configuration of the platform before it is sent");
+    "Check a catalogue, or a configuration or settings file of the platform");
   CLI::Option* file =
     command->add_option("file", check->mFile, "File to check; - for standard input");
   CLI::Option* against = command->add_option(
@@ -154,7 +160,7 @@
   command
     ->add_option(
       "--format", check->mFormat, "Format of the file; default: by its content")
-    ->check(CLI::IsMember({ "catalogue", "platform" }));
+    ->check(CLI::IsMember({ "catalogue", "platform", "settings" }));
   command->add_option("--settings",
                       check->mSettings,
                       "Settings file of the platform's entries, for the retry budget");
--- a/apps/samphiresail/operator/configurationchecker.cpp
+++ b/apps/samphiresail/operator/configurationchecker.cpp
@@ -12,6 +12,7 @@
 #include "components/configurationcheck/findingkinds.hpp"
 #include "components/configurationcheck/servingdiff.hpp"
 #include "platform/configurationreport.hpp"
+#include "platform/settings.hpp"
 
 namespace samphiresail::operators {
 
@@ -23,7 +24,15 @@
 
 std::string FormatName(ConfigurationFormat aFormat)
 {
-  return aFormat == ConfigurationFormat::Platform ? "platform" : "catalogue";
+  switch (aFormat) {
+    case ConfigurationFormat::Platform:
+      return "platform";
+    case ConfigurationFormat::Settings:
+      return "settings";
+    case ConfigurationFormat::Catalogue:
+      break;
+  }
+  return "catalogue";
 }
 
 void CheckPlatform(const std::string& aText,
@@ -87,6 +96,19 @@
   }
 }
 
+void LeaveOut(const std::set<std::string>& aIgnored, CheckResult& aResult)
+{
+  aResult.mIgnored += std::erase_if(aResult.mFindings, [&](const Finding& aFinding) {
+    return aIgnored.contains(aFinding.mKind);
+  });
+  for (Difference& difference : aResult.mDifferences) {
+    if (aIgnored.contains(difference.mKind)) {
+      difference.mKind.clear();
+      ++aResult.mIgnored;
+    }
+  }
+}
+
 std::string DescribeDifference(const Difference& aDifference)
 {
   std::string text = aDifference.mSubject + ": " + aDifference.mText;
@@ -130,15 +152,24 @@
   } else {
     CheckCatalogue(aText, aTerms, result);
   }
-  result.mIgnored += std::erase_if(result.mFindings, [&](const Finding& aFinding) {
-    return aTerms.mIgnored.contains(aFinding.mKind);
-  });
-  for (Difference& difference : result.mDifferences) {
-    if (aTerms.mIgnored.contains(difference.mKind)) {
-      difference.mKind.clear();
-      ++result.mIgnored;
+  LeaveOut(aTerms.mIgnored, result);
+  return result;
+}
+
+CheckResult CheckSettings(const std::string& aFile, const std::set<std::string>& aIgnored)
+{
+  CheckResult result{ .mFormat = ConfigurationFormat::Settings };
+  try {
+    static_cast<void>(platform::LoadSettings(aFile));
+  } catch (const platform::SettingsError& error) {
+    for (const std::string& fault : error.All()) {
+      result.mFindings.push_back(
+        { std::string(configurationcheck::kinds::kInvalidSetting), "", fault });
     }
+  } catch (const std::exception& error) {
+    result.mUnreadable = error.what();
   }
+  LeaveOut(aIgnored, result);
   return result;
 }
 
--- a/apps/samphiresail/operator/configurationchecker.hpp
+++ b/apps/samphiresail/operator/configurationchecker.hpp
@@ -18,6 +18,8 @@
 {
   Catalogue,
   Platform,
+  /// Settings file of an entry on the platform.
+  Settings,
 };
 
 /// Returns the format of a text: that of the platform is a JSON object, and a catalogue
@@ -60,6 +62,10 @@
                       ConfigurationFormat aFormat,
                       const CheckTerms& aTerms);
 
+/// Checks the settings file of an entry on the platform.
+CheckResult CheckSettings(const std::string& aFile,
+                          const std::set<std::string>& aIgnored);
+
 /// Returns the result as lines `file:place: text [name]`.
 std::string FormatCheckText(const std::string& aFile, const CheckResult& aResult);
 
--- a/apps/tests/configurationcheck/configurationchecktest.cpp
+++ b/apps/tests/configurationcheck/configurationchecktest.cpp
@@ -42,6 +42,9 @@
 
 CheckResult CheckFile(const std::filesystem::path& aFile, CheckTerms aTerms = {})
 {
+  if (aFile.extension() == ".toml") {
+    return CheckSettings(aFile.string(), aTerms.mIgnored);
+  }
   return Check(yaml::ReadFile(aFile.string()), std::move(aTerms));
 }
 
--- a/apps/tests/platform/settingstest.cpp
+++ b/apps/tests/platform/settingstest.cpp
@@ -112,6 +112,48 @@
                     Catch::Matchers::Contains(field + ":"));
 }
 
+// Guards against an operator who mends one field after the other.
+TEST_CASE("settings: one error names all invalid and missing fields", "[platform]")
+{
+  std::string text = kText;
+  for (const auto& [sound, odd] : std::vector<std::pair<std::string, std::string>>{
+         { "nodeName =", "node =" },
+         { "0.25:8224", "nowhere" },
+         { "[7600,7615]", "[7600]" },
+         { "maxFds = 4100", "maxFds = -1" },
+         { "graceS = 8", "graceS = \"8\"" },
+         { "budgetRatio = 0.2", "budgetRatio = nan" },
+         { "[platform]", "[plat]" } }) {
+    text.replace(text.find(sound), sound.size(), odd);
+  }
+  const TemporaryFile file(text);
+  try {
+    platform::LoadSettings(file.mPath);
+    FAIL("the file was read");
+  } catch (const platform::SettingsError& error) {
+    CHECK(error.All().size() == 7);
+    for (const char* field : { "nodeName",
+                               "readyAddr",
+                               "portRange",
+                               "maxFds",
+                               "graceS",
+                               "budgetRatio",
+                               "address" }) {
+      CHECK_THAT(error.what(), Catch::Matchers::Contains(field));
+    }
+  }
+}
+
+TEST_CASE("settings: a value in place of a table is one error", "[platform]")
+{
+  std::string text = kText;
+  text.replace(text.find("[bounds]"), 8, "[other]");
+  const TemporaryFile file("bounds = 3\n" + text);
+  CHECK_THROWS_WITH(
+    platform::LoadSettings(file.mPath),
+    Catch::Matchers::EndsWith(file.mPath + ": bounds: the value is not a table"));
+}
+
 TEST_CASE("settings: a file that is nested deeply is an error", "[platform]")
 {
   const TemporaryFile file("newer = " + std::string(300'000, '[') +
--- a/components/configurationcheck/findingkinds.cpp
+++ b/components/configurationcheck/findingkinds.cpp
@@ -13,6 +13,7 @@
   { kinds::kUnknownField, "a key of a catalogue is not known" },
   { kinds::kOutOfRange, "a number is out of the range of its field" },
   { kinds::kTooLarge, "the text is larger than an entry reads" },
+  { kinds::kInvalidSetting, "a field of a settings file is missing or invalid" },
   { kinds::kVersionNotNewer, "entries ignore a version that is not newer" },
   { kinds::kDuplicateField, "a field stands twice in an object; the last one holds" },
   { kinds::kDuplicateName, "a name stands twice; only the first entry is used" },
--- a/components/configurationcheck/findingkinds.hpp
+++ b/components/configurationcheck/findingkinds.hpp
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kUnknownField = "unknown-field";
 inline constexpr std::string_view kOutOfRange = "out-of-range";
 inline constexpr std::string_view kTooLarge = "too-large";
+inline constexpr std::string_view kInvalidSetting = "invalid-setting";
 inline constexpr std::string_view kVersionNotNewer = "version-not-newer";
 
 // Entries that can never match or be used.
