--- a/apps/tests/frontend/callerlefttest.cpp
+++ b/apps/tests/frontend/callerlefttest.cpp
@@ -71,7 +71,8 @@
 
   /// Runs a change as soon as the condition holds, before anything that has arrived
   /// meanwhile is read.
-  void RunOnce(std::function<bool()> aCondition, std::function<void()> aChange)
+  void RunOnce(const std::function<bool()>& aCondition,
+               const std::function<void()>& aChange)
   {
     asio::co_spawn(
       mIo,
