Give up the lease of a leader whose token the platform has rejected

A leader that was rejected while its lease was in doubt, and renewed it afterwards, would have led on without the duty and kept all others from it.

--- a/apps/samphiresail/gateway/usageduty.cpp
+++ b/apps/samphiresail/gateway/usageduty.cpp
@@ -277,6 +277,10 @@
 void UsageDuty::Hold(timing::Instant aNow, bool aStopping)
 {
   std::optional<std::int64_t> token = mContext.mLeadership.Token(aNow);
+  if (token && !mReporter.MayUse(*token)) {
+    // A leader without the duty would keep all others from it.
+    mContext.mLeadership.OnFenced(aNow);
+  }
   if (aStopping || (token && !mReporter.MayUse(*token))) {
     token.reset();
   }
--- a/apps/tests/duties/usagefailurestest.cpp
+++ b/apps/tests/duties/usagefailurestest.cpp
@@ -72,6 +72,17 @@
   CHECK(world.mFaults == "");
 }
 
+TEST_CASE("usage: after a rejection the reports go on under a new token", "[duties]")
+{
+  World world(4);
+  world.Run(kStart);
+  const std::int64_t rejected = world.mHighestToken;
+  world.mHighestToken = ++world.mRevision;
+  world.Run(29s);
+  CHECK(world.mHolders.rbegin()->first > rejected);
+  CHECK(world.Wrong(0.0) == "");
+}
+
 TEST_CASE("usage: calls that take effect late, after newer ones, do no harm", "[duties]")
 {
   World world(4);
