--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -311,7 +311,6 @@
     SendPeerReport(aNow);
   } else if (mPeerLoadsChanged) {
     UpdatePeersLoad(aNow);
-    ApplyPeerQuotas(aNow);
   }
   if (aNow >= mNextNotice) {
     SendNotice(aNow);
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -113,8 +113,6 @@
   void UpdateShares(timing::Instant aNow);
   /// Updates the other entries' load at each endpoint from their latest reports.
   void UpdatePeersLoad(timing::Instant aNow);
-  /// Charges the quotas with what the latest peer reports say was admitted.
-  void ApplyPeerQuotas(timing::Instant aNow);
   /// Writes the number of known entries to the store if it exceeds the recorded maximum.
   void StoreEntryCount();
   /// If this entry leads, plans loads and unloads and sends the orders that are due.
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -21,6 +21,11 @@
 
 namespace {
 
+/// Interval at which this entry reports its load to the other entries.
+constexpr milliseconds kPeerReportInterval{ 250 };
+/// Interval for each entry: with many entries reports are sent less often, so that the
+/// rate at which each entry receives reports does not grow.
+constexpr milliseconds kPeerReportIntervalPerEntry{ 25 };
 /// Minimum interval between two notices of adapters, and the same for each entry: in a
 /// large fleet the leader gathers the adapters that it has loaded.
 constexpr milliseconds kMinNoticeInterval{ 40 };
@@ -59,7 +64,8 @@
   const std::size_t reporting = mPeers.IsGroupedByZone()
                                   ? mPeers.ReportReceivers().size() + 1
                                   : mPeers.EntryCount(aNow);
-  return gateway::PeerTable::ReportInterval(reporting);
+  return std::max(kPeerReportInterval,
+                  kPeerReportIntervalPerEntry * static_cast<std::int64_t>(reporting));
 }
 
 milliseconds GatewayProcess::PeerReportAge(timing::Instant aNow) const
@@ -74,17 +80,6 @@
   mControl.mDirectory.SetPeersLoad(mPeers.InFlight(aNow), aNow);
 }
 
-void GatewayProcess::ApplyPeerQuotas(timing::Instant aNow)
-{
-  if (!mControl.Configuration()) {
-    return;
-  }
-  for (const gateway::ClientAccount& account : mControl.Configuration()->mAccounts) {
-    mControl.mQuotas.ApplyReports(
-      account.mName, mPeers.AccountQuotas(account.mName), aNow);
-  }
-}
-
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -28,7 +28,6 @@
   peer.mZone = aZone;
   peer.mRegistered = true;
   peer.mRegistrationChangedAt = aNow;
-  UpdateMaxReportAge();
 }
 
 void PeerTable::Unregister(const ids::ProcessId& aProcess, timing::Instant aNow)
@@ -112,29 +111,18 @@
     return !peer.mRegistered &&
            std::max(peer.mRegistrationChangedAt, peer.mReceivedAt) + kRemovalDelay < aNow;
   });
-  UpdateMaxReportAge();
   std::erase_if(mAwaitedByNotice,
                 [aNow](const auto& aRow) { return aRow.second + kAwaitedAge <= aNow; });
 }
 
-bool PeerTable::IsFresh(const Peer& aPeer, timing::Instant aNow) const
+bool PeerTable::IsFresh(const Peer& aPeer, timing::Instant aNow)
 {
-  return aPeer.mReceivedAt + mMaxReportAge > aNow;
+  return aPeer.mReceivedAt + kMaxReportAge > aNow;
 }
 
-bool PeerTable::IsFresh(const Zone& aZone, timing::Instant aNow) const
+bool PeerTable::IsFresh(const Zone& aZone, timing::Instant aNow)
 {
-  return aZone.mReceivedAt + mMaxReportAge > aNow;
-}
-
-void PeerTable::UpdateMaxReportAge()
-{
-  const auto reporting = 1 + std::ranges::count_if(mPeers, [this](const auto& aRow) {
-                           return ReportsDirectly(aRow.second);
-                         });
-  const auto intervals = std::chrono::duration_cast<timing::Duration>(
-    kMaxReportAgeIntervals * ReportInterval(static_cast<std::size_t>(reporting)));
-  mMaxReportAge = std::max(kMaxReportAge, intervals);
+  return aZone.mReceivedAt + kMaxReportAge > aNow;
 }
 
 bool PeerTable::ReportsDirectly(const Peer& aPeer) const
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -78,15 +78,8 @@
 class PeerTable
 {
 public:
-  /// Interval at which an entry reports its load to the other entries, and the same for
-  /// each of them: with many entries reports are sent less often, so that the rate at
-  /// which each entry receives reports does not grow.
-  static constexpr std::chrono::milliseconds kReportInterval{ 250 };
-  static constexpr std::chrono::milliseconds kReportIntervalPerEntry{ 25 };
-  /// Age from which a report is stale: this, or this many intervals, so that the loss of
-  /// one report makes no entry stale.
+  /// Age from which a report is stale.
   static constexpr timing::Duration kMaxReportAge = std::chrono::milliseconds(1200);
-  static constexpr double kMaxReportAgeIntervals = 2.2;
   /// How long an entry still counts after the end of its registration or the arrival of
   /// its last report, whichever is later.
   static constexpr timing::Duration kRemovalDelay = std::chrono::milliseconds(3000);
@@ -165,13 +158,6 @@
   };
   Coverage CoverageAt(timing::Instant aNow) const;
 
-  /// Interval of the reports of aEntries that report to each other.
-  static std::chrono::milliseconds ReportInterval(std::size_t aEntries)
-  {
-    return std::max(kReportInterval,
-                    kReportIntervalPerEntry * static_cast<std::int64_t>(aEntries));
-  }
-
   using Addresses = std::vector<std::pair<ids::ProcessId, settings::SocketAddress>>;
   /// Entries that get this entry's own reports.
   Addresses ReportReceivers() const;
@@ -239,9 +225,8 @@
     PeerReport mReport;
     timing::Instant mReceivedAt{};
   };
-  bool IsFresh(const Peer& aPeer, timing::Instant aNow) const;
-  bool IsFresh(const Zone& aZone, timing::Instant aNow) const;
-  void UpdateMaxReportAge();
+  static bool IsFresh(const Peer& aPeer, timing::Instant aNow);
+  static bool IsFresh(const Zone& aZone, timing::Instant aNow);
   /// True if the entry's own reports are used, rather than those of its zone.
   bool ReportsDirectly(const Peer& aPeer) const;
   bool ReceiveZone(PeerReport aReport, timing::Instant aNow);
@@ -258,7 +243,6 @@
   double mOwnCores;
   timing::Instant mStart;
   std::size_t mRecordedEntries{ 0 };
-  timing::Duration mMaxReportAge{ kMaxReportAge };
   std::map<ids::ProcessId, Peer> mPeers;
   std::map<ids::AvailabilityZoneId, Zone> mZones;
   /// Tokens by account that the other entries of this zone admitted since the start of
--- a/components/gateway/quotaledger.hpp
+++ b/components/gateway/quotaledger.hpp
@@ -2,13 +2,11 @@
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_QUOTALEDGER_HPP
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <unordered_map>
 #include <vector>
 
 #include "components/gateway/servingconfiguration.hpp"
-#include "components/gateway/slidingsum.hpp"
 #include "components/timing/clock.hpp"
 
 namespace samphiresail::gateway {
@@ -58,42 +56,27 @@
   std::size_t mEntries{ 1 };
 };
 
-/// Workload: an account whose requests come unevenly over the entries, sometimes at
-/// several times its rate.
-///
-/// Each entry keeps a token bucket of what all entries together may admit: the account's
-/// rate, and its burst and a part of the tolerance as size. It is charged with the
-/// entry's own count and with the counts in the others' peer reports, extrapolated at
-/// their rates. The window's bound holds as long as the bucket that is charged with the
-/// true counts stays above the negative rest of the tolerance. An entry therefore admits
-/// what the bucket holds if one of these rules allows it:
-/// - The rest of the tolerance covers what the others may have admitted since their
-///   reports at kSurge times the account's rate.
-/// - While all entries receive reports of all others: the request is within this entry's
-///   part, by demand, of what the bucket held when the reports were applied. Where
-///   reports are rare for the account's rate, also one request between two of them while
-///   the bucket is half full.
-/// - Otherwise: it is within this entry's share, a bucket with a part, by the last known
-///   demand, of what the common bucket held for certain and of the rate.
+/// Workload: an account that sends several times its rate through unevenly loaded
+/// entries. Each entry keeps a token bucket of what all entries together may admit. It is
+/// charged with the entry's own count and with the counts in the others' peer reports,
+/// extrapolated at their last rates. A second bucket holds this entry's equal share and
+/// alone decides while the reports of some entry are stale; this keeps the bound under
+/// any network partition. Buckets start nearly empty, so that a restart does not give a
+/// second burst.
 class QuotaLedger
 {
 public:
-  /// Fraction of the tolerance that is added to the size of the common bucket, so that
-  /// errors of the estimate reject no request that the account's own bucket holds.
-  static constexpr double kCommonToleranceFraction = 0.4;
-  /// Fraction of the tolerance that is added to the size of all shares together.
-  static constexpr double kShareToleranceFraction = 0.8;
-  /// Part of the rest of the tolerance that the rules use; it leaves a margin for what
-  /// reports leave out while they are on their way.
-  static constexpr double kUsedRestFraction = 0.8;
-  /// Part of the rest that entries may use beyond their parts by demand.
-  static constexpr double kDebtFraction = 0.3;
-  /// Multiple of its rate at which an account may begin to send at any time.
-  static constexpr double kSurge = 6.0;
-  /// Fraction of a new bucket's size that it holds, so that restarts give no bursts.
-  static constexpr double kInitialLevelFraction = 0.05;
-  /// Fraction of the common bucket that is divided equally; the rest is by demand.
-  static constexpr double kEqualFraction = 0.3;
+  /// Fraction of a window's limit that refills the buckets at a constant rate; the rest
+  /// may be used at once.
+  static constexpr double kRefillFraction = 0.88;
+  /// Fraction of the tolerance that is added to the size of the common bucket, for
+  /// requests that several entries admit before they receive each other's reports.
+  static constexpr double kCommonToleranceFraction = 0.2;
+  /// Level of a new bucket as a fraction of its size.
+  static constexpr double kInitialLevelFraction = 0.15;
+  /// Fraction of the tolerance that is added to the size of the equal shares, which do
+  /// not depend on reports.
+  static constexpr double kShareToleranceFraction = 0.5;
 
   void SetTerms(const QuotaTerms& aTerms) { mTerms = aTerms; }
 
@@ -110,12 +93,6 @@
                 timing::Instant aNow,
                 std::size_t aUncovered = 0);
 
-  /// Applies reports of entries that SetPeers named, as soon as they arrive. The parts
-  /// of the entries do not change.
-  void ApplyReports(const ids::ClientAccountId& aAccount,
-                    const std::vector<PeerQuota>& aPeers,
-                    timing::Instant aNow);
-
   /// Admits the tokens, or returns when enough of them will be available.
   QuotaDecision TryConsume(const ids::ClientAccountId& aAccount,
                            double aTokens,
@@ -141,51 +118,25 @@
     std::uint64_t mIncarnation{ 0 };
     timing::Instant mReceivedAt{};
     double mAdmitted{ 0.0 };
-    /// Tokens a second, averaged over short and long times.
+    /// Tokens a second between its last two reports.
     double mRate{ 0.0 };
-    double mDemand{ 0.0 };
     /// Tokens charged in expectation of its next report.
     double mChargedAhead{ 0.0 };
     std::size_t mEntries{ 1 };
-    bool mIsSum{ false };
-  };
-  struct DemandSample
-  {
-    timing::Instant mAt{};
-    /// Tokens a second.
-    double mDemand{ 0.0 };
   };
   struct Account
   {
     Bucket mCommon;
     Bucket mShare;
-    /// Size of the shares of all entries together.
+    /// Bucket size of the equal shares of all entries together.
     double mSharesSize{ 0.0 };
-    /// Rest of the tolerance, below the common bucket.
-    double mRest{ 0.0 };
-    /// What all entries admitted in the last window, as far as it is known; a report
-    /// counts from its arrival.
-    SlidingSum mWindow{ std::chrono::seconds(8) };
-    /// When mWindow includes what was admitted before the start.
-    timing::Instant mWindowKnownFrom{};
-    double mWindowLimit{ 0.0 };
     timing::Instant mLastRefill{};
     double mAdmitted{ 0.0 };
-    /// Tokens admitted since reports were last applied.
-    double mSinceApplied{ 0.0 };
-    /// Own count when reports were last applied, and its average increase a second.
-    double mAdmittedWhenApplied{ 0.0 };
-    double mDemand{ 0.0 };
-    std::deque<DemandSample> mSamples;
-    /// Part of the common bucket for this entry.
-    double mPart{ 1.0 };
+    /// Tokens admitted beyond this entry's share since reports were last applied.
+    double mBeyondShare{ 0.0 };
     std::size_t mEntries{ 1 };
     std::size_t mUncovered{ 0 };
     bool mAllPeersFresh{ false };
-    /// All peers have been fresh since the start.
-    bool mJoined{ false };
-    /// When all peers were last fresh.
-    timing::Instant mCompleteAt{};
     /// When reports were last applied, and the time between the last two such times.
     timing::Instant mAppliedAt{};
     timing::Duration mAppliedInterval{ 0 };
@@ -193,26 +144,17 @@
   };
 
   void Advance(Account& aAccount, timing::Instant aNow) const;
-  /// Begins to use the share alone.
-  static void StopSharing(Account& aAccount);
-  static void ApplyPeerReport(Account& aAccount,
-                              const PeerQuota& aQuota,
-                              bool aFirstReports);
-  static void UpdatePart(Account& aAccount, double aSeconds);
-  /// Returns how much the others may have admitted since their reports.
-  static double Unseen(const Account& aAccount, timing::Instant aNow);
-  /// Returns how much may be admitted without exceeding the tolerance, whatever the
-  /// others admitted since their reports: by the bucket's level alone, and by the level or
-  /// the window.
-  static double RoomByLevel(const Account& aAccount, timing::Instant aNow);
-  static double Room(Account& aAccount, timing::Instant aNow);
-  /// Returns how many tokens this entry's part allows.
-  static double PartLeft(const Account& aAccount);
   /// Returns the time until the tokens can no longer be rejected because other entries
   /// may be using them.
   static timing::Duration UncontendedAfter(const Account& aAccount,
                                            double aNeeded,
+                                           double aFraction,
                                            timing::Instant aNow);
+  /// Begins to use the equal share alone.
+  static void StopSharing(Account& aAccount);
+  static void ApplyPeerReport(Account& aAccount,
+                              const PeerQuota& aQuota,
+                              bool aFirstReports);
 
   QuotaTerms mTerms;
   std::unordered_map<ids::ClientAccountId, Account> mAccounts;
