--- a/apps/tests/duties/usagefailurestest.cpp
+++ b/apps/tests/duties/usagefailurestest.cpp
@@ -20,7 +20,7 @@
   world.mDatagramLoss = seed == 0 ? 0.0 : 0.2;
   world.mStoreLoss = seed == 0 ? 0.0 : 0.3;
   world.Run(90s);
-  CHECK(world.Wrong(0.0) == "");
+  CHECK_THAT(world.Wrong(0.0), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: an entry that is cut off from the leader alone is counted", "[duties]")
@@ -29,7 +29,7 @@
   world.Run(kStart);
   world.mCutOff = { world.Leader(), world.Leader() == 5 ? 4 : 5 };
   world.Run(30s);
-  CHECK(world.Wrong(0.0) == "");
+  CHECK_THAT(world.Wrong(0.0), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: a holder that is frozen at any step stops, and the next one goes on",
@@ -47,7 +47,7 @@
   world.At(holder).mFrozen = false;
   world.Run(30s);
   // What the holder counted last is late; its entry is a quarter of the fleet.
-  CHECK(world.Wrong(0.25) == "");
+  CHECK_THAT(world.Wrong(0.25), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: a holder that is killed between the record and the call is followed",
@@ -57,7 +57,7 @@
   world.Run(kStart);
   world.mKillAfterRecord = true;
   world.Run(40s);
-  CHECK(world.Wrong(0.05) == "");
+  CHECK_THAT(world.Wrong(0.05), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: a record that the holder has not seen decides over its counts",
@@ -69,7 +69,7 @@
   world.mRecords["samphiresail/usage/" + window] = { window + " 12345", 1, 0 };
   world.Run(20s);
   CHECK(world.mReports.at(std::stol(window)).mCount == 12345);
-  CHECK(world.mFaults == "");
+  CHECK_THAT(world.mFaults, Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: after a rejection the reports go on under a new token", "[duties]")
@@ -80,7 +80,7 @@
   world.mHighestToken = ++world.mRevision;
   world.Run(29s);
   CHECK(world.mHolders.rbegin()->first > rejected);
-  CHECK(world.Wrong(0.0) == "");
+  CHECK_THAT(world.Wrong(0.0), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: calls that take effect late, after newer ones, do no harm", "[duties]")
@@ -93,7 +93,7 @@
     world.Restart(world.Leader());
   }
   world.Run(40s);
-  CHECK(world.Wrong(0.15) == "");
+  CHECK_THAT(world.Wrong(0.15), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: a wall clock that jumps by 2 s moves no count", "[duties]")
@@ -106,7 +106,7 @@
   world.Run(20s);
   world.At(entry).mJump = 0ms;
   world.Run(20s);
-  CHECK(world.Wrong(0.0) == "");
+  CHECK_THAT(world.Wrong(0.0), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("usage: after the end of all entries what is left is reported", "[duties]")
@@ -117,7 +117,7 @@
     world.Restart(entry);
   }
   world.Run(40s);
-  CHECK(world.mFaults == "");
+  CHECK_THAT(world.mFaults, Catch::Matchers::Equals(""));
   for (const auto& [window, truth] : world.mTruth) {
     CAPTURE(window);
     CHECK(
