Test the limits of endpoints, the pace of streams and the speeds of machines

A limit that followed single late responses fell by chance where all endpoints were late alike (0.72 of the slots) and took more than 5 s to follow a recovery. Two standard errors decide now, outcomes count half after 1 s, and a limit grows back in 2 s.

--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -323,7 +323,7 @@
   mControl.End(other.mAttempt, AttemptEnd::Answered, kNow + 2s);
   SECTION("a slow stream that sends something now and then is not stalled")
   {
-    mControl.OnProgress(silent.mAttempt, kNow + 2s);
+    mControl.OnProgress(silent.mAttempt, admission, kNow + 2s);
     CHECK_FALSE(mControl.IsStalled(admission, silent.mAttempt, kNow + 2500ms));
   }
   SECTION("a response clears it")
--- a/apps/tests/platform/dialecttest.cpp
+++ b/apps/tests/platform/dialecttest.cpp
@@ -119,6 +119,21 @@
   CHECK(facts.mKeepAlive == 10s);
 }
 
+TEST_CASE("dialect: the figure of an endpoint's machine is read only where it is sound",
+          "[platform]")
+{
+  http::response<http::empty_body> response(http::status::ok, 11);
+  const auto slowness = [&](const char* aLoad) {
+    response.set("Server-Load", aLoad);
+    return kDialect.ReadResponse(response.base()).mMachineSlowness;
+  };
+  CHECK(slowness("3,1,8,170") == 1.7);
+  for (const char* load : { "3,1,8", "3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1,8,170,9" }) {
+    CAPTURE(load);
+    CHECK_FALSE(slowness(load));
+  }
+}
+
 TEST_CASE("dialect: an endpoint's pause is a finite number of seconds", "[platform]")
 {
   http::response<http::empty_body> response(http::status::service_unavailable, 11);
--- a/components/gateway/endpointlimits.cpp
+++ b/components/gateway/endpointlimits.cpp
@@ -12,12 +12,12 @@
 constexpr double kDecrease = 0.85;
 constexpr timing::Duration kDecreaseInterval = std::chrono::milliseconds(400);
 /// Time in which a limit grows from nothing to the slots.
-constexpr double kRecoverySeconds = 5.0;
+constexpr double kRecoverySeconds = 2.0;
 /// Margin over the service's fraction of late responses beyond which an endpoint is late.
 constexpr double kMargin = 0.03;
 /// Standard errors of its own fraction by which an endpoint must exceed the service's, so
 /// that a few late responses decide nothing.
-constexpr double kStandardErrors = 1.0;
+constexpr double kStandardErrors = 2.0;
 /// Outcomes below which nothing is concluded of an endpoint.
 constexpr double kMinOutcomes = 4.0;
 /// Rows that are kept after this many half-lives without an outcome.
--- a/components/gateway/endpointlimits.hpp
+++ b/components/gateway/endpointlimits.hpp
@@ -45,7 +45,7 @@
 {
 public:
   /// Time in which an outcome counts half as much.
-  static constexpr timing::Duration kHalfLife = std::chrono::milliseconds(1500);
+  static constexpr timing::Duration kHalfLife = std::chrono::milliseconds(1000);
   /// Fraction of late responses that is always accepted.
   static constexpr double kAcceptedLateFraction = 0.05;
   /// Smallest limit, as a fraction of the slots.
