Forecast the wait at the entry, share room among entries and accounts

Cause: requests waited at the entry without knowing how many went before them and were refused after their time had passed. An account with six times its usual rate took room from all others alike.

Change: WaitingRequests knows who waits for which model and forecasts from the rate of requests sent; a request that would be sent too late is refused at once with that forecast as Retry-After. While requests wait, LeaveRoomToOthers also counts the time that engines have left, against as many waiting requests at each other entry as at this one. AccountShares finds accounts above their max-min fair share (weights: their agreed rates) while urgent requests of others find no room; they then leave room like requests that can wait. Without waiting requests neither has an effect.

--- a/apps/load/trials/enginetrial.cpp
+++ b/apps/load/trials/enginetrial.cpp
@@ -43,7 +43,8 @@
 constexpr std::int64_t kSharedTokens = 500;
 
 std::shared_ptr<gateway::ServingConfiguration> Configuration(
-  const EngineFigures& aFigures)
+  const EngineFigures& aFigures,
+  std::size_t aAccounts)
 {
   auto configuration = std::make_shared<gateway::ServingConfiguration>();
   for (const ClassFigures& figures : kClasses) {
@@ -58,6 +59,12 @@
     route.mServices = { { kService, 1.0 } };
     configuration->mRoutes.push_back(route);
   }
+  for (std::size_t i = 0; i < aAccounts; ++i) {
+    gateway::ClientAccount account;
+    account.mName = ids::ClientAccountId("a" + std::to_string(i));
+    account.mKeys = { std::to_string(i) };
+    configuration->mAccounts.push_back(account);
+  }
   gateway::Service service;
   service.mName = kService;
   service.mEngine = gateway::EngineSpec{};
@@ -81,7 +88,7 @@
       mEngines.push_back(std::make_unique<SimulatedEngine>(mEvents, aOptions.mFigures));
     }
     mEngines.front()->SetSlowness(aOptions.mFirstSlowness);
-    const auto configuration = Configuration(aOptions.mFigures);
+    const auto configuration = Configuration(aOptions.mFigures, aOptions.mAccounts);
     for (std::size_t i = 0; i < aOptions.mEntries; ++i) {
       AddEntry(configuration, i);
     }
@@ -113,6 +120,8 @@
     std::size_t mClass{ 0 };
     gateway::RequestMetadata mMetadata;
     double mUsedTokens{ 0.0 };
+    /// Urgent and not of the first account.
+    bool mIsOther{ false };
     timing::Instant mFirst{};
     timing::Instant mDeadline{};
     bool mReturned{ false };
@@ -150,6 +159,29 @@
     mEntries.push_back({ std::move(control) });
   }
 
+  /// Factor by which more requests arrive than without the excess of the first account.
+  double Excess() const
+  {
+    return mOptions.mAccounts == 0 ? 1.0
+                                   : 1.0 + (mOptions.mFirstFactor - 1.0) /
+                                             static_cast<double>(mOptions.mAccounts);
+  }
+
+  /// Sets the account of a request.
+  void SetAccount(Caller& aCaller)
+  {
+    if (mOptions.mAccounts == 0) {
+      return;
+    }
+    std::vector<double> shares(mOptions.mAccounts, 1.0);
+    shares.front() = mOptions.mFirstFactor;
+    std::discrete_distribution<std::size_t> pick(shares.begin(), shares.end());
+    const std::size_t account = pick(mRandom);
+    aCaller.mMetadata.mKey = std::to_string(account);
+    aCaller.mIsOther = account != 0 && aCaller.mClass != 2;
+    mResult.mOthers.mAsked += aCaller.mIsOther ? 1 : 0;
+  }
+
   /// Requests a second at which the engines are busy with reading for mLoad of the time.
   double ArrivalRate() const
   {
@@ -168,7 +200,7 @@
       return;
     }
     std::uniform_real_distribution<double> unit(0.0, 1.0);
-    std::exponential_distribution<double> gap(ArrivalRate());
+    std::exponential_distribution<double> gap(ArrivalRate() * Excess());
     std::lognormal_distribution<double> size(-0.1, 0.45);
     auto caller = std::make_shared<Caller>();
     const double draw = unit(mRandom);
@@ -198,6 +230,7 @@
             (mOptions.mMostOutput - mOptions.mLeastOutput) * unit(mRandom)
         : 1.0;
     caller->mUsedTokens = std::ceil(static_cast<double>(metadata.mOutputTokens) * used);
+    SetAccount(*caller);
     caller->mFirst = mEvents.Now();
     caller->mDeadline = mEvents.Now() + figures.mTimeout;
     ++mResult.mClasses[caller->mClass].mAsked;
@@ -314,6 +347,9 @@
     EngineTrialClassResult& result = mResult.mClasses[caller.mClass];
     const bool onTime = now - caller.mFirst <= kClasses[caller.mClass].mTarget;
     ++(onTime ? result.mOnTime : result.mLate);
+    if (caller.mIsOther) {
+      ++(onTime ? mResult.mOthers.mOnTime : mResult.mOthers.mLate);
+    }
     mResult.mReturnedServed += caller.mReturned ? 1 : 0;
     mPromptTokensServed += static_cast<double>(caller.mMetadata.mPromptTokens);
   }
--- a/apps/load/trials/enginetrial.hpp
+++ b/apps/load/trials/enginetrial.hpp
@@ -39,6 +39,10 @@
   /// Part of the stated output that responses have, at least and at most.
   double mLeastOutput{ 1.0 };
   double mMostOutput{ 1.0 };
+  /// Client accounts that send at equal rates, and the factor by which the first of them
+  /// sends more than the others; 0 accounts for requests without any.
+  std::size_t mAccounts{ 0 };
+  double mFirstFactor{ 1.0 };
 };
 
 struct EngineTrialClassResult
@@ -63,6 +67,8 @@
 struct EngineTrialResult
 {
   std::array<EngineTrialClassResult, kEngineTrialClasses> mClasses;
+  /// Urgent requests of all accounts but the first.
+  EngineTrialClassResult mOthers;
   /// Of callers that came back after a refusal.
   std::size_t mReturned{ 0 };
   std::size_t mReturnedServed{ 0 };
--- a/apps/load/trials/trialcommands.cpp
+++ b/apps/load/trials/trialcommands.cpp
@@ -221,6 +221,8 @@
       total.mClasses[i].mLate += result.mClasses[i].mLate;
       total.mClasses[i].mCut += result.mClasses[i].mCut;
     }
+    total.mOthers.mAsked += result.mOthers.mAsked;
+    total.mOthers.mOnTime += result.mOthers.mOnTime;
     total.mReturned += result.mReturned;
     total.mReturnedServed += result.mReturnedServed;
     total.mMedianErrorFactor += result.mMedianErrorFactor / count;
@@ -228,8 +230,12 @@
     total.mKeptFraction += result.mKeptFraction / count;
     total.mPreemptions += result.mPreemptions;
   }
-  std::printf(
-    "%-16s load %.1f slow %.0f |", aName, aOptions.mLoad, aOptions.mFirstSlowness);
+  std::printf("%-16s entries %zu engines %zu load %.1f slow %.0f |",
+              aName,
+              aOptions.mEntries,
+              aOptions.mEngines,
+              aOptions.mLoad,
+              aOptions.mFirstSlowness);
   constexpr std::array kNames{ "long prompt", "long response", "tolerant" };
   for (std::size_t i = 0; i < kEngineTrialClasses; ++i) {
     std::printf(" %s on time %.1f%% served %.1f%% cut %zu",
@@ -240,13 +246,14 @@
   }
   std::printf(
     " | returned %zu served %zu | forecast factor p50 %.2f p90 %.2f | kept %.1f%% "
-    "| preemptions %zu\n",
+    "| preemptions %zu | other accounts on time %.1f%%\n",
     total.mReturned,
     total.mReturnedServed,
     total.mMedianErrorFactor,
     total.mErrorFactor90,
     100.0 * total.mKeptFraction,
-    total.mPreemptions);
+    total.mPreemptions,
+    total.mOthers.mAsked > 0 ? 100.0 * total.mOthers.OnTime() : 0.0);
 }
 
 void RunEngine(const SeedRange& aSeeds)
@@ -306,6 +313,38 @@
   }
 }
 
+/// Plays an account that sends six times its usual rate.
+void RunAccounts(const SeedRange& aSeeds)
+{
+  struct Case
+  {
+    const char* mName;
+    double mFirstFactor;
+    bool mByAccount;
+  };
+  constexpr std::array kCases{ Case{ "usual rates", 1.0, true },
+                               Case{ "shares", 6.0, true },
+                               Case{ "no shares", 6.0, false } };
+  struct Fleet
+  {
+    std::size_t mEntries;
+    std::size_t mEngines;
+  };
+  for (const Fleet fleet : { Fleet{ 2, 6 }, Fleet{ 4, 6 }, Fleet{ 16, 48 } }) {
+    for (const Case& it : kCases) {
+      EngineTrialOptions options;
+      options.mEntries = fleet.mEntries;
+      options.mEngines = fleet.mEngines;
+      options.mLoad = 0.4;
+      options.mFigures.mPreempts = true;
+      options.mAccounts = 8;
+      options.mFirstFactor = it.mFirstFactor;
+      options.mPolicy.mByAccount = it.mByAccount;
+      PrintEngine(aSeeds, options, it.mName);
+    }
+  }
+}
+
 void AddTrial(CLI::App& aTrial,
               const char* aName,
               const char* aDescription,
@@ -339,6 +378,11 @@
            "Engines filled to what their memory holds against a forecast of waits",
            RunMemory,
            seeds);
+  AddTrial(*trial,
+           "accounts",
+           "Fair shares of engines while one account sends six times its usual rate",
+           RunAccounts,
+           seeds);
   AddTrial(*trial, "route", "Two choices against the baselines", RunRoute, seeds);
 }
 
--- a/apps/tests/gateway/engineplaytest.cpp
+++ b/apps/tests/gateway/engineplaytest.cpp
@@ -127,3 +127,43 @@
   CHECK(byMemory.mCut < byForecast.mCut);
   CHECK(byMemory.mOnTime >= byForecast.mOnTime);
 }
+
+// Guards against one account that takes the engines of all others.
+TEST_CASE(
+  "play: an account that sends six times as much costs the others less with shares",
+  "[gateway]")
+{
+  const auto play = [](bool aByAccount) {
+    EngineTrialClassResult others;
+    for (const std::uint64_t seed : { 1U, 2U, 3U }) {
+      EngineTrialOptions options;
+      options.mSeed = seed;
+      options.mLoad = 0.4;
+      options.mAccounts = 8;
+      options.mFirstFactor = 6.0;
+      options.mPolicy.mByAccount = aByAccount;
+      const EngineTrialResult result = RunEngineTrial(options);
+      others.mAsked += result.mOthers.mAsked;
+      others.mOnTime += result.mOthers.mOnTime;
+    }
+    return others.OnTime();
+  };
+  CHECK(play(true) > play(false));
+}
+
+// Guards against entries that all fill the same room, of which they learned at once.
+TEST_CASE("play: requests that wait at many entries do not overfill the engines",
+          "[gateway]")
+{
+  EngineTrialOptions options;
+  options.mSeed = 1;
+  options.mSeconds = 20;
+  options.mEntries = 16;
+  options.mEngines = 48;
+  options.mLoad = 0.65;
+  const EngineTrialResult result = RunEngineTrial(options);
+  options.mPolicy.mByMemory = false;
+  const EngineTrialResult alone = RunEngineTrial(options);
+  CHECK(result.mClasses[kLongPrompt].OnTime() > alone.mClasses[kLongPrompt].OnTime());
+  CHECK(result.mClasses[kLongResponse].OnTime() > alone.mClasses[kLongResponse].OnTime());
+}
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -138,6 +138,10 @@
       aChoice.mFreeAfter = std::min(aChoice.mFreeAfter.value_or(excess), excess);
       return std::nullopt;
     }
+    const Milliseconds queue =
+      aRequest.mMaxWait - forecast.mWait + ToMilliseconds(mPeerReportInterval);
+    candidate.mRoom =
+      std::min(candidate.mRoom, queue / std::max(forecast.mRead, Milliseconds(0.1)));
     const Milliseconds score =
       forecast.mFirstEvent + kDelayPerSlotUnit * (load.mRequests / slots + zonePenalty +
                                                   kFailurePenaltyFactor * penalty);
@@ -179,7 +183,7 @@
   });
 }
 
-void EndpointChooser::LeaveRoomToOthers(double aUnreported,
+void EndpointChooser::LeaveRoomToOthers(double aOthers,
                                         std::vector<Candidate>& aCandidates,
                                         timing::Instant aNow) const
 {
@@ -187,7 +191,7 @@
   for (const Candidate& candidate : aCandidates) {
     rooms += std::max(candidate.mRoom, 1.0);
   }
-  if (rooms >= aUnreported + 1.0 || mPeerReportInterval <= timing::Duration(0)) {
+  if (rooms >= aOthers + 1.0 || mPeerReportInterval <= timing::Duration(0)) {
     return;
   }
   // One draw for each engine and interval, as a repeated one would succeed in the end.
@@ -195,7 +199,7 @@
     static_cast<std::uint64_t>(aNow.time_since_epoch() / mPeerReportInterval);
   std::erase_if(aCandidates, [&](const Candidate& aCandidate) {
     std::mt19937_64 draw(mSeed ^ aCandidate.mEndpoint->mHash ^ interval);
-    return std::uniform_real_distribution<double>(0.0, aUnreported + 1.0)(draw) > rooms;
+    return std::uniform_real_distribution<double>(0.0, aOthers + 1.0)(draw) > rooms;
   });
 }
 
@@ -244,8 +248,8 @@
       candidates.push_back(std::move(*candidate));
     }
   }
-  if (engine && mPolicy.mByMemory) {
-    LeaveRoomToOthers(aRequest.mUnreported, candidates, aNow);
+  if (engine && mPolicy.mByMemory && aRequest.mWaitingElsewhere > 0.0) {
+    LeaveRoomToOthers(aRequest.mWaitingElsewhere, candidates, aNow);
   }
   if (!candidates.empty()) {
     std::vector<SpreadCandidate> spread;
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -93,6 +93,8 @@
   bool mByUrgency{ true };
   /// No engine gets more requests than its memory holds without preemption.
   bool mByMemory{ true };
+  /// Accounts that use more than their fair share leave room to the others.
+  bool mByAccount{ true };
 };
 
 /// A request for which an endpoint is chosen.
@@ -110,6 +112,9 @@
   /// Number of similar requests that the other entries send before their next peer
   /// reports.
   double mUnreported{ 0.0 };
+  /// Number of requests for the model that wait at the other entries, if as many wait at
+  /// each as at this one.
+  double mWaitingElsewhere{ 0.0 };
   /// If set, the endpoint is the one that all entries prefer for this cause, of those
   /// that can take the request; otherwise the load is spread.
   std::optional<std::uint64_t> mSuspectedCause;
@@ -163,7 +168,7 @@
     Attempt mAttempt;
     /// Until the engine has memory for the request.
     Milliseconds mWaitForRoom{ 0 };
-    /// Such requests for which it has memory until the next peer reports.
+    /// Such requests for which it has time and memory until the next peer reports.
     double mRoom{ std::numeric_limits<double>::infinity() };
     SpreadCandidate mSpread;
   };
@@ -185,10 +190,10 @@
                                 const std::vector<std::uint64_t>& aLeadingParts,
                                 Choice& aChoice,
                                 timing::Instant aNow) const;
-  /// Erases engines whose last room is left to other entries: those that send such a
-  /// request before the next peer reports see the same room, and together they may only
-  /// fill it.
-  void LeaveRoomToOthers(double aUnreported,
+  /// While requests wait, erases engines whose last room is left to other entries:
+  /// aOthers requests see the same room before the next peer reports, and together they
+  /// may only fill it.
+  void LeaveRoomToOthers(double aOthers,
                          std::vector<Candidate>& aCandidates,
                          timing::Instant aNow) const;
   /// Returns the candidate that all entries prefer for the cause.
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -46,6 +46,9 @@
   }
   Choice choice = ChooseApart(aAdmission, aTried, cause, aNow);
   if (choice.mEndpoint == nullptr) {
+    if (choice.mReason == NoEndpoint::Full && aAdmission.mService->mEngine) {
+      RecordWait(aAdmission, choice, aNow);
+    }
     return choice;
   }
   if (aTried.empty() && !CanEnd(aAdmission, choice.mAttempt, aNow)) {
@@ -61,6 +64,7 @@
   RecordStart(*choice.mEndpoint, choice.mAttempt);
   mCold.Record(choice.mAttempt.mEndpoint, aNow);
   if (aAdmission.mService->mEngine) {
+    RecordBegun(aAdmission, aTried.empty(), aNow);
     const std::uint64_t key =
       HashName(DemandMeter::Name(metadata.mModel, metadata.mAdapter));
     mPromptCache.Record(choice.mEndpoint->mHash,
@@ -134,6 +138,8 @@
                                    timing::Instant aNow)
 {
   const WaitAllowance allowance = Allowance(aAdmission, aNow);
+  const double waiting = static_cast<double>(
+    mWaitingRequests.Count(aAdmission.mMetadata.mModel) * (mEntries - 1));
   const auto choose = [&](const std::vector<ids::EndpointId>& aExcluded) {
     const RoutingRequest request{ *aAdmission.mService,
                                   aAdmission.mMetadata,
@@ -142,6 +148,7 @@
                                   allowance.mAtEngine,
                                   allowance.mBehind,
                                   UnreportedRequests(aAdmission, aNow),
+                                  waiting,
                                   aSuspectedCause };
     return mChooser.Choose(request, aNow);
   };
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -102,6 +102,13 @@
 {
   mConfiguration = std::move(aConfiguration);
   mQuotas.Configure(*mConfiguration, aNow);
+  double total = 0.0;
+  std::size_t limited = 0;
+  for (const ClientAccount& account : mConfiguration->mAccounts) {
+    total += account.mTokensPerSecond;
+    limited += account.mTokensPerSecond > 0.0 ? 1 : 0;
+  }
+  mDefaultWeight = limited > 0 ? total / static_cast<double>(limited) : 1.0;
 }
 
 void TrafficControl::SetEntries(std::size_t aEntries,
@@ -233,6 +240,13 @@
       // The demand of callers that return was recorded when they first asked.
       mDemand.Record(
         aMetadata.mModel, aMetadata.mAdapter, admission.mEngineSeconds, aNow);
+      if (account != nullptr) {
+        mAccountShares.RecordDemand(aMetadata.mModel,
+                                    account->mName,
+                                    WeightOf(*account),
+                                    admission.mEngineSeconds,
+                                    aNow);
+      }
     }
   } else {
     mServiceDemand.Add(service->mName.Str(), 1.0, aNow);
@@ -289,6 +303,7 @@
   urgency.mRank = route.mUrgencyRank;
   urgency.mLatencyTolerant = route.mLatencyTolerant;
   urgency.mBegun = aAdmission.mBegun;
+  urgency.mOverShare = IsOverShare(aAdmission, aNow);
   urgency.mReturned = aAdmission.mEarlierAttempts > timing::Duration(0);
   urgency.mElapsed = ToMilliseconds(aAdmission.mEarlierAttempts + waited);
   urgency.mWaited = ToMilliseconds(waited);
@@ -339,6 +354,7 @@
   }
   RecordRefusal(
     aAdmission.mMetadata, aAdmission.mArrived - aAdmission.mEarlierAttempts, aNow);
+  mWaitingRequests.Erase(aAdmission.mMetadata.mId);
   Refusal refusal;
   refusal.mRoute = aAdmission.mRoute->mName;
   refusal.mTokens = aAdmission.mTokens;
@@ -358,7 +374,9 @@
       refusal.mRetryAfter = RetryAfter(kMinFullRetry, kMaxFullRetry);
       break;
     case NoEndpoint::Full:
-      refusal.mReason = "all endpoints are full or in cold start";
+      refusal.mReason = IsOverShare(aAdmission, aNow)
+                          ? "engines are full and the account is over its fair share"
+                          : "all endpoints are full or in cold start";
       refusal.mRetryAfter = RetryAfterFull(aAdmission, aChoice, aNow);
       break;
     case NoEndpoint::Paused: {
@@ -430,6 +448,8 @@
   mPromptCache.Tick(aNow);
   mReturningCallers.Tick(aNow);
   mDemand.Tick(aNow);
+  mAccountShares.Tick(aNow);
+  mWaitingRequests.Tick(aNow);
   mServiceDemand.Tick(aNow);
 }
 
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "components/gateway/accountshares.hpp"
 #include "components/gateway/coldlimiter.hpp"
 #include "components/gateway/demandmeter.hpp"
 #include "components/gateway/endpointchooser.hpp"
@@ -20,6 +21,7 @@
 #include "components/gateway/stopschedule.hpp"
 #include "components/gateway/storefreshness.hpp"
 #include "components/gateway/suspectattempts.hpp"
+#include "components/gateway/waitingrequests.hpp"
 #include "components/gateway/waitpolicy.hpp"
 #include "components/gateway/windowedretrybudget.hpp"
 
@@ -114,6 +116,8 @@
   EngineModel mEngineModel;
   EngineMemory mEngineMemory;
   GenerationTimes mGenerationTimes;
+  AccountShares mAccountShares;
+  WaitingRequests mWaitingRequests;
   PromptCacheEstimate mPromptCache;
   ReturningCallers mReturningCallers;
   RequestQuarantine mQuarantine;
@@ -226,6 +230,15 @@
   /// Returns false if the request would surely not end before this process does, in a
   /// planned stop.
   bool MayBegin(const Admission& aAdmission, timing::Instant aNow) const;
+  /// Records that an engine request found no room, and forecasts in aChoice when it does.
+  void RecordWait(const Admission& aAdmission, Choice& aChoice, timing::Instant aNow);
+  /// Records that an engine request is sent for the first time or again.
+  void RecordBegun(const Admission& aAdmission, bool aFirst, timing::Instant aNow);
+  /// Returns true if the request's account uses more than its fair share of the engines
+  /// of the model, while they are short.
+  bool IsOverShare(const Admission& aAdmission, timing::Instant aNow) const;
+  /// Weight of an account among those that compete for engines.
+  double WeightOf(const ClientAccount& aAccount) const;
   /// Returns false if the stream would not end at the chosen engine before its caller
   /// stops waiting, by the times that responses took lately.
   bool CanEnd(const Admission& aAdmission,
@@ -290,6 +303,8 @@
   SuspectAttempts mSuspectAttempts;
   std::uint64_t mQuarantineRefusals{ 0 };
   std::optional<StopSchedule> mStop;
+  /// Weight of accounts that state no rate.
+  double mDefaultWeight{ 1.0 };
 };
 
 }
--- a/components/gateway/waitpolicy.cpp
+++ b/components/gateway/waitpolicy.cpp
@@ -67,6 +67,11 @@
     allowance.mBehind = (kMostFraction - (onTime ? most : least)) * tightest;
     allowance.mAtEntry = std::max(targetLeft + aUrgency.mWaited, Milliseconds(0));
   }
+  if (aUrgency.mOverShare && !aUrgency.mBegun) {
+    allowance.mAtEngine =
+      std::min(allowance.mAtEngine, Milliseconds(kTolerantLateFraction * tightest));
+    allowance.mBehind = (kMostFraction - kTolerantLateFraction) * tightest;
+  }
   if (aUrgency.mReturned) {
     allowance.mAtEntry =
       std::max(allowance.mAtEntry,
--- a/components/gateway/waitpolicy.hpp
+++ b/components/gateway/waitpolicy.hpp
@@ -19,6 +19,8 @@
   bool mLatencyTolerant{ false };
   /// The response has begun and is continued at another engine.
   bool mBegun{ false };
+  /// The client account uses more than its fair share of engines that are short.
+  bool mOverShare{ false };
   /// The caller was refused before and came back.
   bool mReturned{ false };
   /// Time since the caller's first attempt.
