--- a/apps/tests/gateway/waitingrequeststest.cpp
+++ b/apps/tests/gateway/waitingrequeststest.cpp
@@ -56,3 +56,21 @@
   CHECK(waiting.Count(kModel) == 1);
   CHECK_FALSE(waiting.Forecast(Id(2), kNow + 700ms));
 }
+
+// Guards against entries that hold back a request for others that do not wait.
+TEST_CASE("waiting requests: a short wait hardly raises the mean number", "[gateway]")
+{
+  WaitingRequests waiting;
+  waiting.Tick(kNow);
+  waiting.RecordWait(Id(1), kModel, kUrgent, kNow);
+  waiting.Tick(kNow + 40ms);
+  CHECK(waiting.MeanCount(kModel) < 0.1);
+  for (int i = 2; i < 200; ++i) {
+    waiting.RecordWait(Id(1), kModel, kUrgent, kNow + i * 40ms);
+    waiting.Tick(kNow + i * 40ms);
+  }
+  CHECK(waiting.MeanCount(kModel) > 0.9);
+  waiting.Erase(Id(1));
+  waiting.Tick(kNow + 20s);
+  CHECK(waiting.MeanCount(kModel) < 0.1);
+}
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -112,8 +112,8 @@
   /// Number of similar requests that the other entries send before their next peer
   /// reports.
   double mUnreported{ 0.0 };
-  /// Number of requests for the model that wait at the other entries, if as many wait at
-  /// each as at this one.
+  /// Number of requests for the model that wait at the other entries, if on average as
+  /// many wait at each as waited at this one lately.
   double mWaitingElsewhere{ 0.0 };
   /// If set, the endpoint is the one that all entries prefer for this cause, of those
   /// that can take the request; otherwise the load is spread.
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -138,8 +138,8 @@
                                    timing::Instant aNow)
 {
   const WaitAllowance allowance = Allowance(aAdmission, aNow);
-  const double waiting = static_cast<double>(
-    mWaitingRequests.Count(aAdmission.mMetadata.mModel) * (mEntries - 1));
+  const double waiting = mWaitingRequests.MeanCount(aAdmission.mMetadata.mModel) *
+                         static_cast<double>(mEntries - 1);
   const auto choose = [&](const std::vector<ids::EndpointId>& aExcluded) {
     const RoutingRequest request{ *aAdmission.mService,
                                   aAdmission.mMetadata,
--- a/components/gateway/waitingrequests.cpp
+++ b/components/gateway/waitingrequests.cpp
@@ -1,6 +1,8 @@
 #include "components/gateway/waitingrequests.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace samphiresail::gateway {
@@ -9,6 +11,10 @@
 
 /// Waiting requests try on every tick of the frontend.
 constexpr timing::Duration kForgetAfter = std::chrono::milliseconds(500);
+/// Time constant of the mean number of waiting requests, that of the demand.
+constexpr double kMeanSeconds = 2.0;
+/// Mean below which a model is erased.
+constexpr double kMinMean = 0.001;
 /// Requests a second below which no forecast is made.
 constexpr double kMinRate = 0.1;
 
@@ -58,11 +64,27 @@
     mRows, [&aModel](const auto& aRow) { return aRow.second.mModel == aModel; }));
 }
 
+double WaitingRequests::MeanCount(const ids::ModelId& aModel) const
+{
+  const auto it = mMeanCounts.find(aModel);
+  return it == mMeanCounts.end() ? 0.0 : it->second;
+}
+
 void WaitingRequests::Tick(timing::Instant aNow)
 {
   std::erase_if(mRows, [aNow](const auto& aRow) {
     return aRow.second.mTriedAt + kForgetAfter < aNow;
   });
+  const double seconds = std::chrono::duration<double>(aNow - mSampledAt).count();
+  const double gain = 1.0 - std::exp(-std::max(seconds, 0.0) / kMeanSeconds);
+  mSampledAt = aNow;
+  for (auto& [model, mean] : mMeanCounts) {
+    mean *= 1.0 - gain;
+  }
+  for (const auto& [request, row] : mRows) {
+    mMeanCounts[row.mModel] += gain;
+  }
+  std::erase_if(mMeanCounts, [](const auto& aRow) { return aRow.second < kMinMean; });
   mBegun.Tick(aNow);
 }
 
--- a/components/gateway/waitingrequests.hpp
+++ b/components/gateway/waitingrequests.hpp
@@ -38,6 +38,9 @@
   /// Returns the number of requests that wait for the model.
   std::size_t Count(const ids::ModelId& aModel) const;
 
+  /// Returns the mean of Count() over the last seconds.
+  double MeanCount(const ids::ModelId& aModel) const;
+
   /// Erases requests that have not tried to begin for a while; their callers have left.
   void Tick(timing::Instant aNow);
 
@@ -51,6 +54,8 @@
   };
 
   std::unordered_map<ids::RequestId, Row> mRows;
+  std::unordered_map<ids::ModelId, double> mMeanCounts;
+  timing::Instant mSampledAt{};
   /// Requests sent a second, by model.
   DemandMeter mBegun;
 };
