--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -54,6 +54,9 @@
   }
   Choice choice = ChooseApart(aAdmission, aTried, cause, aNow);
   if (choice.mEndpoint == nullptr) {
+    if (choice.mReason == NoEndpoint::Full && aAdmission.mService->mEngine) {
+      RecordWait(aAdmission, choice, aNow);
+    }
     return choice;
   }
   if (aTried.empty() && !CanEnd(aAdmission, choice.mAttempt, aNow)) {
@@ -72,6 +75,7 @@
   RecordStart(*choice.mEndpoint, choice.mAttempt);
   mCold.Record(choice.mAttempt.mEndpoint, aNow);
   if (aAdmission.mService->mEngine) {
+    RecordBegun(aAdmission, aTried.empty(), aNow);
     const std::uint64_t key =
       HashName(DemandMeter::Name(metadata.mModel, metadata.mAdapter));
     mPromptCache.Record(choice.mEndpoint->mHash,
@@ -145,6 +149,8 @@
                                    timing::Instant aNow)
 {
   const WaitAllowance allowance = Allowance(aAdmission, aNow);
+  const double waiting = mWaitingRequests.MeanCount(aAdmission.mMetadata.mModel) *
+                         static_cast<double>(mEntries - 1);
   const auto choose = [&](const std::vector<ids::EndpointId>& aExcluded) {
     const RoutingRequest request{ *aAdmission.mService,
                                   aAdmission.mMetadata,
@@ -154,6 +160,7 @@
                                   allowance.mBehind,
                                   UnreportedRequests(aAdmission, aNow),
                                   ToMilliseconds(aAdmission.mRoute->mGapAim),
+                                  waiting,
                                   aSuspectedCause };
     return mChooser.Choose(request, aNow);
   };
