--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -111,6 +111,8 @@
   /// Updates what depends on the number of entries and on their reports: this entry's
   /// shares of limits and quotas, and the loads of endpoints.
   void UpdateShares(timing::Instant aNow);
+  /// Logs the limits of endpoints that have changed, and updates their metric.
+  void ReportLimits();
   /// Updates the other entries' load at each endpoint from their latest reports.
   void UpdatePeersLoad(timing::Instant aNow);
   /// Writes the number of known entries to the store if it exceeds the recorded maximum.
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -90,6 +90,7 @@
       { mSettings.mConfigurationTime, mSettings.mDrainTime, mSettings.mEvacuationTime }));
   UpdatePeersLoad(aNow);
   mControl.UpdateLimits(mPeers.Outcomes(aNow), aNow);
+  ReportLimits();
   if (!mControl.Configuration()) {
     return;
   }
@@ -112,6 +113,23 @@
   }
 }
 
+void GatewayProcess::ReportLimits()
+{
+  mMetrics.mReducedLimits.Set(static_cast<double>(mControl.mLimits.Reduced()));
+  for (const gateway::LimitChange& change : mControl.mLimits.TakeChanges()) {
+    const auto& endpoints = mControl.mDirectory.All();
+    const auto it = std::ranges::find_if(endpoints, [&change](const auto& aItem) {
+      return aItem.second.mHash == change.mEndpoint;
+    });
+    mLogger.Info("endpoint limit",
+                 { { "endpoint", it == endpoints.end() ? "" : it->first.Str() },
+                   { "limit", change.mLimit },
+                   { "slots", change.mSlots },
+                   { "responses", change.mOutcomes.mEnded },
+                   { "late_fraction", change.mOutcomes.LateFraction() } });
+  }
+}
+
 gateway::PeerReport GatewayProcess::OwnReport(timing::Instant aNow)
 {
   gateway::PeerReport report;
--- a/apps/tests/gateway/endpointlimitstest.cpp
+++ b/apps/tests/gateway/endpointlimitstest.cpp
@@ -140,6 +140,12 @@
   }
   CHECK(limits.Limit(1, kSlots) < 0.5 * kSlots);
   CHECK(limits.Limit(2, kSlots) == kSlots);
+  const auto changes = limits.TakeChanges();
+  REQUIRE_FALSE(changes.empty());
+  CHECK(changes.front().mEndpoint == 1);
+  CHECK(changes.front().mOutcomes.LateFraction() == Approx(0.6));
+  CHECK(limits.TakeChanges().empty());
+  CHECK(limits.Reduced() == 1);
   limits.Forget(1);
   CHECK(limits.Limit(1, kSlots) == kSlots);
 }
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -43,6 +43,9 @@
     , mUnread(aRegistry.AddHistogram("samphiresail_unread_seconds",
                                      "Time that a request waited to be read, while the "
                                      "entry was behind"))
+    , mReducedLimits(aRegistry.AddGauge("samphiresail_endpoint_limits_reduced",
+                                        "Endpoints that take fewer requests well than "
+                                        "they have slots"))
     , mLatency(aRegistry.AddHistogram("samphiresail_request_seconds",
                                       "Time from a whole request to its final answer"))
     , mFirstEvent(aRegistry.AddHistogram("samphiresail_first_event_seconds",
@@ -75,6 +78,7 @@
   metrics::Counter mLateByCaller;
   metrics::Counter mLateByResumption;
   metrics::Histogram mUnread;
+  metrics::Gauge mReducedLimits;
   metrics::Histogram mLatency;
   metrics::Histogram mFirstEvent;
   metrics::Histogram mQueued;
--- a/components/gateway/endpointlimits.cpp
+++ b/components/gateway/endpointlimits.cpp
@@ -100,6 +100,11 @@
                  kFloorFraction);
       row.mDecreasedAt = aNow;
     }
+    if (std::abs(row.mFraction - row.mReportedFraction) >= kReportedChange) {
+      row.mReportedFraction = row.mFraction;
+      mChanges.push_back(
+        { endpoint.mHash, row.mFraction * endpoint.mSlots, endpoint.mSlots, own });
+    }
   }
   std::erase_if(mRows, [aNow](const auto& aItem) {
     const Row& row = aItem.second;
@@ -107,6 +112,12 @@
   });
 }
 
+std::size_t EndpointLimits::Reduced() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mRows, [](const auto& aItem) { return aItem.second.mFraction < 1.0; }));
+}
+
 double EndpointLimits::Limit(std::uint64_t aEndpoint, unsigned aSlots) const
 {
   const auto it = mRows.find(aEndpoint);
--- a/components/gateway/endpointlimits.hpp
+++ b/components/gateway/endpointlimits.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "components/timing/clock.hpp"
@@ -34,6 +35,16 @@
   EndpointOutcomes mReported;
 };
 
+/// A limit that has changed by a noticeable amount.
+struct LimitChange
+{
+  std::uint64_t mEndpoint{ 0 };
+  double mLimit{ 0.0 };
+  unsigned mSlots{ 1 };
+  /// What the limit rests on: the outcomes of all entries.
+  EndpointOutcomes mOutcomes;
+};
+
 /// Workload: endpoints of one service that differ in speed, some of which slow down long
 /// before their slots are full. Learns how many requests each takes well, by additive
 /// increase and multiplicative decrease: an endpoint whose responses are late more often
@@ -48,6 +59,8 @@
   static constexpr timing::Duration kHalfLife = std::chrono::milliseconds(1000);
   /// Fraction of late responses that is always accepted.
   static constexpr double kAcceptedLateFraction = 0.05;
+  /// Change of a limit, as a fraction of the slots, that is reported.
+  static constexpr double kReportedChange = 0.25;
   /// Smallest limit, as a fraction of the slots.
   static constexpr double kFloorFraction = 0.125;
 
@@ -60,6 +73,11 @@
   void Step(const std::vector<LimitedEndpoint>& aEndpoints, timing::Instant aNow);
   /// Returns the limit of an endpoint, at most aSlots.
   double Limit(std::uint64_t aEndpoint, unsigned aSlots) const;
+  /// Returns the limits that have changed by kReportedChange since each was returned
+  /// last.
+  std::vector<LimitChange> TakeChanges() { return std::exchange(mChanges, {}); }
+  /// Number of endpoints whose limit is below their slots.
+  std::size_t Reduced() const;
   /// Erases what is known of an endpoint that has ended or restarted.
   void Forget(std::uint64_t aEndpoint) { mRows.erase(aEndpoint); }
 
@@ -72,10 +90,13 @@
     double mFraction{ 1.0 };
     timing::Instant mSteppedAt{};
     timing::Instant mDecreasedAt{};
+    /// The fraction that was reported last.
+    double mReportedFraction{ 1.0 };
   };
   static EndpointOutcomes Decayed(const Row& aRow, timing::Instant aNow);
 
   std::unordered_map<std::uint64_t, Row> mRows;
+  std::vector<LimitChange> mChanges;
 };
 
 }
