Share machines' room and compare engines by pace only where endpoints report their machines

A stall counted as a wait also excluded engines for requests that may wait little.

Change: the policy of the process follows what endpoints report; a stall orders engines only.

--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -80,8 +80,22 @@
   mControl.mDirectory.SetPeersLoad(mPeers.InFlight(aNow), aNow);
 }
 
+void GatewayProcess::UpdateEnginePolicy()
+{
+  const bool shared =
+    std::ranges::any_of(mControl.mDirectory.All(),
+                        [](const auto& aItem) { return aItem.second.mReportsMachine; });
+  gateway::EnginePolicy policy;
+  policy.mByMemory = shared;
+  policy.mByAccount = shared;
+  policy.mByPosition = shared;
+  policy.mByPace = shared;
+  mControl.SetEnginePolicy(policy);
+}
+
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
+  UpdateEnginePolicy();
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
   mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
   mStoreWatcher.SetFleet(
--- a/components/gateway/endpointchooser.cpp
+++ b/components/gateway/endpointchooser.cpp
@@ -33,17 +33,6 @@
   return { std::max(1U, aEndpoint.mReport.mSlots), aSpec.mMemoryTokens };
 }
 
-/// Delay that stands for the pauses that a request causes at an engine by the forecast.
-Milliseconds PausePenalty(const EngineForecast& aForecast, Milliseconds aLongestPause)
-{
-  if (aLongestPause <= Milliseconds(0)) {
-    return Milliseconds(0);
-  }
-  const Milliseconds excess =
-    aForecast.mWait + aForecast.mRead - kFreePauseFraction * aLongestPause;
-  return kPauseWeight * std::max(excess, Milliseconds(0));
-}
-
 }
 
 EndpointChooser::EndpointChooser(EndpointDirectory& aDirectory,
@@ -106,6 +95,20 @@
   return holds;
 }
 
+Milliseconds EndpointChooser::PauseDelay(const Endpoint& aEndpoint,
+                                         const EngineForecast& aForecast,
+                                         const RoutingRequest& aRequest,
+                                         timing::Instant aNow) const
+{
+  if (aRequest.mLongestPause <= Milliseconds(0)) {
+    return Milliseconds(0);
+  }
+  const Milliseconds stall = mPace.Stall(aEndpoint.mReport.mId, aNow);
+  const Milliseconds excess = stall + aForecast.mWait + aForecast.mRead -
+                              kFreePauseFraction * aRequest.mLongestPause;
+  return stall + kPauseWeight * std::max(excess, Milliseconds(0));
+}
+
 std::optional<EndpointChooser::Candidate> EndpointChooser::Rate(
   Endpoint& aEndpoint,
   const RoutingRequest& aRequest,
@@ -149,11 +152,6 @@
     candidate.mAttempt.mKeptTokens = kept;
     candidate.mAttempt.mForecast = mModel.Predict(
       aEndpoint.mReport.mId, load, CapacityOf(aEndpoint, spec), work, aNow);
-    if (aRequest.mLongestPause > Milliseconds(0)) {
-      const Milliseconds stall = mPace.Stall(aEndpoint.mReport.mId, aNow);
-      candidate.mAttempt.mForecast.mWait += stall;
-      candidate.mAttempt.mForecast.mFirstEvent += stall;
-    }
     candidate.mAttempt.mLoad.mUnread = mModel.ReadTime(work.mModel, work.mUnreadTokens);
     candidate.mAttempt.mLoad.mMemoryTokens = prompt + work.mOutputTokens;
   }
@@ -170,7 +168,7 @@
     candidate.mRoom =
       std::min(candidate.mRoom, queue / std::max(forecast.mRead, Milliseconds(0.1)));
     const Milliseconds score =
-      forecast.mFirstEvent + PausePenalty(forecast, aRequest.mLongestPause) +
+      forecast.mFirstEvent + PauseDelay(aEndpoint, forecast, aRequest, aNow) +
       kDelayPerSlotUnit *
         (load.mRequests / limit + zonePenalty + kFailurePenaltyFactor * penalty);
     const Milliseconds perRequest = forecast.mRead + kDelayPerSlotUnit / limit;
--- a/components/gateway/endpointchooser.hpp
+++ b/components/gateway/endpointchooser.hpp
@@ -104,6 +104,10 @@
   bool mByMemory{ true };
   /// Accounts that use more than their fair share leave room to the others.
   bool mByAccount{ true };
+  /// Engines are compared by the pauses of their streams and by learned limits.
+  bool mByPace{ true };
+  /// Requests are refused by their position among those that wait at the entry.
+  bool mByPosition{ true };
 };
 
 /// A request for which an endpoint is chosen.
@@ -215,6 +219,14 @@
   /// last.
   static double Penalty(const Endpoint& aEndpoint, timing::Instant aNow);
 
+  /// Delay that stands for the pauses of the streams at an engine: a stall, and reading
+  /// beyond what the route's longest pause allows. It orders the engines and excludes
+  /// none, since a request that finds no other engine is served better late.
+  Milliseconds PauseDelay(const Endpoint& aEndpoint,
+                          const EngineForecast& aForecast,
+                          const RoutingRequest& aRequest,
+                          timing::Instant aNow) const;
+
   EndpointDirectory& mDirectory;
   ColdLimiter& mCold;
   const EngineModel& mModel;
--- a/components/gateway/trafficattempts.cpp
+++ b/components/gateway/trafficattempts.cpp
@@ -69,7 +69,7 @@
     choice.mAttempt.mSuspect = metadata.mIdentity;
     mSuspectAttempts.Begin(choice.mAttempt.mEndpoint, metadata.mIdentity, *cause);
   }
-  if (IsJudged(aAdmission, *choice.mEndpoint)) {
+  if (mEnginePolicy.mByPace && IsJudged(aAdmission, *choice.mEndpoint)) {
     choice.mAttempt.mTarget = ToMilliseconds(aAdmission.mRoute->mTargetLatency);
   }
   RecordStart(*choice.mEndpoint, choice.mAttempt);
@@ -159,7 +159,9 @@
                                   allowance.mAtEngine,
                                   allowance.mBehind,
                                   UnreportedRequests(aAdmission, aNow),
-                                  ToMilliseconds(aAdmission.mRoute->mGapAim),
+                                  mEnginePolicy.mByPace
+                                    ? ToMilliseconds(aAdmission.mRoute->mGapAim)
+                                    : Milliseconds(0),
                                   waiting,
                                   aSuspectedCause };
     return mChooser.Choose(request, aNow);
--- a/components/gateway/trafficcontention.cpp
+++ b/components/gateway/trafficcontention.cpp
@@ -28,7 +28,8 @@
   }
   mWaitingRequests.RecordWait(
     metadata.mId, metadata.mModel, Allowance(aAdmission, aNow).mBehind, aNow);
-  if (const auto forecast = mWaitingRequests.Forecast(metadata.mId, aNow)) {
+  const auto forecast = mWaitingRequests.Forecast(metadata.mId, aNow);
+  if (forecast && mEnginePolicy.mByPosition) {
     aChoice.mFreeAfter = std::max(aChoice.mFreeAfter.value_or(*forecast), *forecast);
   }
 }
