--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -111,9 +111,9 @@
   /// Updates what depends on the number of entries and on their reports: this entry's
   /// shares of limits and quotas, and the loads of endpoints.
   void UpdateShares(timing::Instant aNow);
-  /// Compares engines by pace, and shares their memory and room, only where endpoints
-  /// report that they share their machines with other work. Where they do not, engines are
-  /// alike, and the queues alone serve more requests in time.
+  /// Compares engines by pace only where endpoints report that they share their machines
+  /// with other work. Where they do not, engines are alike, and the queues alone serve
+  /// more requests in time.
   void UpdateEnginePolicy();
   /// Logs the limits of endpoints that have changed, and updates their metric.
   void ReportLimits();
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -86,9 +86,6 @@
     std::ranges::any_of(mControl.mDirectory.All(),
                         [](const auto& aItem) { return aItem.second.mReportsMachine; });
   gateway::EnginePolicy policy;
-  policy.mByMemory = shared;
-  policy.mByAccount = shared;
-  policy.mByPosition = shared;
   policy.mByPace = shared;
   mControl.SetEnginePolicy(policy);
 }
