--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -188,7 +188,9 @@
                   bool aResumable)
 {
   return { { "name", aName },         { "host", "desk.example" }, { "pathPrefix", aPrefix },
-           { "kind", aKind },         { "timeoutMs", 12000 },     { "targetLatencyMs", 300 },
+           { "kind", aKind },
+           { "timeoutMs", aKind == "stream" ? 12000 : 4000 },
+           { "targetLatencyMs", 300 },
            { "priority", 1 },         { "service", aService },    { "maxAttempts", aAttempts },
            { "public", false },       { "sticky", false },        { "canResume", aResumable },
            { "gapAimMs", 300 } };
