Refuse an answer whose status is none, and count malformed answers

What callers saw: an endpoint answered with a status of 000, and the role gateway passed it on as "HTTP/1.1 0 OK" with its body. With Not-Executed in it the request was sent again although it must run once. Server-Leaving and Retry-After were believed, and the connection was used again. An order that an engine answered in this way counted as rejected, a write that the store answered as one without effect.

Cause: the parser takes any three digits for a status, and no reader checked the range, which RFC 9110 gives as 100 to 599.

What changed: ReadResponseHead reads a head and checks it. What follows a malformed head was there already for those that the parser refuses: the request may have run, the connection is closed, nothing of the head is used. Malformed answers are logged and counted in samphiresail_malformed_answers_total.

A blank or a control byte in the name of a field was refused before by the role gateway; its tests stay. Odd but sound heads pass.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -137,6 +137,12 @@
   , mPeerSocket(mIo)
   , mSignals(mIo, SIGTERM, SIGHUP, SIGINT)
 {
+  mClient.SetMalformedHandler([this](const auto& aAddress, const auto& aError) {
+    mMetrics.mMalformedAnswers.Increment();
+    mLogger.Warn("malformed answer",
+                 { { "address", aAddress.mHost + ":" + std::to_string(aAddress.mPort) },
+                   { "error", aError.message() } });
+  });
   ApplySettings();
   CreateUsageDuty();
   if (mOptions.mMetricsPort != 0) {
--- a/apps/tests/platform/httpclienttest.cpp
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
+#include "apps/tests/support/responseheads.hpp"
 #include "platform/enginecalls.hpp"
 
 using namespace samphiresail;
@@ -234,3 +235,90 @@
   mServer.AddScript({ whole });
   CHECK(Call().mBody == R"({"revision":13})");
 }
+
+// A write that the store answered with a status of 000 counted as one without effect, an
+// order as rejected.
+TEST_CASE_METHOD(Fixture,
+                 "http client: a response with a malformed head is not an answer",
+                 "[platform]")
+{
+  std::vector<testing::HeadBegin> heads = testing::HeadsWithMalformedStatus();
+  for (testing::HeadBegin& head : testing::HeadsWithMalformedField()) {
+    heads.push_back(std::move(head));
+  }
+  int malformed = 0;
+  mClient.SetMalformedHandler([&](const settings::SocketAddress& aAddress, const auto&) {
+    CHECK(aAddress.mPort == mAddress.mPort);
+    ++malformed;
+  });
+  for (const testing::HeadBegin& head : heads) {
+    INFO(head.mWhat);
+    mServer.AddScript({ Response(200, "before") });
+    mServer.AddScript({ head.mStatusLine + head.mFields +
+                        "Server-Leaving: 1\r\nContent-Length: 7\r\n\r\nforeign" });
+    mServer.AddScript({ Response(200, "after") });
+    CHECK(Call().mBody == "before");
+    const int connections = mServer.Connections();
+    const HttpReply reply = Call();
+    CHECK(reply.mOutcome == HttpReply::Outcome::Unknown);
+    CHECK(reply.mStatus == 0);
+    CHECK(reply.mBody.empty());
+    CHECK(reply.mHeaders.begin() == reply.mHeaders.end());
+    CHECK(mServer.Connections() == connections);
+    CHECK(Call().mBody == "after");
+    CHECK(mServer.Connections() == connections + 1);
+  }
+  CHECK(malformed == static_cast<int>(heads.size()));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "http client: a malformed trailer is reported, a lost response is not",
+                 "[platform]")
+{
+  int malformed = 0;
+  mClient.SetMalformedHandler([&](const auto&, const auto&) { ++malformed; });
+  mServer.AddScript({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "2\r\n{}\r\n0\r\nX Y: z\r\n\r\n" });
+  CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
+  CHECK(malformed == 1);
+  mServer.AddScript({ "HTTP/1.1 200 OK\r\n", true });
+  CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
+  CHECK(malformed == 1);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "http client: a response with a sound odd head is an answer",
+                 "[platform]")
+{
+  for (const testing::HeadBegin& head : testing::OddSoundHeads()) {
+    INFO(head.mWhat);
+    mServer.AddScript(
+      { head.mStatusLine + head.mFields + "Content-Length: 4\r\n\r\nbody" });
+    const HttpReply reply = Call();
+    CHECK(reply.mOutcome == HttpReply::Outcome::Answered);
+    CHECK(reply.mBody == "body");
+  }
+  CHECK(mServer.Connections() == 1);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "engine calls: a malformed response to an order rejects nothing",
+                 "[platform]")
+{
+  int leaving = 0;
+  platform::EngineCalls calls(
+    mClient, ids::ProcessId("entry-1"), [&](const auto&) { ++leaving; });
+  gateway::EndpointReport endpoint;
+  endpoint.mAddress = mAddress;
+  const gateway::EngineAction action{ endpoint.mId, gateway::EngineOrder{}, 0 };
+  for (const testing::HeadBegin& head : testing::HeadsWithMalformedStatus()) {
+    INFO(head.mWhat);
+    const std::string response =
+      head.mStatusLine + "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}";
+    mServer.AddScript({ response });
+    CHECK(Await(calls.Order(endpoint, action, 41)) == gateway::OrderOutcome::Unknown);
+    mServer.AddScript({ response });
+    CHECK_FALSE(Await(calls.Report(endpoint)).has_value());
+  }
+  CHECK(leaving == 0);
+}
--- a/apps/tests/platform/storetest.cpp
+++ b/apps/tests/platform/storetest.cpp
@@ -118,6 +118,12 @@
     mServer.AddScript({ JsonResponse(200, "{") });
     CHECK(Write().mOutcome == StoreOutcome::Unknown);
   }
+  SECTION("a malformed status, which does not say that nothing was written")
+  {
+    const std::string status = GENERATE("000", "099", "600", "999");
+    mServer.AddScript({ "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}" });
+    CHECK(Write().mOutcome == StoreOutcome::Unknown);
+  }
 }
 
 TEST_CASE_METHOD(Fixture,
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -10,6 +10,7 @@
 
 #include "components/frontend/connectionstate.hpp"
 #include "components/frontend/endpointprobe.hpp"
+#include "components/httpclient/responsehead.hpp"
 
 namespace samphiresail::frontend {
 
@@ -164,15 +165,12 @@
 
 asio::awaitable<bool> Forwarder::ReadResponseHead(AttemptState& aAttempt)
 {
-  ErrorCode ec;
   ResponseParser& parser = aAttempt.mParser.emplace();
   aAttempt.mBytesAfterHead = 0;
   parser.header_limit(kMaxResponseHeadBytes);
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-  co_await http::async_read_header(aAttempt.mConnection->mSocket,
-                                   aAttempt.mConnection->mBuffer,
-                                   parser,
-                                   RedirectError(ec));
+  const ErrorCode ec = co_await httpclient::ReadResponseHead(
+    aAttempt.mConnection->mSocket, aAttempt.mConnection->mBuffer, parser);
   if (ec) {
     aAttempt.mError = ec;
     aAttempt.mWithoutMemory = IsWithoutMemory(ec, aAttempt.mConnection->mBuffer);
@@ -350,6 +348,10 @@
 
 void Forwarder::LogBrokenAttempt(const AttemptState& aAttempt)
 {
+  const bool malformed = httpclient::IsMalformed(aAttempt.mError);
+  if (malformed) {
+    mContext.mMetrics.mMalformedAnswers.Increment();
+  }
   const timing::Duration since = mContext.mClock.Now() - aAttempt.mAttempt.mSentAt;
   const gateway::Endpoint* endpoint =
     mContext.mControl.mDirectory.Find(aAttempt.mAttempt.mEndpoint);
@@ -362,6 +364,7 @@
       { "events", aAttempt.mEvents },
       { "aborted", aAttempt.mAborted },
       { "error", aAttempt.mError.message() },
+      { "malformed", malformed },
       { "own_requests_there", endpoint != nullptr ? endpoint->mOwnLoad.mRequests : 0 },
       { "prompt_parts", PromptPartNames(mExchange.mAdmission.mMetadata.mPromptParts) },
       { "took_ms",
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -28,6 +28,8 @@
                                     "Requests sent to one more endpoint"))
     , mInterruptedStreams(aRegistry.AddCounter("samphiresail_broken_answers_total",
                                                "Answers that broke off on the way"))
+    , mMalformedAnswers(aRegistry.AddCounter("samphiresail_malformed_answers_total",
+                                             "Answers that break the grammar of HTTP"))
     , mCallersLeft(aRegistry.AddCounter("samphiresail_callers_left_total",
                                         "Requests not sent since their callers had left"))
     , mRequestsWithoutMemory(
@@ -69,6 +71,7 @@
   metrics::Counter mQuarantineTestsUndecided;
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
+  metrics::Counter mMalformedAnswers;
   metrics::Counter mCallersLeft;
   metrics::Counter mRequestsWithoutMemory;
   metrics::Counter mResponsesWithoutMemory;
--- /dev/null
+++ b/components/httpclient/responsehead.hpp
@@ -0,0 +1,44 @@
+#ifndef SAMPHIRESAIL_COMPONENTS_HTTPCLIENT_RESPONSEHEAD_HPP
+#define SAMPHIRESAIL_COMPONENTS_HTTPCLIENT_RESPONSEHEAD_HPP
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace samphiresail::httpclient {
+
+using ErrorCode = boost::system::error_code;
+
+/// Checks what the parser accepts although RFC 9110 forbids it. Returns
+/// http::error::bad_status for a status outside 100 to 599, and no error for a sound
+/// head.
+ErrorCode CheckResponseHead(const boost::beast::http::response_header<>& aHead);
+
+/// True for the error of a response that breaks the grammar of HTTP, as opposed to a
+/// connection that ended or a limit that was exceeded.
+bool IsMalformed(const ErrorCode& aEc);
+
+/// Reads and checks the head of a response. Every reader of responses calls this one, so
+/// that none acts on a head that another one refuses. After an error nothing of the
+/// parser may be used.
+template<typename Stream, typename Buffer, typename Body>
+boost::asio::awaitable<ErrorCode> ReadResponseHead(
+  Stream& aStream,
+  Buffer& aBuffer,
+  boost::beast::http::response_parser<Body>& aParser)
+{
+  ErrorCode ec;
+  co_await boost::beast::http::async_read_header(
+    aStream,
+    aBuffer,
+    aParser,
+    boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  co_return ec ? ec : CheckResponseHead(aParser.get().base());
+}
+
+}
+
+#endif
