A failure with a status that nobody knows ends a standby

What callers saw: a request to a silent endpoint was also sent to another one, which failed with a status that the library has no name for, or with such a success without a digest. The standby took over, and the answer of the first endpoint, which came later, was lost.

Cause: the class of a status was taken from the library's enumeration, in which a status without a name has none, so that it counted neither as a failure nor as a success.

What changed: the class comes from the number.

--- a/apps/tests/frontend/standbytest.cpp
+++ b/apps/tests/frontend/standbytest.cpp
@@ -343,3 +343,21 @@
   CHECK(Contains(MetricsText(),
                  "samphiresail_streams_late_by_pause_total{cause=\"" + cause + "\"} 1"));
 }
+
+// The class of a status that the library does not know counted as that of an answer.
+TEST_CASE_METHOD(Fixture,
+                 "standby: a failure with an unknown status takes over from no other",
+                 "[frontend]")
+{
+  StartTicks();
+  ScriptedEndpoint::Script slow;
+  slow.mLater = { { milliseconds(1500), ResponseWithDigest("r1", "hello") } };
+  AddEndpoint("e1").AddScript(slow);
+  // The second one is a success that lacks its digest.
+  const std::string status = GENERATE("597 X", "299 X");
+  ScriptedEndpoint& standby = AddEndpoint("e2", "z2");
+  standby.AddScript(
+    { "HTTP/1.1 " + status + "\r\nAttempt-Id: r1\r\nContent-Length: 4\r\n\r\nbad!" });
+  CHECK(Call(Get("/safe/1"), HasHeadAndBody).ends_with("\r\n\r\nhello"));
+  CHECK(standby.Requests().size() == 1);
+}
--- a/components/frontend/attemptstate.hpp
+++ b/components/frontend/attemptstate.hpp
@@ -74,7 +74,7 @@
   /// not of a failure.
   bool IsAnswer() const
   {
-    const auto status = http::to_status_class(mParser->get().result());
+    const auto status = http::to_status_class(mParser->get().result_int());
     return status == http::status_class::successful
              ? mFacts.mHasResponseDigest
              : status != http::status_class::server_error;
@@ -83,7 +83,7 @@
   /// discarded.
   bool IsFailure() const
   {
-    return http::to_status_class(mParser->get().result()) !=
+    return http::to_status_class(mParser->get().result_int()) !=
              http::status_class::successful ||
            !mFacts.mHasResponseDigest;
   }
