Refuse an answer in a transfer coding that nobody undoes

What callers saw: an endpoint answered with "Transfer-Encoding: gzip", or with codings beside chunked. The caller got the coded bytes as the body, under a head that names no coding.

Cause: the parser undoes a last chunked and leaves the rest to its user; the field concerns one connection only and was dropped. A request without TE allows no other coding (RFC 9112, 7.4).

What changed: the check of a head refuses every coding but one chunked without parameters.

--- a/components/httpclient/responsehead.hpp
+++ b/components/httpclient/responsehead.hpp
@@ -12,9 +12,10 @@
 
 using ErrorCode = boost::system::error_code;
 
-/// Checks what the parser accepts although RFC 9110 forbids it. Returns
-/// http::error::bad_status for a status outside 100 to 599, and no error for a sound
-/// head.
+/// Checks what the parser accepts although RFC 9110 or RFC 9112 forbids it. Returns
+/// http::error::bad_status for a status outside 100 to 599, bad_transfer_encoding for a
+/// transfer coding other than a single chunked, which is all that a request without a TE
+/// field allows and that the parser decodes, and no error for a sound head.
 ErrorCode CheckResponseHead(const boost::beast::http::response_header<>& aHead);
 
 /// True for the error of a response that breaks the grammar of HTTP, as opposed to a
