Pass no field of a trailer on as a field of the head

What callers saw: an endpoint ended an answer in chunks with a trailer, and its fields, such as Set-Cookie, stood in the head that the caller got, of a stream only if head, event and trailer came together.

Cause: the parser adds the fields of a trailer to those of the head, and the head for the caller was written after the body was read. RFC 9110, 6.5.1 forbids to merge them.

What changed: the head for the caller is written before the body is read; trailers are dropped.

--- a/apps/tests/frontend/malformedresponsetest.cpp
+++ b/apps/tests/frontend/malformedresponsetest.cpp
@@ -265,6 +265,39 @@
   CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nwhole"));
 }
 
+// The parser adds the fields of the trailer to those of the head.
+TEST_CASE_METHOD(Fixture,
+                 "malformed response: no field of a trailer becomes one of the head",
+                 "[frontend]")
+{
+  const std::string trailer = "0\r\nSet-Cookie: foreign\r\nRetry-After: 9\r\n\r\n";
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ StreamHead() + kEvent1 + trailer });
+  SECTION("of a buffered response")
+  {
+    const std::string response = Call(Post("/once/1"), HasHeadAndBody);
+    CHECK(response.ends_with("\r\n\r\nid: 1\ndata: a\n\n"));
+    CHECK_FALSE(Contains(response, "Set-Cookie"));
+    CHECK_FALSE(Contains(response, "Retry-After"));
+  }
+  SECTION("of a stream")
+  {
+    const std::string response = Call(Post("/stream/1"), EndsCall);
+    CHECK(response.ends_with("\r\n\r\n" + kEvent1 + kEnd));
+    CHECK_FALSE(Contains(response, "Set-Cookie"));
+  }
+  SECTION("of a stream without an event")
+  {
+    ScriptedEndpoint& other = AddEndpoint("e2");
+    endpoint.AddScript({ StreamHead() + trailer });
+    other.AddScript({ StreamHead() + trailer });
+    Call(Post("/stream/1"), EndsCall);
+    const std::string response = Call(Post("/stream/1"), EndsCall);
+    CHECK(response.ends_with("\r\nContent-Length: 0\r\n\r\n"));
+    CHECK_FALSE(Contains(response, "Set-Cookie"));
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "malformed response: it is logged and counted", "[frontend]")
 {
   ScriptedEndpoint& endpoint = AddEndpoint("e1");
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -59,6 +59,7 @@
   if (parser.content_length().value_or(0) > kMaxBufferedResponseBytes) {
     co_return Result::Failed;
   }
+  std::string response = ResponseHead(parser.get().base());
   std::string body;
   auto held = std::make_unique<limits::ByteBudget::Share>(mContext.mResponseBytes);
   if (aAttempt.IsAnswer()) {
@@ -84,7 +85,6 @@
       co_await EndedWithEndpoint(aAttempt)) {
     co_return Result::Failed;
   }
-  std::string response = ResponseHead(parser.get().base());
   AppendHeader(response, "Content-Length", std::to_string(body.size()));
   if (!SayKeepAlive()) {
     AppendHeader(response, "Connection", "close");
@@ -158,6 +158,7 @@
 asio::awaitable<Forwarder::Result> Forwarder::ForwardEventStream(AttemptState& aAttempt)
 {
   ResponseParser& parser = *aAttempt.mParser;
+  const std::string head = ResponseHead(parser.get().base());
   const bool resumable = !IsIrreversible();
   bool firstEvent = true;
   timing::Instant firstEventAt{};
@@ -182,7 +183,7 @@
       mExchange.mPauses.OnEvents(readAt, firstEvent, mContext.mLag.Lag(readAt));
       std::string out;
       if (!mExchange.mResponseHeadSent) {
-        out = ResponseHead(parser.get().base());
+        out = head;
         AppendHeader(out, "Transfer-Encoding", "chunked");
         if (!SayKeepAlive()) {
           AppendHeader(out, "Connection", "close");
@@ -246,7 +247,7 @@
   }
   std::string out;
   if (!mExchange.mResponseHeadSent) {
-    out = ResponseHead(parser.get().base());
+    out = head;
     AppendHeader(out, "Content-Length", "0");
     if (!SayKeepAlive()) {
       AppendHeader(out, "Connection", "close");
--- a/components/frontend/httpmessage.hpp
+++ b/components/frontend/httpmessage.hpp
@@ -37,7 +37,8 @@
   }
 }
 
-/// Returns the status line and the end-to-end header lines of an endpoint's response.
+/// Returns the status line and the end-to-end header lines of an endpoint's response. To
+/// be called before the body is read, since the parser adds the fields of the trailer.
 std::string ResponseHead(const http::response_header<>& aHeader);
 /// Returns the bytes encoded as one chunk of a chunked body.
 std::string EncodeChunk(std::string_view aBytes);
