Close a connection on which the end of an answer is in doubt

What callers saw: nothing yet. A 204 that states a length or a coding ends at its head by RFC 9112, 6.3, but an endpoint that sends it may send a body behind it; if that came after the next request was sent, it was read as its answer. The same holds for chunks of an endpoint that speaks HTTP/1.0.

Cause: the parser's view of the end was taken for the endpoint's.

The answers themselves pass as before.

Evidence: "malformed response: a connection whose response may go on" failed before for all three answers.

--- a/apps/tests/frontend/malformedresponsetest.cpp
+++ b/apps/tests/frontend/malformedresponsetest.cpp
@@ -298,6 +298,25 @@
   }
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "malformed response: a connection whose response may go on is closed",
+                 "[frontend]")
+{
+  const std::string fields = "Attempt-Id: r1\r\nResponse-Seal: s\r\n";
+  const std::string response = GENERATE_COPY(
+    "HTTP/1.1 204 No Content\r\nContent-Length: 7\r\n" + fields + "\r\n",
+    "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n" + fields + "\r\n",
+    "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n" +
+      fields + "\r\n" + Chunk("body") + kEnd);
+  INFO(response);
+  ScriptedEndpoint& endpoint = AddEndpoint("e1");
+  endpoint.AddScript({ response });
+  endpoint.AddScript({ ResponseWithDigest("r1", "next") });
+  CHECK(Call(Post("/once/1"), HasHeadAndBody).starts_with("HTTP/1.1 20"));
+  CHECK(Call(Post("/once/1"), HasHeadAndBody).ends_with("\r\n\r\nnext"));
+  CHECK(endpoint.Connections() == 2);
+}
+
 TEST_CASE_METHOD(Fixture, "malformed response: it is logged and counted", "[frontend]")
 {
   ScriptedEndpoint& endpoint = AddEndpoint("e1");
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -45,9 +45,8 @@
   const bool ownResponse = aAttempt.mHead == AttemptState::Head::Arrived ||
                            aAttempt.mHead == AttemptState::Head::Refused;
   return ownResponse && !aAttempt.mSendFailed && aAttempt.mParser &&
-         aAttempt.mParser->is_done() && !aAttempt.mParser->need_eof() &&
-         aAttempt.mParser->get().keep_alive() && connection.mBuffer.size() == 0 &&
-         connection.mSocket.is_open();
+         httpclient::IsConnectionReusable(*aAttempt.mParser) &&
+         connection.mBuffer.size() == 0 && connection.mSocket.is_open();
 }
 
 /// Returns the identifiers of the parts in hexadecimal, separated by spaces.
--- a/components/httpclient/responsehead.cpp
+++ b/components/httpclient/responsehead.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr unsigned kHttp11 = 11;
 constexpr unsigned kLowestStatus = 100;
 constexpr unsigned kHighestStatus = 599;
 
@@ -79,6 +80,15 @@
   return {};
 }
 
+bool HasUnambiguousEnd(const http::response_header<>& aHead)
+{
+  const bool isCoded = aHead.count(http::field::transfer_encoding) > 0;
+  if (aHead.result() == http::status::no_content) {
+    return !isCoded && aHead.count(http::field::content_length) == 0;
+  }
+  return aHead.version() >= kHttp11 || !isCoded;
+}
+
 bool IsMalformed(const ErrorCode& aEc)
 {
   return std::ranges::any_of(kGrammarErrors,
--- a/components/httpclient/responsehead.hpp
+++ b/components/httpclient/responsehead.hpp
@@ -18,6 +18,11 @@
 /// field allows and that the parser decodes, and no error for a sound head.
 ErrorCode CheckResponseHead(const boost::beast::http::response_header<>& aHead);
 
+/// True if both sides are sure to agree on where the response ends. A 204 that states a
+/// length or a coding may be followed by a body although its status forbids one, and a
+/// peer that speaks HTTP/1.0 may not know chunks.
+bool HasUnambiguousEnd(const boost::beast::http::response_header<>& aHead);
+
 /// True for the error of a response that breaks the grammar of HTTP, as opposed to a
 /// connection that ended or a limit that was exceeded.
 bool IsMalformed(const ErrorCode& aEc);
@@ -40,6 +45,14 @@
   co_return ec ? ec : CheckResponseHead(aParser.get().base());
 }
 
+/// True if the response is whole and its connection can carry another request.
+template<typename Body>
+bool IsConnectionReusable(const boost::beast::http::response_parser<Body>& aParser)
+{
+  return aParser.is_done() && !aParser.need_eof() && aParser.get().keep_alive() &&
+         HasUnambiguousEnd(aParser.get().base());
+}
+
 }
 
 #endif
