Read answers of back ends and the etcd store by one strict client

What callers saw, at the roles entry and agent: a back end answered with a status of 000, with a blank or a control byte in the name of a field, or with a length whose name has a blank behind it. They got it as an answer, the body in the last case as whatever came until the connection ended. Other readers took the same for sound: an order was confirmed, a model counted as resident, a back end with a health answer of status 000 as ready, a write to the store as done.

Cause: the client of cpp-httplib looks for what it needs in a head and reads over the rest: names that are none, lines without a colon or ended by a bare LF, control bytes, lengths that are no number or contradict each other, transfer codings, broken chunks. It hands over no line of a head, so that a check behind it sees only some of this.

What changed: httpclient::Client, on Beast and ReadResponseHead as in the role gateway, takes the place of that client in the calls of requests, orders, lists of models and health, in the etcd store and in the list of VMs. A malformed answer leaves the outcome unknown, closes the connection, and is recorded by the agent as malformed-answer. Stand-ins send any bytes as answers.

--- a/apps/samphiresail/agent/agentactions.hpp
+++ b/apps/samphiresail/agent/agentactions.hpp
@@ -39,6 +39,8 @@
   NotSent,
   /// The connection broke or the back end went silent after it may have got the call.
   Broken,
+  /// The answer breaks the grammar of HTTP; the call may have run.
+  Malformed,
   Cancelled,
 };
 
--- a/apps/samphiresail/agent/agentcore.cpp
+++ b/apps/samphiresail/agent/agentcore.cpp
@@ -283,6 +283,9 @@
     case BackendOutcome::Cancelled:
       Finish(*attempt, AttemptEnd::Cancelled, aNow);
       break;
+    case BackendOutcome::Malformed:
+      mState.mOutbox.Record("malformed-answer", *attempt, {});
+      [[fallthrough]];
     case BackendOutcome::Broken:
       mState.mGate.OnBroken(aNow);
       Finish(*attempt, AttemptEnd::Unknown, aNow);
--- a/apps/samphiresail/agent/backendcalls.cpp
+++ b/apps/samphiresail/agent/backendcalls.cpp
@@ -3,8 +3,6 @@
 #include <chrono>
 #include <utility>
 
-#include <httplib.h>
-
 #include "apps/samphiresail/agent/answerreader.hpp"
 
 namespace samphiresail::agent {
@@ -17,12 +15,6 @@
 constexpr std::chrono::seconds kReadTimeout{ 120 };
 constexpr int kOk = 200;
 
-bool IsNotSent(httplib::Error aError)
-{
-  return aError == httplib::Error::Connection ||
-         aError == httplib::Error::ConnectionTimeout;
-}
-
 /// One call with the state that its callbacks share.
 class Exchange
 {
@@ -34,35 +26,24 @@
   }
 
   /// Runs the call and returns its end, which is not yet reported.
-  BackendDone Run(httplib::Client& aClient, const std::function<bool()>& aIsCancelled)
+  BackendDone Run(httpclient::Client& aClient, const std::stop_token& aStop)
   {
-    httplib::Request request;
-    request.method = mCall.mCall.mMethod;
-    request.path = mCall.mCall.mPath;
-    request.body = mCall.mCall.mBody;
-    if (!mCall.mCall.mContentType.empty()) {
-      request.set_header("Content-Type", mCall.mCall.mContentType);
-    }
-    request.response_handler = [this](const httplib::Response& aResponse) {
-      Begin(aResponse);
-      return true;
-    };
-    request.content_receiver =
-      [&](const char* aData, std::size_t aSize, std::uint64_t, std::uint64_t) {
-        Emit(mReader.Read({ aData, aSize }));
-        return !aIsCancelled();
-      };
-    httplib::Response response;
-    httplib::Error error = httplib::Error::Success;
-    const bool answered = aClient.send(request, response, error);
-    return End(answered, error);
+    httpclient::Request request;
+    request.mMethod = mCall.mCall.mMethod;
+    request.mTarget = mCall.mCall.mPath;
+    request.mBody = mCall.mCall.mBody;
+    request.mContentType = mCall.mCall.mContentType;
+    httpclient::ResponseHandlers handlers;
+    handlers.mOnHead = [this](const httpclient::Head& aHead) { Begin(aHead); };
+    handlers.mOnPart = [this](std::string_view aPart) { Emit(mReader.Read(aPart)); };
+    return End(aClient.Call(request, handlers, aStop).mOutcome);
   }
 
 private:
-  void Begin(const httplib::Response& aResponse)
+  void Begin(const httpclient::Head& aHead)
   {
-    mStatus = aResponse.status;
-    mContentType = aResponse.get_header_value("Content-Type");
+    mStatus = static_cast<int>(aHead.mStatus);
+    mContentType = aHead.mContentType;
     mReader = AnswerReader(mContentType.starts_with("text/event-stream"));
   }
 
@@ -73,17 +54,20 @@
     }
   }
 
-  BackendDone End(bool aAnswered, httplib::Error aError)
+  BackendDone End(httpclient::Outcome aOutcome)
   {
     BackendDone done{ .mAttempt = mCall.mAttempt, .mHttpStatus = mStatus };
     done.mContentType = mContentType;
-    if (aAnswered) {
+    const bool answered = aOutcome == httpclient::Outcome::Answered;
+    if (answered) {
       Emit(mReader.Finish());
     }
-    if (aAnswered && mReader.Complete()) {
+    if (answered && mReader.Complete()) {
       done.mOutcome = BackendOutcome::Answered;
-    } else if (!aAnswered && IsNotSent(aError)) {
+    } else if (httpclient::IsNotSent(aOutcome)) {
       done.mOutcome = BackendOutcome::NotSent;
+    } else if (aOutcome == httpclient::Outcome::Malformed) {
+      done.mOutcome = BackendOutcome::Malformed;
     }
     done.mPromptTokens = mReader.Usage().mPrompt;
     done.mOutputTokens = mReader.Usage().mOutput;
@@ -109,11 +93,8 @@
 {
   {
     const std::lock_guard lock(mMutex);
-    for (auto& [id, call] : mRunning) {
-      call.mCancelled = true;
-      if (call.mClient != nullptr) {
-        call.mClient->stop();
-      }
+    for (auto& [id, stop] : mRunning) {
+      stop.request_stop();
     }
   }
   for (std::jthread& thread : mThreads) {
@@ -138,18 +119,14 @@
 {
   const std::lock_guard lock(mMutex);
   const auto it = mRunning.find(aAttempt);
-  if (it == mRunning.end()) {
-    return;
-  }
-  it->second.mCancelled = true;
-  if (it->second.mClient != nullptr) {
-    it->second.mClient->stop();
+  if (it != mRunning.end()) {
+    it->second.request_stop();
   }
 }
 
 void BackendCalls::Work(const std::stop_token& aStop)
 {
-  std::unique_ptr<httplib::Client> kept;
+  std::unique_ptr<httpclient::Client> kept;
   while (true) {
     StartBackend call;
     {
@@ -168,19 +145,21 @@
 }
 
 void BackendCalls::Execute(const StartBackend& aCall,
-                           std::unique_ptr<httplib::Client>& aKept)
+                           std::unique_ptr<httpclient::Client>& aKept)
 {
   // A connection kept alive may close under a call, and then nobody knows whether the
   // call ran. A call that must not be repeated gets a connection of its own.
   if (!aKept || aCall.mCall.mIrreversible) {
     aKept = MakeClient();
   }
+  const std::stop_token stop = StopToken(aCall.mAttempt);
   BackendDone done{ .mAttempt = aCall.mAttempt, .mOutcome = BackendOutcome::NotSent };
-  if (Register(aCall.mAttempt, *aKept)) {
+  if (!stop.stop_requested()) {
     Exchange exchange(aCall, mSink);
-    done = exchange.Run(*aKept, [&] { return IsCancelled(aCall.mAttempt); });
+    done = exchange.Run(*aKept, stop);
   }
-  if (Unregister(aCall.mAttempt) && done.mOutcome != BackendOutcome::Answered) {
+  Forget(aCall.mAttempt);
+  if (stop.stop_requested() && done.mOutcome != BackendOutcome::Answered) {
     done.mOutcome = BackendOutcome::Cancelled;
   }
   if (done.mOutcome != BackendOutcome::Answered) {
@@ -189,38 +168,24 @@
   mSink(std::move(done));
 }
 
-std::unique_ptr<httplib::Client> BackendCalls::MakeClient() const
-{
-  auto client = std::make_unique<httplib::Client>(mUrl);
-  client->set_keep_alive(true);
-  client->set_tcp_nodelay(true);
-  client->set_url_encode(false);
-  client->set_connection_timeout(kConnectTimeout);
-  client->set_read_timeout(kReadTimeout);
-  client->set_write_timeout(kWriteTimeout);
-  return client;
-}
-
-bool BackendCalls::Register(const ids::AttemptId& aAttempt, httplib::Client& aClient)
+std::unique_ptr<httpclient::Client> BackendCalls::MakeClient() const
 {
-  const std::lock_guard lock(mMutex);
-  RunningCall& call = mRunning[aAttempt];
-  call.mClient = &aClient;
-  return !call.mCancelled;
+  constexpr httpclient::Timeouts kTimeouts{ kConnectTimeout,
+                                            kWriteTimeout,
+                                            kReadTimeout };
+  return std::make_unique<httpclient::Client>(mUrl, kTimeouts);
 }
 
-bool BackendCalls::Unregister(const ids::AttemptId& aAttempt)
+std::stop_token BackendCalls::StopToken(const ids::AttemptId& aAttempt)
 {
   const std::lock_guard lock(mMutex);
-  const auto node = mRunning.extract(aAttempt);
-  return !node.empty() && node.mapped().mCancelled;
+  return mRunning[aAttempt].get_token();
 }
 
-bool BackendCalls::IsCancelled(const ids::AttemptId& aAttempt)
+void BackendCalls::Forget(const ids::AttemptId& aAttempt)
 {
   const std::lock_guard lock(mMutex);
-  const auto it = mRunning.find(aAttempt);
-  return it != mRunning.end() && it->second.mCancelled;
+  mRunning.erase(aAttempt);
 }
 
 }
--- a/apps/samphiresail/agent/backendcalls.hpp
+++ b/apps/samphiresail/agent/backendcalls.hpp
@@ -7,16 +7,14 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <stop_token>
 #include <string>
 #include <thread>
 #include <unordered_map>
 #include <vector>
 
 #include "apps/samphiresail/agent/agentactions.hpp"
-
-namespace httplib {
-class Client;
-}
+#include "components/httpclient/client.hpp"
 
 namespace samphiresail::agent {
 
@@ -39,27 +37,19 @@
   void Cancel(const ids::AttemptId& aAttempt);
 
 private:
-  struct RunningCall
-  {
-    httplib::Client* mClient{ nullptr };
-    bool mCancelled{ false };
-  };
-
   void Work(const std::stop_token& aStop);
-  void Execute(const StartBackend& aCall, std::unique_ptr<httplib::Client>& aKept);
-  std::unique_ptr<httplib::Client> MakeClient() const;
-  /// Returns false if the call was cancelled before it began.
-  bool Register(const ids::AttemptId& aAttempt, httplib::Client& aClient);
-  /// Returns true if the call was cancelled.
-  bool Unregister(const ids::AttemptId& aAttempt);
-  bool IsCancelled(const ids::AttemptId& aAttempt);
+  void Execute(const StartBackend& aCall, std::unique_ptr<httpclient::Client>& aKept);
+  std::unique_ptr<httpclient::Client> MakeClient() const;
+  /// Returns the token by which the call is cancelled.
+  std::stop_token StopToken(const ids::AttemptId& aAttempt);
+  void Forget(const ids::AttemptId& aAttempt);
 
   std::string mUrl;
   BackendSink mSink;
   std::mutex mMutex;
   std::condition_variable_any mChanged;
   std::deque<StartBackend> mWaiting;
-  std::unordered_map<ids::AttemptId, RunningCall> mRunning;
+  std::unordered_map<ids::AttemptId, std::stop_source> mRunning;
   std::size_t mIdle{ 0 };
   std::vector<std::jthread> mThreads;
 };
--- a/apps/samphiresail/agent/backendcontrol.cpp
+++ b/apps/samphiresail/agent/backendcontrol.cpp
@@ -3,9 +3,10 @@
 #include <chrono>
 #include <utility>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "components/httpclient/client.hpp"
+
 namespace samphiresail::agent {
 
 namespace {
@@ -16,46 +17,36 @@
 constexpr std::chrono::milliseconds kQueryTimeout{ 800 };
 /// Longest time that an engine takes to carry out an order.
 constexpr std::chrono::minutes kOrderTimeout{ 2 };
-constexpr int kOk = 200;
-constexpr int kClientError = 400;
-constexpr int kServiceUnavailable = 503;
+constexpr unsigned kOk = 200;
+constexpr unsigned kClientError = 400;
+constexpr unsigned kServiceUnavailable = 503;
 constexpr char kFencingHeader[] = "X-Fencing-Number";
 
-httplib::Client MakeClient(const std::string& aUrl, std::chrono::milliseconds aTimeout)
-{
-  httplib::Client client(aUrl);
-  client.set_connection_timeout(kQueryTimeout);
-  client.set_read_timeout(aTimeout);
-  client.set_write_timeout(kQueryTimeout);
-  client.set_tcp_nodelay(true);
-  return client;
-}
-
-bool IsNotSent(httplib::Error aError)
+httpclient::Reply Ask(const std::string& aUrl, const char* aTarget)
 {
-  return aError == httplib::Error::Connection ||
-         aError == httplib::Error::ConnectionTimeout;
+  constexpr httpclient::Timeouts kTimeouts{ kQueryTimeout, kQueryTimeout, kQueryTimeout };
+  return httpclient::Client(aUrl, kTimeouts).Call({ .mTarget = aTarget });
 }
 
-BackendState ReadState(const httplib::Result& aResult)
+BackendState ReadState(const httpclient::Reply& aReply)
 {
-  if (!aResult) {
-    return aResult.error() == httplib::Error::Connection ? BackendState::Unreachable
-                                                         : BackendState::Silent;
+  if (aReply.mOutcome != httpclient::Outcome::Answered) {
+    return aReply.mOutcome == httpclient::Outcome::Unreachable ? BackendState::Unreachable
+                                                               : BackendState::Silent;
   }
-  const Json answer = Json::parse(aResult->body, nullptr, false);
+  const Json answer = Json::parse(aReply.mBody, nullptr, false);
   const bool cold = answer.is_object() && answer.value("state", Json()) == "cold";
-  return cold || aResult->status == kServiceUnavailable ? BackendState::Cold
-                                                        : BackendState::Ready;
+  return cold || aReply.mHead.mStatus == kServiceUnavailable ? BackendState::Cold
+                                                             : BackendState::Ready;
 }
 
-ResidentAnswer ReadResidents(const httplib::Result& aResult)
+ResidentAnswer ReadResidents(const httpclient::Reply& aReply)
 {
   ResidentAnswer answer;
-  if (!aResult || aResult->status != kOk) {
+  if (aReply.mOutcome != httpclient::Outcome::Answered || aReply.mHead.mStatus != kOk) {
     return answer;
   }
-  const Json document = Json::parse(aResult->body, nullptr, false);
+  const Json document = Json::parse(aReply.mBody, nullptr, false);
   if (!document.is_object() || !document.contains("data") ||
       !document["data"].is_array()) {
     return answer;
@@ -88,16 +79,17 @@
            { "memory_bytes", aOrder.mMemory.Count() } };
 }
 
-OrderOutcome ReadOutcome(const httplib::Result& aResult)
+OrderOutcome ReadOutcome(const httpclient::Reply& aReply)
 {
-  if (!aResult) {
-    return IsNotSent(aResult.error()) ? OrderOutcome::NotSent : OrderOutcome::Unknown;
+  if (aReply.mOutcome != httpclient::Outcome::Answered) {
+    return httpclient::IsNotSent(aReply.mOutcome) ? OrderOutcome::NotSent
+                                                  : OrderOutcome::Unknown;
   }
-  if (aResult->status == kOk) {
+  const unsigned status = aReply.mHead.mStatus;
+  if (status == kOk) {
     return OrderOutcome::Confirmed;
   }
-  const bool refused =
-    aResult->status >= kClientError && aResult->status < kServiceUnavailable;
+  const bool refused = status >= kClientError && status < kServiceUnavailable;
   return refused ? OrderOutcome::Refused : OrderOutcome::Unknown;
 }
 
@@ -116,8 +108,7 @@
 {
   mQueries.Post([this] {
     const auto askedAt = mClock.Now();
-    httplib::Client client = MakeClient(mUrl, kQueryTimeout);
-    mSink(HealthAnswer{ ReadState(client.Get("/health")), askedAt });
+    mSink(HealthAnswer{ ReadState(Ask(mUrl, "/health")), askedAt });
   });
 }
 
@@ -125,8 +116,7 @@
 {
   mQueries.Post([this] {
     const auto askedAt = mClock.Now();
-    httplib::Client client = MakeClient(mUrl, kQueryTimeout);
-    ResidentAnswer answer = ReadResidents(client.Get("/v1/models"));
+    ResidentAnswer answer = ReadResidents(Ask(mUrl, "/v1/models"));
     answer.mAskedAt = askedAt;
     mSink(std::move(answer));
   });
@@ -135,12 +125,16 @@
 void BackendControl::Send(const ledger::Order& aOrder)
 {
   mOrders.Post([this, order = aOrder] {
-    httplib::Client client = MakeClient(mUrl, kOrderTimeout);
-    const httplib::Headers headers{ { kFencingHeader,
-                                      std::to_string(order.mFencing.Count()) } };
-    const auto result =
-      client.Post(OrderPath(order), headers, OrderBody(order).dump(), "application/json");
-    mSink(OrderAnswer{ order.mFencing, ReadOutcome(result) });
+    constexpr httpclient::Timeouts kTimeouts{ kQueryTimeout,
+                                              kQueryTimeout,
+                                              kOrderTimeout };
+    httpclient::Request request{ .mMethod = "POST",
+                                 .mTarget = OrderPath(order),
+                                 .mBody = OrderBody(order).dump(),
+                                 .mContentType = "application/json" };
+    request.mFields = { { kFencingHeader, std::to_string(order.mFencing.Count()) } };
+    const auto reply = httpclient::Client(mUrl, kTimeouts).Call(request);
+    mSink(OrderAnswer{ order.mFencing, ReadOutcome(reply) });
   });
 }
 
--- a/apps/samphiresail/entry/vmlistclient.cpp
+++ b/apps/samphiresail/entry/vmlistclient.cpp
@@ -5,9 +5,10 @@
 #include <mutex>
 #include <utility>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "components/httpclient/client.hpp"
+
 namespace samphiresail::entry {
 
 using Json = nlohmann::json;
@@ -57,14 +58,12 @@
 
 void VmListClient::Fetch()
 {
-  httplib::Client client(mUrl);
-  client.set_connection_timeout(mTimeout);
-  client.set_read_timeout(mTimeout);
-  const auto result = client.Get("/vms");
-  if (!result || result->status != 200) {
+  httpclient::Client client(mUrl, { mTimeout, mTimeout, mTimeout });
+  const httpclient::Reply reply = client.Call({ .mTarget = "/vms" });
+  if (reply.mOutcome != httpclient::Outcome::Answered || reply.mHead.mStatus != 200) {
     return;
   }
-  if (auto list = ParseVmList(result->body)) {
+  if (auto list = ParseVmList(reply.mBody)) {
     mHandler(*std::move(list));
   }
 }
--- a/apps/standins/common/httpprogram.cpp
+++ b/apps/standins/common/httpprogram.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <stdexcept>
 #include <thread>
 
@@ -10,6 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "apps/standins/common/rawanswers.hpp"
+
 namespace samphiresail::standins {
 
 namespace {
@@ -37,10 +40,31 @@
   return peer.sin_family == AF_INET && ntohs(peer.sin_port) == aPort;
 }
 
+/// Returns the socket on which a request came; nothing if it is closed.
+std::optional<int> SocketOf(const httplib::Request& aRequest)
+{
+  const auto limit = static_cast<int>(sysconf(_SC_OPEN_MAX));
+  for (int it = STDERR_FILENO + 1; it < limit; ++it) {
+    if (HasPeerPort(it, aRequest.remote_port)) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+void SendRaw(const httplib::Request& aRequest, const std::string& aBytes)
+{
+  if (const auto socket = SocketOf(aRequest)) {
+    send(*socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    shutdown(*socket, SHUT_RDWR);
+  }
+}
+
 }
 
 HttpProgram::HttpProgram(std::uint16_t aPort, std::size_t aThreads)
-  : mPort(aPort)
+  : mRawAnswers(std::make_unique<RawAnswers>())
+  , mPort(aPort)
 {
   auto signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -49,8 +73,24 @@
   mServer.set_keep_alive_max_count(kKeepAliveRequests);
   mServer.set_keep_alive_timeout(kKeepAliveSeconds);
   mServer.set_tcp_nodelay(true);
+  PostJson(mServer,
+           "/raw-answers",
+           [this](const httplib::Request&,
+                  const nlohmann::json& aBody,
+                  httplib::Response& aResponse) {
+             mRawAnswers->Set(aBody.at("path"), aBody.at("bytes"), aBody.at("count"));
+             Answer(aResponse, nlohmann::json::object());
+           });
+  mServer.set_post_routing_handler(
+    [this](const httplib::Request& aRequest, httplib::Response&) {
+      if (const auto bytes = mRawAnswers->Take(aRequest.path)) {
+        SendRaw(aRequest, *bytes);
+      }
+    });
 }
 
+HttpProgram::~HttpProgram() = default;
+
 std::uint16_t HttpProgram::Bind()
 {
   if (mPort == 0) {
@@ -77,12 +117,8 @@
 
 void DropConnection(const httplib::Request& aRequest)
 {
-  const auto limit = static_cast<int>(sysconf(_SC_OPEN_MAX));
-  for (int it = STDERR_FILENO + 1; it < limit; ++it) {
-    if (HasPeerPort(it, aRequest.remote_port)) {
-      shutdown(it, SHUT_RDWR);
-      return;
-    }
+  if (const auto socket = SocketOf(aRequest)) {
+    shutdown(*socket, SHUT_RDWR);
   }
 }
 
--- a/apps/standins/common/httpprogram.hpp
+++ b/apps/standins/common/httpprogram.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include <httplib.h>
@@ -10,13 +11,21 @@
 
 namespace samphiresail::standins {
 
-/// HTTP server on the loopback address that runs until SIGTERM or SIGINT.
+class RawAnswers;
+
+/// HTTP server on the loopback address that runs until SIGTERM or SIGINT. POST
+/// /raw-answers with {"path": TEXT, "bytes": TEXT, "count": N} lets it send the bytes in
+/// place of the answers to the next N calls whose path contains the text; these run all
+/// the same, and their connections are closed.
 class HttpProgram
 {
 public:
   /// Blocks the stop signals in all threads; construct it before any thread is started.
   /// Port 0 lets the system choose. Each open connection holds one of the threads.
   HttpProgram(std::uint16_t aPort, std::size_t aThreads);
+  ~HttpProgram();
+  HttpProgram(const HttpProgram&) = delete;
+  HttpProgram& operator=(const HttpProgram&) = delete;
 
   httplib::Server& Server() { return mServer; }
 
@@ -28,6 +37,7 @@
   [[noreturn]] void Run(const std::string& aExtra = {});
 
 private:
+  std::unique_ptr<RawAnswers> mRawAnswers;
   httplib::Server mServer;
   std::uint16_t mPort;
 };
--- /dev/null
+++ b/apps/tests/agent/backendcontroltest.cpp
@@ -0,0 +1,140 @@
+#include <future>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "apps/samphiresail/agent/backendcalls.hpp"
+#include "apps/samphiresail/agent/backendcontrol.hpp"
+#include "apps/tests/frontend/frontendfixture.hpp"
+#include "apps/tests/support/responseheads.hpp"
+
+using namespace samphiresail;
+using frontend::testing::ScriptedEndpoint;
+
+namespace {
+
+const std::string kStatus000 = "HTTP/1.1 000 OK\r\n";
+
+std::string WithBody(const std::string& aHead, const std::string& aBody)
+{
+  return aHead + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/// A back end on a thread of its own that answers one call with the bytes.
+class Backend
+{
+public:
+  explicit Backend(const std::string& aBytes)
+  {
+    mServer.AddScript({ aBytes, true });
+    mThread = std::thread([this] { mIo.run(); });
+  }
+  ~Backend()
+  {
+    mIo.stop();
+    mThread.join();
+  }
+  std::string Url() const { return "http://127.0.0.1:" + std::to_string(mServer.Port()); }
+
+private:
+  boost::asio::io_context mIo{ 1 };
+  ScriptedEndpoint mServer{ mIo };
+  std::thread mThread;
+};
+
+/// Returns the event of the type to which a question leads.
+template<typename Event>
+Event Ask(const std::string& aBytes,
+          const std::function<void(agent::BackendControl&)>& aQuestion)
+{
+  const Backend backend(aBytes);
+  const timing::SystemClock clock;
+  std::promise<agent::BackendEvent> event;
+  agent::BackendControl control(backend.Url(), clock, [&](agent::BackendEvent aEvent) {
+    event.set_value(std::move(aEvent));
+  });
+  aQuestion(control);
+  return std::get<Event>(event.get_future().get());
+}
+
+agent::BackendState Health(const std::string& aBytes)
+{
+  return Ask<agent::HealthAnswer>(aBytes, [](auto& aControl) { aControl.QueryHealth(); })
+    .mState;
+}
+
+bool ListsModels(const std::string& aBytes)
+{
+  return Ask<agent::ResidentAnswer>(aBytes,
+                                    [](auto& aControl) { aControl.QueryResidents(); })
+    .mAnswered;
+}
+
+ledger::OrderOutcome Order(const std::string& aBytes)
+{
+  return Ask<agent::OrderAnswer>(aBytes,
+                                 [](auto& aControl) { aControl.Send(ledger::Order{}); })
+    .mOutcome;
+}
+
+std::vector<testing::HeadBegin> MalformedHeads()
+{
+  std::vector<testing::HeadBegin> heads = testing::HeadsWithMalformedStatus();
+  for (testing::HeadBegin& head : testing::HeadsWithMalformedField()) {
+    heads.push_back(std::move(head));
+  }
+  return heads;
+}
+
+}
+
+// Any status but 503 counted as ready, also 000, and an order as carried out.
+TEST_CASE("backend control: a malformed answer says nothing of the back end", "[agent]")
+{
+  for (const testing::HeadBegin& head : MalformedHeads()) {
+    INFO(head.mWhat);
+    const std::string begin = head.mStatusLine + head.mFields;
+    CHECK(Health(WithBody(begin, R"({"state":"ready"})")) == agent::BackendState::Silent);
+    CHECK_FALSE(ListsModels(WithBody(begin, R"({"data":[{"id":"m"}]})")));
+    CHECK(Order(WithBody(begin, "{}")) == ledger::OrderOutcome::Unknown);
+  }
+}
+
+TEST_CASE("backend control: a sound odd answer counts", "[agent]")
+{
+  for (const testing::HeadBegin& head : testing::OddSoundHeads()) {
+    INFO(head.mWhat);
+    const std::string begin = head.mStatusLine + head.mFields;
+    const bool isOk = head.mStatusLine.find(" 200 ") != std::string::npos;
+    CHECK(Health(WithBody(begin, R"({"state":"ready"})")) == agent::BackendState::Ready);
+    CHECK(ListsModels(WithBody(begin, R"({"data":[{"id":"m"}]})")) == isOk);
+    CHECK(Order(WithBody(begin, "{}")) ==
+          (isOk ? ledger::OrderOutcome::Confirmed : ledger::OrderOutcome::Unknown));
+  }
+}
+
+TEST_CASE("backend calls: no part of a malformed answer is passed on", "[agent]")
+{
+  for (const testing::HeadBegin& head : MalformedHeads()) {
+    INFO(head.mWhat);
+    const Backend backend(WithBody(head.mStatusLine + head.mFields, "foreign"));
+    std::promise<agent::BackendDone> end;
+    std::size_t parts = 0;
+    agent::BackendCalls calls(backend.Url(), [&](agent::BackendEvent aEvent) {
+      if (const auto* done = std::get_if<agent::BackendDone>(&aEvent)) {
+        end.set_value(*done);
+      } else {
+        ++parts;
+      }
+    });
+    agent::StartBackend call;
+    call.mAttempt = ids::AttemptId("a");
+    call.mCall.mMethod = "POST";
+    call.mCall.mPath = "/act";
+    call.mCall.mIrreversible = true;
+    calls.Start(call);
+    const agent::BackendDone done = end.get_future().get();
+    CHECK(parts == 0);
+    CHECK(done.mOutcome == agent::BackendOutcome::Malformed);
+  }
+}
--- a/components/store/etcdstore.hpp
+++ b/components/store/etcdstore.hpp
@@ -2,16 +2,12 @@
 #define SAMPHIRESAIL_COMPONENTS_STORE_ETCDSTORE_HPP
 
 #include <chrono>
-#include <memory>
 #include <mutex>
 #include <string>
 
+#include "components/httpclient/client.hpp"
 #include "components/store/keyvaluestore.hpp"
 
-namespace httplib {
-class Client;
-}
-
 namespace samphiresail::store {
 
 /// Client of the platform's key-value service over etcd's v3 JSON gateway. Calls from
@@ -20,16 +16,14 @@
 {
 public:
   /// Takes the base URL, such as http://127.0.0.1:2379.
-  explicit EtcdStore(std::string aUrl);
-  ~EtcdStore();
+  explicit EtcdStore(const std::string& aUrl);
 
   /// Runs one request within the timeout; never throws for a store that is down.
   StoreReply Execute(const StoreRequest& aRequest, std::chrono::milliseconds aTimeout);
 
 private:
-  std::string mUrl;
   std::mutex mMutex;
-  std::unique_ptr<httplib::Client> mClient;
+  httpclient::Client mClient;
 };
 
 static_assert(KeyValueStore<EtcdStore>);
