Say in the agent's time line what is wrong with an answer

What operators saw: malformed-answer, without its fault, where the entry on the platform names it.

What changed: the client hands over the parser's or the check's error, and the agent records it as the detail. Seen in the logs of "malformed answer: an action runs once" with real processes.

--- a/apps/samphiresail/agent/agentactions.hpp
+++ b/apps/samphiresail/agent/agentactions.hpp
@@ -53,6 +53,8 @@
   std::string mContentType;
   units::Tokens mPromptTokens;
   units::Tokens mOutputTokens;
+  /// What is wrong with a malformed answer.
+  std::string mFault;
 };
 
 enum class BackendState
--- a/apps/samphiresail/agent/backendcalls.cpp
+++ b/apps/samphiresail/agent/backendcalls.cpp
@@ -36,7 +36,7 @@
     httpclient::ResponseHandlers handlers;
     handlers.mOnHead = [this](const httpclient::Head& aHead) { Begin(aHead); };
     handlers.mOnPart = [this](std::string_view aPart) { Emit(mReader.Read(aPart)); };
-    return End(aClient.Call(request, handlers, aStop).mOutcome);
+    return End(aClient.Call(request, handlers, aStop));
   }
 
 private:
@@ -54,20 +54,21 @@
     }
   }
 
-  BackendDone End(httpclient::Outcome aOutcome)
+  BackendDone End(httpclient::Reply aReply)
   {
     BackendDone done{ .mAttempt = mCall.mAttempt, .mHttpStatus = mStatus };
     done.mContentType = mContentType;
-    const bool answered = aOutcome == httpclient::Outcome::Answered;
+    const bool answered = aReply.mOutcome == httpclient::Outcome::Answered;
     if (answered) {
       Emit(mReader.Finish());
     }
     if (answered && mReader.Complete()) {
       done.mOutcome = BackendOutcome::Answered;
-    } else if (httpclient::IsNotSent(aOutcome)) {
+    } else if (httpclient::IsNotSent(aReply.mOutcome)) {
       done.mOutcome = BackendOutcome::NotSent;
-    } else if (aOutcome == httpclient::Outcome::Malformed) {
+    } else if (aReply.mOutcome == httpclient::Outcome::Malformed) {
       done.mOutcome = BackendOutcome::Malformed;
+      done.mFault = std::move(aReply.mFault);
     }
     done.mPromptTokens = mReader.Usage().mPrompt;
     done.mOutputTokens = mReader.Usage().mOutput;
--- a/apps/tests/agent/backendcontroltest.cpp
+++ b/apps/tests/agent/backendcontroltest.cpp
@@ -136,5 +136,6 @@
     const agent::BackendDone done = end.get_future().get();
     CHECK(parts == 0);
     CHECK(done.mOutcome == agent::BackendOutcome::Malformed);
+    CHECK(done.mFault.starts_with("bad "));
   }
 }
--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -143,6 +143,7 @@
     handlers.mOnPart = [&](std::string_view aPart) { parts.append(aPart); };
     const Reply reply = mClient.Call({}, handlers);
     CHECK(reply.mOutcome == Outcome::Malformed);
+    CHECK(reply.mFault.starts_with("bad "));
     CHECK(reply.mHead.mStatus == 0);
     CHECK_FALSE(hasHead);
     CHECK(parts.empty());
--- a/components/httpclient/client.cpp
+++ b/components/httpclient/client.cpp
@@ -267,6 +267,7 @@
     }
     if (IsMalformed(ec)) {
       mReply.mOutcome = Outcome::Malformed;
+      mReply.mFault = ec.message();
     }
     const bool whole = !ec && !mCancelled;
     if (whole) {
--- a/components/httpclient/client.hpp
+++ b/components/httpclient/client.hpp
@@ -69,6 +69,8 @@
   Head mHead;
   /// Whole body of an answer that was not handed over in parts.
   std::string mBody;
+  /// What is wrong with a malformed response.
+  std::string mFault;
 };
 
 /// Receives a response while it arrives. A malformed response may already have brought
