A client without descriptors is unreachable and ends no process

What operators would see: an agent whose process has no descriptor left asks its back end for its health, and ends. The event loop of the new client needs descriptors, and its constructor throws without them on a thread that catches nothing; the client before reported an error.

What changed: the event loop is made with the first call, which is unreachable if that fails.

--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 
 #include "apps/tests/frontend/frontendfixture.hpp"
 #include "apps/tests/support/responseheads.hpp"
@@ -278,6 +279,28 @@
   CHECK(client.Call({}).mOutcome == Outcome::Unreachable);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "client: without descriptors a call is unreachable, and ends no process",
+                 "[httpclient]")
+{
+  AddScript({ Sound("answer") });
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const rlimit none{ 0, limit.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &none);
+  std::optional<httpclient::Client> client;
+  std::optional<Outcome> outcome;
+  try {
+    client.emplace(mUrl, httpclient::Timeouts{ 5s, 5s, 5s });
+    outcome = client->Call({}).mOutcome;
+  } catch (const std::exception&) {
+  }
+  setrlimit(RLIMIT_NOFILE, &limit);
+  REQUIRE(outcome);
+  CHECK(*outcome == Outcome::Unreachable);
+  CHECK(client->Call({}).mBody == "answer");
+}
+
 TEST_CASE_METHOD(Fixture, "client: a host name is resolved", "[httpclient]")
 {
   httpclient::Client client("http://localhost:" + std::to_string(mPort), { 5s, 5s, 5s });
--- a/components/httpclient/client.cpp
+++ b/components/httpclient/client.cpp
@@ -330,9 +330,6 @@
   : mUrl(ParseBaseUrl(aUrl))
   , mTimeouts(aTimeouts)
 {
-  if (mUrl) {
-    mSession = std::make_unique<Session>(*mUrl);
-  }
 }
 
 Client::~Client() = default;
@@ -341,8 +338,18 @@
                    const ResponseHandlers& aHandlers,
                    const std::stop_token& aStop)
 {
-  return mSession != nullptr ? mSession->Run(aRequest, mTimeouts, aHandlers, aStop)
-                             : Reply();
+  if (!mUrl) {
+    return {};
+  }
+  if (mSession == nullptr) {
+    try {
+      mSession = std::make_unique<Session>(*mUrl);
+    } catch (const boost::system::system_error&) {
+      // The event loop needs descriptors, and the process has none left.
+      return {};
+    }
+  }
+  return mSession->Run(aRequest, mTimeouts, aHandlers, aStop);
 }
 
 }
