--- a/apps/tests/agent/backendcontroltest.cpp
+++ b/apps/tests/agent/backendcontroltest.cpp
@@ -77,21 +77,12 @@
     .mOutcome;
 }
 
-std::vector<testing::HeadBegin> MalformedHeads()
-{
-  std::vector<testing::HeadBegin> heads = testing::HeadsWithMalformedStatus();
-  for (testing::HeadBegin& head : testing::HeadsWithMalformedField()) {
-    heads.push_back(std::move(head));
-  }
-  return heads;
-}
-
 }
 
 // Any status but 503 counted as ready, also 000, and an order as carried out.
 TEST_CASE("backend control: a malformed answer says nothing of the back end", "[agent]")
 {
-  for (const testing::HeadBegin& head : MalformedHeads()) {
+  for (const testing::HeadBegin& head : testing::MalformedHeads()) {
     INFO(head.mWhat);
     const std::string begin = head.mStatusLine + head.mFields;
     CHECK(Health(WithBody(begin, R"({"state":"ready"})")) == agent::BackendState::Silent);
@@ -115,7 +106,7 @@
 
 TEST_CASE("backend calls: no part of a malformed answer is passed on", "[agent]")
 {
-  for (const testing::HeadBegin& head : MalformedHeads()) {
+  for (const testing::HeadBegin& head : testing::MalformedHeads()) {
     INFO(head.mWhat);
     const Backend backend(WithBody(head.mStatusLine + head.mFields, "foreign"));
     std::promise<agent::BackendDone> end;
--- a/apps/tests/frontend/malformedresponsetest.cpp
+++ b/apps/tests/frontend/malformedresponsetest.cpp
@@ -7,6 +7,7 @@
 using namespace samphiresail;
 using namespace samphiresail::frontend::testing;
 using samphiresail::testing::HeadBegin;
+using samphiresail::testing::MalformedHeads;
 using std::chrono::milliseconds;
 
 namespace {
@@ -15,15 +16,6 @@
 const std::string kEvent2 = Chunk("id: 2\ndata: b\n\n");
 const std::string kEnd = "0\r\n\r\n";
 
-std::vector<HeadBegin> MalformedHeads()
-{
-  std::vector<HeadBegin> heads = testing::HeadsWithMalformedStatus();
-  for (HeadBegin& head : testing::HeadsWithMalformedField()) {
-    heads.push_back(std::move(head));
-  }
-  return heads;
-}
-
 /// Response with a body of known length to the request r1.
 std::string Buffered(const HeadBegin& aHead, const std::string& aFields = {})
 {
--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -118,10 +118,7 @@
                  "client: a response with a malformed head is not an answer",
                  "[httpclient]")
 {
-  std::vector<testing::HeadBegin> heads = testing::HeadsWithMalformedStatus();
-  for (testing::HeadBegin& head : testing::HeadsWithMalformedField()) {
-    heads.push_back(std::move(head));
-  }
+  std::vector<testing::HeadBegin> heads = testing::MalformedHeads();
   // The library took the blank as a part of the name, and what followed as the body.
   heads.push_back(
     { "blank before the colon of the length", kOk, "Content-Length : 2\r\n" });
--- a/apps/tests/platform/httpclienttest.cpp
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -242,10 +242,7 @@
                  "http client: a response with a malformed head is not an answer",
                  "[platform]")
 {
-  std::vector<testing::HeadBegin> heads = testing::HeadsWithMalformedStatus();
-  for (testing::HeadBegin& head : testing::HeadsWithMalformedField()) {
-    heads.push_back(std::move(head));
-  }
+  const auto heads = testing::MalformedHeads();
   int malformed = 0;
   mClient.SetMalformedHandler([&](const settings::SocketAddress& aAddress, const auto&) {
     CHECK(aAddress.mPort == mAddress.mPort);
--- a/apps/tests/store/etcdstoretest.cpp
+++ b/apps/tests/store/etcdstoretest.cpp
@@ -42,11 +42,7 @@
 // the write counted as done.
 TEST_CASE("etcd store: a malformed answer leaves the outcome unknown", "[store]")
 {
-  for (const testing::HeadBegin& head : testing::HeadsWithMalformedStatus()) {
-    INFO(head.mWhat);
-    CHECK(Write(Answer(head)).mOutcome == StoreOutcome::Unknown);
-  }
-  for (const testing::HeadBegin& head : testing::HeadsWithMalformedField()) {
+  for (const testing::HeadBegin& head : testing::MalformedHeads()) {
     INFO(head.mWhat);
     CHECK(Write(Answer(head)).mOutcome == StoreOutcome::Unknown);
   }
--- a/apps/tests/support/responseheads.hpp
+++ b/apps/tests/support/responseheads.hpp
@@ -1,6 +1,8 @@
 #ifndef SAMPHIRESAIL_APPS_TESTS_SUPPORT_RESPONSEHEADS_HPP
 #define SAMPHIRESAIL_APPS_TESTS_SUPPORT_RESPONSEHEADS_HPP
 
+#include <algorithm>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -50,6 +52,14 @@
            { "bare LF in a value", ok, "X: y\nY: z\r\n" } };
 }
 
+/// All of these heads.
+inline std::vector<HeadBegin> MalformedHeads()
+{
+  std::vector<HeadBegin> heads = HeadsWithMalformedStatus();
+  std::ranges::move(HeadsWithMalformedField(), std::back_inserter(heads));
+  return heads;
+}
+
 /// Heads that are sound, though few endpoints send them.
 inline std::vector<HeadBegin> OddSoundHeads()
 {
