Read the address of a store without a scheme again

What operators would see: `--store 127.0.0.1:2379` and the same in SAMPHIRESAIL_STORE, which the client of cpp-httplib read as an address of plain HTTP, were unreachable with the new client.

Cause: the new client asked for a scheme.

--- a/components/httpclient/baseurl.cpp
+++ b/components/httpclient/baseurl.cpp
@@ -24,10 +24,11 @@
 {
   BaseUrl url;
   url.mTls = aText.starts_with(kTlsScheme);
-  if (!url.mTls && !aText.starts_with(kPlainScheme)) {
-    return std::nullopt;
+  if (url.mTls) {
+    aText.remove_prefix(kTlsScheme.size());
+  } else if (aText.starts_with(kPlainScheme)) {
+    aText.remove_prefix(kPlainScheme.size());
   }
-  aText.remove_prefix(url.mTls ? kTlsScheme.size() : kPlainScheme.size());
   if (aText.ends_with('/')) {
     aText.remove_suffix(1);
   }
--- a/components/httpclient/baseurl.hpp
+++ b/components/httpclient/baseurl.hpp
@@ -18,8 +18,9 @@
   std::string mAuthority;
 };
 
-/// Reads http://HOST, http://HOST:PORT and the same with https, with an IPv6 address in
-/// brackets and a slash at the end allowed. Returns nothing for other text.
+/// Reads http://HOST, http://HOST:PORT, the same with https, or without a scheme as with
+/// http; an IPv6 address stands in brackets, and a slash may stand at the end. Returns
+/// nothing for other text.
 std::optional<BaseUrl> ParseBaseUrl(std::string_view aText);
 
 }
