Take an answer in the content coding Identity, in any case

What callers of an agent would see: an answer with "Content-Encoding: Identity" counted as broken.

Cause: names of content codings have no case (RFC 9110, 8.4.1), and the new client compared them with one.

Evidence: "client: a body in a content coding" failed before for this spelling.

--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -228,7 +228,7 @@
                  "[httpclient]")
 {
   AddScript({ kOk + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nxx" });
-  AddScript({ kOk + "Content-Encoding: identity\r\nContent-Length: 2\r\n\r\nhi" });
+  AddScript({ kOk + "Content-Encoding: Identity\r\nContent-Length: 2\r\n\r\nhi" });
   CHECK(Get().mOutcome == Outcome::Broken);
   CHECK(Get().mBody == "hi");
   CHECK(Requests()[0].find("Accept-Encoding: identity\r\n") != std::string::npos);
--- a/components/httpclient/client.cpp
+++ b/components/httpclient/client.cpp
@@ -51,7 +51,7 @@
 bool IsContentCoded(const Parser& aParser)
 {
   const auto coding = aParser.get()[http::field::content_encoding];
-  return !coding.empty() && coding != kIdentity;
+  return !coding.empty() && !boost::beast::iequals(coding, kIdentity);
 }
 
 http::request<http::string_body> BuildRequest(const Request& aRequest,
