End a question whose answer comes a byte at a time

What operators would see: a back end, the store or the list of VMs that sends its answer slowly held the question for as long as it sent; an agent asks one question after the other, and had no health answers meanwhile.

Cause: the time for reading counts between two parts.

What changed: a call may have a time for the whole; questions, orders, calls of the store and the list of VMs have one. Calls of requests have none: the agent cancels them at their deadline, and lets those that run once come to their end.

Evidence: "client: bytes that come one at a time" failed before.

--- a/apps/samphiresail/agent/backendcontrol.cpp
+++ b/apps/samphiresail/agent/backendcontrol.cpp
@@ -24,7 +24,9 @@
 
 httpclient::Reply Ask(const std::string& aUrl, const char* aTarget)
 {
-  constexpr httpclient::Timeouts kTimeouts{ kQueryTimeout, kQueryTimeout, kQueryTimeout };
+  constexpr httpclient::Timeouts kTimeouts{
+    kQueryTimeout, kQueryTimeout, kQueryTimeout, kQueryTimeout
+  };
   return httpclient::Client(aUrl, kTimeouts).Call({ .mTarget = aTarget });
 }
 
@@ -125,9 +127,9 @@
 void BackendControl::Send(const ledger::Order& aOrder)
 {
   mOrders.Post([this, order = aOrder] {
-    constexpr httpclient::Timeouts kTimeouts{ kQueryTimeout,
-                                              kQueryTimeout,
-                                              kOrderTimeout };
+    constexpr httpclient::Timeouts kTimeouts{
+      kQueryTimeout, kQueryTimeout, kOrderTimeout, kOrderTimeout
+    };
     httpclient::Request request{ .mMethod = "POST",
                                  .mTarget = OrderPath(order),
                                  .mBody = OrderBody(order).dump(),
--- a/apps/samphiresail/entry/vmlistclient.cpp
+++ b/apps/samphiresail/entry/vmlistclient.cpp
@@ -58,7 +58,7 @@
 
 void VmListClient::Fetch()
 {
-  httpclient::Client client(mUrl, { mTimeout, mTimeout, mTimeout });
+  httpclient::Client client(mUrl, { mTimeout, mTimeout, mTimeout, mTimeout });
   const httpclient::Reply reply = client.Call({ .mTarget = "/vms" });
   if (reply.mOutcome != httpclient::Outcome::Answered || reply.mHead.mStatus != 200) {
     return;
--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -259,6 +259,28 @@
   CHECK(Get().mBody == "after");
 }
 
+TEST_CASE("client: bytes that come one at a time do not outlast the call", "[httpclient]")
+{
+  constexpr int kBytes = 300;
+  boost::asio::io_context io(1);
+  boost::asio::ip::tcp::acceptor acceptor(io,
+                                          { boost::asio::ip::address_v4::loopback(), 0 });
+  std::jthread server([&] {
+    boost::system::error_code ec;
+    auto socket = acceptor.accept();
+    std::string bytes = kOk + "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n";
+    for (int it = 0; it <= kBytes && !ec; ++it) {
+      boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+      bytes = "x";
+      std::this_thread::sleep_for(5ms);
+    }
+  });
+  const std::string url =
+    "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  httpclient::Client client(url, { 5s, 5s, 5s, 200ms });
+  CHECK(client.Call({}).mOutcome == Outcome::Broken);
+}
+
 TEST_CASE("client: a call without a connection is not sent", "[httpclient]")
 {
   boost::asio::io_context io;
--- a/components/httpclient/client.cpp
+++ b/components/httpclient/client.cpp
@@ -1,6 +1,8 @@
 #include "components/httpclient/client.hpp"
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <exception>
 #include <limits>
 
@@ -21,6 +23,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
+using Steady = std::chrono::steady_clock;
 
 namespace {
 
@@ -99,6 +102,8 @@
             const std::stop_token& aStop)
   {
     mTimeouts = aTimeouts;
+    mEnd =
+      aTimeouts.mTotal ? Steady::now() + *aTimeouts.mTotal : Steady::time_point::max();
     mHandlers = &aHandlers;
     mReply = {};
     mCancelled = false;
@@ -154,9 +159,9 @@
 
   void Expire(std::chrono::milliseconds aTime)
   {
-    mTimer.expires_after(aTime);
+    mTimer.expires_at(std::min(Steady::now() + aTime, mEnd));
     mTimer.async_wait([this](const ErrorCode& aEc) {
-      if (!aEc && mTimer.expiry() <= std::chrono::steady_clock::now()) {
+      if (!aEc && mTimer.expiry() <= Steady::now()) {
         mTimedOut = true;
         Interrupt();
       }
@@ -320,6 +325,7 @@
   std::optional<asio::ssl::context> mTls;
   std::unique_ptr<Connection> mConnection;
   Timeouts mTimeouts{};
+  Steady::time_point mEnd;
   const ResponseHandlers* mHandlers{ nullptr };
   Reply mReply;
   bool mCancelled{ false };
--- a/components/httpclient/client.hpp
+++ b/components/httpclient/client.hpp
@@ -33,6 +33,8 @@
   std::chrono::milliseconds mWrite;
   /// Until the head of the response is received, and between two parts of its body.
   std::chrono::milliseconds mRead;
+  /// Until the response is complete; not bounded if it is not set.
+  std::optional<std::chrono::milliseconds> mTotal{};
 };
 
 enum class Outcome
@@ -100,7 +102,8 @@
 
   void SetTimeouts(Timeouts aTimeouts) { mTimeouts = aTimeouts; }
 
-  /// Runs one call. A stop request from any thread ends it as broken.
+  /// Runs one call. A stop request from any thread ends it, as unreachable before it is
+  /// connected and as broken later.
   Reply Call(const Request& aRequest,
              const ResponseHandlers& aHandlers = {},
              const std::stop_token& aStop = {});
--- a/components/store/etcdstore.cpp
+++ b/components/store/etcdstore.cpp
@@ -14,7 +14,7 @@
 {
   const EtcdCall call = EncodeEtcdCall(aRequest);
   const std::lock_guard lock(mMutex);
-  mClient.SetTimeouts({ aTimeout, aTimeout, aTimeout });
+  mClient.SetTimeouts({ aTimeout, aTimeout, aTimeout, aTimeout });
   const httpclient::Reply reply = mClient.Call({ .mMethod = "POST",
                                                  .mTarget = call.mPath,
                                                  .mBody = call.mBody,
