Keep routes closed once a version held a client account

Cause: a key was asked for only if the configuration in force has accounts. An empty list, no list and null are the same to it, and whether any version before held an account was known neither to the process nor to one that starts later.

Change: gateway::KeyRequirement. Without accounts in force, routes that are not public are open only on proof that no version ever held one: the version is the record's first, or every version since an open one was read, from the watch or the store's history, or the record of another entry says so. Two records in the store outlive processes; neither ever becomes false. Where versions were missed and no history is left, requests are refused with 503. Versions that are replaced in the same response of the watch are looked at until one held accounts. What has begun goes on.

Evidence: gateway-keys plays the program as real processes. The play of key requirements fails for six mutants made by hand; the guard in the decision is in scripts/mutants.txt.

--- a/apps/load/trials/enginetrial.cpp
+++ b/apps/load/trials/enginetrial.cpp
@@ -145,6 +145,7 @@
     auto control = std::make_unique<gateway::TrafficControl>(
       ids::AvailabilityZoneId("z"), mOptions.mSeed * 100 + aIndex);
     control->SetConfiguration(aConfiguration, now);
+    control->mKeyRequirement.OnVersion({ 1, 1 });
     control->SetEnginePolicy(mOptions.mPolicy);
     control->SetEntries(mOptions.mEntries, kReportInterval);
     for (std::size_t i = 0; i < mEngines.size(); ++i) {
--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -339,6 +339,7 @@
       mLogger.Warn("log lines dropped", { { "lines", dropped } });
     }
     StoreEntryCount();
+    StoreKeyRequirement(aNow);
     if (mSettingsWatch.Changed()) {
       Reload();
     }
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -51,6 +51,8 @@
   /// it needs cannot be opened.
   void Run();
 
+  bool WantsEveryVersion() const override;
+  void OnConfigurationVersion(const gateway::ConfigurationVersion& aVersion) override;
   void OnConfiguration(
     std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override;
   void OnConfigurationUnreadable() override;
@@ -59,6 +61,8 @@
   void OnEndpointGone(const ids::EndpointId& aId) override;
   /// Called if an endpoint says in a response to an order or report that it is leaving.
   void OnEndpointLeaving(const gateway::EndpointReport& aEndpoint);
+  void OnHistory(gateway::StoreRevision aAfter, gateway::StoreRevision aThrough) override;
+  std::optional<gateway::StoreRevision> TakeReplayStart() override;
   void OnFullReading(const gateway::FullReading& aReading) override;
   void OnOwnRecord(const std::string& aKey,
                    const std::optional<std::string>& aValue,
@@ -119,6 +123,13 @@
   void ReportLimits();
   /// Updates the other entries' load at each endpoint from their latest reports.
   void UpdatePeersLoad(timing::Instant aNow);
+  /// Takes what a record says of the accounts of all versions; none if it is not there.
+  void OnKeyRecord(std::string_view aKey, const std::optional<std::string>& aValue);
+  /// Logs whether routes that are not public need a key, if that has changed.
+  void LogKeyRequirement();
+  /// Writes what is known of the accounts of all versions of the configuration, if the
+  /// store lacks it: the leader at once, the others after a while.
+  void StoreKeyRequirement(timing::Instant aNow);
   /// Writes the number of known entries to the store if it exceeds the recorded maximum.
   void StoreEntryCount();
   /// If this entry leads, plans loads and unloads and sends the orders that are due.
@@ -198,6 +209,11 @@
   timing::Instant mNextPlacement{};
   timing::Instant mNextPlacementLog{};
   timing::Instant mNextMaintenance{};
+  /// Since when the store lacks what is known of the accounts of all versions; none if it
+  /// does not.
+  std::optional<timing::Instant> mKeyRecordLacks;
+  /// What was logged last of the need for keys.
+  std::string_view mLoggedKeyRequirement;
   timing::Instant mLastTick{};
   bool mLeading{ false };
   /// Adapters that requests wait for, by HashName of model and adapter, with the instant
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -39,6 +39,15 @@
                      { "version", aConfiguration->mVersion } });
     }
   }
+  if (current) {
+    for (const gateway::ClientAccount& account : current->mAccounts) {
+      if (aConfiguration->FindAccount(account.mName) == nullptr) {
+        mLogger.Info("account removed",
+                     { { "account", account.mName.Str() },
+                       { "version", aConfiguration->mVersion } });
+      }
+    }
+  }
   mControl.mStoreFreshness.RecordConfiguration(true);
   mControl.SetConfiguration(std::move(aConfiguration), mClock.Now());
   UpdateShares(mClock.Now());
@@ -100,6 +109,13 @@
   for (const ids::AvailabilityZoneId& zone : mControl.mDirectory.ZonesOut()) {
     mControl.mDirectory.SetZoneOut(zone, aReading.mZonesOut.contains(zone), now);
   }
+  for (const std::string_view key : { kAccountsKey, kNoAccountsKey }) {
+    if (!aReading.mOwnKeys.contains(std::string(key))) {
+      OnKeyRecord(key, std::nullopt);
+    }
+  }
+  mControl.mKeyRequirement.OnRead(aReading.mRevision);
+  LogKeyRequirement();
   if (!aReading.mOwnKeys.contains(std::string(kLeaderKey))) {
     mLeadership.OnLeaderRecord(false, 0, 0);
   }
@@ -139,6 +155,9 @@
     if (const auto entries = ParseEntryCount(aValue.value_or(std::string()))) {
       mPeers.SetRecordedEntries(*entries);
     }
+  } else if (aKey == kAccountsKey || aKey == kNoAccountsKey) {
+    OnKeyRecord(aKey, aValue);
+    LogKeyRequirement();
   } else if (const auto verdict = QuarantineVerdictOf(aKey)) {
     const QuarantineRecord record = ParseQuarantineRecord(aValue.value_or(std::string()));
     if (!IsRecordOf(record, *verdict)) {
--- a/apps/samphiresail/gateway/recordkeys.hpp
+++ b/apps/samphiresail/gateway/recordkeys.hpp
@@ -26,6 +26,13 @@
 /// time. Entries that restart divide limits by it.
 inline constexpr std::string_view kEntryCountKey = "samphiresail/entry-count";
 
+/// Key of the record that some version of the configuration held client accounts. It
+/// holds the name of the entry that wrote it, and is never deleted.
+inline constexpr std::string_view kAccountsKey = "samphiresail/accounts";
+/// Key of the record that no version of the configuration held client accounts up to the
+/// revision of the store that it holds.
+inline constexpr std::string_view kNoAccountsKey = "samphiresail/no-accounts-through";
+
 /// Key prefix of the records of verdicts, on parts of prompts that are in quarantine,
 /// followed by the verdict's identifier in hexadecimal: that of a single part itself. The
 /// record holds the name of the entry that wrote it, and several parts on a second line.
@@ -59,16 +66,23 @@
   return std::string(kUsagePrefix) + std::to_string(aWindow);
 }
 
-/// Parses a window of usage; none if the text is not a number.
-inline std::optional<duties::Window> ParseWindow(std::string_view aText)
+/// Parses a number that is not negative; none if the text is anything else.
+template<typename Number>
+std::optional<Number> ParseWholeNumber(std::string_view aText)
 {
-  duties::Window window = 0;
+  Number number = 0;
   const char* const last = aText.data() + aText.size();
-  const auto [end, ec] = std::from_chars(aText.data(), last, window);
-  return ec == std::errc{} && end == last && window >= 0 ? std::optional(window)
+  const auto [end, ec] = std::from_chars(aText.data(), last, number);
+  return ec == std::errc{} && end == last && number >= 0 ? std::optional(number)
                                                          : std::nullopt;
 }
 
+/// Parses a window of usage; none if the text is not a number.
+inline std::optional<duties::Window> ParseWindow(std::string_view aText)
+{
+  return ParseWholeNumber<duties::Window>(aText);
+}
+
 /// Returns the window whose report has the key; none if it is another record.
 inline std::optional<duties::Window> UsageWindowOf(std::string_view aKey)
 {
--- a/apps/tests/platform/decodetest.cpp
+++ b/apps/tests/platform/decodetest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "platform/configurationdecoder.hpp"
 #include "platform/decode.hpp"
 
 using namespace samphiresail;
@@ -59,6 +60,32 @@
   CHECK(configuration->mLimits.mMaxBodyBytes == defaults.mMaxBodyBytes);
 }
 
+// Guards against a configuration whose accounts cannot be read and count as none.
+TEST_CASE("decode: what a configuration says of accounts", "[platform]")
+{
+  using gateway::AccountsStated;
+  const auto stated = [](const std::string& aAccounts) {
+    return ReadAccountsStated(R"({"version":1)" + aAccounts + "}");
+  };
+  for (const char* none : { "", R"(,"tenants":[])", R"(,"tenants":null)" }) {
+    CAPTURE(none);
+    CHECK(stated(none) == AccountsStated::None);
+  }
+  for (const char* some : { R"(,"tenants":[{"name":"t","apiKeys":[]}])",
+                            R"(,"tenants":[5])",
+                            R"(,"tenants":"")",
+                            R"(,"tenants":0)",
+                            R"(,"tenants":false)",
+                            R"(,"tenants":{"t":{}})" }) {
+    CAPTURE(some);
+    CHECK(stated(some) == AccountsStated::Some);
+  }
+  for (const char* text : { "", "{", "[]", "5", "null", "\"tenants\"" }) {
+    CAPTURE(text);
+    CHECK(ReadAccountsStated(text) == AccountsStated::NoConfiguration);
+  }
+}
+
 TEST_CASE("decode: a request of an unknown kind counts as irreversible", "[platform]")
 {
   const auto configuration = DecodeConfiguration(
--- a/apps/tests/platform/storewatcherfixture.hpp
+++ b/apps/tests/platform/storewatcherfixture.hpp
@@ -3,9 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +23,19 @@
 class Recorder final : public gateway::PlatformListener
 {
 public:
+  bool WantsEveryVersion() const override { return mWantsEveryVersion; }
+  void OnConfigurationVersion(const gateway::ConfigurationVersion& aVersion) override
+  {
+    mVersions.push_back(aVersion);
+  }
+  void OnHistory(gateway::StoreRevision aAfter, gateway::StoreRevision aThrough) override
+  {
+    mHistory.emplace_back(aAfter, aThrough);
+  }
+  std::optional<gateway::StoreRevision> TakeReplayStart() override
+  {
+    return std::exchange(mReplayStart, std::nullopt);
+  }
   void OnConfiguration(
     std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override
   {
@@ -55,6 +70,11 @@
 
   std::vector<std::string> mCalls;
   std::vector<timing::Instant> mBegan;
+  bool mWantsEveryVersion{ true };
+  std::vector<gateway::ConfigurationVersion> mVersions;
+  std::vector<std::pair<gateway::StoreRevision, gateway::StoreRevision>> mHistory;
+  /// Returned by the next call of TakeReplayStart().
+  std::optional<gateway::StoreRevision> mReplayStart;
   /// Beginning of the calls that throw an exception; none if it is empty.
   std::string mThrowAt;
 
--- a/apps/tests/platform/storewatchertest.cpp
+++ b/apps/tests/platform/storewatchertest.cpp
@@ -178,3 +178,76 @@
   CHECK(calls[2].find(R"("message":"store call","call":"read","status":200)") !=
         std::string::npos);
 }
+
+namespace {
+
+std::string Version(int aRevision, const std::string& aAccounts)
+{
+  return R"({"key":"op/config","createRev":3,"revision":)" + std::to_string(aRevision) +
+         R"(,"value":")" +
+         store::EncodeBase64(R"({"version":)" + std::to_string(aRevision) +
+                             R"(,"routes":[],"services":[],"tenants":)" + aAccounts +
+                             "}") +
+         R"("})";
+}
+
+const std::string kOneAccount = R"([{"name":"t","apiKeys":["k"]}])";
+
+}
+
+// Guards against accounts that nobody notices, since a newer version came with them.
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a version that was replaced at once is reported, unless "
+                 "that is not wanted",
+                 "[platform]")
+{
+  mRecorder.mWantsEveryVersion = GENERATE(true, false);
+  mServer.AddScript({ Page(Version(3, "[]"), 8) });
+  mServer.AddScript({ Changes(Version(9, kOneAccount) + "," + Version(10, "[]"), 12) });
+  mServer.AddScript({ "", false, true });
+  CHECK(
+    Run(2) ==
+    Calls{
+      "configuration 3", "full 0 0 0", "confirmed", "configuration 10", "confirmed" });
+  const auto& versions = mRecorder.mVersions;
+  REQUIRE(versions.size() == (mRecorder.mWantsEveryVersion ? 3 : 2));
+  CHECK(versions.front().mRevision == 3);
+  CHECK(versions.front().mCreateRevision == 3);
+  CHECK(versions.back().mRevision == 10);
+  CHECK(versions.back().mCreateRevision == 3);
+  CHECK(versions.back().mAccounts == gateway::AccountsStated::None);
+  if (mRecorder.mWantsEveryVersion) {
+    CHECK(versions[1].mAccounts == gateway::AccountsStated::Some);
+  }
+  CHECK(mRecorder.mHistory ==
+        std::vector{ std::pair<std::int64_t, std::int64_t>(8, 12) });
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: the history is read again from where the listener asks",
+                 "[platform]")
+{
+  mRecorder.mReplayStart = 2;
+  mServer.AddScript({ Page(Version(7, "[]"), 8) });
+  mServer.AddScript({ Changes(Version(3, "[]") + "," + Version(7, "[]"), 9) });
+  mServer.AddScript({ "", false, true });
+  Run(2);
+  CHECK(mServer.Requests().at(1).find("after=2&") != std::string::npos);
+  CHECK(mServer.Requests().at(2).find("after=9&") != std::string::npos);
+  CHECK(mRecorder.mHistory == std::vector{ std::pair<std::int64_t, std::int64_t>(2, 9) });
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a history that the store has no longer is not asked for "
+                 "again",
+                 "[platform]")
+{
+  mRecorder.mReplayStart = 2;
+  mServer.AddScript({ Page(Version(7, "[]"), 8) });
+  mServer.AddScript({ Response(410, "") });
+  mServer.AddScript({ Page(Version(7, "[]"), 9) });
+  mServer.AddScript({ "", false, true });
+  Run(3);
+  CHECK(mServer.Requests().at(3).find("after=9&") != std::string::npos);
+  CHECK(mRecorder.mHistory.empty());
+}
--- a/components/gateway/platformport.hpp
+++ b/components/gateway/platformport.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "components/gateway/endpoint.hpp"
+#include "components/gateway/keyrequirement.hpp"
 #include "components/gateway/ordertracker.hpp"
 #include "components/gateway/servingconfiguration.hpp"
 
@@ -23,6 +24,8 @@
   std::set<ids::AvailabilityZoneId> mZonesOut;
   /// Keys of this system's own records.
   std::set<std::string> mOwnKeys;
+  /// Revision of the store at which the read began.
+  StoreRevision mRevision{ 0 };
 };
 
 /// Receives the decoded changes of the platform's store, in the order in which they
@@ -32,12 +35,23 @@
 public:
   virtual ~PlatformListener() = default;
 
+  /// True if every version of the configuration is to be reported, also those that newer
+  /// ones have replaced.
+  virtual bool WantsEveryVersion() const = 0;
+  /// Reports a version of the configuration. The newest one follows as OnConfiguration or
+  /// OnConfigurationUnreadable.
+  virtual void OnConfigurationVersion(const ConfigurationVersion& aVersion) = 0;
   virtual void OnConfiguration(std::shared_ptr<ServingConfiguration> aConfiguration) = 0;
   /// The newest configuration cannot be read, so the one before it is out of date.
   virtual void OnConfigurationUnreadable() = 0;
   virtual void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) = 0;
   virtual void OnEndpoint(EndpointReport aReport) = 0;
   virtual void OnEndpointGone(const ids::EndpointId& aId) = 0;
+  /// All changes after one revision up to another have been reported.
+  virtual void OnHistory(StoreRevision aAfter, StoreRevision aThrough) = 0;
+  /// Returns the revision after which the history is to be read again, at the end of a
+  /// complete read; none if it is not needed.
+  virtual std::optional<StoreRevision> TakeReplayStart() = 0;
   /// Ends a complete read: records that are not in it no longer exist.
   virtual void OnFullReading(const FullReading& aReading) = 0;
   /// Reports a record of this system: its value, or none if it no longer exists.
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -176,6 +176,35 @@
            : RefuseInOutage("the configuration may be out of date");
 }
 
+std::variant<const ClientAccount*, Refusal> TrafficControl::Authenticate(
+  const RequestMetadata& aMetadata,
+  const Route& aRoute,
+  timing::Instant aNow)
+{
+  const bool hasAccounts = !mConfiguration->mAccounts.empty();
+  bool isOpen = !hasAccounts;
+#ifndef SAMPHIRESAIL_MUTANT_ACCOUNTS_BEFORE
+  isOpen = isOpen && mKeyRequirement.IsOpen();
+#endif
+  if (aRoute.mPublic || isOpen) {
+    return nullptr;
+  }
+  if (!mStoreFreshness.AreKeysFresh(aNow)) {
+    return RefuseInOutage("keys may be out of date");
+  }
+  const ClientAccount* account = mConfiguration->FindAccountOfKey(aMetadata.mKey);
+  if (account != nullptr) {
+    return account;
+  }
+  if (!mStoreFreshness.IsConfigurationCurrent(aNow)) {
+    return RefuseInOutage("the configuration may be out of date");
+  }
+  if (!hasAccounts && !mKeyRequirement.IsRequired()) {
+    return RefuseInOutage("it is not known whether the route needs a key");
+  }
+  return Refusal{ 401, "the key is not known", {}, aRoute.mName, {}, 0.0 };
+}
+
 std::variant<Admission, Refusal> TrafficControl::Admit(RequestMetadata aMetadata,
                                                        timing::Instant aNow,
                                                        timing::Duration aUnread)
@@ -193,19 +222,11 @@
     return current ? Refusal{ 404, "no route matches", {}, {}, {}, 0.0 }
                    : RefuseInOutage("the configuration may be out of date");
   }
-  const ClientAccount* account = nullptr;
-  if (!mConfiguration->mAccounts.empty() && !route->mPublic) {
-    if (!mStoreFreshness.AreKeysFresh(aNow)) {
-      return RefuseInOutage("keys may be out of date");
-    }
-    account = mConfiguration->FindAccountOfKey(aMetadata.mKey);
-    if (account == nullptr && !current) {
-      return RefuseInOutage("the configuration may be out of date");
-    }
-    if (account == nullptr) {
-      return Refusal{ 401, "the key is not known", {}, route->mName, {}, 0.0 };
-    }
+  auto authenticated = Authenticate(aMetadata, *route, aNow);
+  if (auto* refusal = std::get_if<Refusal>(&authenticated)) {
+    return std::move(*refusal);
   }
+  const auto* account = std::get<const ClientAccount*>(authenticated);
   const Service* service =
     route->mServices.empty() ? nullptr : mConfiguration->FindService(PickService(*route));
   if (service == nullptr) {
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -16,6 +16,7 @@
 #include "components/gateway/endpointdirectory.hpp"
 #include "components/gateway/endpointlimits.hpp"
 #include "components/gateway/generationtimes.hpp"
+#include "components/gateway/keyrequirement.hpp"
 #include "components/gateway/quotaledger.hpp"
 #include "components/gateway/requestquarantine.hpp"
 #include "components/gateway/returningcallers.hpp"
@@ -113,6 +114,7 @@
 
   EndpointDirectory mDirectory;
   StoreFreshness mStoreFreshness;
+  KeyRequirement mKeyRequirement;
   QuotaLedger mQuotas;
   WindowedRetryBudget mRetryBudget;
   DemandMeter mDemand;
@@ -260,6 +262,12 @@
   /// Refuses a request since this process stops; another entry can serve it. The route
   /// is null if it is not known.
   Refusal RefuseStopping(const Route* aRoute, timing::Instant aNow);
+  /// Returns the account whose key the request carries, null if the route needs no key,
+  /// or the refusal of a request that must not be admitted.
+  std::variant<const ClientAccount*, Refusal> Authenticate(
+    const RequestMetadata& aMetadata,
+    const Route& aRoute,
+    timing::Instant aNow);
   /// Refuses a request for now, since this process or its view of the store is not able
   /// to serve it.
   Refusal RefuseInOutage(std::string aReason);
--- a/components/gateway/watchschedule.hpp
+++ b/components/gateway/watchschedule.hpp
@@ -58,6 +58,8 @@
   Step Next() const;
 
   void OnApplied(const Response& aResponse);
+  /// The next watch returns changes that are already known to be there.
+  void OnHistoryNeeded(timing::Instant aNow) { mAt = aNow; }
   /// The changes since the last known revision cannot be had any more, or are larger than
   /// all records.
   void OnReadNeeded(timing::Instant aNow);
