Withdraw keys by a version that cannot be adopted

What callers saw: beside a newer version with one field of another type, as "tenants": "club", a key that it took away worked on for any time, and a route that it closed stayed public.

Cause: a version that an entry refuses as a whole changed nothing but the age of the entry's view.

Change: what can be read of it is decoded with the strictest value for each field that cannot be, and the version in force loses the keys and the public access that this part does not give.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -55,7 +55,8 @@
   void OnConfigurationVersion(const gateway::ConfigurationVersion& aVersion) override;
   void OnConfiguration(
     std::shared_ptr<gateway::ServingConfiguration> aConfiguration) override;
-  void OnConfigurationUnreadable() override;
+  void OnConfigurationUnreadable(
+    std::shared_ptr<const gateway::ServingConfiguration> aReadable) override;
   void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override;
   void OnEndpoint(gateway::EndpointReport aReport) override;
   void OnEndpointGone(const ids::EndpointId& aId) override;
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -53,9 +53,16 @@
   UpdateShares(mClock.Now());
 }
 
-void GatewayProcess::OnConfigurationUnreadable()
+void GatewayProcess::OnConfigurationUnreadable(
+  std::shared_ptr<const gateway::ServingConfiguration> aReadable)
 {
   mControl.mStoreFreshness.RecordConfiguration(false);
+  const auto& current = mControl.Configuration();
+  if (current && aReadable) {
+    mControl.SetConfiguration(std::make_shared<gateway::ServingConfiguration>(
+                                gateway::WithoutWithdrawn(*current, *aReadable)),
+                              mClock.Now());
+  }
 }
 
 void GatewayProcess::OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut)
--- a/apps/tests/gateway/servingconfigurationtest.cpp
+++ b/apps/tests/gateway/servingconfigurationtest.cpp
@@ -79,3 +79,32 @@
   CHECK(changed.FindService(ids::ServiceId("s")) == nullptr);
   CHECK(changed.FindAccountOfKey("key") == nullptr);
 }
+
+// Guards against keys and public routes that outlive a version that cannot be adopted.
+TEST_CASE("configuration: what a newer one withdraws does not hold any longer",
+          "[gateway]")
+{
+  ServingConfiguration inForce;
+  inForce.mRoutes = { MakeRoute("a", "/a/"), MakeRoute("b", "/b/") };
+  inForce.mRoutes[0].mPublic = true;
+  inForce.mRoutes[1].mPublic = true;
+  ClientAccount club;
+  club.mName = ids::ClientAccountId("club");
+  club.mKeys = { "stays", "goes", "moves" };
+  inForce.mAccounts = { club };
+  ServingConfiguration newer = inForce;
+  newer.mRoutes[1].mPublic = false;
+  newer.mAccounts[0].mKeys = { "stays", "new" };
+  ClientAccount other;
+  other.mName = ids::ClientAccountId("other");
+  other.mKeys = { "moves" };
+  newer.mAccounts.push_back(other);
+  newer.Index();
+  const ServingConfiguration reduced = WithoutWithdrawn(inForce, newer);
+  CHECK(reduced.FindAccountOfKey("stays") != nullptr);
+  for (const char* key : { "goes", "moves", "new" }) {
+    CHECK(reduced.FindAccountOfKey(key) == nullptr);
+  }
+  CHECK(reduced.FindRoute("h.example", "/a/1")->mPublic);
+  CHECK_FALSE(reduced.FindRoute("h.example", "/b/1")->mPublic);
+}
--- a/apps/tests/platform/decodetest.cpp
+++ b/apps/tests/platform/decodetest.cpp
@@ -86,6 +86,40 @@
   }
 }
 
+// Guards against a field of another type that allows what it was to forbid.
+TEST_CASE("decode: a part of a configuration that cannot be read allows nothing",
+          "[platform]")
+{
+  const auto read = [](const std::string& aRoute, const std::string& aAccounts) {
+    const std::string text =
+      R"({"version":2,"services":[],"routes":[{"name":"r","host":"h","pathPrefix":"/",
+          "service":"s")" +
+      aRoute + R"(}],"tenants":)" + aAccounts + "}";
+    CHECK_THROWS(DecodeConfiguration(text));
+    return DecodeReadablePart(text);
+  };
+  for (const char* odd : { "null", "1", "\"true\"", "{}" }) {
+    const auto part = read(R"(,"public":)" + std::string(odd), R"([{"name":"t",
+      "apiKeys":["k"]}])");
+    REQUIRE(part);
+    CHECK_FALSE(part->mRoutes.at(0).mPublic);
+    CHECK(part->FindAccountOfKey("k") != nullptr);
+  }
+  for (const char* odd : { "5",
+                           R"("k")",
+                           R"([5])",
+                           R"([{"name":"t","apiKeys":"k"}])",
+                           R"([{"name":"t","apiKeys":null}])",
+                           R"([{"name":"t","apiKeys":{"k":1}}])" }) {
+    CAPTURE(odd);
+    const auto part = read("", odd);
+    REQUIRE(part);
+    CHECK(part->FindAccountOfKey("k") == nullptr);
+  }
+  CHECK(DecodeReadablePart("[]") == nullptr);
+  CHECK(DecodeReadablePart("{") == nullptr);
+}
+
 TEST_CASE("decode: a request of an unknown kind counts as irreversible", "[platform]")
 {
   const auto configuration = DecodeConfiguration(
--- a/apps/tests/platform/storewatcherfixture.hpp
+++ b/apps/tests/platform/storewatcherfixture.hpp
@@ -41,7 +41,12 @@
   {
     Add("configuration " + std::to_string(aConfiguration->mVersion));
   }
-  void OnConfigurationUnreadable() override { Add("unreadable"); }
+  void OnConfigurationUnreadable(
+    std::shared_ptr<const gateway::ServingConfiguration> aReadable) override
+  {
+    mReadable = std::move(aReadable);
+    Add("unreadable");
+  }
   void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) override
   {
     Add((aOut ? "out " : "back ") + aZone.Str());
@@ -71,6 +76,8 @@
   std::vector<std::string> mCalls;
   std::vector<timing::Instant> mBegan;
   bool mWantsEveryVersion{ true };
+  /// What could be read of the last configuration that could not be adopted.
+  std::shared_ptr<const gateway::ServingConfiguration> mReadable;
   std::vector<gateway::ConfigurationVersion> mVersions;
   std::vector<std::pair<gateway::StoreRevision, gateway::StoreRevision>> mHistory;
   /// Returned by the next call of TakeReplayStart().
--- a/apps/tests/platform/storewatchertest.cpp
+++ b/apps/tests/platform/storewatchertest.cpp
@@ -223,6 +223,20 @@
         std::vector{ std::pair<std::int64_t, std::int64_t>(8, 12) });
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a version that cannot be adopted is reported with what "
+                 "can be read of it",
+                 "[platform]")
+{
+  mServer.AddScript({ Page(Version(3, R"([{"name":"t","apiKeys":"k"}])"), 8) });
+  mServer.AddScript({ "", false, true });
+  CHECK(Run(1) == Calls{ "unreadable", "full 0 0 0", "confirmed" });
+  REQUIRE(mRecorder.mVersions.size() == 1);
+  CHECK(mRecorder.mVersions[0].mAccounts == gateway::AccountsStated::Some);
+  REQUIRE(mRecorder.mReadable);
+  CHECK(mRecorder.mReadable->mVersion == 3);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "store watcher: the history is read again from where the listener asks",
                  "[platform]")
--- a/apps/tests/realprocesses/keys.py
+++ b/apps/tests/realprocesses/keys.py
@@ -24,12 +24,13 @@
 ONE_ACCOUNT = [{"name": "club", "apiKeys": ["key-a"]}]
 # What takes the account's key away, by name.
 WITHDRAWN = {
-    "empty list": [], "no field": ABSENT, "null": None,
+    "empty list": [], "no field": ABSENT, "null": None, "text": "club", "number": 5,
     "empty object": {}, "no keys": [{"name": "club", "apiKeys": []}],
+    "keys of another type": [{"name": "club", "apiKeys": "key-a"}],
     "another account": [{"name": "other", "apiKeys": ["key-b"]}],
 }
 # Names of those that entries refuse as a whole: they go on with the version before.
-REFUSED = ()
+REFUSED = ("text", "number", "keys of another type")
 
 
 class DrillStore(store.Store):
--- a/components/gateway/platformport.hpp
+++ b/components/gateway/platformport.hpp
@@ -42,8 +42,11 @@
   /// OnConfigurationUnreadable.
   virtual void OnConfigurationVersion(const ConfigurationVersion& aVersion) = 0;
   virtual void OnConfiguration(std::shared_ptr<ServingConfiguration> aConfiguration) = 0;
-  /// The newest configuration cannot be read, so the one before it is out of date.
-  virtual void OnConfigurationUnreadable() = 0;
+  /// The newest configuration cannot be adopted, so the one before it is out of date.
+  /// aReadable is what can be read of it, with the strictest value for each field that
+  /// cannot; null if it is no configuration at all.
+  virtual void OnConfigurationUnreadable(
+    std::shared_ptr<const ServingConfiguration> aReadable) = 0;
   virtual void OnZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut) = 0;
   virtual void OnEndpoint(EndpointReport aReport) = 0;
   virtual void OnEndpointGone(const ids::EndpointId& aId) = 0;
--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -112,4 +112,25 @@
   return it == mAccountByKey.end() ? nullptr : &mAccounts[it->second];
 }
 
+ServingConfiguration WithoutWithdrawn(const ServingConfiguration& aInForce,
+                                      const ServingConfiguration& aNewer)
+{
+  ServingConfiguration reduced = aInForce;
+  for (ClientAccount& account : reduced.mAccounts) {
+    std::erase_if(account.mKeys, [&](const std::string& aKey) {
+      const ClientAccount* holder = aNewer.FindAccountOfKey(aKey);
+      return holder == nullptr || holder->mName != account.mName;
+    });
+  }
+  for (Route& route : reduced.mRoutes) {
+    const bool isPublic = std::ranges::any_of(aNewer.mRoutes, [&](const Route& aOther) {
+      return aOther.mPublic && aOther.mHost == route.mHost &&
+             aOther.mPathPrefix == route.mPathPrefix;
+    });
+    route.mPublic = route.mPublic && isPublic;
+  }
+  reduced.Index();
+  return reduced;
+}
+
 }
--- a/components/gateway/servingconfiguration.hpp
+++ b/components/gateway/servingconfiguration.hpp
@@ -149,6 +149,12 @@
   std::unordered_map<std::string, std::size_t> mAccountByKey;
 };
 
+/// Returns the configuration in force without what a newer one takes away that cannot be
+/// adopted: the keys that it does not give to the same account, and access without a key
+/// to the routes that it does not declare public.
+ServingConfiguration WithoutWithdrawn(const ServingConfiguration& aInForce,
+                                      const ServingConfiguration& aNewer);
+
 }
 
 #endif
