Let an empty key belong to no account

What callers saw: with "apiKeys": [""] requests without a key ran for that account.

Cause: a missing key is read as an empty one, and that was looked up.

--- a/apps/tests/gateway/servingconfigurationtest.cpp
+++ b/apps/tests/gateway/servingconfigurationtest.cpp
@@ -42,6 +42,19 @@
   CHECK(configuration.FindAccountOfKey("k3") == nullptr);
 }
 
+// Guards against requests without a key that belong to an account.
+TEST_CASE("configuration: an empty key names no account", "[gateway]")
+{
+  ServingConfiguration configuration;
+  ClientAccount account;
+  account.mName = ids::ClientAccountId("club");
+  account.mKeys = { "", "k1" };
+  configuration.mAccounts.push_back(account);
+  configuration.Index();
+  CHECK(configuration.FindAccountOfKey("") == nullptr);
+  CHECK(configuration.FindAccountOfKey("k1") != nullptr);
+}
+
 TEST_CASE("configuration: a stream runs twice only if it may be resumed", "[gateway]")
 {
   Route route;
--- a/apps/tests/realprocesses/keys.py
+++ b/apps/tests/realprocesses/keys.py
@@ -27,6 +27,7 @@
     "empty list": [], "no field": ABSENT, "null": None, "text": "club", "number": 5,
     "empty object": {}, "no keys": [{"name": "club", "apiKeys": []}],
     "keys of another type": [{"name": "club", "apiKeys": "key-a"}],
+    "empty key": [{"name": "club", "apiKeys": [""]}],
     "another account": [{"name": "other", "apiKeys": ["key-b"]}],
 }
 # Names of those that entries refuse as a whole: they go on with the version before.
--- a/components/configurationcheck/findingkinds.cpp
+++ b/components/configurationcheck/findingkinds.cpp
@@ -18,7 +18,7 @@
   { kinds::kDuplicateField, "a field stands twice in an object; the last one holds" },
   { kinds::kDuplicateName, "a name stands twice; only the first entry is used" },
   { kinds::kDuplicateKey, "a key stands twice; only the first account has it" },
-  { kinds::kEmptyKey, "an empty key, which every request without a key matches" },
+  { kinds::kEmptyKey, "an empty key, which no request can use" },
   { kinds::kShadowedRoute, "another route takes all requests of this one" },
   { kinds::kUnmatchableHost, "no request's host can equal this one" },
   { kinds::kUnmatchablePath, "no request's path can match this one" },
--- a/components/configurationcheck/servingcheck.cpp
+++ b/components/configurationcheck/servingcheck.cpp
@@ -321,7 +321,7 @@
     for (std::size_t i = 0; i < account.mKeys.size(); ++i) {
       const ServingPlace place{ Field::AccountKey, aAccount, i };
       if (account.mKeys[i].empty()) {
-        Add(kinds::kEmptyKey, place, what + " has an empty key; requests without a key belong to it");
+        Add(kinds::kEmptyKey, place, what + " has an empty key; no request can use it");
       }
       const auto [it, first] = mAccountByKey.emplace(account.mKeys[i], aAccount);
       if (!first) {
--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -36,7 +36,10 @@
   }
   for (std::size_t i = 0; i < mAccounts.size(); ++i) {
     for (const std::string& key : mAccounts[i].mKeys) {
-      mAccountByKey.emplace(key, i);
+      // Requests without a key must not belong to an account.
+      if (!key.empty()) {
+        mAccountByKey.emplace(key, i);
+      }
     }
   }
   RankRoutes();
