Let a route without a host or a prefix match nothing

What callers saw: a route with an empty prefix took every path of its host, one with an empty host the requests without one.

Cause: each path begins with the empty text.

--- a/apps/tests/gateway/servingconfigurationtest.cpp
+++ b/apps/tests/gateway/servingconfigurationtest.cpp
@@ -55,6 +55,19 @@
   CHECK(configuration.FindAccountOfKey("k1") != nullptr);
 }
 
+// Guards against a route that takes all requests of a host, or those without one.
+TEST_CASE("configuration: a route without a host or prefix matches nothing", "[gateway]")
+{
+  ServingConfiguration configuration;
+  configuration.mRoutes = { MakeRoute("all", ""), MakeRoute("a", "/a/") };
+  configuration.mRoutes.push_back(MakeRoute("no host", "/a/"));
+  configuration.mRoutes.back().mHost.clear();
+  configuration.Index();
+  CHECK(configuration.FindRoute("h.example", "/b/1") == nullptr);
+  CHECK(configuration.FindRoute("h.example", "/a/1")->mName == "a");
+  CHECK(configuration.FindRoute("", "/a/1") == nullptr);
+}
+
 TEST_CASE("configuration: a stream runs twice only if it may be resumed", "[gateway]")
 {
   Route route;
--- a/components/configurationcheck/servingcheck.cpp
+++ b/components/configurationcheck/servingcheck.cpp
@@ -102,7 +102,7 @@
     const auto neverInHost = [](unsigned char aChar) {
       return (aChar >= 'A' && aChar <= 'Z') || aChar <= ' ' || aChar == ':';
     };
-    if (std::ranges::any_of(route.mHost, neverInHost)) {
+    if (route.mHost.empty() || std::ranges::any_of(route.mHost, neverInHost)) {
       Add(kinds::kUnmatchableHost,
           host,
           "no request has the host " + Quote(route.mHost) +
@@ -111,7 +111,7 @@
     const auto neverInPath = [](unsigned char aChar) {
       return aChar <= ' ' || aChar == '?';
     };
-    const bool isPath = route.mPathPrefix.empty() || route.mPathPrefix.front() == '/';
+    const bool isPath = route.mPathPrefix.starts_with('/');
     if (!isPath || std::ranges::any_of(route.mPathPrefix, neverInPath)) {
       Add(kinds::kUnmatchablePath,
           path,
--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -24,7 +24,10 @@
   mServiceByName.clear();
   mAccountByKey.clear();
   for (std::size_t i = 0; i < mRoutes.size(); ++i) {
-    mRoutesOfHost[mRoutes[i].mHost].push_back(i);
+    // An empty prefix would match every path, and an empty host requests without one.
+    if (!mRoutes[i].mHost.empty() && !mRoutes[i].mPathPrefix.empty()) {
+      mRoutesOfHost[mRoutes[i].mHost].push_back(i);
+    }
   }
   for (auto& [host, routes] : mRoutesOfHost) {
     std::ranges::stable_sort(routes, std::ranges::greater{}, [this](std::size_t aRoute) {
