Send no request to a service without a weight

What callers saw: where all shares of a route have the weight 0 or none, the last service got all requests. By rounding, a last share of weight 0 could get some in any split.

Cause: the last share was the fallback of the draw.

Change: only shares with a weight are drawn; where there is none, requests are refused with 503.

--- a/apps/tests/gateway/trafficcontroltest.cpp
+++ b/apps/tests/gateway/trafficcontroltest.cpp
@@ -26,6 +26,23 @@
   CHECK(Refuse(Metadata("/nothing/")).mStatus == 404);
 }
 
+// Guards against a service that gets requests although the route gives it none.
+TEST_CASE_METHOD(Fixture,
+                 "control: a service without a weight gets no request, and a route "
+                 "without any weight refuses",
+                 "[gateway]")
+{
+  auto split = Configuration();
+  split->mRoutes[0].mServices = { { kEngines, 1.0 }, { ids::ServiceId("old"), 0.0 } };
+  split->mRoutes[1].mServices = { { kEngines, 0.0 } };
+  split->Index();
+  mControl.SetConfiguration(split, kNow);
+  for (int i = 0; i < 1000; ++i) {
+    CHECK(Admit().mService->mName == kEngines);
+  }
+  CHECK(Refuse(Metadata("/digest/1")).mStatus == 503);
+}
+
 // Guards against routes that open once no client account is left (review/8).
 TEST_CASE_METHOD(
   Fixture,
--- a/components/configurationcheck/servingcheck.cpp
+++ b/components/configurationcheck/servingcheck.cpp
@@ -145,7 +145,7 @@
             { Field::RouteWeight, aRoute, i },
             "service " + Quote(service.Str()) + " has the weight 0 in route " +
               Quote(route.mName) +
-              (allZero ? ", as all of them; the last one gets all requests"
+              (allZero ? ", as all of them; all requests are answered with 503"
                        : " and gets no requests"));
       }
     }
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -144,7 +144,7 @@
   return milliseconds(spread(mRandom));
 }
 
-const ids::ServiceId& TrafficControl::PickService(const Route& aRoute)
+const ids::ServiceId* TrafficControl::PickService(const Route& aRoute)
 {
   const double total = std::accumulate(
     aRoute.mServices.begin(),
@@ -152,13 +152,18 @@
     0.0,
     [](double aSum, const ServiceShare& aShare) { return aSum + aShare.mWeight; });
   double at = std::uniform_real_distribution<double>(0.0, std::max(total, 1e-9))(mRandom);
+  const ids::ServiceId* picked = nullptr;
   for (const ServiceShare& share : aRoute.mServices) {
-    at -= share.mWeight;
-    if (at < 0) {
-      return share.mService;
+    // One without a weight gets no request, also if rounding leaves a rest.
+    if (share.mWeight > 0.0) {
+      picked = &share.mService;
+      at -= share.mWeight;
+      if (at < 0) {
+        break;
+      }
     }
   }
-  return aRoute.mServices.back().mService;
+  return picked;
 }
 
 Refusal TrafficControl::RefuseInOutage(std::string aReason)
@@ -227,8 +232,9 @@
     return std::move(*refusal);
   }
   const auto* account = std::get<const ClientAccount*>(authenticated);
+  const ids::ServiceId* picked = PickService(*route);
   const Service* service =
-    route->mServices.empty() ? nullptr : mConfiguration->FindService(PickService(*route));
+    picked == nullptr ? nullptr : mConfiguration->FindService(*picked);
   if (service == nullptr) {
     return RefuseInOutage("the route has no service");
   }
--- a/components/gateway/trafficcontrol.hpp
+++ b/components/gateway/trafficcontrol.hpp
@@ -312,7 +312,8 @@
                      timing::Instant aNow);
   /// Adds an attempt to the load of its endpoint.
   static void RecordStart(Endpoint& aEndpoint, const Attempt& aAttempt);
-  const ids::ServiceId& PickService(const Route& aRoute);
+  /// Returns the service of a request of the route, null if none has a weight.
+  const ids::ServiceId* PickService(const Route& aRoute);
   /// Returns how many requests for the same model and adapter, or the same service, the
   /// other entries send between two peer reports if each receives them at this entry's
   /// rate.
