--- a/apps/tests/platform/settingstest.cpp
+++ b/apps/tests/platform/settingstest.cpp
@@ -113,6 +113,23 @@
 }
 
 // Guards against an operator who mends one field after the other.
+// Guards against limits that hold no request back, since their window has no length.
+TEST_CASE("settings: a window of no length is an error", "[platform]")
+{
+  for (const char* field : { "budgetWindowS", "quotaWindowS" }) {
+    for (const char* value : { "0", "0.0", "0.0004" }) {
+      CAPTURE(field, value);
+      std::string text = kText;
+      text.replace(text.find("graceS = 8"),
+                   std::string("graceS = 8").size(),
+                   std::string(field) + " = " + value);
+      const TemporaryFile file(text);
+      CHECK_THROWS_WITH(platform::LoadSettings(file.mPath),
+                        Catch::Matchers::Contains(field));
+    }
+  }
+}
+
 TEST_CASE("settings: one error names all invalid and missing fields", "[platform]")
 {
   std::string text = kText;
