Show the effect of removing the last account in check-configuration

What operators saw: the removal of the last account was shown as "removed", with no effect and no finding; the withdrawn keys were not mentioned. A public route that is closed beside no accounts was no finding either.

Cause: the comparison read an empty list after the change as "no key is needed", as the entries did.

--- a/apps/tests/configurationcheck/configurationchecktest.cpp
+++ b/apps/tests/configurationcheck/configurationchecktest.cpp
@@ -197,6 +197,34 @@
 account 'u': added with 1 key; )");
 }
 
+// Guards against a removal of the last account that is shown as taking nothing.
+TEST_CASE("check: the removal of the last account is shown with its effect on callers",
+          "[check]")
+{
+  const auto version = [](const char* aVersion, const std::string& aAccounts) {
+    return std::string(R"({"version":)") + aVersion + R"(,"services":[{"name":"s"}],
+      "routes":[{"name":"a","host":"h","pathPrefix":"/a/","service":"s"},
+        {"name":"b","host":"h","pathPrefix":"/b/","service":"s","public":true}])" +
+           aAccounts + "}";
+  };
+  const std::string before =
+    version("1", R"(,"tenants":[{"name":"t","apiKeys":["k","l"]}])");
+  for (const char* none : { "", R"(,"tenants":[])", R"(,"tenants":null)" }) {
+    CAPTURE(none);
+    const CheckResult result = Check(version("2", none), { .mAgainst = before });
+    CHECK(Kinds(result) == std::vector<std::string>{ "route-closed", "keys-withdrawn" });
+    std::string text;
+    for (const auto& difference : result.mDifferences) {
+      text +=
+        "\n" + difference.mSubject + ": " + difference.mText + "; " + difference.mEffect;
+    }
+    CHECK(text == R"(
+accounts: none is left; all requests of routes that are not public are answered with 401
+account 't': removed; 
+account 't': 2 keys withdrawn; requests with them are answered with 401)");
+  }
+}
+
 // Guards against a check that stops at an error, and against findings that only follow
 // from a value that cannot be read, as a shadowed route for want of a host.
 TEST_CASE("check: no finding masks another", "[check]")
--- a/components/configurationcheck/servingdiff.cpp
+++ b/components/configurationcheck/servingdiff.cpp
@@ -214,10 +214,9 @@
     changes.Compare(
       "attempts", double(aBefore.mMaxAttempts), double(aAfter.mMaxAttempts));
     changes.Compare("services", aBefore.mServices, aAfter.mServices);
-    const bool keyNeeded = !mAfter.mAccounts.empty() && !mBefore.mAccounts.empty() &&
-                           aBefore.mPublic && !aAfter.mPublic;
+    const bool keyNeeded = aBefore.mPublic && !aAfter.mPublic;
     changes.Compare("public", aBefore.mPublic, aAfter.mPublic);
-    note(keyNeeded, "requests without a key are answered with 401");
+    note(keyNeeded, EffectOfClosing());
     if (!changes.Text().empty()) {
       Add(keyNeeded ? kinds::kRouteClosed : std::string_view(),
           Subject(aAfter),
@@ -226,6 +225,18 @@
     }
   }
 
+  /// Without accounts routes that are not public are open only if no version ever held
+  /// any, which two versions do not tell.
+  const char* EffectOfClosing() const
+  {
+    if (!mAfter.mAccounts.empty()) {
+      return "requests without a key are answered with 401";
+    }
+    return mBefore.mAccounts.empty()
+             ? "requests are answered with 401 if any version ever held an account"
+             : "requests are answered with 401";
+  }
+
   static std::string Join(const std::vector<std::string>& aTexts)
   {
     std::string text;
@@ -349,6 +360,13 @@
           "there were none",
           "routes that are not public need a key");
     }
+    if (!mBefore.mAccounts.empty() && mAfter.mAccounts.empty() &&
+        !std::ranges::all_of(mAfter.mRoutes, &gateway::Route::mPublic)) {
+      Add(kinds::kRouteClosed,
+          "accounts",
+          "none is left",
+          "all requests of routes that are not public are answered with 401");
+    }
     const auto before = ByName(mBefore.mAccounts);
     const auto after = ByName(mAfter.mAccounts);
     for (const auto& [name, account] : before) {
@@ -387,13 +405,13 @@
   /// texts name no key, since they are secrets.
   void DiffKeys(const std::string& aSubject, const gateway::ClientAccount& aBefore)
   {
-    if (mAfter.mAccounts.empty()) {
-      return;
-    }
     std::size_t withdrawn = 0;
     std::map<std::string, std::size_t> moved;
     for (const std::string& key :
          std::set<std::string>(aBefore.mKeys.begin(), aBefore.mKeys.end())) {
+      if (key.empty()) {
+        continue;
+      }
       const gateway::ClientAccount* holder = mAfter.FindAccountOfKey(key);
       if (holder == nullptr) {
         ++withdrawn;
