Believe no record on accounts beyond the newest version

What callers would see: a number in the record samphiresail/no-accounts-through that no version has, as the greatest one, opened routes at an entry that does not know whether a version held accounts.

Cause: each number was taken for a fact, though an entry writes only the revision of a version.

Evidence: the new test failed before.

--- a/apps/tests/gateway/keyrequirementtest.cpp
+++ b/apps/tests/gateway/keyrequirementtest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <random>
 #include <vector>
 
@@ -262,6 +263,22 @@
   CHECK(requirement.LacksAccountsRecord());
 }
 
+// Guards against a record with an odd number that opens the routes for good.
+TEST_CASE("key requirement: a record beyond the newest version proves nothing of it",
+          "[gateway]")
+{
+  KeyRequirement requirement;
+  requirement.SetNoAccountsRecorded(std::numeric_limits<StoreRevision>::max());
+  requirement.OnVersion(Later(AccountsStated::None, 20));
+  requirement.SetNoAccountsRecorded(std::numeric_limits<StoreRevision>::max());
+  requirement.OnRead(21);
+  CHECK_FALSE(requirement.IsOpen());
+  // A record that was read before the version that it is about.
+  requirement.SetNoAccountsRecorded(30);
+  requirement.OnVersion(Later(AccountsStated::None, 30));
+  CHECK(requirement.IsOpen());
+}
+
 TEST_CASE("key requirement: revisions of a store that was set back prove nothing",
           "[gateway]")
 {
--- a/components/gateway/keyrequirement.cpp
+++ b/components/gateway/keyrequirement.cpp
@@ -26,6 +26,9 @@
   if (IsFirst(aVersion)) {
     mNoAccountsThrough = std::max(mNoAccountsThrough, aVersion.mRevision);
   }
+  if (mNoAccountsRecorded <= mNewest) {
+    mNoAccountsThrough = std::max(mNoAccountsThrough, mNoAccountsRecorded);
+  }
 }
 
 void KeyRequirement::OnRead(StoreRevision aRevision)
@@ -34,7 +37,8 @@
     // The store was set back and gives the revisions since then to other versions.
     mNewest = mLast.mRevision;
     mNoAccountsThrough =
-      std::max(mNoAccountsRecorded, IsFirst(mLast) ? mLast.mRevision : 0);
+      std::max(mNoAccountsRecorded <= mNewest ? mNoAccountsRecorded : 0,
+               IsFirst(mLast) ? mLast.mRevision : 0);
   }
   if (IsOpen()) {
     mNoAccountsThrough = std::max(mNoAccountsThrough, aRevision);
@@ -57,7 +61,11 @@
 void KeyRequirement::SetNoAccountsRecorded(std::optional<StoreRevision> aThrough)
 {
   mNoAccountsRecorded = aThrough.value_or(0);
-  mNoAccountsThrough = std::max(mNoAccountsThrough, mNoAccountsRecorded);
+  // The record states the revision of a version; a later one than is known is false, or
+  // its version is yet to be reported.
+  if (mNoAccountsRecorded <= mNewest) {
+    mNoAccountsThrough = std::max(mNoAccountsThrough, mNoAccountsRecorded);
+  }
 }
 
 std::optional<StoreRevision> KeyRequirement::LacksNoAccountsRecord() const
