Compare routes by a table when a version cannot be adopted

What callers would see: beside a large version with one odd field, an entry stood still while it compared each route in force with each newer one: 1,005 ms for 20,000 routes here, in one run of the function alone.

Change: the newer public routes are looked up in a set; the same run takes 12 ms. No test asserts it.

--- a/components/gateway/servingconfiguration.cpp
+++ b/components/gateway/servingconfiguration.cpp
@@ -128,12 +128,15 @@
       return holder == nullptr || holder->mName != account.mName;
     });
   }
+  std::set<std::pair<std::string_view, std::string_view>> publicRoutes;
+  for (const Route& route : aNewer.mRoutes) {
+    if (route.mPublic) {
+      publicRoutes.emplace(route.mHost, route.mPathPrefix);
+    }
+  }
   for (Route& route : reduced.mRoutes) {
-    const bool isPublic = std::ranges::any_of(aNewer.mRoutes, [&](const Route& aOther) {
-      return aOther.mPublic && aOther.mHost == route.mHost &&
-             aOther.mPathPrefix == route.mPathPrefix;
-    });
-    route.mPublic = route.mPublic && isPublic;
+    route.mPublic =
+      route.mPublic && publicRoutes.contains({ route.mHost, route.mPathPrefix });
   }
   reduced.Index();
   return reduced;
