--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -65,10 +65,7 @@
   void OnHistory(gateway::StoreRevision aAfter, gateway::StoreRevision aThrough) override;
   std::optional<gateway::StoreRevision> TakeReplayStart() override;
   void OnFullReading(const gateway::FullReading& aReading) override;
-  void OnOwnRecord(const std::string& aKey,
-                   const std::optional<std::string>& aValue,
-                   std::int64_t aCreateRevision,
-                   std::int64_t aLease) override;
+  void OnOwnRecord(const gateway::OwnRecord& aRecord) override;
   void OnAnswered(timing::Instant aBegan) override;
   void OnConfirmed(timing::Instant aAsOf) override;
   void OnContactLost(const std::string& aReason) override;
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -48,7 +48,7 @@
   if (token.has_value() != mLeading) {
     mLeading = token.has_value();
     mLogger.Info(mLeading ? "leadership begins" : "leadership ends",
-                 { { "token", token.value_or(0) } });
+                 { { "token", token.value_or(0) }, { "lease", mLeadership.Lease() } });
     mOrderTracker.Reset(mSettings.mFirstStart ? aNow : aNow + kNewLeaderLoadDelay);
   }
   if (!token || !mControl.Configuration() || mStop.Begun()) {
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -146,48 +146,51 @@
   mEndpointsRead = true;
 }
 
-void GatewayProcess::OnOwnRecord(const std::string& aKey,
-                                 const std::optional<std::string>& aValue,
-                                 std::int64_t aCreateRevision,
-                                 std::int64_t aLease)
+void GatewayProcess::OnOwnRecord(const gateway::OwnRecord& aRecord)
 {
   const timing::Instant now = mClock.Now();
-  if (aKey == kLeaderKey) {
-    mLogger.Info(
-      "leader record",
-      { { "holder", aValue.value_or("none") }, { "revision", aCreateRevision } });
-    mLeader = ids::ProcessId(aValue.value_or(std::string()));
-    mLeadership.OnLeaderRecord(aValue.has_value(), aLease, aCreateRevision);
-  } else if (aKey == kEntryCountKey) {
-    if (const auto entries = ParseEntryCount(aValue.value_or(std::string()))) {
+  const std::string& key = aRecord.mKey;
+  const std::optional<std::string>& value = aRecord.mValue;
+  if (key == kLeaderKey) {
+    mLogger.Info("leader record",
+                 { { "holder", value.value_or("none") },
+                   { "revision", aRecord.mCreateRevision },
+                   { "lease", aRecord.mLease },
+                   { "own_lease", mLeadership.Lease() } });
+    mLeader = ids::ProcessId(value.value_or(std::string()));
+    mLeadership.OnLeaderRecord(
+      value.has_value(), aRecord.mLease, aRecord.mCreateRevision);
+  } else if (key == kEntryCountKey) {
+    if (const auto entries = ParseEntryCount(value.value_or(std::string()))) {
       mPeers.SetRecordedEntries(*entries);
     }
-  } else if (aKey == kAccountsKey || aKey == kNoAccountsKey) {
-    OnKeyRecord(aKey, aValue);
+  } else if (key == kAccountsKey || key == kNoAccountsKey) {
+    OnKeyRecord(key, value);
     LogKeyRequirement();
-  } else if (const auto verdict = QuarantineVerdictOf(aKey)) {
-    const QuarantineRecord record = ParseQuarantineRecord(aValue.value_or(std::string()));
+  } else if (const auto verdict = QuarantineVerdictOf(key)) {
+    const QuarantineRecord record = ParseQuarantineRecord(value.value_or(std::string()));
     if (!IsRecordOf(record, *verdict)) {
-      mLogger.Warn("quarantine record cannot be read", { { "key", aKey } });
+      mLogger.Warn("quarantine record cannot be read", { { "key", key } });
       return;
     }
-    mQuarantineWriters.Set(*verdict, ids::ProcessId(record.mWriter), aCreateRevision);
+    mQuarantineWriters.Set(
+      *verdict, ids::ProcessId(record.mWriter), aRecord.mCreateRevision);
     mControl.mQuarantine.OnRecord(*verdict,
-                                  aValue.has_value(),
+                                  value.has_value(),
                                   record.mWriter == mSettings.mName.Str(),
                                   now,
                                   record.mCauses);
     frontend::LogVerdictRecord(
       mLogger, mControl.mQuarantine, *verdict, record.mWriter, now);
-  } else if (mUsageDuty && (aKey.starts_with(kUsagePrefix) || aKey == kUsageDoneKey)) {
-    mUsageDuty->OnRecord(aKey, aValue);
-  } else if (aKey.starts_with(kMemberPrefix)) {
-    const ids::ProcessId process(aKey.substr(kMemberPrefix.size()));
+  } else if (mUsageDuty && (key.starts_with(kUsagePrefix) || key == kUsageDoneKey)) {
+    mUsageDuty->OnRecord(key, value);
+  } else if (key.starts_with(kMemberPrefix)) {
+    const ids::ProcessId process(key.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
-                 { { "entry", process.Str() }, { "present", aValue.has_value() } });
-    if (!aValue) {
+                 { { "entry", process.Str() }, { "present", value.has_value() } });
+    if (!value) {
       mPeers.Unregister(process, now);
-    } else if (const auto member = gateway::DecodeMember(*aValue)) {
+    } else if (const auto member = gateway::DecodeMember(*value)) {
       mPeers.Register(process, member->mAddress, member->mCores, now, member->mZone);
     }
   }
--- a/apps/tests/platform/storewatcherfixture.hpp
+++ b/apps/tests/platform/storewatcherfixture.hpp
@@ -62,12 +62,9 @@
         std::to_string(aReading.mZonesOut.size()) + " " +
         std::to_string(aReading.mOwnKeys.size()));
   }
-  void OnOwnRecord(const std::string& aKey,
-                   const std::optional<std::string>& aValue,
-                   std::int64_t,
-                   std::int64_t) override
+  void OnOwnRecord(const gateway::OwnRecord& aRecord) override
   {
-    Add("own " + aKey + " " + aValue.value_or("none"));
+    Add("own " + aRecord.mKey + " " + aRecord.mValue.value_or("none"));
   }
   void OnAnswered(timing::Instant aBegan) override { mBegan.push_back(aBegan); }
   void OnConfirmed(timing::Instant) override { Add("confirmed"); }
--- a/components/gateway/platformport.hpp
+++ b/components/gateway/platformport.hpp
@@ -28,6 +28,19 @@
   StoreRevision mRevision{ 0 };
 };
 
+/// A record of this system in the store.
+struct OwnRecord
+{
+  std::string mKey;
+  /// None if the record was deleted.
+  std::optional<std::string> mValue;
+  std::int64_t mCreateRevision{ 0 };
+  /// Store revision of the last change.
+  std::int64_t mModRevision{ 0 };
+  /// Lease that the record is bound to; 0 for none.
+  std::int64_t mLease{ 0 };
+};
+
 /// Receives the decoded changes of the platform's store, in the order in which they
 /// happened.
 class PlatformListener
@@ -57,11 +70,8 @@
   virtual std::optional<StoreRevision> TakeReplayStart() = 0;
   /// Ends a complete read: records that are not in it no longer exist.
   virtual void OnFullReading(const FullReading& aReading) = 0;
-  /// Reports a record of this system: its value, or none if it no longer exists.
-  virtual void OnOwnRecord(const std::string& aKey,
-                           const std::optional<std::string>& aValue,
-                           std::int64_t aCreateRevision,
-                           std::int64_t aLease) = 0;
+  /// Reports a record of this system that was written or deleted.
+  virtual void OnOwnRecord(const OwnRecord& aRecord) = 0;
   /// A response that began to arrive at aBegan has been read; the calls for its content
   /// follow.
   virtual void OnAnswered(timing::Instant aBegan) = 0;
--- a/components/store/keyvaluestore.hpp
+++ b/components/store/keyvaluestore.hpp
@@ -4,12 +4,17 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace samphiresail::store {
 
+/// How often a store was restored from a backup. A restore takes back what was written
+/// since the backup, and gives its revisions and leases out again.
+using StoreGeneration = std::int64_t;
+
 /// Record of the platform's key-value service with the revisions it had when read.
 struct KeyValue
 {
@@ -100,6 +105,8 @@
   /// Records read, or the compared records of a failed transaction.
   std::vector<KeyValue> mRecords;
   std::int64_t mLease{ 0 };
+  /// Generation that the response states; none if it states none.
+  std::optional<StoreGeneration> mGeneration;
 };
 
 /// Client of the platform's key-value service. Execute never throws for a store that is
