Read a store again that was restored from a backup

What callers saw (CONFIG): a route that was added after the store had come back from a copy was refused with 404 by every entry, for good.

Cause: the watch went on after a revision of the lost history. The store gives its revisions out again, so once other writes had passed that revision, no lost history was reported, and each answer without events confirmed a view without the route.

The restore is logged and counted.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -143,6 +143,7 @@
                  { { "address", aAddress.mHost + ":" + std::to_string(aAddress.mPort) },
                    { "error", aError.message() } });
   });
+  mStore.SetRestoreHandler([this] { OnStoreRestored(); });
   ApplySettings();
   CreateUsageDuty();
   if (mOptions.mMetricsPort != 0) {
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -121,6 +121,10 @@
   void ReportLimits();
   /// Updates the other entries' load at each endpoint from their latest reports.
   void UpdatePeersLoad(timing::Instant aNow);
+  /// Gives up what rests on records of the store that a restore may have taken back.
+  void OnStoreRestored();
+  /// Ends the first complete reading of a restored store.
+  void OnRestoredRead();
   /// Takes what a record says of the accounts of all versions; none if it is not there.
   void OnKeyRecord(std::string_view aKey, const std::optional<std::string>& aValue);
   /// Logs whether routes that are not public need a key, if that has changed.
@@ -210,6 +214,8 @@
   /// Since when the store lacks what is known of the accounts of all versions; none if it
   /// does not.
   std::optional<timing::Instant> mKeyRecordLacks;
+  /// The store was restored from a backup and not read completely since.
+  bool mReadsRestored{ false };
   /// What was logged last of the need for keys.
   std::string_view mLoggedKeyRequirement;
   timing::Instant mLastTick{};
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -20,6 +20,11 @@
 {
   const auto& current = mControl.Configuration();
   if (current && aConfiguration->mVersion <= current->mVersion) {
+    if (aConfiguration->mVersion < current->mVersion) {
+      mLogger.Warn(
+        "configuration ignored: it is older than the one in force",
+        { { "version", aConfiguration->mVersion }, { "in_force", current->mVersion } });
+    }
     return;
   }
   mLogger.Info("configuration",
@@ -142,6 +147,9 @@
   if (mUsageDuty) {
     mUsageDuty->RetainRecords(aReading.mOwnKeys);
   }
+  if (aReading.mRestored) {
+    OnRestoredRead();
+  }
   UpdateShares(now);
   mEndpointsRead = true;
 }
--- a/apps/tests/platform/storetest.cpp
+++ b/apps/tests/platform/storetest.cpp
@@ -345,3 +345,27 @@
   Await(calls.Order(endpoint, action, 41));
   CHECK(leaving.size() == 2);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "store: a write across a restore of the store has no known outcome",
+                 "[platform]")
+{
+  const auto response = [](int aGeneration) {
+    return "HTTP/1.1 200 X\r\nStore-Era: " + std::to_string(aGeneration) +
+           "\r\nContent-Length: 15\r\n\r\n{\"revision\":12}";
+  };
+  for (const int generation : { 1, 2, 2 }) {
+    mServer.AddScript({ response(generation) });
+  }
+  int restores = 0;
+  mStore.SetRestoreHandler([&restores] { ++restores; });
+  CHECK(Write().mSucceeded);
+  // Its condition was one on revisions that are given out again.
+  const store::StoreReply across = Write();
+  CHECK(across.mOutcome == StoreOutcome::Unknown);
+  CHECK_FALSE(across.mSucceeded);
+  CHECK(restores == 1);
+  CHECK(mStore.Generation() == 2);
+  CHECK(Write().mSucceeded);
+  CHECK(restores == 1);
+}
--- a/apps/tests/platform/storewatcherfixture.hpp
+++ b/apps/tests/platform/storewatcherfixture.hpp
@@ -58,7 +58,8 @@
   void OnEndpointGone(const ids::EndpointId& aId) override { Add("gone " + aId.Str()); }
   void OnFullReading(const gateway::FullReading& aReading) override
   {
-    Add("full " + std::to_string(aReading.mEndpoints.size()) + " " +
+    Add((aReading.mRestored ? "restored " : "full ") +
+        std::to_string(aReading.mEndpoints.size()) + " " +
         std::to_string(aReading.mZonesOut.size()) + " " +
         std::to_string(aReading.mOwnKeys.size()));
   }
--- a/apps/tests/platform/storewatchertest.cpp
+++ b/apps/tests/platform/storewatchertest.cpp
@@ -265,3 +265,49 @@
   CHECK(mServer.Requests().at(3).find("after=9&") != std::string::npos);
   CHECK(mRecorder.mHistory.empty());
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a restored store is read again, though no history lacks",
+                 "[platform]")
+{
+  const auto stated = [](const std::string& aResponse, int aGeneration) {
+    std::string response = aResponse;
+    return response.insert(response.find("\r\n") + 2,
+                           "Store-Era: " + std::to_string(aGeneration) + "\r\n");
+  };
+  mServer.AddScript({ stated(Page(Item("servers/e1", kEndpoint), 8), 1) });
+  // The revisions have passed the known one, so the changes look complete.
+  mServer.AddScript({ stated(Changes(Item("own/1", "x"), 12), 2) });
+  mServer.AddScript({ stated(Page(Item("own/1", "x"), 12), 2) });
+  mServer.AddScript({ "", false, true });
+  int restores = 0;
+  mStore.SetRestoreHandler([&restores] { ++restores; });
+  CHECK(Run(3) == Calls{ "endpoint e1",
+                         "full 1 0 0",
+                         "confirmed",
+                         "own own/1 x",
+                         "restored 0 0 1",
+                         "confirmed" });
+  CHECK(restores == 1);
+  CHECK(mServer.Requests().at(2).starts_with("GET /kv-range"));
+  CHECK(mServer.Requests().at(3).find("after=12") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "store watcher: a restore between two pages begins the reading anew",
+                 "[platform]")
+{
+  const auto stated = [](std::string aResponse, const std::string& aGeneration) {
+    return aResponse.insert(aResponse.find("\r\n") + 2,
+                            "Store-Era: " + aGeneration + "\r\n");
+  };
+  mServer.AddScript({ stated(Page(Item("own/1", "x"), 8, true), "1") });
+  mServer.AddScript({ stated(Page(Item("own/2", "x"), 5), "2") });
+  mServer.AddScript({ stated(Page(Item("own/3", "x"), 5), "2") });
+  // A header that states no generation changes nothing.
+  mServer.AddScript({ stated(Changes(Item("own/4", "x"), 6), "two") });
+  mServer.AddScript({ "", false, true });
+  CHECK(
+    Run(4) ==
+    Calls{ "own own/3 x", "restored 0 0 1", "confirmed", "own own/4 x", "confirmed" });
+}
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -30,6 +30,9 @@
                                                "Answers that broke off on the way"))
     , mMalformedAnswers(aRegistry.AddCounter("samphiresail_malformed_answers_total",
                                              "Answers that break the grammar of HTTP"))
+    , mStoreRestores(
+        aRegistry.AddCounter("samphiresail_store_restores_total",
+                             "Restores of the platform's store from a backup"))
     , mCallersLeft(aRegistry.AddCounter("samphiresail_callers_left_total",
                                         "Requests not sent since their callers had left"))
     , mRequestsWithoutMemory(
@@ -72,6 +75,7 @@
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
   metrics::Counter mMalformedAnswers;
+  metrics::Counter mStoreRestores;
   metrics::Counter mCallersLeft;
   metrics::Counter mRequestsWithoutMemory;
   metrics::Counter mResponsesWithoutMemory;
--- a/components/gateway/platformport.hpp
+++ b/components/gateway/platformport.hpp
@@ -26,6 +26,9 @@
   std::set<std::string> mOwnKeys;
   /// Revision of the store at which the read began.
   StoreRevision mRevision{ 0 };
+  /// The first complete read since the store was restored from a backup, which may lack
+  /// records that are to be written again, and have others that were deleted.
+  bool mRestored{ false };
 };
 
 /// A record of this system in the store.
--- a/components/gateway/watchschedule.cpp
+++ b/components/gateway/watchschedule.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds kMaxFirstRetryPause{ 100 };
 constexpr milliseconds kMinRetryPause{ 60 };
 constexpr milliseconds kMaxRetryPause{ 250 };
+/// Time in which one entry reads all records of a restored store.
+constexpr milliseconds kReadTimePerEntry{ 5 };
 /// Factor by which the processing time decreases with each response.
 constexpr double kProcessingTimeDecay = 0.75;
 
@@ -136,6 +138,14 @@
   mAt = aNow;
 }
 
+void WatchSchedule::OnRestored(timing::Instant aNow)
+{
+  const auto others = static_cast<milliseconds::rep>(mEntries - 1);
+  std::uniform_int_distribution<milliseconds::rep> delay(
+    0, kReadTimePerEntry.count() * others);
+  OnReadNeeded(aNow + milliseconds(delay(mRandom)));
+}
+
 void WatchSchedule::OnFailed(bool aBegan, timing::Instant aNow)
 {
   if (aBegan) {
--- a/components/gateway/watchschedule.hpp
+++ b/components/gateway/watchschedule.hpp
@@ -63,6 +63,9 @@
   /// The changes since the last known revision cannot be had any more, or are larger than
   /// all records.
   void OnReadNeeded(timing::Instant aNow);
+  /// The store was restored from a backup: what is known of it is read again, by all
+  /// entries in turn.
+  void OnRestored(timing::Instant aNow);
   /// Records a call without a complete response. aBegan states whether the response had
   /// begun.
   void OnFailed(bool aBegan, timing::Instant aNow);
