Give no fencing token out twice when a store is restored

Cause: the token was the revision at which the leader's record was created. A restored store gives that revision out again, to another entry's record; or a lower one, which engines refuse. Leases are given out again too: an entry renewed a lease that was another's, and took a record for its own by the lease's number alone. A record of the backup whose lease no longer existed never ended.

Change: the token is the store's generation times 2^32 plus the revision. It rises with each restore, as the generation does, and no restore loses 2^32 revisions. The record states process, start and generation and is claimed only by them and the lease. A restore ends lease and leadership at once; a record of an earlier generation, or one of this process that was written late, is replaced under the condition that it is unchanged. Without a generation no token is used that is not above all that were seen. An entry's own record is written again if it is lost.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -96,10 +96,14 @@
   , mRequestBytes(ShareOf(mSettings.mMaxMemory, kRequestMemoryShare))
   , mResponseBytes(ShareOf(mSettings.mMaxMemory, kResponseMemoryShare))
   , mIncarnation(WallClockMilliseconds(aClock))
+  , mRandom(RandomSeed())
   , mMaxDescriptors(limits::RaiseDescriptorLimit(mSettings.mMaxDescriptors))
   , mControl(mSettings.mZone, RandomSeed())
   , mPeers(mSettings.mName, aClock.Now(), mSettings.mZone, mSettings.mCores)
-  , mLeadership(mSettings.mOrderLease + kOrderExpiryMargin, mSettings.mFirstStart)
+  , mLeadership(mSettings.mOrderLease + kOrderExpiryMargin,
+                mSettings.mFirstStart,
+                mSettings.mName,
+                mIncarnation)
   , mClient(mIo, aClock)
   , mStore(mClient, mSettings.mStoreAddress)
   , mEngines(mClient,
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <memory>
 #include <ostream>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -121,6 +122,7 @@
   void ReportLimits();
   /// Updates the other entries' load at each endpoint from their latest reports.
   void UpdatePeersLoad(timing::Instant aNow);
+  void OnLeaderRecord(const gateway::LeaderRecord& aRecord);
   /// Gives up what rests on records of the store that a restore may have taken back.
   void OnStoreRestored();
   /// Ends the first complete reading of a restored store.
@@ -174,6 +176,7 @@
   limits::ByteBudget mResponseBytes;
   boost::asio::io_context mIo{ 1 };
   std::uint64_t mIncarnation;
+  std::mt19937_64 mRandom;
   /// Descriptors that the process may have.
   std::size_t mMaxDescriptors;
   gateway::TrafficControl mControl;
--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -174,8 +174,10 @@
 
 asio::awaitable<void> GatewayProcess::ExecuteLeadershipStep(Leadership::Step aStep)
 {
+  mLeadership.SetGeneration(mStore.Generation());
   const timing::Instant sent = mClock.Now();
   const std::int64_t lease = mLeadership.Lease();
+  const std::int64_t replaced = mLeadership.ReplacedRevision();
   store::StoreRequest request;
   switch (aStep) {
     case Leadership::Step::GrantLease:
@@ -198,8 +200,10 @@
       break;
     case Leadership::Step::CreateLeader:
       request = store::TransactionRequest{
-        { { std::string(kLeaderKey), 0 } },
-        { store::PutOperation{ std::string(kLeaderKey), mSettings.mName.Str(), lease } }
+        { { std::string(kLeaderKey), replaced } },
+        { store::PutOperation{ std::string(kLeaderKey),
+                               gateway::FormatLeaderClaim(mLeadership.OwnClaim()),
+                               lease } }
       };
       break;
     case Leadership::Step::None:
@@ -214,9 +218,15 @@
   }
   if (!reply.mSucceeded) {
     if (aStep == Leadership::Step::CreateLeader && !reply.mRecords.empty()) {
-      // Another entry created the record first; the watch will also report it.
-      mLeadership.OnLeaderRecord(
-        true, reply.mRecords.front().mLease, reply.mRecords.front().mCreateRevision);
+      // Another entry wrote the record first; the watch will also report it.
+      const store::KeyValue& record = reply.mRecords.front();
+      mLeadership.OnLeaderRecord({ true,
+                                   gateway::ParseLeaderClaim(record.mValue),
+                                   record.mLease,
+                                   record.mModRevision });
+    } else if (aStep == Leadership::Step::CreateLeader && replaced != 0) {
+      // The record to be replaced is gone.
+      mLeadership.OnLeaderRecord({});
     } else {
       mLeadership.OnLeaseLost();
     }
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -129,7 +129,7 @@
   mControl.mKeyRequirement.OnRead(aReading.mRevision);
   LogKeyRequirement();
   if (!aReading.mOwnKeys.contains(std::string(kLeaderKey))) {
-    mLeadership.OnLeaderRecord(false, 0, 0);
+    OnLeaderRecord({});
   }
   for (const ids::ProcessId& process : mPeers.Registered()) {
     if (!aReading.mOwnKeys.contains(std::string(kMemberPrefix) + process.Str())) {
@@ -154,20 +154,31 @@
   mEndpointsRead = true;
 }
 
+void GatewayProcess::OnLeaderRecord(const gateway::LeaderRecord& aRecord)
+{
+  const gateway::LeaderClaim& claim = aRecord.mClaim;
+  mLeadership.SetGeneration(mStore.Generation());
+  mLogger.Info("leader record",
+               { { "holder", aRecord.mPresent ? claim.mProcess.Str() : "none" },
+                 { "incarnation", claim.mIncarnation },
+                 { "generation", claim.mGeneration },
+                 { "revision", aRecord.mRevision },
+                 { "lease", aRecord.mLease },
+                 { "own_lease", mLeadership.Lease() } });
+  mLeader = claim.mProcess;
+  mLeadership.OnLeaderRecord(aRecord);
+}
+
 void GatewayProcess::OnOwnRecord(const gateway::OwnRecord& aRecord)
 {
   const timing::Instant now = mClock.Now();
   const std::string& key = aRecord.mKey;
   const std::optional<std::string>& value = aRecord.mValue;
   if (key == kLeaderKey) {
-    mLogger.Info("leader record",
-                 { { "holder", value.value_or("none") },
-                   { "revision", aRecord.mCreateRevision },
-                   { "lease", aRecord.mLease },
-                   { "own_lease", mLeadership.Lease() } });
-    mLeader = ids::ProcessId(value.value_or(std::string()));
-    mLeadership.OnLeaderRecord(
-      value.has_value(), aRecord.mLease, aRecord.mCreateRevision);
+    OnLeaderRecord({ value.has_value(),
+                     gateway::ParseLeaderClaim(value.value_or(std::string())),
+                     aRecord.mLease,
+                     aRecord.mModRevision });
   } else if (key == kEntryCountKey) {
     if (const auto entries = ParseEntryCount(value.value_or(std::string()))) {
       mPeers.SetRecordedEntries(*entries);
@@ -196,6 +207,9 @@
     const ids::ProcessId process(key.substr(kMemberPrefix.size()));
     mLogger.Info("entry record",
                  { { "entry", process.Str() }, { "present", value.has_value() } });
+    if (process == mSettings.mName) {
+      mLeadership.OnMemberRecord(value ? aRecord.mLease : 0, now);
+    }
     if (!value) {
       mPeers.Unregister(process, now);
     } else if (const auto member = gateway::DecodeMember(*value)) {
--- a/apps/tests/duties/usageworld.hpp
+++ b/apps/tests/duties/usageworld.hpp
@@ -35,7 +35,8 @@
   struct Record
   {
     std::string mValue;
-    std::int64_t mCreated{ 0 };
+    /// Revision at which it was written.
+    std::int64_t mRevision{ 0 };
     std::int64_t mLease{ 0 };
   };
   struct Call
@@ -193,7 +194,7 @@
   milliseconds mJump{ 0 };
   metrics::Registry mRegistry;
   gateway::PeerTable mPeers;
-  Leadership mLeadership{ kOrderLease + 300ms, false };
+  Leadership mLeadership{ kOrderLease + 300ms, false, mName, 1 };
   std::optional<gatewayapp::UsageDuty> mDuty;
   std::deque<std::string> mInbox;
   std::deque<Event> mEvents;
@@ -236,14 +237,18 @@
   }
 }
 
-/// All comparisons are for absence.
 inline store::StoreReply World::Write(const store::TransactionRequest& aRequest)
 {
   store::StoreReply reply{ store::StoreOutcome::Answered, true };
   for (const store::Compare& compare : aRequest.mCompares) {
-    if (const auto it = mRecords.find(compare.mKey); it != mRecords.end()) {
-      reply.mSucceeded = false;
-      reply.mRecords.push_back({ it->first, it->second.mValue, it->second.mCreated });
+    const auto it = mRecords.find(compare.mKey);
+    const bool present = it != mRecords.end();
+    reply.mSucceeded =
+      reply.mSucceeded && (present ? it->second.mRevision : 0) == compare.mModRevision;
+    if (present) {
+      const Record& record = it->second;
+      reply.mRecords.push_back(
+        { it->first, record.mValue, record.mRevision, record.mRevision, record.mLease });
     }
   }
   reply.mRevision = ++mRevision;
@@ -309,8 +314,11 @@
       leadership.OnMemberWritten();
       break;
     case Leadership::Step::CreateLeader: {
-      const store::PutOperation put{ kLeaderKey, aEntry.mName.Str(), lease };
-      const auto reply = Write({ { { kLeaderKey, 0 } }, { put } });
+      const store::PutOperation put{ kLeaderKey,
+                                     gateway::FormatLeaderClaim(leadership.OwnClaim()),
+                                     lease };
+      const auto reply =
+        Write({ { { kLeaderKey, leadership.ReplacedRevision() } }, { put } });
       if (reply.mSucceeded && !Chance(mStoreLoss)) {
         leadership.OnLeaderCreated(reply.mRevision, mNow);
       } else {
@@ -329,8 +337,10 @@
 {
   const Record record = aTo.value_or(Record{});
   if (aKey == kLeaderKey) {
-    aEntry.mLeader = ids::ProcessId(record.mValue);
-    aEntry.mLeadership.OnLeaderRecord(aTo.has_value(), record.mLease, record.mCreated);
+    const gateway::LeaderClaim claim = gateway::ParseLeaderClaim(record.mValue);
+    aEntry.mLeader = claim.mProcess;
+    aEntry.mLeadership.OnLeaderRecord(
+      { aTo.has_value(), claim, record.mLease, record.mRevision });
   } else if (!aKey.starts_with(kEntryPrefix)) {
     aEntry.mDuty->OnRecord(aKey, aTo ? std::optional(aTo->mValue) : std::nullopt);
   } else if (const ids::ProcessId name(aKey.substr(kEntryPrefix.size())); aTo) {
@@ -362,7 +372,7 @@
       Apply(*entry, entry->mEvents.front().mKey, entry->mEvents.front().mRecord);
     }
     if (!mRecords.contains(kLeaderKey) && entry->mEvents.empty()) {
-      entry->mLeadership.OnLeaderRecord(false, 0, 0);
+      entry->mLeadership.OnLeaderRecord({});
     }
     for (; !entry->mInbox.empty(); entry->mInbox.pop_front()) {
       entry->mDuty->OnReport(*gateway::DecodePeerReport(entry->mInbox.front()), mNow);
--- a/apps/tests/gateway/leadershiptest.cpp
+++ b/apps/tests/gateway/leadershiptest.cpp
@@ -4,6 +4,8 @@
 
 using namespace samphiresail;
 using namespace std::chrono_literals;
+using gateway::FencingToken;
+using gateway::LeaderRecord;
 using gateway::Leadership;
 
 namespace {
@@ -11,15 +13,31 @@
 const timing::Instant kNow{ 1h };
 constexpr std::int64_t kLease = 5;
 constexpr std::int64_t kRevision = 40;
+const ids::ProcessId kProcess("entry-1");
+constexpr std::uint64_t kIncarnation = 1000;
+constexpr auto kGrace = 3300ms;
+
+LeaderRecord RecordOfOther(std::int64_t aLease,
+                           std::int64_t aRevision,
+                           store::StoreGeneration aGeneration = 0)
+{
+  return { true, { ids::ProcessId("entry-2"), 2000, aGeneration }, aLease, aRevision };
+}
+
+/// Has a candidate get a lease and write its record.
+void Register(Leadership& aLeadership, std::int64_t aLease, timing::Instant aNow)
+{
+  REQUIRE(aLeadership.Next(aNow) == Leadership::Step::GrantLease);
+  aLeadership.OnLeaseGranted(aLease, Leadership::kLeaseTimeToLive, aNow);
+  REQUIRE(aLeadership.Next(aNow) == Leadership::Step::WriteMember);
+  aLeadership.OnMemberWritten();
+}
 
 /// Runs the steps of a candidate until it has created the leader record.
 void BecomeLeader(Leadership& aLeadership)
 {
-  REQUIRE(aLeadership.Next(kNow) == Leadership::Step::GrantLease);
-  aLeadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
-  REQUIRE(aLeadership.Next(kNow) == Leadership::Step::WriteMember);
-  aLeadership.OnMemberWritten();
-  aLeadership.OnLeaderRecord(false, 0, 0);
+  Register(aLeadership, kLease, kNow);
+  aLeadership.OnLeaderRecord({});
   REQUIRE(aLeadership.Next(kNow) == Leadership::Step::CreateLeader);
   aLeadership.OnLeaderCreated(kRevision, kNow);
 }
@@ -29,7 +47,7 @@
 TEST_CASE("leadership: the first leader of a first start gives orders at once",
           "[gateway]")
 {
-  Leadership leadership(3300ms, true);
+  Leadership leadership(3300ms, true, kProcess, kIncarnation);
   BecomeLeader(leadership);
   CHECK(leadership.Token(kNow) == kRevision);
 }
@@ -37,7 +55,7 @@
 TEST_CASE("leadership: a later leader waits until an earlier one's orders have expired",
           "[gateway]")
 {
-  Leadership leadership(3300ms, false);
+  Leadership leadership(3300ms, false, kProcess, kIncarnation);
   BecomeLeader(leadership);
   CHECK_FALSE(leadership.Token(kNow + 1s));
   leadership.OnLeaseKept(kNow + 3s);
@@ -46,7 +64,7 @@
 
 TEST_CASE("leadership: a leader stops before its lease can have expired", "[gateway]")
 {
-  Leadership leadership(0ms, true);
+  Leadership leadership(0ms, true, kProcess, kIncarnation);
   BecomeLeader(leadership);
   CHECK(leadership.Token(kNow + 1s));
   // A leader that was suspended for this long must not send orders when it resumes.
@@ -56,7 +74,7 @@
 
 TEST_CASE("leadership: a lost lease or a newer leader ends it", "[gateway]")
 {
-  Leadership leadership(0ms, true);
+  Leadership leadership(0ms, true, kProcess, kIncarnation);
   BecomeLeader(leadership);
   SECTION("lease lost")
   {
@@ -65,7 +83,7 @@
   }
   SECTION("record of another leader")
   {
-    leadership.OnLeaderRecord(true, kLease + 1, kRevision + 1);
+    leadership.OnLeaderRecord(RecordOfOther(kLease + 1, kRevision + 1));
   }
   SECTION("an engine received a newer token")
   {
@@ -77,11 +95,11 @@
 
 TEST_CASE("leadership: no entry becomes leader while the record is present", "[gateway]")
 {
-  Leadership leadership(0ms, true);
+  Leadership leadership(0ms, true, kProcess, kIncarnation);
   leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
   leadership.OnMemberWritten();
   CHECK(leadership.Next(kNow) == Leadership::Step::None);
-  leadership.OnLeaderRecord(true, 99, 12);
+  leadership.OnLeaderRecord(RecordOfOther(99, 12));
   CHECK(leadership.Next(kNow) == Leadership::Step::None);
   CHECK(leadership.Next(kNow + Leadership::kKeepAliveInterval) ==
         Leadership::Step::KeepLease);
@@ -91,11 +109,11 @@
   "leadership: takeover of a vacant leadership is delayed for better suited entries",
   "[gateway]")
 {
-  Leadership leadership(0ms, true);
+  Leadership leadership(0ms, true, kProcess, kIncarnation);
   leadership.SetTakeoverDelay(1500ms);
   leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
   leadership.OnMemberWritten();
-  leadership.OnLeaderRecord(false, 0, 0);
+  leadership.OnLeaderRecord({});
   CHECK(leadership.Next(kNow) == Leadership::Step::None);
   leadership.OnLeaseKept(kNow + 1400ms);
   CHECK(leadership.Next(kNow + 1400ms) == Leadership::Step::None);
@@ -105,9 +123,9 @@
   }
   SECTION("the delay restarts after another leader")
   {
-    leadership.OnLeaderRecord(true, kLease + 1, kRevision);
+    leadership.OnLeaderRecord(RecordOfOther(kLease + 1, kRevision));
     CHECK(leadership.Next(kNow + 1450ms) == Leadership::Step::None);
-    leadership.OnLeaderRecord(false, 0, 0);
+    leadership.OnLeaderRecord({});
     CHECK(leadership.Next(kNow + 1600ms) == Leadership::Step::None);
   }
 }
@@ -116,15 +134,169 @@
           "[gateway]")
 {
   // Otherwise its record would keep all others from leading for as long as it lives.
-  Leadership leadership(3300ms, false);
+  Leadership leadership(3300ms, false, kProcess, kIncarnation);
   leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
   leadership.OnMemberWritten();
-  leadership.OnLeaderRecord(false, 0, 0);
+  leadership.OnLeaderRecord({});
   REQUIRE(leadership.Next(kNow) == Leadership::Step::CreateLeader);
   leadership.OnStepFailed(kNow);
-  leadership.OnLeaderRecord(true, kLease, kRevision);
+  leadership.OnLeaderRecord({ true, leadership.OwnClaim(), kLease, kRevision });
   leadership.Next(kNow + 1s);
   leadership.OnLeaseKept(kNow + 4s);
   CHECK_FALSE(leadership.Token(kNow + 4200ms));
   CHECK(leadership.Token(kNow + 4400ms) == kRevision);
 }
+
+TEST_CASE("leadership: a restore of the store ends it, also if its lease is out again",
+          "[gateway]")
+{
+  Leadership leadership(kGrace, true, kProcess, kIncarnation);
+  leadership.SetGeneration(1);
+  BecomeLeader(leadership);
+  REQUIRE(leadership.Token(kNow));
+  leadership.OnStoreRestored(2, 0ms, kNow);
+  CHECK_FALSE(leadership.Token(kNow));
+  // The lease's number belongs to the other entry now.
+  leadership.OnLeaderRecord(RecordOfOther(kLease, kRevision, 2));
+  CHECK(leadership.Next(kNow) == Leadership::Step::GrantLease);
+  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
+  leadership.OnLeaderRecord(RecordOfOther(kLease, kRevision, 2));
+  leadership.Next(kNow);
+  CHECK_FALSE(leadership.Token(kNow + kGrace));
+}
+
+TEST_CASE("leadership: a record at the revision of a lost one gives a higher token",
+          "[gateway]")
+{
+  Leadership leadership(kGrace, true, kProcess, kIncarnation);
+  leadership.SetGeneration(1);
+  BecomeLeader(leadership);
+  const auto lost = leadership.Token(kNow);
+  leadership.OnStoreRestored(2, 0ms, kNow);
+  Register(leadership, kLease, kNow);
+  // Whether there is a leader is not known before the store was read.
+  CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  leadership.OnLeaderRecord({});
+  REQUIRE(leadership.Next(kNow) == Leadership::Step::CreateLeader);
+  leadership.OnLeaderCreated(kRevision, kNow);
+  // Another entry may have led in the lost part.
+  CHECK_FALSE(leadership.Token(kNow));
+  leadership.OnLeaseKept(kNow + kGrace);
+  const auto token = leadership.Token(kNow + kGrace);
+  REQUIRE(token);
+  CHECK(token > lost);
+  CHECK(FencingToken(3, 1) > *token);
+}
+
+TEST_CASE("leadership: a leader's record of a backup is replaced at once", "[gateway]")
+{
+  Leadership leadership(kGrace, false, kProcess, kIncarnation);
+  leadership.SetGeneration(1);
+  leadership.OnStoreRestored(2, 0ms, kNow);
+  Register(leadership, kLease, kNow);
+  SECTION("of another entry")
+  {
+    leadership.OnLeaderRecord(RecordOfOther(99, 12, 1));
+    CHECK(leadership.Next(kNow) == Leadership::Step::CreateLeader);
+    CHECK(leadership.ReplacedRevision() == 12);
+  }
+  SECTION("of this process, written late under its lost lease")
+  {
+    leadership.OnLeaderRecord({ true, { kProcess, kIncarnation, 2 }, kLease + 1, 12 });
+    CHECK(leadership.Next(kNow) == Leadership::Step::CreateLeader);
+    CHECK(leadership.ReplacedRevision() == 12);
+  }
+  SECTION("but not one of the restored store")
+  {
+    leadership.OnLeaderRecord(RecordOfOther(99, 12, 2));
+    CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  }
+  SECTION("nor one of an earlier program, which states no generation")
+  {
+    leadership.OnLeaderRecord({ true, gateway::ParseLeaderClaim("entry-2"), 99, 12 });
+    CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  }
+}
+
+TEST_CASE("leadership: a record is claimed by process, start and lease, not by a number",
+          "[gateway]")
+{
+  Leadership leadership(0ms, false, kProcess, kIncarnation);
+  Register(leadership, kLease, kNow);
+  LeaderRecord record{ true, leadership.OwnClaim(), kLease, kRevision };
+  SECTION("of another process")
+  {
+    record.mClaim.mProcess = ids::ProcessId("entry-2");
+  }
+  SECTION("of an earlier start")
+  {
+    record.mClaim.mIncarnation = kIncarnation - 1;
+  }
+  SECTION("under another lease")
+  {
+    record.mLease = kLease + 1;
+  }
+  SECTION("of an earlier generation")
+  {
+    leadership.SetGeneration(1);
+  }
+  leadership.OnLeaderRecord(record);
+  leadership.Next(kNow);
+  CHECK_FALSE(leadership.Token(kNow));
+}
+
+TEST_CASE("leadership: without a generation no token is used that may have been before",
+          "[gateway]")
+{
+  Leadership leadership(0ms, false, kProcess, kIncarnation);
+  Register(leadership, kLease, kNow);
+  leadership.OnLeaderRecord(RecordOfOther(99, kRevision));
+  // The store gives its revisions out again and does not say so.
+  leadership.OnStoreRestored(0, 0ms, kNow);
+  Register(leadership, kLease, kNow);
+  leadership.OnLeaderRecord({});
+  REQUIRE(leadership.Next(kNow) == Leadership::Step::CreateLeader);
+  leadership.OnLeaderCreated(kRevision, kNow);
+  CHECK_FALSE(leadership.Token(kNow));
+  // It writes the record again until its revision is new.
+  const timing::Instant retry = kNow + Leadership::kRetryBackoff;
+  REQUIRE(leadership.Next(retry) == Leadership::Step::CreateLeader);
+  CHECK(leadership.ReplacedRevision() == kRevision);
+  leadership.OnLeaderCreated(kRevision + 1, retry);
+  CHECK(leadership.Token(retry) == kRevision + 1);
+}
+
+TEST_CASE("leadership: an entry's record that is lost is written again", "[gateway]")
+{
+  Leadership leadership(0ms, false, kProcess, kIncarnation);
+  Register(leadership, kLease, kNow);
+  leadership.OnMemberRecord(kLease, kNow);
+  CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  SECTION("at once if it is gone")
+  {
+    leadership.OnMemberRecord(0, kNow);
+    CHECK(leadership.Next(kNow) == Leadership::Step::WriteMember);
+  }
+  SECTION("after a while if a late write has replaced it")
+  {
+    leadership.OnMemberRecord(kLease + 1, kNow);
+    CHECK(leadership.Next(kNow) == Leadership::Step::None);
+    const timing::Instant due = kNow + Leadership::kMemberRewriteDelay;
+    leadership.OnLeaseKept(due);
+    CHECK(leadership.Next(due) == Leadership::Step::WriteMember);
+  }
+}
+
+TEST_CASE("leadership: the claim of the leader's record survives its text", "[gateway]")
+{
+  const gateway::LeaderClaim claim{ kProcess, kIncarnation, 3 };
+  CHECK(gateway::ParseLeaderClaim(gateway::FormatLeaderClaim(claim)) == claim);
+  const auto odd = GENERATE("entry-1",
+                            "entry-1\n",
+                            "entry-1\n7",
+                            "entry-1\n7 ",
+                            "entry-1\n7 -1\n",
+                            "entry-1\nx 1\n",
+                            "entry-1\n7 1\nmore");
+  CHECK(gateway::ParseLeaderClaim(odd) == gateway::LeaderClaim{ kProcess, 0, 0 });
+}
--- a/components/gateway/leadership.cpp
+++ b/components/gateway/leadership.cpp
@@ -1,20 +1,51 @@
 #include "components/gateway/leadership.hpp"
 
+#include <algorithm>
+
 namespace samphiresail::gateway {
 
-void Leadership::OnLeaderRecord(bool aPresent,
-                                std::int64_t aLease,
-                                std::int64_t aCreateRevision)
+bool Leadership::IsOwn(const LeaderRecord& aRecord) const
 {
-  mLeaderPresent = aPresent;
-  const bool own = aPresent && mLease && aLease == *mLease;
-  mSawOtherLeader = mSawOtherLeader || (aPresent && !own);
-  mUnclaimed = own && !mToken ? std::optional(aCreateRevision) : std::nullopt;
-  if (!own && mToken && (!aPresent || aCreateRevision > *mToken)) {
+  return aRecord.mPresent && mLease && aRecord.mLease == *mLease &&
+         aRecord.mClaim == OwnClaim();
+}
+
+bool Leadership::IsAbandoned(const LeaderRecord& aRecord) const
+{
+  const LeaderClaim& claim = aRecord.mClaim;
+  const bool isOfThisProcess =
+    claim.mProcess == mProcess && claim.mIncarnation == mIncarnation;
+  // An entry that states no incarnation states no generation either.
+  const bool isOfOtherGeneration =
+    claim.mIncarnation != 0 && claim.mGeneration < mGeneration;
+  return isOfOtherGeneration || (isOfThisProcess && !IsOwn(aRecord));
+}
+
+void Leadership::OnLeaderRecord(const LeaderRecord& aRecord)
+{
+  const bool own = IsOwn(aRecord);
+  const std::int64_t token = FencingToken(mGeneration, aRecord.mRevision);
+  mLeaderPresent = aRecord.mPresent && !IsAbandoned(aRecord);
+  mReplacedRevision = aRecord.mPresent && !mLeaderPresent ? aRecord.mRevision : 0;
+  mSawOtherLeader = mSawOtherLeader || (aRecord.mPresent && !own);
+  mUnclaimed = own && !mToken ? std::optional(aRecord.mRevision) : std::nullopt;
+  if (aRecord.mPresent && !own) {
+    mHighestForeignToken = std::max(mHighestForeignToken, token);
+  }
+  if (!own && mToken && (!aRecord.mPresent || token > *mToken)) {
     mToken.reset();
   }
 }
 
+void Leadership::OnMemberRecord(std::int64_t aLease, timing::Instant aNow)
+{
+  if (aLease == mLease) {
+    mMemberRecordWritten = true;
+  } else if (std::exchange(mMemberRecordWritten, false)) {
+    mMemberWriteFrom = aLease == 0 ? aNow : aNow + kMemberRewriteDelay;
+  }
+}
+
 Leadership::Step Leadership::Next(timing::Instant aNow)
 {
   if (mUnclaimed) {
@@ -34,7 +65,7 @@
   if (aNow - mLeaseRenewedAt >= kKeepAliveInterval) {
     return Step::KeepLease;
   }
-  if (!mMemberRecordWritten) {
+  if (!mMemberRecordWritten && aNow >= mMemberWriteFrom) {
     return Step::WriteMember;
   }
   if (mVacantSince && aNow >= *mVacantSince + mTakeoverDelay &&
@@ -52,6 +83,7 @@
   mTimeToLive = aTimeToLive;
   mLeaseRenewedAt = aSent;
   mMemberRecordWritten = false;
+  mMemberWriteFrom = timing::Instant{};
   mUnclaimed.reset();
   mToken.reset();
 }
@@ -70,12 +102,36 @@
 
 void Leadership::OnLeaderCreated(std::int64_t aRevision, timing::Instant aNow)
 {
-  mToken = aRevision;
   mUnclaimed.reset();
+  const std::int64_t token = FencingToken(mGeneration, aRevision);
+  if (token <= mHighestForeignToken || token < mHighestOwnToken) {
+    // Only a store that was restored and states no generation gives a revision out again.
+    mLeaderPresent = false;
+    mReplacedRevision = aRevision;
+    mNextStepAt = aNow + kRetryBackoff;
+    return;
+  }
+  mToken = token;
+  mHighestOwnToken = token;
   mLeaderPresent = true;
+  mReplacedRevision = 0;
   mOrdersAllowedFrom = mFirstStart && !mSawOtherLeader ? aNow : aNow + mOrderGracePeriod;
 }
 
+void Leadership::OnStoreRestored(store::StoreGeneration aGeneration,
+                                 timing::Duration aDelay,
+                                 timing::Instant aNow)
+{
+  OnLeaseLost();
+  mGeneration = aGeneration;
+  // Whether there is a leader shows the next complete read of the store.
+  mLeaderPresent = true;
+  mReplacedRevision = 0;
+  mVacantSince.reset();
+  mSawOtherLeader = true;
+  mNextStepAt = aNow + aDelay;
+}
+
 void Leadership::OnFenced(timing::Instant aNow)
 {
   mUnclaimed.reset();
--- a/components/gateway/leadership.hpp
+++ b/components/gateway/leadership.hpp
@@ -3,15 +3,20 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
+#include "components/gateway/leaderrecord.hpp"
 #include "components/timing/clock.hpp"
 
 namespace samphiresail::gateway {
 
 /// Registers this entry in the platform's store and competes for leadership. The entry's
 /// record and the leader record are bound to one lease. Only the leader orders loads. Its
-/// fencing token is the revision at which its record was created, and it stops giving
-/// orders before its lease can have expired.
+/// fencing token follows from the store's generation and the revision at which its record
+/// was written, and it stops giving orders before its lease can have expired.
+///
+/// A restore of the store ends every leadership: leases and revisions are given out
+/// again. A leader record from before the restore is replaced.
 class Leadership
 {
 public:
@@ -23,7 +28,8 @@
     KeepLease,
     /// Writes the record of this entry, bound to the lease.
     WriteMember,
-    /// Creates the leader's record if there is none, bound to the lease.
+    /// Writes the leader's record, bound to the lease, if there still is none or the one
+    /// to be replaced.
     CreateLeader,
   };
 
@@ -32,24 +38,45 @@
   static constexpr std::chrono::milliseconds kKeepAliveInterval{ 800 };
   /// Time before the lease expires at which the leader stops giving orders.
   static constexpr std::chrono::milliseconds kLeaseSafetyMargin{ 800 };
+  /// Delay before this entry replaces its record that is bound to another lease: two
+  /// processes under one name would write in turn.
+  static constexpr std::chrono::milliseconds kMemberRewriteDelay{ 2000 };
   /// Delay before the next step after a failed one.
   static constexpr std::chrono::milliseconds kRetryBackoff{ 500 };
 
   /// aOrderGracePeriod is how long a new leader waits until orders of an earlier one have
-  /// expired; aFirstStart is true if there cannot have been an earlier leader.
-  Leadership(timing::Duration aOrderGracePeriod, bool aFirstStart)
+  /// expired; aFirstStart is true if there cannot have been an earlier leader. aProcess
+  /// and aIncarnation tell this process from all others.
+  Leadership(timing::Duration aOrderGracePeriod,
+             bool aFirstStart,
+             ids::ProcessId aProcess,
+             std::uint64_t aIncarnation)
     : mOrderGracePeriod(aOrderGracePeriod)
     , mFirstStart(aFirstStart)
+    , mProcess(std::move(aProcess))
+    , mIncarnation(aIncarnation)
   {
   }
 
+  /// Sets the store's generation, which was not known before.
+  void SetGeneration(store::StoreGeneration aGeneration) { mGeneration = aGeneration; }
+
   /// Sets how long this entry waits before it takes over a vacant leadership, so that
   /// better suited entries can take it over first.
   void SetTakeoverDelay(timing::Duration aDelay) { mTakeoverDelay = aDelay; }
 
-  /// Processes the state of the leader record in the store: whether it is present, its
-  /// lease and the revision at which it was created.
-  void OnLeaderRecord(bool aPresent, std::int64_t aLease, std::int64_t aCreateRevision);
+  /// Processes the state of the leader record in the store.
+  void OnLeaderRecord(const LeaderRecord& aRecord);
+  /// Processes the lease of this entry's record in the store; 0 if there is none. A
+  /// record that is lost is written again, and after kMemberRewriteDelay one under
+  /// another lease.
+  void OnMemberRecord(std::int64_t aLease, timing::Instant aNow);
+
+  /// Gives up leadership and lease, which a restore of the store took back, and competes
+  /// again after aDelay.
+  void OnStoreRestored(store::StoreGeneration aGeneration,
+                       timing::Duration aDelay,
+                       timing::Instant aNow);
 
   /// Returns the next step; the caller reports its outcome before the next call.
   Step Next(timing::Instant aNow);
@@ -66,23 +93,40 @@
   void OnFenced(timing::Instant aNow);
 
   std::int64_t Lease() const { return mLease.value_or(0); }
+  /// What this process writes into the leader's record.
+  LeaderClaim OwnClaim() const { return { mProcess, mIncarnation, mGeneration }; }
+  /// Store revision of the leader record that CreateLeader replaces; 0 if there is none.
+  std::int64_t ReplacedRevision() const { return mReplacedRevision; }
   /// Returns the fencing token under which orders may be sent now, or none.
   std::optional<std::int64_t> Token(timing::Instant aNow) const;
 
 private:
+  /// True if the record makes this process the leader.
+  bool IsOwn(const LeaderRecord& aRecord) const;
+  /// True if the record makes no process the leader: its holder has given it up because
+  /// of a restore, or it was written late, when this process had another lease.
+  bool IsAbandoned(const LeaderRecord& aRecord) const;
   /// True if the lease cannot expire in the store within kLeaseSafetyMargin from aNow.
   bool IsLeaseCertainlyValid(timing::Instant aNow) const;
 
   timing::Duration mOrderGracePeriod;
   bool mFirstStart;
+  ids::ProcessId mProcess;
+  std::uint64_t mIncarnation;
+  store::StoreGeneration mGeneration{ 0 };
   std::optional<std::int64_t> mLease;
   std::chrono::milliseconds mTimeToLive{ 0 };
   timing::Instant mLeaseRenewedAt{};
   timing::Instant mNextStepAt{};
   bool mMemberRecordWritten{ false };
+  timing::Instant mMemberWriteFrom{};
   bool mLeaderPresent{ true };
+  std::int64_t mReplacedRevision{ 0 };
   bool mSawOtherLeader{ false };
   std::optional<std::int64_t> mToken;
+  /// Highest tokens of other leaders, and of this process.
+  std::int64_t mHighestForeignToken{ 0 };
+  std::int64_t mHighestOwnToken{ 0 };
   /// Revision of a leader record of this entry whose creation got no response.
   std::optional<std::int64_t> mUnclaimed;
   timing::Duration mTakeoverDelay{ 0 };
