Let a restored store confirm nothing that it lost

What callers would see: a key that was withdrawn in the moment of the loss worked on for longer than the time for revoked keys, and a route that was added then was refused for good, since the first reading of the copy counted as news of all changes.

Change: until the operator can have written its changes again (3 s), or has written a version that is not older than the one in force, the view is as old as its last confirmation before the restore. Requests that cannot be decided get 503.

Evidence: the unit test "a restored store confirms no key ..." (new).

--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -19,6 +19,9 @@
   std::shared_ptr<gateway::ServingConfiguration> aConfiguration)
 {
   const auto& current = mControl.Configuration();
+  if (!mReadsRestored && current && aConfiguration->mVersion >= current->mVersion) {
+    mControl.mStoreFreshness.RecordRewrite();
+  }
   if (current && aConfiguration->mVersion <= current->mVersion) {
     if (aConfiguration->mVersion < current->mVersion) {
       mLogger.Warn(
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -28,6 +28,7 @@
     0, kRegistrationTimePerEntry.count() * others);
   const std::chrono::milliseconds delay(spread(mRandom));
   mLeadership.OnStoreRestored(mStore.Generation(), delay, now);
+  mControl.mStoreFreshness.RecordRestore(now);
   mStoreWatcher.OnRestored();
   // Duties and orders end now, not with the next tick.
   PlaceModels(now);
--- a/apps/tests/gateway/storefreshnesstest.cpp
+++ b/apps/tests/gateway/storefreshnesstest.cpp
@@ -69,3 +69,31 @@
   freshness.RecordResponse(kNow + 3500ms, kNow + 5s);
   CHECK_FALSE(freshness.RecordsMayHaveLapsed(kNow + 5s));
 }
+
+TEST_CASE("contact: a restored store confirms no key that it may have lost the end of",
+          "[gateway]")
+{
+  StoreFreshness freshness;
+  freshness.SetBounds(2s, 5s);
+  freshness.ConfirmUpTo(kNow);
+  const timing::Instant restored = kNow + 2s;
+  freshness.RecordRestore(restored);
+  freshness.ConfirmUpTo(restored + 1s);
+  CHECK(freshness.AreKeysFresh(kNow + 3900ms));
+  CHECK_FALSE(freshness.AreKeysFresh(kNow + 4s));
+  CHECK_FALSE(freshness.IsConfigurationCurrent(kNow + 2s));
+  // The process goes on with what it has.
+  CHECK(freshness.IsReady(kNow + 4s));
+  SECTION("until the operator has written the configuration again")
+  {
+    freshness.RecordRewrite();
+    freshness.ConfirmUpTo(restored + 1500ms);
+  }
+  SECTION("or has had the time for it")
+  {
+    freshness.ConfirmUpTo(restored + StoreFreshness::kRewriteTime - 1ms);
+    CHECK_FALSE(freshness.AreKeysFresh(restored + StoreFreshness::kRewriteTime));
+    freshness.ConfirmUpTo(restored + StoreFreshness::kRewriteTime);
+  }
+  CHECK(freshness.AreKeysFresh(restored + StoreFreshness::kRewriteTime));
+}
--- a/components/gateway/storefreshness.hpp
+++ b/components/gateway/storefreshness.hpp
@@ -1,6 +1,8 @@
 #ifndef SAMPHIRESAIL_COMPONENTS_GATEWAY_STOREFRESHNESS_HPP
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_STOREFRESHNESS_HPP
 
+#include <algorithm>
+
 #include "components/timing/clock.hpp"
 
 namespace samphiresail::gateway {
@@ -8,6 +10,9 @@
 /// Tracks the instant up to which this process has received all changes in the platform's
 /// store. The bounds on the use of revoked keys and outdated configurations are checked
 /// against this instant.
+///
+/// A store that was restored from a backup confirms no change that it lost. Until the
+/// operator can have written them again, what was confirmed before the restore counts.
 class StoreFreshness
 {
 public:
@@ -21,6 +26,9 @@
   static constexpr timing::Duration kMinOutage = std::chrono::milliseconds(2200);
   /// How long after an outage a removed record counts as possibly expired.
   static constexpr timing::Duration kLapseWindow = std::chrono::milliseconds(3000);
+  /// Time after a restore of the store in which the operator and the endpoints write
+  /// again what it lost.
+  static constexpr timing::Duration kRewriteTime = std::chrono::milliseconds(3000);
 
   /// Sets the time within which a change of the configuration must be in force, and the
   /// time within which a revoked key must stop working.
@@ -47,12 +55,25 @@
   /// the request was sent.
   void ConfirmUpTo(timing::Instant aAsOf)
   {
-    if (!mHasConfirmation || aAsOf > mFreshAsOf) {
+    mContactAsOf = mHasConfirmation ? std::max(mContactAsOf, aAsOf) : aAsOf;
+    if (!mHasConfirmation || (aAsOf > mFreshAsOf && aAsOf >= mConfirmableFrom)) {
       mFreshAsOf = aAsOf;
     }
     mHasConfirmation = true;
   }
 
+  /// Records that the store was restored from a backup.
+  void RecordRestore(timing::Instant aNow)
+  {
+    mOutageEnd = aNow;
+    mRewriteEnd = aNow + kRewriteTime;
+    mConfirmableFrom = mRewriteEnd;
+  }
+  /// Records that the operator has written the newest configuration again.
+  void RecordRewrite() { mConfirmableFrom = timing::Instant{}; }
+  /// When the records that a restore took back are written again at the latest.
+  timing::Instant RewriteEnd() const { return mRewriteEnd; }
+
   /// Records that the newest configuration was adopted, or that it cannot be read.
   void RecordConfiguration(bool aAdopted) { mConfigurationAdopted = aAdopted; }
 
@@ -68,7 +89,7 @@
   }
   bool IsReady(timing::Instant aNow) const
   {
-    return mHasConfirmation && aNow - mFreshAsOf < kMaxReadyStaleness;
+    return mHasConfirmation && aNow - mContactAsOf < kMaxReadyStaleness;
   }
   /// True if a record that is removed now may have expired although the process that owns
   /// it is running.
@@ -89,6 +110,11 @@
   bool mHasConfirmation{ false };
   bool mConfigurationAdopted{ true };
   timing::Instant mFreshAsOf{};
+  /// The same without regard to a restore.
+  timing::Instant mContactAsOf{};
+  timing::Instant mRewriteEnd{};
+  /// Confirmations of earlier instants are those of a backup.
+  timing::Instant mConfirmableFrom{};
   /// When the last response was read.
   timing::Instant mLastResponse{};
   timing::Instant mOutageEnd{};
