Bring no zone and no endpoint back with a backup of the store

What callers saw: with the copy a zone that was out was used again until the operator had written it again; a worker that was leaving was asked again; workers that had joined since the copy were not used, so that requests got 503.

Three unit tests.

--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -121,9 +121,8 @@
   const timing::Instant now = mClock.Now();
   mControl.mDirectory.RetainOnly(
     aReading.mEndpoints, mControl.mStoreFreshness.RecordsMayHaveLapsed(now), now);
-  for (const ids::AvailabilityZoneId& zone : mControl.mDirectory.ZonesOut()) {
-    mControl.mDirectory.SetZoneOut(zone, aReading.mZonesOut.contains(zone), now);
-  }
+  mControl.mDirectory.RetainZonesOut(
+    aReading.mZonesOut, mControl.mStoreFreshness.RewriteEnd(), now);
   for (const std::string_view key : { kAccountsKey, kNoAccountsKey }) {
     if (!aReading.mOwnKeys.contains(std::string(key))) {
       OnKeyRecord(key, std::nullopt);
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -29,6 +29,7 @@
   const std::chrono::milliseconds delay(spread(mRandom));
   mLeadership.OnStoreRestored(mStore.Generation(), delay, now);
   mControl.mStoreFreshness.RecordRestore(now);
+  mControl.mDirectory.OnStoreRestored(now);
   mStoreWatcher.OnRestored();
   // Duties and orders end now, not with the next tick.
   PlaceModels(now);
@@ -37,6 +38,7 @@
 void GatewayProcess::OnRestoredRead()
 {
   mReadsRestored = false;
+  mControl.mDirectory.OnRestoredRead();
 }
 
 }
--- a/apps/tests/gateway/endpointdirectorytest.cpp
+++ b/apps/tests/gateway/endpointdirectorytest.cpp
@@ -185,3 +185,71 @@
   directory.Tick(kNow + EndpointDirectory::kLoadedAdapterLifetime);
   CHECK_FALSE(directory.Find(kId)->HoldsAdapter(ids::ModelId("m"), "a1", key));
 }
+
+TEST_CASE("directory: a backup of the store brings no endpoint back that leaves",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  EndpointReport leaving = Report(2);
+  leaving.mDraining = true;
+  directory.Update(leaving, kNow);
+  directory.OnStoreRestored(kNow);
+  directory.Update(Report(2), kNow);
+  directory.OnRestoredRead();
+  directory.Update(Report(2), kNow + 1s);
+  CHECK_FALSE(directory.TakesRequests(kId, kNow + 1s));
+  // A new start under the same name.
+  directory.Update(Report(3), kNow + 2s);
+  CHECK(directory.TakesRequests(kId, kNow + 2s));
+}
+
+TEST_CASE("directory: an endpoint that has gone gets no requests from a backup",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(2), kNow);
+  directory.Remove(kId, false, kNow);
+  directory.Tick(kNow + 1s);
+  REQUIRE(directory.Find(kId) == nullptr);
+  directory.OnStoreRestored(kNow + 2s);
+  directory.Update(Report(2), kNow + 2s);
+  directory.OnRestoredRead();
+  CHECK_FALSE(directory.TakesRequests(kId, kNow + 2s));
+  SECTION("unless it writes its record again")
+  {
+    directory.Remove(kId, false, kNow + 3s);
+    directory.Update(Report(2), kNow + 10s);
+    CHECK(directory.TakesRequests(kId, kNow + 10s));
+  }
+  SECTION("but its record stays only if it runs")
+  {
+    CHECK(
+      directory.TakesRequests(kId, kNow + 2s + EndpointDirectory::kEndedRecordLifetime));
+  }
+}
+
+TEST_CASE("directory: a zone that is out stays out of a backup that lacks it",
+          "[gateway]")
+{
+  EndpointDirectory directory;
+  directory.Update(Report(1), kNow);
+  directory.SetZoneOut(kZone, true, kNow);
+  directory.RetainZonesOut({}, kNow + 3s, kNow);
+  CHECK_FALSE(directory.TakesRequests(kId, kNow));
+  SECTION("until the operator has written it again and takes it back")
+  {
+    directory.SetZoneOut(kZone, true, kNow + 1s);
+    directory.Tick(kNow + 4s);
+    CHECK_FALSE(directory.TakesRequests(kId, kNow + 4s));
+    directory.SetZoneOut(kZone, false, kNow + 4s);
+  }
+  SECTION("or has had the time for it")
+  {
+    // Another complete read, as the history was lost.
+    directory.RetainZonesOut({}, kNow + 3s, kNow + 2s);
+    directory.Tick(kNow + 2900ms);
+    CHECK_FALSE(directory.TakesRequests(kId, kNow + 2900ms));
+    directory.Tick(kNow + 3s);
+  }
+  CHECK(directory.TakesRequests(kId, kNow + 4s));
+}
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -29,6 +29,15 @@
   endpoint.mUsableUntil = timing::Instant::max();
   endpoint.mReportedAt = aNow;
   endpoint.mReport = std::move(aReport);
+  const auto removed = mRemoved.find(endpoint.mReport.mId);
+  if (removed == mRemoved.end()) {
+    return;
+  }
+  if (mReadsBackup && removed->second.mIncarnation == endpoint.mReport.mIncarnation) {
+    endpoint.mPausedUntil = std::max(endpoint.mPausedUntil, aNow + kEndedRecordLifetime);
+  } else {
+    mRemoved.erase(removed);
+  }
 }
 
 void EndpointDirectory::Remove(const ids::EndpointId& aId,
@@ -42,6 +51,9 @@
   Endpoint& endpoint = it->second;
   const timing::Instant end = aMayHaveLapsed ? aNow + kLapsedRecordGracePeriod : aNow;
   endpoint.mUsableUntil = std::min(endpoint.mUsableUntil, end);
+  if (!aMayHaveLapsed) {
+    mRemoved[aId] = { endpoint.mReport.mIncarnation, aNow };
+  }
 }
 
 void EndpointDirectory::RetainOnly(const std::set<ids::EndpointId>& aListed,
@@ -82,6 +94,7 @@
                                    bool aOut,
                                    timing::Instant aNow)
 {
+  mZonesKeptOut.erase(aZone);
   if (aOut) {
     mZonesOut.insert(aZone);
     return;
@@ -96,8 +109,45 @@
   }
 }
 
+void EndpointDirectory::RetainZonesOut(const std::set<ids::AvailabilityZoneId>& aListed,
+                                       timing::Instant aKeepUntil,
+                                       timing::Instant aNow)
+{
+  for (const ids::AvailabilityZoneId& zone : ZonesOut()) {
+    if (aListed.contains(zone)) {
+      mZonesKeptOut.erase(zone);
+    } else if (aNow < aKeepUntil) {
+      mZonesKeptOut.insert_or_assign(zone, aKeepUntil);
+    } else {
+      SetZoneOut(zone, false, aNow);
+    }
+  }
+}
+
+void EndpointDirectory::OnStoreRestored(timing::Instant aNow)
+{
+  mReadsBackup = true;
+  for (auto& [id, endpoint] : mEndpoints) {
+    if (endpoint.mReport.mDraining && !endpoint.mLeavingSince) {
+      endpoint.mLeavingSince = aNow;
+    }
+  }
+}
+
 void EndpointDirectory::Tick(timing::Instant aNow)
 {
+  std::vector<ids::AvailabilityZoneId> back;
+  for (const auto& [zone, until] : mZonesKeptOut) {
+    if (until <= aNow) {
+      back.push_back(zone);
+    }
+  }
+  for (const ids::AvailabilityZoneId& zone : back) {
+    SetZoneOut(zone, false, aNow);
+  }
+  std::erase_if(mRemoved, [aNow](const auto& aRow) {
+    return aRow.second.mAt + kRemovedMemory <= aNow;
+  });
   for (auto& [id, endpoint] : mEndpoints) {
     std::erase_if(endpoint.mLoadedSinceReport, [aNow](const auto& aRow) {
       return aRow.second + kLoadedAdapterLifetime <= aNow;
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -65,6 +65,25 @@
 
   void SetZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut, timing::Instant aNow);
   std::set<ids::AvailabilityZoneId> ZonesOut() const { return mZonesOut; }
+  /// Processes all zones that a complete read of the store lists as out. A zone that is
+  /// not listed stays out until aKeepUntil, since a restore of the store may have lost
+  /// its record.
+  void RetainZonesOut(const std::set<ids::AvailabilityZoneId>& aListed,
+                      timing::Instant aKeepUntil,
+                      timing::Instant aNow);
+
+  /// How long after its removal an endpoint is remembered, so that a backup of the store
+  /// does not bring it back.
+  static constexpr timing::Duration kRemovedMemory = std::chrono::minutes(5);
+  /// Time in which the platform removes the record of an endpoint that has ended.
+  static constexpr timing::Duration kEndedRecordLifetime = std::chrono::seconds(5);
+
+  /// The store was restored from a backup, and its records are read next. Endpoints that
+  /// are leaving go on leaving, and one that was removed gets no requests for
+  /// kEndedRecordLifetime.
+  void OnStoreRestored(timing::Instant aNow);
+  /// The restored store was read completely.
+  void OnRestoredRead() { mReadsBackup = false; }
 
   /// Erases the endpoints whose grace period has ended.
   void Tick(timing::Instant aNow);
@@ -108,8 +127,20 @@
   bool TakesRequests(const ids::EndpointId& aId, timing::Instant aNow) const;
 
 private:
+  /// An incarnation of an endpoint whose record was removed.
+  struct Removed
+  {
+    std::int64_t mIncarnation{ 0 };
+    timing::Instant mAt{};
+  };
+
   std::map<ids::EndpointId, Endpoint> mEndpoints;
+  std::map<ids::EndpointId, Removed> mRemoved;
   std::set<ids::AvailabilityZoneId> mZonesOut;
+  /// Zones that are out without a record, until the given instant.
+  std::map<ids::AvailabilityZoneId, timing::Instant> mZonesKeptOut;
+  /// The records that are reported are those of a backup.
+  bool mReadsBackup{ false };
 };
 
 }
