Lift no quarantine when a restore loses its record

What callers would see: a record that was not in the copy was taken for deleted by hand, so the quarantine was lifted at all entries and the request ended engines again. A record that had been deleted since the copy put its causes into quarantine again.

Change: what is in force stays, and the leader, or after 8 s any entry, writes its record again. A verdict that was lifted in the last 5 min is not taken from a copy; its record is deleted.

Evidence: the unit test "a restore of the store lifts none and brings none back". Not played with real processes.

--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -30,6 +30,7 @@
   mLeadership.OnStoreRestored(mStore.Generation(), delay, now);
   mControl.mStoreFreshness.RecordRestore(now);
   mControl.mDirectory.OnStoreRestored(now);
+  mControl.mQuarantine.OnStoreRestored(now);
   mStoreWatcher.OnRestored();
   // Duties and orders end now, not with the next tick.
   PlaceModels(now);
--- a/apps/tests/gateway/requestquarantinetest.cpp
+++ b/apps/tests/gateway/requestquarantinetest.cpp
@@ -322,3 +322,40 @@
   CHECK(mQuarantine.Size() <= RequestQuarantine::kMaxCauses);
   CHECK(Blocks(kDeadlyPart));
 }
+
+TEST_CASE_METHOD(Entry,
+                 "quarantine: a restore of the store lifts none and brings none back",
+                 "[gateway]")
+{
+  mQuarantine.OnRecord(kDeadlyPart, true, true, mNow);
+  REQUIRE(Blocks(kDeadlyPart));
+  SECTION("whose record is lost")
+  {
+    mQuarantine.OnStoreRestored(mNow);
+    mQuarantine.RetainRecords({}, mNow);
+    CHECK(Blocks(kDeadlyPart));
+    // The leader writes it again; if there is none, the others do.
+    CHECK(mQuarantine.RecordChanges(false, mNow).empty());
+    const auto changes = mQuarantine.RecordChanges(true, mNow);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].mCreate);
+    Advance(RequestQuarantine::kLostRecordDelay);
+    CHECK(mQuarantine.RecordChanges(false, mNow).size() == 1);
+    // From then on its deletion lifts it again.
+    mQuarantine.OnRecord(kDeadlyPart, true, true, mNow);
+    mQuarantine.OnRecord(kDeadlyPart, false, false, mNow);
+    CHECK_FALSE(Blocks(kDeadlyPart));
+  }
+  SECTION("whose record was deleted after the backup")
+  {
+    mQuarantine.OnRecord(kDeadlyPart, false, false, mNow);
+    Advance(seconds(5));
+    mQuarantine.OnStoreRestored(mNow);
+    mQuarantine.OnRecord(kDeadlyPart, true, true, mNow);
+    mQuarantine.RetainRecords({ kDeadlyPart }, mNow);
+    CHECK_FALSE(Blocks(kDeadlyPart));
+    const auto changes = mQuarantine.RecordChanges(true, mNow);
+    REQUIRE(changes.size() == 1);
+    CHECK_FALSE(changes[0].mCreate);
+  }
+}
--- a/components/gateway/quarantineexchange.cpp
+++ b/components/gateway/quarantineexchange.cpp
@@ -194,7 +194,9 @@
       }
     };
   for (const auto& [id, verdict] : mVerdicts) {
-    if (!mRecords.contains(id) && (aLeads || verdict.mSince + kRecordDelay <= aNow)) {
+    const timing::Instant due =
+      std::max(verdict.mSince + kRecordDelay, mRecordsLostUntil);
+    if (!mRecords.contains(id) && (aLeads || due <= aNow)) {
       tryChange(id, true, verdict.mCauses);
     }
   }
@@ -229,6 +231,10 @@
     return;
   }
   mRecords.insert(aVerdict);
+  if (mReadsRestored && mRemoved.contains(aVerdict) && !mVerdicts.contains(aVerdict)) {
+    mObsolete.insert_or_assign(aVerdict, ObsoleteRecord{ aNow, 0 });
+    return;
+  }
   CrashEvidence::Causes causes =
     aCauses.empty() ? CrashEvidence::Causes{ aVerdict } : SortedCauses(aCauses);
   for (const std::uint64_t cause : causes) {
@@ -249,9 +255,19 @@
   }
 }
 
+void RequestQuarantine::OnStoreRestored(timing::Instant aNow)
+{
+  mRecords.clear();
+  mObsolete.clear();
+  mRecordTriedAt.clear();
+  mRecordsLostUntil = aNow + kLostRecordDelay;
+  mReadsRestored = true;
+}
+
 void RequestQuarantine::RetainRecords(const std::set<std::uint64_t>& aVerdicts,
                                       timing::Instant aNow)
 {
+  mReadsRestored = false;
   std::vector<std::uint64_t> gone;
   std::ranges::set_difference(mRecords, aVerdicts, std::back_inserter(gone));
   for (const std::uint64_t verdict : gone) {
--- a/components/gateway/requestquarantine.cpp
+++ b/components/gateway/requestquarantine.cpp
@@ -382,6 +382,7 @@
   for (const std::uint64_t cause : verdict.mCauses) {
     mVerdictOf.erase(cause);
   }
+  mRemoved[aVerdict] = aNow;
   if (mRecords.contains(aVerdict)) {
     mObsolete.insert_or_assign(aVerdict, ObsoleteRecord{ aNow, aSuccessor });
   } else {
@@ -482,6 +483,8 @@
   std::erase_if(mWatched, [aNow](const auto& aRow) {
     return aRow.second + CrashEvidence::kMemory <= aNow;
   });
+  std::erase_if(mRemoved,
+                [aNow](const auto& aRow) { return aRow.second + kLiftedMemory <= aNow; });
   std::vector<std::uint64_t> over;
   for (const auto& [id, verdict] : mVerdicts) {
     if (verdict.mUntil <= aNow) {
--- a/components/gateway/requestquarantine.hpp
+++ b/components/gateway/requestquarantine.hpp
@@ -62,6 +62,11 @@
   static constexpr std::size_t kMinCrashesForReply = 2;
   /// Delay before an entry other than the leader writes the record of a cause.
   static constexpr timing::Duration kRecordDelay = std::chrono::milliseconds(1000);
+  /// The same after a restore of the store, which also takes the leader away.
+  static constexpr timing::Duration kLostRecordDelay = std::chrono::milliseconds(8000);
+  /// How long a lifted verdict is remembered, so that a backup of the store does not
+  /// bring it back.
+  static constexpr timing::Duration kLiftedMemory = std::chrono::minutes(5);
 
   explicit RequestQuarantine(std::uint64_t aSeed)
     : mRandom(aSeed)
@@ -139,6 +144,9 @@
                 bool aOwn,
                 timing::Instant aNow,
                 const CrashEvidence::Causes& aCauses = {});
+  /// Records that the store was restored from a backup, and may have lost records, and
+  /// have others that were deleted. What is in force stays so.
+  void OnStoreRestored(timing::Instant aNow);
   /// Records all verdicts that the store has a record of.
   void RetainRecords(const std::set<std::uint64_t>& aVerdicts, timing::Instant aNow);
 
@@ -269,6 +277,13 @@
   };
   /// Verdicts that this entry lifted although the store has a record of them.
   std::map<std::uint64_t, ObsoleteRecord> mObsolete;
+  /// Verdicts that are no longer in force, with the time at which they were removed.
+  std::map<std::uint64_t, timing::Instant> mRemoved;
+  /// Until when other entries than the leader wait with records that a restore of the
+  /// store may have lost.
+  timing::Instant mRecordsLostUntil{};
+  /// The records that are reported are those of a restored store.
+  bool mReadsRestored{ false };
   /// Last attempt to change the record of a verdict.
   std::map<std::uint64_t, timing::Instant> mRecordTriedAt;
   std::vector<Change> mChanges;
