Create lost records of usage reports again with their bytes

What the users would see: a report whose record was lost with the store's restore was fixed anew, with other counts, by a holder that had not seen the first one; the platform got two reports of a window.

Change: every entry that knows the record creates it again, under the condition that there is none; a report whose record may be lost is not sent before. Reports that are done are kept for this as long as a report may be sent.

--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -31,6 +31,9 @@
   mControl.mStoreFreshness.RecordRestore(now);
   mControl.mDirectory.OnStoreRestored(now);
   mControl.mQuarantine.OnStoreRestored(now);
+  if (mUsageDuty) {
+    mUsageDuty->OnStoreRestored(delay, now);
+  }
   mStoreWatcher.OnRestored();
   // Duties and orders end now, not with the next tick.
   PlaceModels(now);
--- a/apps/samphiresail/gateway/usageduty.hpp
+++ b/apps/samphiresail/gateway/usageduty.hpp
@@ -65,6 +65,11 @@
   /// Processes a record of this system in the store; ignores those of other kinds.
   void OnRecord(const std::string& aKey, const std::optional<std::string>& aValue);
   /// Processes the keys of this system's records in a complete read of the store.
+  /// The store was restored from a backup: records of reports may be lost.
+  void OnStoreRestored(timing::Duration aDelay, timing::Instant aNow)
+  {
+    mReporter.OnStoreRestored(aDelay, aNow);
+  }
   void RetainRecords(const std::set<std::string>& aKeys);
   /// aLeader is the leader according to the store. aStopping is true once this process
   /// has given up its lease.
--- a/apps/tests/duties/usagefailurestest.cpp
+++ b/apps/tests/duties/usagefailurestest.cpp
@@ -124,3 +124,29 @@
       (window + 2 >= world.mTruth.rbegin()->first || world.mReports.contains(window)));
   }
 }
+
+TEST_CASE("usage: after a restore of the store no window is reported twice differently",
+          "[duties]")
+{
+  const auto seed = GENERATE(range(1U, 21U));
+  CAPTURE(seed);
+  World world(4, seed);
+  world.Run(kStart + std::chrono::milliseconds(seed * 331));
+  const auto records = world.mRecords;
+  const std::int64_t revision = world.mRevision;
+  world.Run(std::chrono::milliseconds(500 * (1 + seed % 12)));
+  world.RestoreStore(records, revision);
+  world.Run(40s);
+  CHECK_THAT(world.Wrong(0.0), Catch::Matchers::Equals(""));
+  // Also where the holder that knew the lost records is gone.
+  world.Run(3s);
+  const auto later = world.mRecords;
+  world.Run(6s);
+  world.RestoreStore(later, world.mRevision - 3);
+  world.Run(2s);
+  for (std::size_t entry = 1; entry <= 3; ++entry) {
+    world.Restart(entry);
+  }
+  world.Run(30s);
+  CHECK_THAT(world.mFaults, Catch::Matchers::Equals(""));
+}
--- a/apps/tests/duties/usagereportertest.cpp
+++ b/apps/tests/duties/usagereportertest.cpp
@@ -174,3 +174,45 @@
   CHECK(actions[1].mStep == Step::Fix);
   CHECK(actions[1].mWindow == kWindow + 2);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "usage reporter: a record that a restore lost is created with its bytes",
+                 "[duties]")
+{
+  Record();
+  const bool sent = GENERATE(false, true);
+  if (sent) {
+    REQUIRE(Next(kEnd + 2s)[0].mStep == Step::Send);
+    mReporter.OnSent(kWindow, ReportOutcome::Accepted, kToken, mNow);
+  }
+  mReporter.OnStoreRestored(0ms, mNow);
+  SECTION("lost")
+  {
+    const auto again = Next(kEnd + 3s);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].mStep == Step::Fix);
+    CHECK(again[0].mBody == "counts of 100");
+    mReporter.OnFixed(kWindow, mNow);
+  }
+  SECTION("still there")
+  {
+    mReporter.OnRecord(kWindow, "counts of 100");
+  }
+  const auto send = Next(kEnd + 4s);
+  CHECK(send.size() == (sent ? 0 : 1));
+  CHECK((sent || send[0].mStep == Step::Send));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "usage reporter: of two records across a restore the store's counts",
+                 "[duties]")
+{
+  Record();
+  mReporter.OnStoreRestored(0ms, mNow);
+  // A holder that did not know the lost one has created another.
+  mReporter.OnRecord(kWindow, "other counts");
+  const auto send = Next(kEnd + 3s);
+  REQUIRE(send.size() == 1);
+  CHECK(send[0].mStep == Step::Send);
+  CHECK(send[0].mBody == "other counts");
+}
--- a/apps/tests/duties/usageworld.hpp
+++ b/apps/tests/duties/usageworld.hpp
@@ -61,6 +61,11 @@
   void Apply(Entry& aEntry, const std::string& aKey, const std::optional<Record>& aTo);
   store::StoreReply Write(const store::TransactionRequest& aRequest);
   void Put(const std::string& aKey, const std::optional<Record>& aRecord);
+  /// Sets the store back to aRecords and aRevision, and ends all leases. Every entry
+  /// notices it within a second.
+  void RestoreStore(std::map<std::string, Record> aRecords, std::int64_t aRevision);
+  /// Has an entry notice the restore and read the store again.
+  void NoticeRestore(Entry& aEntry);
   ReportOutcome Take(const Call& aCall);
   asio::awaitable<void> WaitUntil(const Entry& aEntry, timing::Instant aTime);
   Entry& At(std::size_t aEntry) { return *mEntries.at(aEntry - 1); }
@@ -102,6 +107,7 @@
   std::ostringstream mLog;
   logging::Logger mLogger{ "world", logging::Level::Info, mLog };
   std::int64_t mRevision{ 10 };
+  store::StoreGeneration mGeneration{ 0 };
   std::map<std::int64_t, timing::Instant> mLeases;
   std::vector<Call> mCalls;
   std::int64_t mHighestToken{ 0 };
@@ -135,6 +141,7 @@
                                                   mPeers,     mLeadership, send };
     const auto incarnation = static_cast<std::uint64_t>(aWorld.TrueTime().count());
     mDuty.emplace(context, UsageTerms{ kWindow, kLate, 100ms }, mName, incarnation);
+    mLeadership.SetGeneration(aWorld.mGeneration);
     for (const auto& [key, record] : aWorld.mRecords) {
       mEvents.push_back({ aWorld.mNow, key, record });
     }
@@ -195,6 +202,8 @@
   metrics::Registry mRegistry;
   gateway::PeerTable mPeers;
   Leadership mLeadership{ kOrderLease + 300ms, false, mName, 1 };
+  /// When it notices the restore of the store; none if it has.
+  std::optional<timing::Instant> mNoticesRestoreAt;
   std::optional<gatewayapp::UsageDuty> mDuty;
   std::deque<std::string> mInbox;
   std::deque<Event> mEvents;
@@ -264,6 +273,39 @@
   return reply;
 }
 
+inline void World::RestoreStore(std::map<std::string, Record> aRecords,
+                                std::int64_t aRevision)
+{
+  std::erase_if(aRecords, [](const auto& aRow) { return aRow.second.mLease != 0; });
+  mRecords = std::move(aRecords);
+  mRevision = aRevision;
+  mLeases.clear();
+  ++mGeneration;
+  std::uniform_int_distribution<int> delay(0, 1000);
+  for (const auto& entry : mEntries) {
+    // What the watch reports from now on is the restored store's.
+    entry->mEvents.clear();
+    entry->mNoticesRestoreAt = mNow + milliseconds(delay(mRandom));
+  }
+}
+
+inline void World::NoticeRestore(Entry& aEntry)
+{
+  aEntry.mNoticesRestoreAt.reset();
+  aEntry.mLeadership.OnStoreRestored(mGeneration, 0ms, mNow);
+  aEntry.mDuty->OnStoreRestored(100ms * aEntry.mNumber, mNow);
+  aEntry.mEvents.clear();
+  std::set<std::string> keys;
+  for (const auto& [key, record] : mRecords) {
+    keys.insert(key);
+    Apply(aEntry, key, record);
+  }
+  if (!keys.contains(kLeaderKey)) {
+    aEntry.mLeadership.OnLeaderRecord({});
+  }
+  aEntry.mDuty->RetainRecords(keys);
+}
+
 inline ReportOutcome World::Take(const Call& aCall)
 {
   if (aCall.mToken < mHighestToken) {
@@ -367,6 +409,9 @@
     if (entry->mDead || entry->mFrozen) {
       continue;
     }
+    if (entry->mNoticesRestoreAt && *entry->mNoticesRestoreAt <= mNow) {
+      NoticeRestore(*entry);
+    }
     for (; !entry->mEvents.empty() && entry->mEvents.front().mAt <= mNow;
          entry->mEvents.pop_front()) {
       Apply(*entry, entry->mEvents.front().mKey, entry->mEvents.front().mRecord);
--- a/components/duties/usagereporter.cpp
+++ b/components/duties/usagereporter.cpp
@@ -1,11 +1,21 @@
 #include "components/duties/usagereporter.hpp"
 
 #include <iterator>
+#include <utility>
 
 namespace samphiresail::duties {
 
 using std::chrono::milliseconds;
 
+void UsageReporter::OnStoreRestored(timing::Duration aDelay, timing::Instant aNow)
+{
+  mRecords.clear();
+  mRewriteFrom = aNow + aDelay;
+  for (auto& [window, report] : mReports) {
+    report.mLost = report.mState == State::Recorded || report.mState == State::Done;
+  }
+}
+
 void UsageReporter::OnRecord(Window aWindow, const std::optional<std::string>& aBody)
 {
   if (!aBody) {
@@ -15,7 +25,9 @@
   mRecords.insert(aWindow);
   mFirst = std::min(mFirst, aWindow);
   Report& report = mReports[aWindow];
-  if (report.mState == State::Open || report.mState == State::Unread) {
+  const bool mayDiffer = std::exchange(report.mLost, false) && !report.mInFlight &&
+                         report.mState == State::Recorded;
+  if (mayDiffer || report.mState == State::Open || report.mState == State::Unread) {
     report.mState = State::Recorded;
     report.mBody = *aBody;
     report.mBackoff = kMinBackoff;
@@ -31,8 +43,7 @@
 
 Window UsageReporter::FirstOpen(milliseconds aTime) const
 {
-  const milliseconds oldestEnd = aTime - kGiveUpFactor * mTerms.mLate;
-  return std::max({ mFirst, mDoneBefore, oldestEnd / mTerms.mWindow });
+  return std::max({ mFirst, mDoneBefore, OldestOpen(aTime) });
 }
 
 bool UsageReporter::IsFixed(Window aWindow, milliseconds aTime) const
@@ -73,11 +84,20 @@
   mDoneBefore = std::max(mDoneBefore, FirstNotDone(FirstOpen(aTime)));
   const Window first = FirstOpen(aTime);
   for (auto it = mReports.begin(); it != mReports.end() && it->first < first;) {
-    if (it->second.mState != State::Done && it->second.mLate) {
+    const State state = it->second.mState;
+    if (it->first >= OldestOpen(aTime) &&
+        (state == State::Recorded || state == State::Done)) {
+      // Kept for a restore of the store that loses the record.
+      it->second.mState = State::Done;
+      ++it;
+      continue;
+    }
+    if (state != State::Done && it->second.mLate) {
       actions.push_back({ Step::GiveUp, it->first, it->second.mBody, {}, 0 });
     }
     it = mReports.erase(it);
   }
+  AppendLost(actions, aNow);
   if (!aToken || !MayUse(*aToken)) {
     return actions;
   }
@@ -96,6 +116,19 @@
   return actions;
 }
 
+void UsageReporter::AppendLost(std::vector<Action>& aActions, timing::Instant aNow)
+{
+  if (aNow < mRewriteFrom) {
+    return;
+  }
+  for (auto& [window, report] : mReports) {
+    if (report.mLost && !report.mInFlight && aNow >= report.mNextAt) {
+      report.mInFlight = true;
+      aActions.push_back({ Step::Fix, window, report.mBody, {}, 0 });
+    }
+  }
+}
+
 std::optional<UsageReporter::Action> UsageReporter::StepOf(Window aWindow,
                                                            Report& aReport,
                                                            milliseconds aTime,
@@ -118,7 +151,7 @@
     case State::Unread:
       return Action{ Step::Read, aWindow, {}, {}, 0 };
     case State::Recorded:
-      if (aNow < mNextCallAt) {
+      if (aReport.mLost || aNow < mNextCallAt) {
         return std::nullopt;
       }
       mNextCallAt = aNow + mTerms.mCallInterval;
@@ -158,6 +191,8 @@
     OnRecord(aWindow, aBody);
   } else if (report.mState == State::Open) {
     report.mState = State::Unread;
+  } else if (report.mLost) {
+    Retry(report, aNow);
   }
 }
 
--- a/components/duties/usagereporter.hpp
+++ b/components/duties/usagereporter.hpp
@@ -109,6 +109,10 @@
   {
     std::erase_if(mRecords, [&](Window aWindow) { return !aWindows.contains(aWindow); });
   }
+  /// Records that the store was restored from a backup. The records of reports that it
+  /// lost are created again with the same bytes, by every process that knows them: a
+  /// holder that does not would count anew. This process begins after aDelay.
+  void OnStoreRestored(timing::Duration aDelay, timing::Instant aNow);
   /// Processes a holder's record that the reports of all windows before this one are
   /// done. One that lies in the future is not sound, and ignored.
   void OnDoneBefore(Window aWindow, std::chrono::milliseconds aTime);
@@ -117,7 +121,7 @@
 
   /// Returns the next steps of the holder of aToken; the outcome of each Fix, Read and
   /// Send is reported by one of the calls below. aTime is the time since the Unix epoch.
-  /// Without a token, nothing is to be done.
+  /// Without a token, only records that a restore of the store lost are created.
   std::vector<Action> Next(std::optional<std::int64_t> aToken,
                            std::chrono::milliseconds aTime,
                            timing::Instant aNow,
@@ -161,6 +165,8 @@
     std::string mBody;
     bool mInFlight{ false };
     bool mLate{ false };
+    /// A restore of the store may have lost the record.
+    bool mLost{ false };
     timing::Instant mNextAt{};
     std::chrono::milliseconds mBackoff{ kMinBackoff };
   };
@@ -175,6 +181,13 @@
                                timing::Instant aNow,
                                const Source& aSource);
   std::vector<Window> Expired(std::chrono::milliseconds aTime) const;
+  /// Returns the first window that is not too old to be reported.
+  Window OldestOpen(std::chrono::milliseconds aTime) const
+  {
+    return (aTime - kGiveUpFactor * mTerms.mLate) / mTerms.mWindow;
+  }
+  /// Appends the creation of records that a restore of the store lost.
+  void AppendLost(std::vector<Action>& aActions, timing::Instant aNow);
   /// Returns the first window from aFirst on whose report is not done.
   Window FirstNotDone(Window aFirst) const;
   void Retry(Report& aReport, timing::Instant aNow);
@@ -187,6 +200,8 @@
   Window mDoneBefore{ 0 };
   std::int64_t mFencedToken{ 0 };
   timing::Instant mNextCallAt{};
+  /// When lost records may be created again.
+  timing::Instant mRewriteFrom{};
 };
 
 }
