Keep open routes open when the store is restored

What callers saw: a deployment without client accounts answered 503 after the store had come back from a copy with an older version: its revisions proved nothing any more, and the history was gone.

Change: the numbers of versions, which no restore gives out again, tell that a version is not newer than those that are known to hold no accounts.

Two unit tests.

--- a/apps/samphiresail/gateway/keyrecords.cpp
+++ b/apps/samphiresail/gateway/keyrecords.cpp
@@ -57,7 +57,7 @@
   const std::string_view now = requirement.IsRequired() ? "yes"
                                : requirement.IsOpen()   ? "no"
                                                         : kUnknown;
-  if (!mControl.Configuration() || now == mLoggedKeyRequirement) {
+  if (mReadsRestored || !mControl.Configuration() || now == mLoggedKeyRequirement) {
     return;
   }
   mLoggedKeyRequirement = now;
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -29,6 +29,7 @@
   const std::chrono::milliseconds delay(spread(mRandom));
   mLeadership.OnStoreRestored(mStore.Generation(), delay, now);
   mControl.mStoreFreshness.RecordRestore(now);
+  mControl.mKeyRequirement.OnStoreRestored();
   mControl.mDirectory.OnStoreRestored(now);
   mControl.mQuarantine.OnStoreRestored(now);
   if (mUsageDuty) {
--- a/apps/tests/gateway/keyrequirementtest.cpp
+++ b/apps/tests/gateway/keyrequirementtest.cpp
@@ -316,3 +316,55 @@
     CHECK((open == 0 || open == StorePlay::kProcesses));
   }
 }
+
+TEST_CASE("key requirement: a restore of the store closes no routes that are open",
+          "[gateway]")
+{
+  KeyRequirement requirement;
+  const auto version = [](std::uint64_t aNumber, StoreRevision aRevision) {
+    return ConfigurationVersion{ aRevision, 5, AccountsStated::None, aNumber };
+  };
+  requirement.OnVersion(version(3, 5));
+  requirement.OnRead(6);
+  requirement.OnVersion(version(4, 40));
+  requirement.OnHistory(6, 45);
+  REQUIRE(requirement.IsOpen());
+  requirement.OnStoreRestored();
+  CHECK(requirement.IsOpen());
+  SECTION("whose backup holds an older version")
+  {
+    requirement.OnVersion(version(3, 30));
+    requirement.OnRead(35);
+    CHECK(requirement.IsOpen());
+    requirement.OnVersion(version(4, 36));
+    requirement.OnHistory(35, 36);
+    CHECK(requirement.IsOpen());
+  }
+  SECTION("whose revisions have passed the known ones")
+  {
+    requirement.OnVersion(version(4, 60));
+    requirement.OnRead(70);
+    CHECK(requirement.IsOpen());
+  }
+  SECTION("but one that holds a version after those that are known")
+  {
+    requirement.OnVersion(version(7, 41));
+    requirement.OnRead(70);
+    CHECK_FALSE(requirement.IsOpen());
+    CHECK(requirement.TakeReplayStart() == 4);
+  }
+}
+
+TEST_CASE("key requirement: a restore takes no need for keys back", "[gateway]")
+{
+  KeyRequirement requirement;
+  requirement.OnVersion(Later(AccountsStated::Some, 40));
+  requirement.SetAccountsRecorded(true);
+  requirement.OnStoreRestored();
+  requirement.OnVersion(First(AccountsStated::None));
+  requirement.SetAccountsRecorded(false);
+  requirement.OnRead(6);
+  CHECK(requirement.IsRequired());
+  CHECK_FALSE(requirement.IsOpen());
+  CHECK(requirement.LacksAccountsRecord());
+}
--- a/components/gateway/keyrequirement.cpp
+++ b/components/gateway/keyrequirement.cpp
@@ -1,6 +1,7 @@
 #include "components/gateway/keyrequirement.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphiresail::gateway {
 
@@ -20,6 +21,12 @@
   if (aVersion.mAccounts == AccountsStated::NoConfiguration) {
     return;
   }
+  if (std::exchange(mRestored, false)) {
+    mNewest = 0;
+    mNoAccountsThrough = 0;
+    mNoAccountsRecorded = 0;
+    mReplayedFor = 0;
+  }
   mRequired = mRequired || aVersion.mAccounts == AccountsStated::Some;
   mLast = aVersion;
   mNewest = std::max(mNewest, aVersion.mRevision);
@@ -31,6 +38,14 @@
   }
 }
 
+void KeyRequirement::OnStoreRestored()
+{
+  if (IsOpen()) {
+    mNoAccountsThroughNumber = std::max(mNoAccountsThroughNumber, mLast.mNumber);
+  }
+  mRestored = true;
+}
+
 void KeyRequirement::OnRead(StoreRevision aRevision)
 {
   if (aRevision < std::max(mNewest, mNoAccountsThrough)) {
@@ -40,7 +55,8 @@
       std::max(mNoAccountsRecorded <= mNewest ? mNoAccountsRecorded : 0,
                IsFirst(mLast) ? mLast.mRevision : 0);
   }
-  if (IsOpen()) {
+  const bool isKnown = mLast.mNumber != 0 && mLast.mNumber <= mNoAccountsThroughNumber;
+  if (IsOpen() || isKnown) {
     mNoAccountsThrough = std::max(mNoAccountsThrough, aRevision);
   }
 }
--- a/components/gateway/keyrequirement.hpp
+++ b/components/gateway/keyrequirement.hpp
@@ -29,6 +29,8 @@
   /// version.
   StoreRevision mCreateRevision{ 0 };
   AccountsStated mAccounts{ AccountsStated::None };
+  /// Number that the operator gave it, which increases; 0 if it is not known.
+  std::uint64_t mNumber{ 0 };
 };
 
 /// Decides whether a configuration without client accounts opens the routes that are not
@@ -45,6 +47,9 @@
   void OnVersion(const ConfigurationVersion& aVersion);
   /// Records that the newest version at a store revision has been reported.
   void OnRead(StoreRevision aRevision);
+  /// Records that the store was restored from a backup and gives revisions out again.
+  /// What is known applies until its newest version is reported.
+  void OnStoreRestored();
   /// Records that all versions after aAfter up to aThrough have been reported.
   void OnHistory(StoreRevision aAfter, StoreRevision aThrough);
 
@@ -84,6 +89,11 @@
   StoreRevision mNoAccountsRecorded{ 0 };
   /// Newest version for which the history was asked for.
   StoreRevision mReplayedFor{ 0 };
+  /// No version up to this number held accounts. Known since a restore of the store,
+  /// which gives numbers of versions out again only to the same versions.
+  std::uint64_t mNoAccountsThroughNumber{ 0 };
+  /// The store was restored, and no version of it has been reported since.
+  bool mRestored{ false };
 };
 
 }
