Count entries on while they write their records again

After a restore the records of entries that joined since the copy are gone for about a second, and the number of entries may be an older one. Entries were taken out of the registered ones at once, and the number was lowered, by which processes that start divide limits.

Change: a registration ends only if the record is not there again after 3 s.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -343,6 +343,7 @@
     if (const std::size_t dropped = mLogOutput.ResetDroppedLines()) {
       mLogger.Warn("log lines dropped", { { "lines", dropped } });
     }
+    EndAwaitedRegistrations(aNow);
     StoreEntryCount();
     StoreKeyRequirement(aNow);
     if (mSettingsWatch.Changed()) {
--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <ostream>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -126,7 +127,13 @@
   /// Gives up what rests on records of the store that a restore may have taken back.
   void OnStoreRestored();
   /// Ends the first complete reading of a restored store.
-  void OnRestoredRead();
+  void OnRestoredRead(const gateway::FullReading& aReading);
+  /// Ends the registrations of entries without a record, once they had time to write it
+  /// again.
+  void RetainRegistrations(const gateway::FullReading& aReading, timing::Instant aNow);
+  void EndAwaitedRegistrations(timing::Instant aNow);
+  /// Takes the number of entries that the store's record states; none if there is none.
+  void OnEntryCountRecord(std::optional<std::size_t> aEntries);
   /// Takes what a record says of the accounts of all versions; none if it is not there.
   void OnKeyRecord(std::string_view aKey, const std::optional<std::string>& aValue);
   /// Logs whether routes that are not public need a key, if that has changed.
@@ -219,6 +226,10 @@
   std::optional<timing::Instant> mKeyRecordLacks;
   /// The store was restored from a backup and not read completely since.
   bool mReadsRestored{ false };
+  /// Entries that have not written their records again since a restore.
+  std::set<ids::ProcessId> mAwaitedRegistrations;
+  /// A restore took the number of entries back that this entry knows.
+  bool mEntryCountLost{ false };
   /// What was logged last of the need for keys.
   std::string_view mLoggedKeyRequirement;
   timing::Instant mLastTick{};
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -35,17 +35,25 @@
 constexpr milliseconds kAwaitedAdapterLifetime{ 150 };
 /// How long the load of an adapter is included in reports, since datagrams can be lost.
 constexpr milliseconds kLoadedAdapterReportTime{ 700 };
+/// Time after which an entry that does not lead writes the number of entries that a
+/// restore of the store took back.
+constexpr std::chrono::seconds kEntryCountRewriteDelay{ 5 };
 
 }
 
 void GatewayProcess::StoreEntryCount()
 {
-  const std::size_t known = mPeers.KnownEntries();
-  if (known <= mPeers.RecordedEntries() ||
-      mControl.mStoreFreshness.RecordsMayHaveLapsed(mClock.Now())) {
+  const timing::Instant now = mClock.Now();
+  const std::size_t known = std::max(mPeers.KnownEntries(), mPeers.RecordedEntries());
+  const timing::Instant rewriteAt =
+    mControl.mStoreFreshness.RewriteEnd() + kEntryCountRewriteDelay;
+  const bool rewrites = mEntryCountLost && (mLeading || now >= rewriteAt);
+  if ((known <= mPeers.RecordedEntries() && !rewrites) ||
+      mControl.mStoreFreshness.RecordsMayHaveLapsed(now)) {
     return;
   }
   mPeers.SetRecordedEntries(known);
+  mEntryCountLost = false;
   asio::co_spawn(
     mIo,
     [this, known]() -> asio::awaitable<void> {
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -133,11 +133,7 @@
   if (!aReading.mOwnKeys.contains(std::string(kLeaderKey))) {
     OnLeaderRecord({});
   }
-  for (const ids::ProcessId& process : mPeers.Registered()) {
-    if (!aReading.mOwnKeys.contains(std::string(kMemberPrefix) + process.Str())) {
-      mPeers.Unregister(process, now);
-    }
-  }
+  RetainRegistrations(aReading, now);
   std::set<std::uint64_t> quarantined;
   for (const std::string& key : aReading.mOwnKeys) {
     if (const auto verdict = QuarantineVerdictOf(key)) {
@@ -150,7 +146,7 @@
     mUsageDuty->RetainRecords(aReading.mOwnKeys);
   }
   if (aReading.mRestored) {
-    OnRestoredRead();
+    OnRestoredRead(aReading);
   }
   UpdateShares(now);
   mEndpointsRead = true;
@@ -182,9 +178,7 @@
                      aRecord.mLease,
                      aRecord.mModRevision });
   } else if (key == kEntryCountKey) {
-    if (const auto entries = ParseEntryCount(value.value_or(std::string()))) {
-      mPeers.SetRecordedEntries(*entries);
-    }
+    OnEntryCountRecord(ParseEntryCount(value.value_or(std::string())));
   } else if (key == kAccountsKey || key == kNoAccountsKey) {
     OnKeyRecord(key, value);
     LogKeyRequirement();
@@ -212,6 +206,7 @@
     if (process == mSettings.mName) {
       mLeadership.OnMemberRecord(value ? aRecord.mLease : 0, now);
     }
+    mAwaitedRegistrations.erase(process);
     if (!value) {
       mPeers.Unregister(process, now);
     } else if (const auto member = gateway::DecodeMember(*value)) {
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "apps/samphiresail/gateway/recordkeys.hpp"
+
 namespace samphiresail::gatewayapp {
 
 namespace {
@@ -40,10 +42,49 @@
   PlaceModels(now);
 }
 
-void GatewayProcess::OnRestoredRead()
+void GatewayProcess::OnRestoredRead(const gateway::FullReading& aReading)
 {
   mReadsRestored = false;
   mControl.mDirectory.OnRestoredRead();
+  mEntryCountLost =
+    mEntryCountLost || (mPeers.RecordedEntries() > 0 &&
+                        !aReading.mOwnKeys.contains(std::string(kEntryCountKey)));
+}
+
+void GatewayProcess::RetainRegistrations(const gateway::FullReading& aReading,
+                                         timing::Instant aNow)
+{
+  for (const ids::ProcessId& process : mPeers.Registered()) {
+    if (!aReading.mOwnKeys.contains(std::string(kMemberPrefix) + process.Str())) {
+      mAwaitedRegistrations.insert(process);
+    }
+  }
+  if (!aReading.mOwnKeys.contains(std::string(kMemberPrefix) + mSettings.mName.Str())) {
+    mLeadership.OnMemberRecord(0, aNow);
+  }
+  EndAwaitedRegistrations(aNow);
+}
+
+void GatewayProcess::EndAwaitedRegistrations(timing::Instant aNow)
+{
+  if (aNow < mControl.mStoreFreshness.RewriteEnd()) {
+    return;
+  }
+  for (const ids::ProcessId& process : mAwaitedRegistrations) {
+    mPeers.Unregister(process, aNow);
+  }
+  mAwaitedRegistrations.clear();
+}
+
+void GatewayProcess::OnEntryCountRecord(std::optional<std::size_t> aEntries)
+{
+  const bool isRestored = mClock.Now() < mControl.mStoreFreshness.RewriteEnd();
+  if (isRestored && aEntries.value_or(0) < mPeers.RecordedEntries()) {
+    mEntryCountLost = true;
+  } else if (aEntries) {
+    mPeers.SetRecordedEntries(*aEntries);
+    mEntryCountLost = false;
+  }
 }
 
 }
