Take no older configuration from a backup at a start

What callers saw: a process that started while the copy held an older version than the other entries had in force served withdrawn keys and refused routes that were there with 404.

Change: entries state the version in force in their reports. A process that is behind as it starts is not ready, takes no keys and refuses no route for good; any other one has the time for changes to catch up. Where the store states generations, a process that knows of other entries waits for a report of one, 2 s at most.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -132,6 +132,8 @@
   /// again.
   void RetainRegistrations(const gateway::FullReading& aReading, timing::Instant aNow);
   void EndAwaitedRegistrations(timing::Instant aNow);
+  /// Compares the configuration in force with that of the other entries.
+  void CompareConfigurations(timing::Instant aNow);
   /// Takes the number of entries that the store's record states; none if there is none.
   void OnEntryCountRecord(std::optional<std::size_t> aEntries);
   /// Takes what a record says of the accounts of all versions; none if it is not there.
@@ -228,6 +230,8 @@
   bool mReadsRestored{ false };
   /// Entries that have not written their records again since a restore.
   std::set<ids::ProcessId> mAwaitedRegistrations;
+  /// What was logged last of the configuration's age.
+  bool mLoggedOutdated{ false };
   /// A restore took the number of entries back that this entry knows.
   bool mEntryCountLost{ false };
   /// What was logged last of the need for keys.
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -100,6 +100,7 @@
 
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
+  CompareConfigurations(aNow);
   UpdateEnginePolicy();
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
   mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
@@ -155,6 +156,8 @@
   report.mProcess = mSettings.mName;
   report.mIncarnation = mIncarnation;
   report.mSequence = ++mPeerReportSequence;
+  report.mConfigurationVersion =
+    mControl.Configuration() ? mControl.Configuration()->mVersion : 0;
   report.mReceivesFromAll = mPeers.ReceivesFromAll(aNow);
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
     if (endpoint.mOwnLoad.mRequests > 0) {
@@ -330,6 +333,9 @@
     return;
   }
   mPeerLoadsChanged = mPeerLoadsChanged || !notice;
+  if (mPeers.IsJoining(now)) {
+    CompareConfigurations(now);
+  }
   if (fromOtherZone && !forwarded && mPeers.Aggregator(now) == mSettings.mName) {
     const std::string bytes = gateway::MarkForwarded(aBytes);
     for (const auto& [process, address] : mPeers.ReportReceivers()) {
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -76,6 +76,25 @@
   mAwaitedRegistrations.clear();
 }
 
+void GatewayProcess::CompareConfigurations(timing::Instant aNow)
+{
+  const std::uint64_t own =
+    mControl.Configuration() ? mControl.Configuration()->mVersion : 0;
+  const std::uint64_t peers = mPeers.NewestConfiguration(aNow);
+  mControl.mStoreFreshness.RecordVersions(own, peers, mPeers.IsJoining(aNow), aNow);
+  // A store that states generations may have been restored just before this start.
+  mControl.mStoreFreshness.SetPeersAwaited(mStore.StatesGeneration() && peers == 0 &&
+                                           mPeers.IsJoining(aNow) &&
+                                           mPeers.EntryCount(aNow) > 1);
+  const bool isOutdated = mControl.mStoreFreshness.IsOutdated(aNow);
+  if (isOutdated != mLoggedOutdated) {
+    mLoggedOutdated = isOutdated;
+    mLogger.Info(isOutdated ? "configuration may be older than that of other entries"
+                            : "configuration is as new as that of other entries",
+                 { { "version", own }, { "other_entries", peers } });
+  }
+}
+
 void GatewayProcess::OnEntryCountRecord(std::optional<std::size_t> aEntries)
 {
   const bool isRestored = mClock.Now() < mControl.mStoreFreshness.RewriteEnd();
--- a/apps/tests/gateway/storefreshnesstest.cpp
+++ b/apps/tests/gateway/storefreshnesstest.cpp
@@ -97,3 +97,19 @@
   }
   CHECK(freshness.AreKeysFresh(restored + StoreFreshness::kRewriteTime));
 }
+
+TEST_CASE("contact: a process that starts behind the others believes no older keys",
+          "[gateway]")
+{
+  StoreFreshness freshness;
+  freshness.ConfirmUpTo(kNow);
+  const bool starting = GENERATE(true, false);
+  freshness.RecordVersions(5, 7, starting, kNow);
+  CHECK(freshness.AreKeysFresh(kNow) == !starting);
+  CHECK(freshness.IsReady(kNow) == !starting);
+  // Any other process has the time in which a change must be in force.
+  CHECK_FALSE(freshness.AreKeysFresh(kNow + 2s));
+  CHECK_FALSE(freshness.IsConfigurationCurrent(kNow + 2s));
+  freshness.RecordVersions(7, 7, starting, kNow);
+  CHECK(freshness.AreKeysFresh(kNow + 2s));
+}
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -181,6 +181,7 @@
   load.set_process(aReport.mProcess.Str());
   load.set_incarnation(aReport.mIncarnation);
   load.set_number(aReport.mSequence);
+  load.set_configuration_version(aReport.mConfigurationVersion);
   load.set_hears_all(aReport.mReceivesFromAll);
   load.set_zone(aReport.mZone.Str());
   for (const std::uint64_t key : aReport.mCovered) {
@@ -237,6 +238,7 @@
   PeerReport report;
   report.mProcess = ids::ProcessId(load.process());
   report.mIncarnation = load.incarnation();
+  report.mConfigurationVersion = load.configuration_version();
   report.mSequence = load.number();
   report.mReceivesFromAll = load.hears_all();
   report.mZone = ids::AvailabilityZoneId(load.zone());
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -318,6 +318,15 @@
   return sums;
 }
 
+std::uint64_t PeerTable::NewestConfiguration(timing::Instant aNow) const
+{
+  std::uint64_t newest = 0;
+  ForEachFresh(aNow, [&newest](const PeerReport& aReport) {
+    newest = std::max(newest, aReport.mConfigurationVersion);
+  });
+  return newest;
+}
+
 std::vector<ids::ProcessId> PeerTable::Known() const
 {
   std::vector<ids::ProcessId> processes;
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -47,6 +47,8 @@
   /// has become stale.
   std::uint64_t mIncarnation{ 0 };
   std::uint64_t mSequence{ 0 };
+  /// Version of the configuration that the sender has in force; 0 if it has none.
+  std::uint64_t mConfigurationVersion{ 0 };
   /// The sender has fresh reports of all entries in its table.
   bool mReceivesFromAll{ false };
   /// Requests in flight by endpoint.
@@ -193,6 +195,10 @@
   /// the table.
   bool IsJoining(timing::Instant aNow) const { return aNow < mStart + kJoinTime; }
 
+  /// The newest version of the configuration that another entry has in force, from the
+  /// same reports as the loads; 0 if none says so.
+  std::uint64_t NewestConfiguration(timing::Instant aNow) const;
+
   /// Requests in flight by HashName of the endpoint, summed over the fresh reports of the
   /// other entries.
   std::unordered_map<std::uint64_t, EngineLoad> InFlight(timing::Instant aNow) const;
--- a/components/gateway/storefreshness.hpp
+++ b/components/gateway/storefreshness.hpp
@@ -2,6 +2,8 @@
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_STOREFRESHNESS_HPP
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 #include "components/timing/clock.hpp"
 
@@ -74,22 +76,47 @@
   /// When the records that a restore took back are written again at the latest.
   timing::Instant RewriteEnd() const { return mRewriteEnd; }
 
+  /// Records the version of the configuration in force here, and the newest one at the
+  /// other entries; 0 if none is known. A process that is behind as it starts has read a
+  /// store that lost the newer version; any other one has time to learn of it.
+  void RecordVersions(std::uint64_t aOwn,
+                      std::uint64_t aPeers,
+                      bool aStarting,
+                      timing::Instant aNow)
+  {
+    if (aOwn == 0 || aPeers <= aOwn) {
+      mOutdatedFrom.reset();
+    } else if (!mOutdatedFrom) {
+      mOutdatedFrom = aStarting ? aNow : aNow + mChangeTime;
+    }
+  }
+  /// Sets whether the versions of the other entries are yet to be heard of.
+  void SetPeersAwaited(bool aAwaited) { mPeersAwaited = aAwaited; }
+  /// True if other entries have had a newer configuration in force for too long, or may
+  /// have one when this process starts.
+  bool IsOutdated(timing::Instant aNow) const
+  {
+    return mPeersAwaited || (mOutdatedFrom && aNow >= *mOutdatedFrom);
+  }
+
   /// Records that the newest configuration was adopted, or that it cannot be read.
   void RecordConfiguration(bool aAdopted) { mConfigurationAdopted = aAdopted; }
 
   bool AreKeysFresh(timing::Instant aNow) const
   {
-    return mHasConfirmation && aNow - mFreshAsOf < mMaxKeyStaleness;
+    return mHasConfirmation && !IsOutdated(aNow) && aNow - mFreshAsOf < mMaxKeyStaleness;
   }
   /// True if every change that must be in force by now is known. Otherwise a key or a
   /// route that is not known may have been added.
   bool IsConfigurationCurrent(timing::Instant aNow) const
   {
-    return mHasConfirmation && mConfigurationAdopted && aNow - mFreshAsOf < mChangeTime;
+    return mHasConfirmation && mConfigurationAdopted && !IsOutdated(aNow) &&
+           aNow - mFreshAsOf < mChangeTime;
   }
   bool IsReady(timing::Instant aNow) const
   {
-    return mHasConfirmation && aNow - mContactAsOf < kMaxReadyStaleness;
+    return mHasConfirmation && !IsOutdated(aNow) &&
+           aNow - mContactAsOf < kMaxReadyStaleness;
   }
   /// True if a record that is removed now may have expired although the process that owns
   /// it is running.
@@ -113,6 +140,9 @@
   /// The same without regard to a restore.
   timing::Instant mContactAsOf{};
   timing::Instant mRewriteEnd{};
+  /// Since when the configuration in force counts as older than that of other entries.
+  std::optional<timing::Instant> mOutdatedFrom;
+  bool mPeersAwaited{ false };
   /// Confirmations of earlier instants are those of a backup.
   timing::Instant mConfirmableFrom{};
   /// When the last response was read.
--- a/components/store/restoredetector.hpp
+++ b/components/store/restoredetector.hpp
@@ -42,6 +42,8 @@
                      std::optional<StoreGeneration> aGeneration,
                      std::int64_t aRevision);
 
+  /// True if a response has stated a generation.
+  bool StatesGeneration() const { return mGeneration.has_value(); }
   /// The generation that was stated last; 0 if none was.
   StoreGeneration Generation() const { return mGeneration.value_or(0); }
   /// Restores that this process has noticed.
