Take no grant without a lease, and believe the time to live of the store

What callers would see: a grant that was answered without the number of a lease counted as lease 0. The leader's record was then bound to no lease and never expired: once its holder was gone, nobody led. Each entry with lease 0 took such a record for its own. The time to live that the store applies was not read, so a shorter one than asked for was believed to last longer.

--- a/apps/samphiresail/gateway/leadershiploop.cpp
+++ b/apps/samphiresail/gateway/leadershiploop.cpp
@@ -235,7 +235,7 @@
   }
   switch (aStep) {
     case Leadership::Step::GrantLease:
-      mLeadership.OnLeaseGranted(reply.mLease, Leadership::kLeaseTimeToLive, sent);
+      mLeadership.OnLeaseGranted(reply.mLease, reply.mTimeToLive, sent, now);
       break;
     case Leadership::Step::KeepLease:
       mLeadership.OnLeaseKept(sent);
--- a/apps/tests/duties/usageworld.hpp
+++ b/apps/tests/duties/usageworld.hpp
@@ -341,7 +341,7 @@
   switch (leadership.Next(mNow)) {
     case Leadership::Step::GrantLease:
       mLeases[++mRevision] = mNow + Leadership::kLeaseTimeToLive;
-      leadership.OnLeaseGranted(mRevision, Leadership::kLeaseTimeToLive, mNow);
+      leadership.OnLeaseGranted(mRevision, Leadership::kLeaseTimeToLive, mNow, mNow);
       break;
     case Leadership::Step::KeepLease:
       if (mLeases.contains(lease)) {
--- a/apps/tests/gateway/leadershiptest.cpp
+++ b/apps/tests/gateway/leadershiptest.cpp
@@ -28,7 +28,7 @@
 void Register(Leadership& aLeadership, std::int64_t aLease, timing::Instant aNow)
 {
   REQUIRE(aLeadership.Next(aNow) == Leadership::Step::GrantLease);
-  aLeadership.OnLeaseGranted(aLease, Leadership::kLeaseTimeToLive, aNow);
+  aLeadership.OnLeaseGranted(aLease, Leadership::kLeaseTimeToLive, aNow, aNow);
   REQUIRE(aLeadership.Next(aNow) == Leadership::Step::WriteMember);
   aLeadership.OnMemberWritten();
 }
@@ -96,7 +96,7 @@
 TEST_CASE("leadership: no entry becomes leader while the record is present", "[gateway]")
 {
   Leadership leadership(0ms, true, kProcess, kIncarnation);
-  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
+  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow, kNow);
   leadership.OnMemberWritten();
   CHECK(leadership.Next(kNow) == Leadership::Step::None);
   leadership.OnLeaderRecord(RecordOfOther(99, 12));
@@ -111,7 +111,7 @@
 {
   Leadership leadership(0ms, true, kProcess, kIncarnation);
   leadership.SetTakeoverDelay(1500ms);
-  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
+  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow, kNow);
   leadership.OnMemberWritten();
   leadership.OnLeaderRecord({});
   CHECK(leadership.Next(kNow) == Leadership::Step::None);
@@ -135,7 +135,7 @@
 {
   // Otherwise its record would keep all others from leading for as long as it lives.
   Leadership leadership(3300ms, false, kProcess, kIncarnation);
-  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
+  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow, kNow);
   leadership.OnMemberWritten();
   leadership.OnLeaderRecord({});
   REQUIRE(leadership.Next(kNow) == Leadership::Step::CreateLeader);
@@ -159,7 +159,7 @@
   // The lease's number belongs to the other entry now.
   leadership.OnLeaderRecord(RecordOfOther(kLease, kRevision, 2));
   CHECK(leadership.Next(kNow) == Leadership::Step::GrantLease);
-  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow);
+  leadership.OnLeaseGranted(kLease, Leadership::kLeaseTimeToLive, kNow, kNow);
   leadership.OnLeaderRecord(RecordOfOther(kLease, kRevision, 2));
   leadership.Next(kNow);
   CHECK_FALSE(leadership.Token(kNow + kGrace));
@@ -300,3 +300,26 @@
                             "entry-1\n7 1\nmore");
   CHECK(gateway::ParseLeaderClaim(odd) == gateway::LeaderClaim{ kProcess, 0, 0 });
 }
+
+TEST_CASE("leadership: a grant without a lease binds no records", "[gateway]")
+{
+  Leadership leadership(0ms, true, kProcess, kIncarnation);
+  REQUIRE(leadership.Next(kNow) == Leadership::Step::GrantLease);
+  leadership.OnLeaseGranted(0, Leadership::kLeaseTimeToLive, kNow, kNow);
+  CHECK(leadership.Next(kNow) == Leadership::Step::None);
+  CHECK(leadership.Next(kNow + Leadership::kRetryBackoff) ==
+        Leadership::Step::GrantLease);
+}
+
+TEST_CASE("leadership: a lease that the store shortens ends the leadership in time",
+          "[gateway]")
+{
+  Leadership leadership(0ms, true, kProcess, kIncarnation);
+  leadership.OnLeaseGranted(kLease, 1200ms, kNow, kNow);
+  leadership.OnMemberWritten();
+  leadership.OnLeaderRecord({});
+  REQUIRE(leadership.Next(kNow) == Leadership::Step::CreateLeader);
+  leadership.OnLeaderCreated(kRevision, kNow);
+  CHECK(leadership.Token(kNow + 300ms));
+  CHECK_FALSE(leadership.Token(kNow + 400ms));
+}
--- a/apps/tests/realprocesses/restorablestore.py
+++ b/apps/tests/realprocesses/restorablestore.py
@@ -51,6 +51,8 @@
         self.run_late = lambda path, call: None
         # Longest time to live that is granted, in milliseconds.
         self.longest_ttl = None
+        # So many grants are answered without the number of the lease.
+        self.grants_without_lease = 0
         # Revisions up to this one are no longer in the history.
         self.floor = 0
 
@@ -93,6 +95,9 @@
         if delay is not None:
             asyncio.get_running_loop().call_later(delay, self.transaction, json.loads(body))
             raise ConnectionError
+        if path == "/kv-lease" and self.grants_without_lease > 0:
+            self.grants_without_lease -= 1
+            return 200, {"ttlMs": json.loads(body)["ttlMs"]}
         if path == "/kv-lease" and self.longest_ttl:
             call = json.loads(body)
             body = json.dumps(dict(call, ttlMs=min(call["ttlMs"], self.longest_ttl)))
--- a/apps/tests/realprocesses/storerestore.py
+++ b/apps/tests/realprocesses/storerestore.py
@@ -442,6 +442,23 @@
     scene.check_orders(began, time.monotonic(), recover=False)
 
 
+async def play_odd_grants(scene):
+    """No loss: grants are answered without a lease, so that two entries might share one."""
+    await scene.start()
+    began = time.monotonic()
+    for _ in range(2):
+        await asyncio.sleep(3)
+        scene.fleet.store.grants_without_lease = 3
+        for lease in list(scene.fleet.store.leases):
+            scene.fleet.store.end_lease(lease)
+        await asyncio.sleep(6)
+    scene.check_orders(began, time.monotonic(), recover=False)
+    unbound = [key for key, item in scene.fleet.store.items.items()
+               if key.startswith(("samphiresail/entries/", "samphiresail/leader"))
+               and not item.lease]
+    scene.check(not unbound, "records without a lease: %s" % sorted(unbound))
+
+
 async def play_no_history(scene):
     """No loss: the history goes again and again while routes are added."""
     await scene.start()
@@ -493,6 +510,7 @@
     yield "no loss: late writes", play_late_writes
     yield "no loss: frozen", play_frozen
     yield "no loss: short leases", play_short_leases
+    yield "no loss: grants without a lease", play_odd_grants
     yield "no loss: no history", play_no_history
     yield "no loss: one name", play_one_name
 
--- a/components/gateway/leadership.cpp
+++ b/components/gateway/leadership.cpp
@@ -77,10 +77,16 @@
 
 void Leadership::OnLeaseGranted(std::int64_t aLease,
                                 std::chrono::milliseconds aTimeToLive,
-                                timing::Instant aSent)
+                                timing::Instant aSent,
+                                timing::Instant aNow)
 {
+  if (aLease <= 0) {
+    OnStepFailed(aNow);
+    return;
+  }
   mLease = aLease;
-  mTimeToLive = aTimeToLive;
+  mTimeToLive =
+    aTimeToLive.count() > 0 ? std::min(aTimeToLive, kLeaseTimeToLive) : kLeaseTimeToLive;
   mLeaseRenewedAt = aSent;
   mMemberRecordWritten = false;
   mMemberWriteFrom = timing::Instant{};
--- a/components/gateway/leadership.hpp
+++ b/components/gateway/leadership.hpp
@@ -81,9 +81,12 @@
   /// Returns the next step; the caller reports its outcome before the next call.
   Step Next(timing::Instant aNow);
 
+  /// aTimeToLive is what the store applies; 0 if it does not say. A lease without a
+  /// number is none: records bound to it would never expire.
   void OnLeaseGranted(std::int64_t aLease,
                       std::chrono::milliseconds aTimeToLive,
-                      timing::Instant aSent);
+                      timing::Instant aSent,
+                      timing::Instant aNow);
   void OnLeaseKept(timing::Instant aSent);
   void OnLeaseLost();
   void OnMemberWritten() { mMemberRecordWritten = true; }
--- a/components/store/keyvaluestore.hpp
+++ b/components/store/keyvaluestore.hpp
@@ -105,6 +105,8 @@
   /// Records read, or the compared records of a failed transaction.
   std::vector<KeyValue> mRecords;
   std::int64_t mLease{ 0 };
+  /// Time to live that the store applies to the lease; 0 if it states none.
+  std::chrono::milliseconds mTimeToLive{ 0 };
   /// Generation that the response states; none if it states none.
   std::optional<StoreGeneration> mGeneration;
 };
