Keep a zone out until the changes of the rewrite time are known

Cause: the zone was released by a clock alone.

Change: it is released by the first confirmation of all changes up to the end of that time.

Evidence: the unit test, changed to tell the two apart.

--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -223,6 +223,7 @@
 void GatewayProcess::OnConfirmed(timing::Instant aAsOf)
 {
   mControl.mStoreFreshness.ConfirmUpTo(aAsOf);
+  mControl.mDirectory.ConfirmZones(aAsOf, mClock.Now());
 }
 
 void GatewayProcess::OnContactLost(const std::string& aReason)
--- a/apps/tests/gateway/endpointdirectorytest.cpp
+++ b/apps/tests/gateway/endpointdirectorytest.cpp
@@ -239,7 +239,7 @@
   SECTION("until the operator has written it again and takes it back")
   {
     directory.SetZoneOut(kZone, true, kNow + 1s);
-    directory.Tick(kNow + 4s);
+    directory.ConfirmZones(kNow + 4s, kNow + 4s);
     CHECK_FALSE(directory.TakesRequests(kId, kNow + 4s));
     directory.SetZoneOut(kZone, false, kNow + 4s);
   }
@@ -247,9 +247,10 @@
   {
     // Another complete read, as the history was lost.
     directory.RetainZonesOut({}, kNow + 3s, kNow + 2s);
-    directory.Tick(kNow + 2900ms);
-    CHECK_FALSE(directory.TakesRequests(kId, kNow + 2900ms));
-    directory.Tick(kNow + 3s);
+    // What the operator wrote in time may not have been reported yet.
+    directory.ConfirmZones(kNow + 2900ms, kNow + 3500ms);
+    CHECK_FALSE(directory.TakesRequests(kId, kNow + 3500ms));
+    directory.ConfirmZones(kNow + 3s, kNow + 3600ms);
   }
   CHECK(directory.TakesRequests(kId, kNow + 4s));
 }
--- a/components/gateway/endpointdirectory.cpp
+++ b/components/gateway/endpointdirectory.cpp
@@ -124,6 +124,15 @@
   }
 }
 
+void EndpointDirectory::ConfirmZones(timing::Instant aAsOf, timing::Instant aNow)
+{
+  for (const auto& [zone, until] : std::map(mZonesKeptOut)) {
+    if (until <= aAsOf) {
+      SetZoneOut(zone, false, aNow);
+    }
+  }
+}
+
 void EndpointDirectory::OnStoreRestored(timing::Instant aNow)
 {
   mReadsBackup = true;
@@ -136,15 +145,6 @@
 
 void EndpointDirectory::Tick(timing::Instant aNow)
 {
-  std::vector<ids::AvailabilityZoneId> back;
-  for (const auto& [zone, until] : mZonesKeptOut) {
-    if (until <= aNow) {
-      back.push_back(zone);
-    }
-  }
-  for (const ids::AvailabilityZoneId& zone : back) {
-    SetZoneOut(zone, false, aNow);
-  }
   std::erase_if(mRemoved, [aNow](const auto& aRow) {
     return aRow.second.mAt + kRemovedMemory <= aNow;
   });
--- a/components/gateway/endpointdirectory.hpp
+++ b/components/gateway/endpointdirectory.hpp
@@ -66,12 +66,15 @@
   void SetZoneOut(const ids::AvailabilityZoneId& aZone, bool aOut, timing::Instant aNow);
   std::set<ids::AvailabilityZoneId> ZonesOut() const { return mZonesOut; }
   /// Processes all zones that a complete read of the store lists as out. A zone that is
-  /// not listed stays out until aKeepUntil, since a restore of the store may have lost
-  /// its record.
+  /// not listed stays out until ConfirmZones() is called for aKeepUntil, since a restore
+  /// of the store may have lost its record.
   void RetainZonesOut(const std::set<ids::AvailabilityZoneId>& aListed,
                       timing::Instant aKeepUntil,
                       timing::Instant aNow);
 
+  /// Records that all changes up to aAsOf have been reported.
+  void ConfirmZones(timing::Instant aAsOf, timing::Instant aNow);
+
   /// How long after its removal an endpoint is remembered, so that a backup of the store
   /// does not bring it back.
   static constexpr timing::Duration kRemovedMemory = std::chrono::minutes(5);
@@ -137,7 +140,7 @@
   std::map<ids::EndpointId, Endpoint> mEndpoints;
   std::map<ids::EndpointId, Removed> mRemoved;
   std::set<ids::AvailabilityZoneId> mZonesOut;
-  /// Zones that are out without a record, until the given instant.
+  /// Zones that are out without a record, until the changes up to the instant are known.
   std::map<ids::AvailabilityZoneId, timing::Instant> mZonesKeptOut;
   /// The records that are reported are those of a backup.
   bool mReadsBackup{ false };
