Bound what odd generations and short leases do to the leadership

Read: a lease that the store shortens to 1.6 s or less was renewed too late to give orders without gaps.

A record whose token may have been used is written again ever more rarely, up to every 8 s. Interval of renewal and safety margin are a third of the lease at most. A restore is never read without a pause.

--- a/components/gateway/leadership.cpp
+++ b/components/gateway/leadership.cpp
@@ -62,13 +62,13 @@
   if (!mLease) {
     return Step::GrantLease;
   }
-  if (aNow - mLeaseRenewedAt >= kKeepAliveInterval) {
+  if (aNow - mLeaseRenewedAt >= std::min(kKeepAliveInterval, ShareOfLease())) {
     return Step::KeepLease;
   }
   if (!mMemberRecordWritten && aNow >= mMemberWriteFrom) {
     return Step::WriteMember;
   }
-  if (mVacantSince && aNow >= *mVacantSince + mTakeoverDelay &&
+  if (mVacantSince && aNow >= std::max(mLeadFrom, *mVacantSince + mTakeoverDelay) &&
       IsLeaseCertainlyValid(aNow)) {
     return Step::CreateLeader;
   }
@@ -114,9 +114,11 @@
     // Only a store that was restored and states no generation gives a revision out again.
     mLeaderPresent = false;
     mReplacedRevision = aRevision;
-    mNextStepAt = aNow + kRetryBackoff;
+    mLeadFrom = aNow + mRejectedBackoff;
+    mRejectedBackoff = std::min(2 * mRejectedBackoff, kMaxRejectedBackoff);
     return;
   }
+  mRejectedBackoff = kRetryBackoff;
   mToken = token;
   mHighestOwnToken = token;
   mLeaderPresent = true;
@@ -155,7 +157,8 @@
 
 bool Leadership::IsLeaseCertainlyValid(timing::Instant aNow) const
 {
-  return mLease && aNow < mLeaseRenewedAt + mTimeToLive - kLeaseSafetyMargin;
+  return mLease && aNow < mLeaseRenewedAt + mTimeToLive -
+                            std::min(kLeaseSafetyMargin, ShareOfLease());
 }
 
 }
--- a/components/gateway/leadership.hpp
+++ b/components/gateway/leadership.hpp
@@ -43,6 +43,9 @@
   static constexpr std::chrono::milliseconds kMemberRewriteDelay{ 2000 };
   /// Delay before the next step after a failed one.
   static constexpr std::chrono::milliseconds kRetryBackoff{ 500 };
+  /// Longest delay before the leader's record is written again whose token may have been
+  /// used before.
+  static constexpr std::chrono::milliseconds kMaxRejectedBackoff{ 8000 };
 
   /// aOrderGracePeriod is how long a new leader waits until orders of an earlier one have
   /// expired; aFirstStart is true if there cannot have been an earlier leader. aProcess
@@ -109,6 +112,8 @@
   /// True if the record makes no process the leader: its holder has given it up because
   /// of a restore, or it was written late, when this process had another lease.
   bool IsAbandoned(const LeaderRecord& aRecord) const;
+  /// Largest interval of renewals, and margin before the end, for a short lease.
+  std::chrono::milliseconds ShareOfLease() const { return mTimeToLive / 3; }
   /// True if the lease cannot expire in the store within kLeaseSafetyMargin from aNow.
   bool IsLeaseCertainlyValid(timing::Instant aNow) const;
 
@@ -123,6 +128,9 @@
   timing::Instant mNextStepAt{};
   bool mMemberRecordWritten{ false };
   timing::Instant mMemberWriteFrom{};
+  /// No leader's record is written before, as the last one was of no use.
+  timing::Instant mLeadFrom{};
+  std::chrono::milliseconds mRejectedBackoff{ kRetryBackoff };
   bool mLeaderPresent{ true };
   std::int64_t mReplacedRevision{ 0 };
   bool mSawOtherLeader{ false };
--- a/components/gateway/watchschedule.cpp
+++ b/components/gateway/watchschedule.cpp
@@ -143,7 +143,7 @@
   const auto others = static_cast<milliseconds::rep>(mEntries - 1);
   std::uniform_int_distribution<milliseconds::rep> delay(
     0, kReadTimePerEntry.count() * others);
-  OnReadNeeded(aNow + milliseconds(delay(mRandom)));
+  OnReadNeeded(aNow + kMinFirstRetryPause + milliseconds(delay(mRandom)));
 }
 
 void WatchSchedule::OnFailed(bool aBegan, timing::Instant aNow)
