Write no lost record before the restored store was read

Read in the review: between the notice of a restore and the reading, reports of usage were created although their records were still there, one write each and entry, and the record on accounts could state a revision of before the restore.

Evidence: the unit test "a record that a restore lost is created with its bytes", extended.

--- a/apps/samphiresail/gateway/keyrecords.cpp
+++ b/apps/samphiresail/gateway/keyrecords.cpp
@@ -76,6 +76,9 @@
 
 void GatewayProcess::StoreKeyRequirement(timing::Instant aNow)
 {
+  if (mReadsRestored) {
+    return;
+  }
   const gateway::KeyRequirement& requirement = mControl.mKeyRequirement;
   const auto through = requirement.LacksNoAccountsRecord();
   if (!requirement.LacksAccountsRecord() && !through) {
--- a/apps/tests/duties/usagereportertest.cpp
+++ b/apps/tests/duties/usagereportertest.cpp
@@ -186,8 +186,11 @@
     mReporter.OnSent(kWindow, ReportOutcome::Accepted, kToken, mNow);
   }
   mReporter.OnStoreRestored(0ms, mNow);
+  // What the store still has is not known before it was read.
+  CHECK(Next(kEnd + 3s).empty());
   SECTION("lost")
   {
+    mReporter.RetainRecords({});
     const auto again = Next(kEnd + 3s);
     REQUIRE(again.size() == 1);
     CHECK(again[0].mStep == Step::Fix);
@@ -197,6 +200,7 @@
   SECTION("still there")
   {
     mReporter.OnRecord(kWindow, "counts of 100");
+    mReporter.RetainRecords({ kWindow });
   }
   const auto send = Next(kEnd + 4s);
   CHECK(send.size() == (sent ? 0 : 1));
@@ -211,6 +215,7 @@
   mReporter.OnStoreRestored(0ms, mNow);
   // A holder that did not know the lost one has created another.
   mReporter.OnRecord(kWindow, "other counts");
+  mReporter.RetainRecords({ kWindow });
   const auto send = Next(kEnd + 3s);
   REQUIRE(send.size() == 1);
   CHECK(send[0].mStep == Step::Send);
--- a/components/duties/usagereporter.cpp
+++ b/components/duties/usagereporter.cpp
@@ -11,6 +11,7 @@
 {
   mRecords.clear();
   mRewriteFrom = aNow + aDelay;
+  mReadsRestored = true;
   for (auto& [window, report] : mReports) {
     report.mLost = report.mState == State::Recorded || report.mState == State::Done;
   }
@@ -118,7 +119,7 @@
 
 void UsageReporter::AppendLost(std::vector<Action>& aActions, timing::Instant aNow)
 {
-  if (aNow < mRewriteFrom) {
+  if (mReadsRestored || aNow < mRewriteFrom) {
     return;
   }
   for (auto& [window, report] : mReports) {
--- a/components/duties/usagereporter.hpp
+++ b/components/duties/usagereporter.hpp
@@ -108,6 +108,7 @@
   void RetainRecords(const std::set<Window>& aWindows)
   {
     std::erase_if(mRecords, [&](Window aWindow) { return !aWindows.contains(aWindow); });
+    mReadsRestored = false;
   }
   /// Records that the store was restored from a backup. The records of reports that it
   /// lost are created again with the same bytes, by every process that knows them: a
@@ -200,6 +201,8 @@
   Window mDoneBefore{ 0 };
   std::int64_t mFencedToken{ 0 };
   timing::Instant mNextCallAt{};
+  /// The store was restored and not read completely since.
+  bool mReadsRestored{ false };
   /// When lost records may be created again.
   timing::Instant mRewriteFrom{};
 };
