Take only a later version for the operator's writing after a restore

Cause: any version in force that was reported after the first reading counted as written again, also from another reading of the copy.

Change: only one with a revision after that of the first reading counts.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -230,7 +230,11 @@
   bool mReadsRestored{ false };
   /// Entries that have not written their records again since a restore.
   std::set<ids::ProcessId> mAwaitedRegistrations;
-  /// What was logged last of the configuration's age.
+  /// Revision at which the restored store was first read.
+  gateway::StoreRevision mRestoredRevision{ 0 };
+  /// Revision of the version of the configuration that was reported last.
+  gateway::StoreRevision mReportedRevision{ 0 };
+  /// What was logged last of the age of what was read.
   bool mLoggedOutdated{ false };
   /// A restore took the number of entries back that this entry knows.
   bool mEntryCountLost{ false };
--- a/apps/samphiresail/gateway/keyrecords.cpp
+++ b/apps/samphiresail/gateway/keyrecords.cpp
@@ -23,6 +23,7 @@
 
 void GatewayProcess::OnConfigurationVersion(const gateway::ConfigurationVersion& aVersion)
 {
+  mReportedRevision = aVersion.mRevision;
   mControl.mKeyRequirement.OnVersion(aVersion);
 }
 
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -19,7 +19,8 @@
   std::shared_ptr<gateway::ServingConfiguration> aConfiguration)
 {
   const auto& current = mControl.Configuration();
-  if (!mReadsRestored && current && aConfiguration->mVersion >= current->mVersion) {
+  const bool isRewritten = !mReadsRestored && mReportedRevision > mRestoredRevision;
+  if (isRewritten && current && aConfiguration->mVersion >= current->mVersion) {
     mControl.mStoreFreshness.RecordRewrite();
   }
   if (current && aConfiguration->mVersion <= current->mVersion) {
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -45,6 +45,7 @@
 void GatewayProcess::OnRestoredRead(const gateway::FullReading& aReading)
 {
   mReadsRestored = false;
+  mRestoredRevision = aReading.mRevision;
   mControl.mDirectory.OnRestoredRead();
   mEntryCountLost =
     mEntryCountLost || (mPeers.RecordedEntries() > 0 &&
