Believe no backup at a start while other entries await its end

One that started after the return used zones and endpoints of the copy: 19 of 186 requests ran in a zone that was out.

Change: the wait for other entries begins with the first complete reading, and the first comparison with one of them counts whenever it happens. Entries report for how long they await records that a restore lost. Until then, and while they have a newer version in force, the process is not ready and answers 503. A process that was level with the others once compares no more. All of it only where the store states generations.

Two unit tests.

--- a/apps/samphiresail/gateway/gatewayprocess.hpp
+++ b/apps/samphiresail/gateway/gatewayprocess.hpp
@@ -132,8 +132,8 @@
   /// again.
   void RetainRegistrations(const gateway::FullReading& aReading, timing::Instant aNow);
   void EndAwaitedRegistrations(timing::Instant aNow);
-  /// Compares the configuration in force with that of the other entries.
-  void CompareConfigurations(timing::Instant aNow);
+  /// Compares what this process has read of the store with what other entries report.
+  void CompareWithPeers(timing::Instant aNow);
   /// Takes the number of entries that the store's record states; none if there is none.
   void OnEntryCountRecord(std::optional<std::size_t> aEntries);
   /// Takes what a record says of the accounts of all versions; none if it is not there.
--- a/apps/samphiresail/gateway/peerreports.cpp
+++ b/apps/samphiresail/gateway/peerreports.cpp
@@ -100,7 +100,7 @@
 
 void GatewayProcess::UpdateShares(timing::Instant aNow)
 {
-  CompareConfigurations(aNow);
+  CompareWithPeers(aNow);
   UpdateEnginePolicy();
   mControl.SetEntries(mPeers.EntryCount(aNow), PeerReportAge(aNow));
   mControl.mCold.SetKnownEntries(mSettings.mName, mPeers.Known());
@@ -158,6 +158,8 @@
   report.mSequence = ++mPeerReportSequence;
   report.mConfigurationVersion =
     mControl.Configuration() ? mControl.Configuration()->mVersion : 0;
+  report.mRewriteLeft = std::chrono::ceil<milliseconds>(
+    std::max(mControl.mStoreFreshness.RewriteEnd() - aNow, timing::Duration(0)));
   report.mReceivesFromAll = mPeers.ReceivesFromAll(aNow);
   for (const auto& [id, endpoint] : mControl.mDirectory.All()) {
     if (endpoint.mOwnLoad.mRequests > 0) {
@@ -333,8 +335,8 @@
     return;
   }
   mPeerLoadsChanged = mPeerLoadsChanged || !notice;
-  if (mPeers.IsJoining(now)) {
-    CompareConfigurations(now);
+  if (mControl.mStoreFreshness.IsOutdated(now)) {
+    CompareWithPeers(now);
   }
   if (fromOtherZone && !forwarded && mPeers.Aggregator(now) == mSettings.mName) {
     const std::string bytes = gateway::MarkForwarded(aBytes);
--- a/apps/samphiresail/gateway/platformevents.cpp
+++ b/apps/samphiresail/gateway/platformevents.cpp
@@ -1,5 +1,8 @@
 #include "apps/samphiresail/gateway/gatewayprocess.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "apps/samphiresail/gateway/recordkeys.hpp"
 #include "components/frontend/quarantinelog.hpp"
 #include "components/gateway/peercodec.hpp"
@@ -149,8 +152,11 @@
   if (aReading.mRestored) {
     OnRestoredRead(aReading);
   }
+  if (!std::exchange(mEndpointsRead, true) && mStore.StatesGeneration()) {
+    const std::size_t entries = std::max(mPeers.KnownEntries(), mPeers.RecordedEntries());
+    mControl.mStoreFreshness.RecordStart(entries > 1, now);
+  }
   UpdateShares(now);
-  mEndpointsRead = true;
 }
 
 void GatewayProcess::OnLeaderRecord(const gateway::LeaderRecord& aRecord)
--- a/apps/samphiresail/gateway/storerestore.cpp
+++ b/apps/samphiresail/gateway/storerestore.cpp
@@ -77,21 +77,22 @@
   mAwaitedRegistrations.clear();
 }
 
-void GatewayProcess::CompareConfigurations(timing::Instant aNow)
+void GatewayProcess::CompareWithPeers(timing::Instant aNow)
 {
-  const std::uint64_t own =
-    mControl.Configuration() ? mControl.Configuration()->mVersion : 0;
+  if (!mEndpointsRead || !mControl.Configuration()) {
+    return;
+  }
+  gateway::StoreFreshness& freshness = mControl.mStoreFreshness;
+  const std::uint64_t own = mControl.Configuration()->mVersion;
   const std::uint64_t peers = mPeers.NewestConfiguration(aNow);
-  mControl.mStoreFreshness.RecordVersions(own, peers, mPeers.IsJoining(aNow), aNow);
-  // A store that states generations may have been restored just before this start.
-  mControl.mStoreFreshness.SetPeersAwaited(mStore.StatesGeneration() && peers == 0 &&
-                                           mPeers.IsJoining(aNow) &&
-                                           mPeers.EntryCount(aNow) > 1);
-  const bool isOutdated = mControl.mStoreFreshness.IsOutdated(aNow);
+  if (peers != 0) {
+    freshness.RecordPeers(peers > own, mPeers.LongestRewrite(aNow), aNow);
+  }
+  const bool isOutdated = freshness.IsOutdated(aNow);
   if (isOutdated != mLoggedOutdated) {
     mLoggedOutdated = isOutdated;
-    mLogger.Info(isOutdated ? "configuration may be older than that of other entries"
-                            : "configuration is as new as that of other entries",
+    mLogger.Info(isOutdated ? "what was read of the store may be a backup"
+                            : "what was read of the store is believed",
                  { { "version", own }, { "other_entries", peers } });
   }
 }
--- a/apps/tests/gateway/storefreshnesstest.cpp
+++ b/apps/tests/gateway/storefreshnesstest.cpp
@@ -98,18 +98,62 @@
   CHECK(freshness.AreKeysFresh(restored + StoreFreshness::kRewriteTime));
 }
 
-TEST_CASE("contact: a process that starts behind the others believes no older keys",
+TEST_CASE("contact: a process that starts believes no backup that others know of",
           "[gateway]")
 {
   StoreFreshness freshness;
   freshness.ConfirmUpTo(kNow);
-  const bool starting = GENERATE(true, false);
-  freshness.RecordVersions(5, 7, starting, kNow);
-  CHECK(freshness.AreKeysFresh(kNow) == !starting);
-  CHECK(freshness.IsReady(kNow) == !starting);
-  // Any other process has the time in which a change must be in force.
-  CHECK_FALSE(freshness.AreKeysFresh(kNow + 2s));
-  CHECK_FALSE(freshness.IsConfigurationCurrent(kNow + 2s));
-  freshness.RecordVersions(7, 7, starting, kNow);
-  CHECK(freshness.AreKeysFresh(kNow + 2s));
+  freshness.RecordStart(true, kNow);
+  CHECK(freshness.IsOutdated(kNow));
+  CHECK_FALSE(freshness.AreKeysFresh(kNow));
+  CHECK_FALSE(freshness.IsReady(kNow));
+  SECTION("none of them is heard of")
+  {
+    CHECK(freshness.IsOutdated(kNow + 1999ms));
+  }
+  SECTION("they have a newer version, however late they say so")
+  {
+    const timing::Instant heard = kNow + GENERATE(100ms, 2500ms);
+    freshness.RecordPeers(true, 0ms, heard);
+    CHECK(freshness.IsOutdated(heard + 2900ms));
+    SECTION("until this process has it")
+    {
+      freshness.RecordPeers(true, 0ms, heard + 2900ms);
+      freshness.RecordPeers(false, 0ms, heard + 4s);
+      CHECK_FALSE(freshness.IsOutdated(heard + 4s));
+    }
+    SECTION("or they are gone")
+    {
+      CHECK_FALSE(freshness.IsOutdated(heard + 3s));
+    }
+  }
+  SECTION("they await records that were lost")
+  {
+    freshness.RecordPeers(false, 1500ms, kNow + 100ms);
+    CHECK(freshness.IsOutdated(kNow + 1500ms));
+    CHECK_FALSE(freshness.IsOutdated(kNow + 1600ms));
+  }
+  SECTION("they know no more")
+  {
+    freshness.RecordPeers(false, 0ms, kNow + 100ms);
+    CHECK_FALSE(freshness.IsOutdated(kNow + 100ms));
+  }
+  CHECK_FALSE(freshness.IsOutdated(kNow + 30s));
+}
+
+TEST_CASE("contact: a process that cannot have read a backup goes on where it is behind",
+          "[gateway]")
+{
+  StoreFreshness freshness;
+  freshness.ConfirmUpTo(kNow);
+  SECTION("that once was level")
+  {
+    freshness.RecordStart(false, kNow);
+    CHECK_FALSE(freshness.IsOutdated(kNow));
+    freshness.RecordPeers(false, 0ms, kNow);
+  }
+  SECTION("of a store that states no generation") {}
+  freshness.RecordPeers(true, 2s, kNow + 1s);
+  CHECK(freshness.AreKeysFresh(kNow + 3s));
+  CHECK(freshness.IsReady(kNow + 2s));
 }
--- a/apps/tests/realprocesses/storerestore.py
+++ b/apps/tests/realprocesses/storerestore.py
@@ -1,8 +1,9 @@
 """A store that is set back to a copy of itself beside real entries: the gateway's program on
 loopback addresses, engines and workers of review/standins, and restorablestore.py.
 
-Fails if two holders order under one fencing token, if no order is taken for longer than the
-recovery time though there is demand, if an entry refuses a route that is there or runs what a
+Fails if two holders order under one fencing token, if an engine takes an order under a lower
+token than before, if no order is taken for longer than the recovery time though there is
+demand, if an entry refuses a route that is there or runs what a
 version, a zone or an endpoint has taken back, or if an entry ends. The scenes named `no loss`
 play other troubles on a store that loses nothing."""
 import argparse
@@ -82,7 +83,7 @@
         fleet.store = RestorableStore(era)
         await fleet.store.start(*fleet.store_address)
         self.put(list(accounts), public)
-        zones = ("zone-a", "zone-b", "zone-c")
+        zones = ("zone-a", "zone-b", "zone-c") * 2
         for number in range(ENGINES):
             fleet.add_worker(id="i-engine%d" % number, service="engines", zone=zones[number],
                              slots=64, events=4, event_ms=30, models=["m0", "m1"],
@@ -167,18 +168,19 @@
         return {int(re.search(r"token\D*(\d+)", line)[1]) for line in lines}
 
     def orders_taken(self):
-        """Times at which engines took orders, from the entries' logs."""
+        """Rows of time, engine and token of the orders that engines took, from the entries'
+        logs, by time."""
         begin = time.time() - time.monotonic()
-        taken = []
+        rows = []
         for entry in self.fleet.entries:
             with open(entry.log.name) as file:
                 lines = [json.loads(line) for line in file if '"message":"order"' in line]
-            taken += [line["time_us"] / 1e6 - begin for line in lines
-                      if line["outcome"] in (ACCEPTED, ALREADY_IN_STATE)]
-        return sorted(taken)
+            rows += [(line["time_us"] / 1e6 - begin, line["endpoint"], line["token"])
+                     for line in lines if line["outcome"] in (ACCEPTED, ALREADY_IN_STATE)]
+        return sorted(rows)
 
     def check_orders(self, began, ended, recover=True):
-        """One holder a token, and orders taken again in time."""
+        """One holder a token, no lower token taken, and orders taken again in time."""
         holders = collections.defaultdict(set)
         for it in self.fleet.events:
             if it["what"] == "order":
@@ -186,9 +188,14 @@
         self.check(holders, "there were no orders")
         for token, names in sorted(holders.items()):
             self.check(len(names) == 1, "token %d has the holders %s" % (token, sorted(names)))
+        taken, highest = self.orders_taken(), {}
+        for at, engine, token in taken:
+            self.check(token >= highest.get(engine, 0), "%s took token %d after %d" % (
+                engine, token, highest.get(engine, 0)))
+            highest[engine] = token
         if recover:
             # The longest time without an order that was taken.
-            marks = [began] + [it for it in self.orders_taken() if began < it < ended] + [ended]
+            marks = [began] + [at for at, _, _ in taken if began < at < ended] + [ended]
             gap, at = max((b - a, a) for a, b in zip(marks, marks[1:]))
             self.check(gap <= RECOVERY_S, "no order was taken for %.1f s from %.1f s on" % (
                 gap, at - began))
@@ -293,6 +300,81 @@
     scene.check(not refused, "the route in force was refused: %s" % dict(refused))
 
 
+async def play_started_away(scene):
+    """A process that starts while the store is away reads the copy as the first one."""
+    await scene.start(KEYED)
+    await asyncio.sleep(4)
+    withdrawn = scene.put(KEYED[1:])
+    scene.extra.append("new")
+    scene.put()
+    await asyncio.sleep(5)
+    entry = scene.fleet.entries[0]
+    await asyncio.to_thread(entry.kill)
+    loss = asyncio.create_task(scene.lose(6, 2.2, rewrite_after=4))
+    await asyncio.sleep(0.1)
+    entry.start()
+    await loss
+    rows, added = await asyncio.gather(scene.watch(7, "/desk/1", "key-a"),
+                                       scene.watch(7, "/new/1", "key-b"))
+    ran = [row for row in rows if row[1] > withdrawn + REVOKE_S and row[3]]
+    scene.check(not ran, "%d requests ran with a withdrawn key, at %s" % (
+        len(ran), sorted({row[0] for row in ran})))
+    refused = collections.Counter((name, status) for name, _, status, _ in added
+                                  if status in (401, 403, 404))
+    scene.check(not refused, "the route in force was refused: %s" % dict(refused))
+    scene.check(any(row[0] == entry.name and row[2] == 200 for row in added),
+                "the process that started does not serve")
+
+
+async def play_read_twice(scene):
+    """A route is added in the moment of the loss; the copy is read a second time."""
+    await scene.start()
+    await asyncio.sleep(4)
+    scene.extra.append("new")
+    added = scene.put()
+    watch = asyncio.create_task(scene.watch(8, "/new/1"))
+    await scene.lose(3, 0.3, rewrite_after=2.9)
+    await asyncio.sleep(0.6)
+    scene.fleet.store.forget_history()
+    refused = collections.Counter((name, status) for name, sent, status, _ in await watch
+                                  if sent > added + APPLY_S and status in (401, 403, 404))
+    scene.check(not refused, "a route was refused for good: %s" % dict(refused))
+
+
+async def play_zone_late(scene):
+    """The operator writes a zone out again at the last moment, in a fleet that reads rarely."""
+    await scene.start(entries=6)
+    await asyncio.sleep(1)
+    scene.fleet.store.operate("op/evacuate/zone-a", b"{}")
+    out = time.monotonic()
+    await asyncio.sleep(6)
+    watch = asyncio.create_task(scene.watch(7))
+    await scene.lose(7, 0.5, rewrite_after=2.95)
+    rows = [row for row in await watch if row[1] > out + EVACUATE_S]
+    ran = [row for row in rows if "i-desk0" in row[3]]
+    scene.check(rows and not ran, "%d of %d requests ran in a zone that is out" % (
+        len(ran), len(rows)))
+
+
+async def play_zone_started(scene):
+    """A process starts while a zone that is out, and a worker that leaves, are not in the copy."""
+    await scene.start()
+    await asyncio.sleep(4)
+    scene.fleet.store.operate("op/evacuate/zone-a", b"{}")
+    out = time.monotonic()
+    await asyncio.sleep(6)
+    await scene.lose(7, 0.3, rewrite_after=2.5)
+    entry = scene.fleet.entries[0]
+    await asyncio.to_thread(entry.kill)
+    entry.start()
+    rows = [row for row in await scene.watch(8) if row[1] > out + EVACUATE_S]
+    ran = [row for row in rows if "i-desk0" in row[3]]
+    scene.check(rows and not ran, "%d of %d requests ran in a zone that is out" % (
+        len(ran), len(rows)))
+    scene.check(any(row[0] == entry.name and row[2] == 200 for row in rows),
+                "the process that started does not serve")
+
+
 async def play_key_unseen(scene):
     """A key is withdrawn in the moment of the loss, and again only after three seconds."""
     await scene.start(KEYED)
@@ -500,8 +582,12 @@
     yield "restored: route added, revisions below", lambda scene: play_route_added(scene, 0)
     yield "restored: route lost", play_route_lost
     yield "restored: started since", play_started_since
+    yield "restored: started while away", play_started_away
+    yield "restored: copy read twice", play_read_twice
     yield "restored: key withdrawn unseen", play_key_unseen
     yield "restored: zone out", play_zone_out
+    yield "restored: zone out, late", play_zone_late
+    yield "restored: zone out, started", play_zone_started
     yield "restored: zone back", play_zone_back
     yield "restored: worker leaves", play_leaving
     yield "restored: workers joined", play_joined
--- a/components/gateway/peercodec.cpp
+++ b/components/gateway/peercodec.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds kMaxUnread = std::chrono::hours(24);
 /// Tokens that an entry may admit in its lifetime. A double counts them exactly.
 constexpr double kMaxAdmittedTokens = 1e15;
+/// Longest time for which an entry awaits records that a restore of the store lost.
+constexpr std::chrono::milliseconds kMaxRewriteLeft = std::chrono::seconds(10);
 /// Latest time since the Unix epoch with which is reckoned.
 constexpr std::chrono::milliseconds kMaxTrueTime = std::chrono::hours(24 * 365 * 200);
 /// Requests that an entry may run in one window. Sums over a fleet do not overflow.
@@ -182,6 +184,7 @@
   load.set_incarnation(aReport.mIncarnation);
   load.set_number(aReport.mSequence);
   load.set_configuration_version(aReport.mConfigurationVersion);
+  load.set_rewrite_left_ms(static_cast<std::uint32_t>(aReport.mRewriteLeft.count()));
   load.set_hears_all(aReport.mReceivesFromAll);
   load.set_zone(aReport.mZone.Str());
   for (const std::uint64_t key : aReport.mCovered) {
@@ -239,6 +242,7 @@
   report.mProcess = ids::ProcessId(load.process());
   report.mIncarnation = load.incarnation();
   report.mConfigurationVersion = load.configuration_version();
+  report.mRewriteLeft = std::min(AgeFrom(load.rewrite_left_ms()), kMaxRewriteLeft);
   report.mSequence = load.number();
   report.mReceivesFromAll = load.hears_all();
   report.mZone = ids::AvailabilityZoneId(load.zone());
--- a/components/gateway/peertable.cpp
+++ b/components/gateway/peertable.cpp
@@ -327,6 +327,15 @@
   return newest;
 }
 
+std::chrono::milliseconds PeerTable::LongestRewrite(timing::Instant aNow) const
+{
+  std::chrono::milliseconds longest{ 0 };
+  ForEachFresh(aNow, [&longest](const PeerReport& aReport) {
+    longest = std::max(longest, aReport.mRewriteLeft);
+  });
+  return longest;
+}
+
 std::vector<ids::ProcessId> PeerTable::Known() const
 {
   std::vector<ids::ProcessId> processes;
--- a/components/gateway/peertable.hpp
+++ b/components/gateway/peertable.hpp
@@ -49,6 +49,8 @@
   std::uint64_t mSequence{ 0 };
   /// Version of the configuration that the sender has in force; 0 if it has none.
   std::uint64_t mConfigurationVersion{ 0 };
+  /// Time for which the sender awaits records that a restore of the store lost.
+  std::chrono::milliseconds mRewriteLeft{ 0 };
   /// The sender has fresh reports of all entries in its table.
   bool mReceivesFromAll{ false };
   /// Requests in flight by endpoint.
@@ -198,6 +200,9 @@
   /// The newest version of the configuration that another entry has in force, from the
   /// same reports as the loads; 0 if none says so.
   std::uint64_t NewestConfiguration(timing::Instant aNow) const;
+  /// The longest time for which one of these entries awaits records that a restore of the
+  /// store lost.
+  std::chrono::milliseconds LongestRewrite(timing::Instant aNow) const;
 
   /// Requests in flight by HashName of the endpoint, summed over the fresh reports of the
   /// other entries.
--- a/components/gateway/storefreshness.hpp
+++ b/components/gateway/storefreshness.hpp
@@ -2,8 +2,6 @@
 #define SAMPHIRESAIL_COMPONENTS_GATEWAY_STOREFRESHNESS_HPP
 
 #include <algorithm>
-#include <cstdint>
-#include <optional>
 
 #include "components/timing/clock.hpp"
 
@@ -76,28 +74,32 @@
   /// When the records that a restore took back are written again at the latest.
   timing::Instant RewriteEnd() const { return mRewriteEnd; }
 
-  /// Records the version of the configuration in force here, and the newest one at the
-  /// other entries; 0 if none is known. A process that is behind as it starts has read a
-  /// store that lost the newer version; any other one has time to learn of it.
-  void RecordVersions(std::uint64_t aOwn,
-                      std::uint64_t aPeers,
-                      bool aStarting,
-                      timing::Instant aNow)
+  /// Time after the first complete read of the store in which a process that starts hears
+  /// of the other entries.
+  static constexpr timing::Duration kPeersTime = std::chrono::milliseconds(2000);
+
+  /// Records the first complete read of a store that may have been restored just before.
+  /// If there are other entries that may know of it, nothing that was read counts until
+  /// one of them is heard of, kPeersTime at most.
+  void RecordStart(bool aHasPeers, timing::Instant aNow)
   {
-    if (aOwn == 0 || aPeers <= aOwn) {
-      mOutdatedFrom.reset();
-    } else if (!mOutdatedFrom) {
-      mOutdatedFrom = aStarting ? aNow : aNow + mChangeTime;
-    }
+    mStarts = true;
+    mBelievedFrom = aHasPeers ? aNow + kPeersTime : aNow;
   }
-  /// Sets whether the versions of the other entries are yet to be heard of.
-  void SetPeersAwaited(bool aAwaited) { mPeersAwaited = aAwaited; }
-  /// True if other entries have had a newer configuration in force for too long, or may
-  /// have one when this process starts.
-  bool IsOutdated(timing::Instant aNow) const
+  /// Records what the other entries report: whether a newer version of the configuration
+  /// is in force there, which the operator is to write again, and for how long they await
+  /// records that a restore lost. At a process that was level with them once, neither
+  /// matters.
+  void RecordPeers(bool aIsBehind, timing::Duration aRewriteLeft, timing::Instant aNow)
   {
-    return mPeersAwaited || (mOutdatedFrom && aNow >= *mOutdatedFrom);
+    if (mStarts) {
+      mStarts = aIsBehind || aRewriteLeft > timing::Duration(0);
+      mBelievedFrom = aNow + (aIsBehind ? kRewriteTime : aRewriteLeft);
+    }
   }
+  /// True if what this process has read may be that of a backup which the other entries
+  /// know to be older.
+  bool IsOutdated(timing::Instant aNow) const { return aNow < mBelievedFrom; }
 
   /// Records that the newest configuration was adopted, or that it cannot be read.
   void RecordConfiguration(bool aAdopted) { mConfigurationAdopted = aAdopted; }
@@ -140,9 +142,9 @@
   /// The same without regard to a restore.
   timing::Instant mContactAsOf{};
   timing::Instant mRewriteEnd{};
-  /// Since when the configuration in force counts as older than that of other entries.
-  std::optional<timing::Instant> mOutdatedFrom;
-  bool mPeersAwaited{ false };
+  /// This process has started and was not level with the other entries yet.
+  bool mStarts{ false };
+  timing::Instant mBelievedFrom{};
   /// Confirmations of earlier instants are those of a backup.
   timing::Instant mConfirmableFrom{};
   /// When the last response was read.
--- a/components/gateway/trafficcontrol.cpp
+++ b/components/gateway/trafficcontrol.cpp
@@ -191,6 +191,9 @@
   if (!mConfiguration) {
     return RefuseInOutage("no configuration is known yet");
   }
+  if (mStoreFreshness.IsOutdated(aNow)) {
+    return RefuseInOutage("what was read of the store may be a backup");
+  }
   // An unknown route or key may have been added by a change that is not known yet.
   const bool current = mStoreFreshness.IsConfigurationCurrent(aNow);
   const Route* route = mConfiguration->FindRoute(aMetadata.mHost, aMetadata.mPath);
