Take no part of an answer whose connection failed for a whole one

Callers got a part of an answer as the whole one: an endpoint answered a long upload at once, without a length, and ended and reset the connection while the upload was still written.

Cause: an answer without a length was whole at the end of the peer's sending direction, whatever else had happened to the connection. The write of the upload reports the reset and consumes the error, so that later reads return the bytes that had arrived and then a clean end. The same end is read where the reset follows the end of the direction, and where the peer ended it before it had received the request. The failed write was noted, but asked for only before the connection was reused.

Of the seven unit tests "truncated response: ..." five fail without the checks; each of the three conditions alone (failed write, state of the connection, unacknowledged bytes) has tests that fail without it.

Why it works: ReadResponseBody asks the connection at the end of such an answer. A connection that failed is closed in both directions, which no sound end brings about, also once its error was consumed. The segment that ends the peer's direction acknowledges all that the peer's system had received, so bytes that are still unacknowledged were not. All that reads answers of endpoints goes through it. After a failed write, an answer without a length ends at its head, so that no standby takes over with it.

The attempt counts as one that broke off: retries, blame, probe and closing of the connection are those of other breaks. The log line has "truncated", and samphiresail_truncated_answers_total counts.

--- a/apps/tests/frontend/frontendfixture.cpp
+++ b/apps/tests/frontend/frontendfixture.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <limits>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -102,13 +103,17 @@
   beast::flat_buffer buffer;
   for (;;) {
     ErrorCode ec;
-    http::request<http::string_body> request;
-    co_await http::async_read(aSocket, buffer, request, RedirectError(ec));
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    co_await http::async_read_header(aSocket, buffer, parser, RedirectError(ec));
+    if (!ec && (mScripts.empty() || !mScripts.front().mBeforeBody)) {
+      co_await http::async_read(aSocket, buffer, parser, RedirectError(ec));
+    }
     if (ec || mScripts.empty()) {
       co_return;
     }
     std::ostringstream text;
-    text << request;
+    text << parser.get();
     mRequests.push_back(text.str());
     const Script script = mScripts.front();
     mScripts.pop_front();
@@ -129,7 +134,14 @@
     if (!ec && !script.mLater.empty()) {
       ec = co_await SendLater(aSocket, script);
     }
-    if (script.mReset) {
+    if (script.mResetAfterEnd) {
+      aSocket.shutdown(tcp::socket::shutdown_send, ec);
+      asio::steady_timer timer(mIo, *script.mResetAfterEnd);
+      if (script.mResetAfterEnd->count() > 0) {
+        co_await timer.async_wait(RedirectError(ec));
+      }
+    }
+    if (script.mReset || script.mResetAfterEnd) {
       // The destructor would close it without a reset.
       aSocket.set_option(asio::socket_base::linger(true, 0), ec);
       aSocket.close(ec);
--- a/apps/tests/frontend/frontendfixture.hpp
+++ b/apps/tests/frontend/frontendfixture.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -36,6 +37,11 @@
     std::vector<std::pair<timing::Duration, std::string>> mLater;
     /// Resets the connection where it would otherwise be closed.
     bool mReset{ false };
+    /// Ends the sending direction after the bytes, and resets the connection after that
+    /// time of the operating system's clock.
+    std::optional<std::chrono::milliseconds> mResetAfterEnd{};
+    /// Sends the bytes once the head of the request is read, and never reads its body.
+    bool mBeforeBody{ false };
   };
 
   /// With aAcceptAfter, attempts to connect get no response for that time, of the
--- a/apps/tests/frontend/messages.hpp
+++ b/apps/tests/frontend/messages.hpp
@@ -22,6 +22,13 @@
   return "POST " + aPath + kCommon + "Content-Length: 4\r\n\r\nbody";
 }
 
+/// Request with a body of the size, in bytes.
+inline std::string Upload(const std::string& aPath, std::size_t aSize)
+{
+  return "POST " + aPath + kCommon + "Content-Length: " + std::to_string(aSize) +
+         "\r\n\r\n" + std::string(aSize, 'x');
+}
+
 /// Request with a body whose prompt has the parts, written as ID:TOKENS,ID:TOKENS.
 inline std::string PostWithParts(const std::string& aPath, const std::string& aParts)
 {
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -10,6 +10,7 @@
 
 #include "components/frontend/connectionstate.hpp"
 #include "components/frontend/endpointprobe.hpp"
+#include "components/httpclient/responsebody.hpp"
 #include "components/httpclient/responsehead.hpp"
 
 namespace samphiresail::frontend {
@@ -104,9 +105,14 @@
   ErrorCode ec;
   co_await asio::async_write(aAttempt.mConnection->mSocket, request, RedirectError(ec));
   aAttempt.mSendFailed = static_cast<bool>(ec);
-  const AttemptState::Head outcome = co_await ReadOwnHead(aAttempt);
+  AttemptState::Head outcome = co_await ReadOwnHead(aAttempt);
   if (outcome == AttemptState::Head::Refused) {
     co_await DiscardBody(aAttempt);
+  } else if (outcome == AttemptState::Head::Arrived && aAttempt.mSendFailed &&
+             aAttempt.mHasNoLength) {
+    // The end of such a response would not show that it is whole.
+    aAttempt.mError = httpclient::ResponseError::Truncated;
+    outcome = AttemptState::Head::Failed;
   }
   aAttempt.mHead = outcome;
 }
@@ -250,11 +256,8 @@
   body.data = aAttempt.mBytes.data();
   body.size = aAttempt.mBytes.size();
   body.more = true;
-  aAttempt.mBytesAfterHead +=
-    co_await http::async_read_some(aAttempt.mConnection->mSocket,
-                                   aAttempt.mConnection->mBuffer,
-                                   *aAttempt.mParser,
-                                   RedirectError(ec));
+  aAttempt.mBytesAfterHead += co_await httpclient::ReadResponseBody(
+    aAttempt.mConnection->mSocket, aAttempt.mConnection->mBuffer, *aAttempt.mParser, ec);
   aRead = { aAttempt.mBytes.data(), aAttempt.mBytes.size() - body.size };
   if (ec == http::error::need_buffer) {
     ec = {};
@@ -351,6 +354,10 @@
   if (malformed) {
     mContext.mMetrics.mMalformedAnswers.Increment();
   }
+  const bool truncated = aAttempt.mError == httpclient::ResponseError::Truncated;
+  if (truncated) {
+    mContext.mMetrics.mTruncatedAnswers.Increment();
+  }
   const timing::Duration since = mContext.mClock.Now() - aAttempt.mAttempt.mSentAt;
   const gateway::Endpoint* endpoint =
     mContext.mControl.mDirectory.Find(aAttempt.mAttempt.mEndpoint);
@@ -364,6 +371,7 @@
       { "aborted", aAttempt.mAborted },
       { "error", aAttempt.mError.message() },
       { "malformed", malformed },
+      { "truncated", truncated },
       { "own_requests_there", endpoint != nullptr ? endpoint->mOwnLoad.mRequests : 0 },
       { "prompt_parts", PromptPartNames(mExchange.mAdmission.mMetadata.mPromptParts) },
       { "took_ms",
--- a/components/frontend/forwarderresponse.cpp
+++ b/components/frontend/forwarderresponse.cpp
@@ -208,7 +208,8 @@
         }
       }
       out.append(EncodeChunk(events));
-      if (parser.is_done() && !mExchange.mEvents.Partial()) {
+      const bool whole = !ec && parser.is_done() && !mExchange.mEvents.Partial();
+      if (whole) {
         out.append(kLastChunk);
       }
       if (!co_await WriteToCaller(std::move(out))) {
@@ -218,7 +219,7 @@
       if (resumable) {
         aAttempt.mDeadline = mContext.mClock.Now() + kStreamIdleTimeout;
       }
-      if (parser.is_done() && !mExchange.mEvents.Partial()) {
+      if (whole) {
         mContext.mControl.OnStreamComplete(
           aAttempt.mAttempt, mExchange.mAdmission, firstEventAt, mContext.mClock.Now());
         RecordOutput(firstEventAt);
--- a/components/frontend/gatewaymetrics.hpp
+++ b/components/frontend/gatewaymetrics.hpp
@@ -30,6 +30,9 @@
                                                "Answers that broke off on the way"))
     , mMalformedAnswers(aRegistry.AddCounter("samphiresail_malformed_answers_total",
                                              "Answers that break the grammar of HTTP"))
+    , mTruncatedAnswers(aRegistry.AddCounter(
+        "samphiresail_truncated_answers_total",
+        "Answers without a length whose connection failed before their end"))
     , mStoreRestores(
         aRegistry.AddCounter("samphiresail_store_restores_total",
                              "Restores of the platform's store from a backup"))
@@ -75,6 +78,7 @@
   metrics::Counter mRetries;
   metrics::Counter mInterruptedStreams;
   metrics::Counter mMalformedAnswers;
+  metrics::Counter mTruncatedAnswers;
   metrics::Counter mStoreRestores;
   metrics::Counter mCallersLeft;
   metrics::Counter mRequestsWithoutMemory;
--- /dev/null
+++ b/components/httpclient/responsebody.cpp
@@ -0,0 +1,55 @@
+#include "components/httpclient/responsebody.hpp"
+
+#include <string>
+
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+
+namespace samphiresail::httpclient {
+
+namespace {
+
+class ResponseCategory final : public boost::system::error_category
+{
+public:
+  const char* name() const noexcept override { return "samphiresail.response"; }
+  std::string message(int aError) const override
+  {
+    return aError == static_cast<int>(ResponseError::Truncated)
+             ? "connection failed before the end of a response without a length"
+             : "unknown error of a response";
+  }
+};
+
+/// True if an error is pending or neither direction is open any more.
+bool HasFailed(int aSocket)
+{
+  pollfd state{ aSocket, 0, 0 };
+  return poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0;
+}
+
+/// True if bytes that were written are not acknowledged.
+bool HasUnacknowledgedBytes(int aSocket)
+{
+  int n = 0;
+  return ioctl(aSocket, SIOCOUTQ, &n) == 0 && n > 0;
+}
+
+}
+
+ErrorCode make_error_code(ResponseError aError)
+{
+  static const ResponseCategory category;
+  return { static_cast<int>(aError), category };
+}
+
+ErrorCode CheckEndOfConnection(int aSocket)
+{
+  if (HasFailed(aSocket) || HasUnacknowledgedBytes(aSocket)) {
+    return ResponseError::Truncated;
+  }
+  return {};
+}
+
+}
