Believe no truncated answer of an engine, the store or the platform

An order counted as accepted, a report as made and a write as done when the answer without a length came from a connection that had failed, or before the peer had received the call.

Why it works: the client reads bodies by ReadResponseBody, and reports such a call as unknown, as one whose answer was lost. The entry logs "truncated answer" with the address, and counts it. A call whose write fails was unknown before.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -12,6 +12,7 @@
 
 #include "apps/samphiresail/gateway/recordkeys.hpp"
 #include "components/frontend/requestlog.hpp"
+#include "components/httpclient/responsebody.hpp"
 #include "components/limits/descriptorlimit.hpp"
 
 namespace samphiresail::gatewayapp {
@@ -141,9 +142,10 @@
   , mPeerSocket(mIo)
   , mSignals(mIo, SIGTERM, SIGHUP, SIGINT)
 {
-  mClient.SetMalformedHandler([this](const auto& aAddress, const auto& aError) {
-    mMetrics.mMalformedAnswers.Increment();
-    mLogger.Warn("malformed answer",
+  mClient.SetFaultHandler([this](const auto& aAddress, const auto& aError) {
+    const bool truncated = aError == httpclient::ResponseError::Truncated;
+    (truncated ? mMetrics.mTruncatedAnswers : mMetrics.mMalformedAnswers).Increment();
+    mLogger.Warn(truncated ? "truncated answer" : "malformed answer",
                  { { "address", aAddress.mHost + ":" + std::to_string(aAddress.mPort) },
                    { "error", aError.message() } });
   });
--- a/apps/tests/platform/httpclienttest.cpp
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -7,6 +7,7 @@
 
 #include "apps/tests/frontend/frontendfixture.hpp"
 #include "apps/tests/support/responseheads.hpp"
+#include "components/httpclient/responsebody.hpp"
 #include "platform/enginecalls.hpp"
 
 using namespace samphiresail;
@@ -244,7 +245,7 @@
 {
   const auto heads = testing::MalformedHeads();
   int malformed = 0;
-  mClient.SetMalformedHandler([&](const settings::SocketAddress& aAddress, const auto&) {
+  mClient.SetFaultHandler([&](const settings::SocketAddress& aAddress, const auto&) {
     CHECK(aAddress.mPort == mAddress.mPort);
     ++malformed;
   });
@@ -273,7 +274,7 @@
                  "[platform]")
 {
   int malformed = 0;
-  mClient.SetMalformedHandler([&](const auto&, const auto&) { ++malformed; });
+  mClient.SetFaultHandler([&](const auto&, const auto&) { ++malformed; });
   mServer.AddScript({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                       "2\r\n{}\r\n0\r\nX Y: z\r\n\r\n" });
   CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
@@ -283,6 +284,55 @@
   CHECK(malformed == 1);
 }
 
+// An order whose answer broke off counted as accepted.
+TEST_CASE_METHOD(Fixture,
+                 "http client: a truncated response without a length is not an answer",
+                 "[platform]")
+{
+  int truncated = 0;
+  mClient.SetFaultHandler([&](const settings::SocketAddress& aAddress, const auto& aEc) {
+    CHECK(aAddress.mPort == mAddress.mPort);
+    CHECK(aEc == httpclient::ResponseError::Truncated);
+    ++truncated;
+  });
+  ScriptedEndpoint::Script script{ "HTTP/1.1 200 OK\r\n\r\n{}" };
+  script.mResetAfterEnd = 0ms;
+  SECTION("in general")
+  {
+    mServer.AddScript({ Response(200, "before") });
+    mServer.AddScript(script);
+    mServer.AddScript({ "HTTP/1.1 200 OK\r\n\r\nafter", true });
+    CHECK(Call().mBody == "before");
+    CHECK(Call().mOutcome == HttpReply::Outcome::Unknown);
+    const HttpReply after = Call();
+    CHECK(after.mOutcome == HttpReply::Outcome::Answered);
+    CHECK(after.mBody == "after");
+    CHECK(mServer.Connections() == 2);
+  }
+  SECTION("that precedes the end of the call")
+  {
+    script.mBeforeBody = true;
+    script.mResetAfterEnd = 20ms;
+    mServer.AddScript(script);
+    platform::HttpCall call;
+    call.mMethod = frontend::http::verb::put;
+    call.mTarget = "/report";
+    call.mBody = std::string(400'000, 'x');
+    CHECK(Await(mClient.Call(mAddress, std::move(call), 20s)).mOutcome ==
+          HttpReply::Outcome::Unknown);
+  }
+  SECTION("to an order")
+  {
+    platform::EngineCalls calls(mClient, ids::ProcessId("entry-1"), [](const auto&) {});
+    gateway::EndpointReport endpoint;
+    endpoint.mAddress = mAddress;
+    const gateway::EngineAction action{ endpoint.mId, gateway::EngineOrder{}, 0 };
+    mServer.AddScript(script);
+    CHECK(Await(calls.Order(endpoint, action, 41)) == gateway::OrderOutcome::Unknown);
+  }
+  CHECK(truncated == 1);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "http client: a response with a sound odd head is an answer",
                  "[platform]")
--- a/apps/tests/platform/storetest.cpp
+++ b/apps/tests/platform/storetest.cpp
@@ -118,6 +118,13 @@
     mServer.AddScript({ JsonResponse(200, "{") });
     CHECK(Write().mOutcome == StoreOutcome::Unknown);
   }
+  SECTION("a truncated response without a length")
+  {
+    ScriptedEndpoint::Script script{ "HTTP/1.1 200 OK\r\n\r\n{\"revision\":13}" };
+    script.mResetAfterEnd = std::chrono::milliseconds(0);
+    mServer.AddScript(script);
+    CHECK(Write().mOutcome == StoreOutcome::Unknown);
+  }
   SECTION("a malformed status, which does not say that nothing was written")
   {
     const std::string status = GENERATE("000", "099", "600", "999");
