Pass no truncated answer of a back end off as a whole one

An agent reported an action as done, and passed a part of its answer on as the whole one, when its back end answered without a length before it had read a long call, and then reset the connection.

This client gives a call up once its write fails, so only ends that come before the reset were affected.

Why it works: the client reads bodies by ReadResponseBody and reports such a call as truncated. The agent ends it as unknown and counts its back end as possibly restarted, as after other breaks; an event "truncated-answer" tells it apart in log, time line and samphiresail_agent_events_total.

--- a/apps/samphiresail/agent/agentactions.hpp
+++ b/apps/samphiresail/agent/agentactions.hpp
@@ -41,6 +41,9 @@
   Broken,
   /// The answer breaks the grammar of HTTP; the call may have run.
   Malformed,
+  /// The connection failed before the end of an answer without a length; the call may
+  /// have run.
+  Truncated,
   Cancelled,
 };
 
@@ -53,7 +56,7 @@
   std::string mContentType;
   units::Tokens mPromptTokens;
   units::Tokens mOutputTokens;
-  /// What is wrong with a malformed answer.
+  /// What is wrong with a malformed or truncated answer.
   std::string mFault;
 };
 
--- a/apps/samphiresail/agent/agentcore.cpp
+++ b/apps/samphiresail/agent/agentcore.cpp
@@ -284,7 +284,12 @@
       Finish(*attempt, AttemptEnd::Cancelled, aNow);
       break;
     case BackendOutcome::Malformed:
-      mState.mOutbox.Record("malformed-answer", *attempt, aDone.mFault);
+    case BackendOutcome::Truncated:
+      mState.mOutbox.Record(aDone.mOutcome == BackendOutcome::Malformed
+                              ? "malformed-answer"
+                              : "truncated-answer",
+                            *attempt,
+                            aDone.mFault);
       [[fallthrough]];
     case BackendOutcome::Broken:
       mState.mGate.OnBroken(aNow);
--- a/apps/samphiresail/agent/backendcalls.cpp
+++ b/apps/samphiresail/agent/backendcalls.cpp
@@ -69,6 +69,9 @@
     } else if (aReply.mOutcome == httpclient::Outcome::Malformed) {
       done.mOutcome = BackendOutcome::Malformed;
       done.mFault = std::move(aReply.mFault);
+    } else if (aReply.mOutcome == httpclient::Outcome::Truncated) {
+      done.mOutcome = BackendOutcome::Truncated;
+      done.mFault = std::move(aReply.mFault);
     }
     done.mPromptTokens = mReader.Usage().mPrompt;
     done.mOutputTokens = mReader.Usage().mOutput;
--- a/apps/samphiresail/agent/observer.cpp
+++ b/apps/samphiresail/agent/observer.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 /// Kinds of events that are worth a log line at the usual level.
-constexpr std::array<std::string_view, 9> kNotable{
-  "leaving", "exit",   "adopt-pool", "bad-pool-document", "malformed-answer",
-  "order",   "placed", "not-placed", "intents-adopted"
+constexpr std::array<std::string_view, 10> kNotable{
+  "leaving",          "exit",  "adopt-pool", "bad-pool-document", "malformed-answer",
+  "truncated-answer", "order", "placed",     "not-placed",        "intents-adopted"
 };
 
 }
--- a/apps/standins/common/httpprogram.cpp
+++ b/apps/standins/common/httpprogram.cpp
@@ -1,5 +1,6 @@
 #include "apps/standins/common/httpprogram.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -20,6 +21,7 @@
 constexpr char kHost[] = "127.0.0.1";
 constexpr std::size_t kKeepAliveRequests = 1'000'000;
 constexpr time_t kKeepAliveSeconds = 300;
+constexpr std::chrono::milliseconds kTimeToReset{ 100 };
 
 sigset_t StopSignals()
 {
@@ -60,6 +62,17 @@
   }
 }
 
+/// Sends the bytes and ends the sending direction; the connection is reset a little
+/// later, as the body of the call was not read.
+void SendRawBeforeBody(const httplib::Request& aRequest, const std::string& aBytes)
+{
+  if (const auto socket = SocketOf(aRequest)) {
+    send(*socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    shutdown(*socket, SHUT_WR);
+    std::this_thread::sleep_for(kTimeToReset);
+  }
+}
+
 }
 
 HttpProgram::HttpProgram(std::uint16_t aPort, std::size_t aThreads)
@@ -78,15 +91,30 @@
            [this](const httplib::Request&,
                   const nlohmann::json& aBody,
                   httplib::Response& aResponse) {
-             mRawAnswers->Set(aBody.at("path"), aBody.at("bytes"), aBody.at("count"));
+             mRawAnswers->Set(aBody.at("path"),
+                              aBody.at("bytes"),
+                              aBody.at("count"),
+                              aBody.value("before_body", false)
+                                ? RawAnswers::Moment::BeforeBody
+                                : RawAnswers::Moment::AfterRun);
              Answer(aResponse, nlohmann::json::object());
            });
   mServer.set_post_routing_handler(
     [this](const httplib::Request& aRequest, httplib::Response&) {
-      if (const auto bytes = mRawAnswers->Take(aRequest.path)) {
+      if (const auto bytes =
+            mRawAnswers->Take(aRequest.path, RawAnswers::Moment::AfterRun)) {
         SendRaw(aRequest, *bytes);
       }
     });
+  mServer.set_pre_routing_handler(
+    [this](const httplib::Request& aRequest, httplib::Response&) {
+      const auto bytes = mRawAnswers->Take(aRequest.path, RawAnswers::Moment::BeforeBody);
+      if (bytes) {
+        SendRawBeforeBody(aRequest, *bytes);
+      }
+      return bytes ? httplib::Server::HandlerResponse::Handled
+                   : httplib::Server::HandlerResponse::Unhandled;
+    });
 }
 
 HttpProgram::~HttpProgram() = default;
--- a/apps/standins/common/httpprogram.hpp
+++ b/apps/standins/common/httpprogram.hpp
@@ -16,7 +16,9 @@
 /// HTTP server on the loopback address that runs until SIGTERM or SIGINT. POST
 /// /raw-answers with {"path": TEXT, "bytes": TEXT, "count": N} lets it send the bytes in
 /// place of the answers to the next N calls whose path contains the text; these run all
-/// the same, and their connections are closed.
+/// the same, and their connections are closed. With "before_body" true, the bytes are
+/// sent before the body of the call is read, which does not run, and the connection is
+/// reset.
 class HttpProgram
 {
 public:
--- a/apps/standins/common/rawanswers.hpp
+++ b/apps/standins/common/rawanswers.hpp
@@ -11,16 +11,25 @@
 class RawAnswers
 {
 public:
+  /// When the bytes are sent.
+  enum class Moment
+  {
+    /// Before the body of the call is read; the call does not run.
+    BeforeBody,
+    AfterRun,
+  };
+
   /// Sets the bytes for the next calls whose path contains the text.
-  void Set(std::string aPath, std::string aBytes, int aCount);
-  /// Returns the bytes for a call, or nothing if it is answered as usual.
-  std::optional<std::string> Take(const std::string& aPath);
+  void Set(std::string aPath, std::string aBytes, int aCount, Moment aMoment);
+  /// Returns the bytes for a call at that moment, or nothing if none are to be sent then.
+  std::optional<std::string> Take(const std::string& aPath, Moment aMoment);
 
 private:
   std::mutex mMutex;
   std::string mPath;
   std::string mBytes;
   int mCount{ 0 };
+  Moment mMoment{ Moment::AfterRun };
 };
 
 }
--- a/apps/tests/agent/backendcontroltest.cpp
+++ b/apps/tests/agent/backendcontroltest.cpp
@@ -21,13 +21,13 @@
   return aHead + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
-/// A back end on a thread of its own that answers one call with the bytes.
+/// A back end on a thread of its own that answers one call.
 class Backend
 {
 public:
-  explicit Backend(const std::string& aBytes)
+  explicit Backend(const ScriptedEndpoint::Script& aScript)
   {
-    mServer.AddScript({ aBytes, true });
+    mServer.AddScript(aScript);
     mThread = std::thread([this] { mIo.run(); });
   }
   ~Backend()
@@ -48,7 +48,7 @@
 Event Ask(const std::string& aBytes,
           const std::function<void(agent::BackendControl&)>& aQuestion)
 {
-  const Backend backend(aBytes);
+  const Backend backend({ aBytes, true });
   const timing::SystemClock clock;
   std::promise<agent::BackendEvent> event;
   agent::BackendControl control(backend.Url(), clock, [&](agent::BackendEvent aEvent) {
@@ -79,9 +79,11 @@
 }
 
 /// Returns the data that a call of a request brings, and its end.
-std::pair<std::string, agent::BackendDone> RunCall(const std::string& aBytes)
+std::pair<std::string, agent::BackendDone> RunCall(
+  const ScriptedEndpoint::Script& aScript,
+  const std::string& aBody = {})
 {
-  const Backend backend(aBytes);
+  const Backend backend(aScript);
   std::promise<agent::BackendDone> end;
   std::string data;
   agent::BackendCalls calls(backend.Url(), [&](agent::BackendEvent aEvent) {
@@ -95,6 +97,7 @@
   call.mAttempt = ids::AttemptId("a");
   call.mCall.mMethod = "POST";
   call.mCall.mPath = "/act";
+  call.mCall.mBody = aBody;
   call.mCall.mIrreversible = true;
   calls.Start(call);
   agent::BackendDone done = end.get_future().get();
@@ -133,7 +136,7 @@
   for (const testing::HeadBegin& head : testing::MalformedHeads()) {
     INFO(head.mWhat);
     const auto [data, done] =
-      RunCall(WithBody(head.mStatusLine + head.mFields, "foreign"));
+      RunCall({ WithBody(head.mStatusLine + head.mFields, "foreign"), true });
     CHECK(data.empty());
     CHECK(done.mOutcome == agent::BackendOutcome::Malformed);
     CHECK(done.mFault.starts_with("bad "));
@@ -144,9 +147,20 @@
 {
   for (const testing::HeadBegin& head : testing::OddSoundHeads()) {
     INFO(head.mWhat);
-    const auto [data, done] = RunCall(WithBody(head.mStatusLine + head.mFields, "sound"));
+    const auto [data, done] =
+      RunCall({ WithBody(head.mStatusLine + head.mFields, "sound"), true });
     CHECK(data == "sound");
     CHECK(done.mOutcome == agent::BackendOutcome::Answered);
     CHECK(done.mHttpStatus / 100 == 2);
   }
 }
+
+TEST_CASE("backend calls: a truncated answer is not a whole one", "[agent]")
+{
+  ScriptedEndpoint::Script script{ "HTTP/1.1 200 OK\r\n\r\npart" };
+  script.mBeforeBody = true;
+  script.mResetAfterEnd = std::chrono::milliseconds(200);
+  const auto [data, done] = RunCall(script, std::string(400'000, 'x'));
+  CHECK(done.mOutcome == agent::BackendOutcome::Truncated);
+  CHECK_FALSE(done.mFault.empty());
+}
--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -205,6 +205,37 @@
   CHECK(Connections() == 2);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "client: a truncated response without a length is not an answer",
+                 "[httpclient]")
+{
+  ScriptedEndpoint::Script script{ kOk + "\r\npart" };
+  script.mBeforeBody = true;
+  script.mResetAfterEnd = 200ms;
+  AddScript(script);
+  AddScript({ Sound("after") });
+  const httpclient::Request upload{ .mMethod = "POST",
+                                    .mBody = std::string(400'000, 'x') };
+  const Reply reply = mClient.Call(upload);
+  CHECK(reply.mOutcome == Outcome::Truncated);
+  CHECK_FALSE(reply.mFault.empty());
+  CHECK(Get().mBody == "after");
+  CHECK(Connections() == 2);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "client: a response with a known end precedes the end of the request",
+                 "[httpclient]")
+{
+  ScriptedEndpoint::Script script{ Sound("whole") };
+  script.mBeforeBody = true;
+  script.mResetAfterEnd = 200ms;
+  AddScript(script);
+  const httpclient::Request upload{ .mMethod = "POST",
+                                    .mBody = std::string(400'000, 'x') };
+  CHECK(mClient.Call(upload).mBody == "whole");
+}
+
 TEST_CASE_METHOD(Fixture, "client: interim responses precede the answer", "[httpclient]")
 {
   AddScript({ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" +
--- a/apps/tests/httpclient/clienttlstest.cpp
+++ b/apps/tests/httpclient/clienttlstest.cpp
@@ -75,7 +75,22 @@
 class TlsServer
 {
 public:
-  explicit TlsServer(const Certificate& aCertificate)
+  /// What follows an answer.
+  enum class Next
+  {
+    Request,
+    /// The end of the TLS session, and then of the connection.
+    CloseNotify,
+    /// The end of the connection alone.
+    Close,
+  };
+
+  explicit TlsServer(
+    const Certificate& aCertificate,
+    std::string aAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret",
+    Next aNext = Next::Request)
+    : mAnswer(std::move(aAnswer))
+    , mNext(aNext)
   {
     mTls.use_certificate_chain_file(aCertificate.Path());
     mTls.use_private_key_file(aCertificate.Path(), boost::asio::ssl::context::pem);
@@ -98,12 +113,19 @@
       boost::beast::http::read(stream, buffer, request, ec);
       if (!ec) {
         ++mRequests;
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret";
-        boost::asio::write(stream, boost::asio::buffer(answer), ec);
+        boost::asio::write(stream, boost::asio::buffer(mAnswer), ec);
+      }
+      if (mNext == Next::CloseNotify) {
+        stream.shutdown(ec);
+      }
+      if (mNext != Next::Request) {
+        return;
       }
     }
   }
 
+  const std::string mAnswer;
+  const Next mNext;
   boost::asio::io_context mIo{ 1 };
   tcp::acceptor mAcceptor{ mIo, { boost::asio::ip::address_v4::loopback(), 0 } };
   boost::asio::ssl::context mTls{ boost::asio::ssl::context::tls_server };
@@ -156,3 +178,16 @@
     CHECK(server.Requests() == 0);
   }
 }
+
+TEST_CASE("client: a response without a length ends with its TLS session", "[httpclient]")
+{
+  const Certificate certificate;
+  const TrustedFile trusted(certificate.Path());
+  const bool notifies = GENERATE(false, true);
+  TlsServer server(certificate,
+                   "HTTP/1.1 200 OK\r\n\r\nsecret",
+                   notifies ? TlsServer::Next::CloseNotify : TlsServer::Next::Close);
+  httpclient::Client client("https://localhost:" + server.Port(), { 5s, 5s, 5s });
+  const auto reply = client.Call({});
+  CHECK(reply.mOutcome == (notifies ? Outcome::Answered : Outcome::Broken));
+}
--- a/apps/tests/processes/malformedanswertest.cpp
+++ b/apps/tests/processes/malformedanswertest.cpp
@@ -56,6 +56,33 @@
   deployment.CheckStandIns();
 }
 
+// An answer without a length that came before a long call was read, and then broke off,
+// was taken for a whole one.
+TEST_CASE("truncated answer: the outcome of a long action is unknown",
+          "[must-hold][processes]")
+{
+  Deployment deployment({ .mEngines = 1 });
+  const auto key = deployment.IssueKey("depot-north", "booking");
+  const nlohmann::json body{ { "dock", 7 }, { "note", std::string(600'000, 'x') } };
+  deployment.Tell("service",
+                  "/raw-answers",
+                  { { "path", "bookings" },
+                    { "bytes", "HTTP/1.1 201 Created\r\n\r\n\"foreign\"" },
+                    { "count", 1 },
+                    { "before_body", true } });
+  Caller caller(deployment.EntryPort(1), key);
+  for (int it = 0; it < 2; ++it) {
+    const auto reply = caller.Post("/booking/bookings", "dock-7", body);
+    CHECK(reply.mStatus >= 500);
+    CHECK(reply.mOutcome == "unknown");
+    CHECK(reply.mBody.find("foreign") == std::string::npos);
+  }
+  CHECK(deployment.ServiceExecutions(body) == 0);
+  CHECK(caller.Post("/booking/bookings", "dock-8", { { "dock", 8 } }).mStatus ==
+        kCreated);
+  deployment.CheckStandIns();
+}
+
 TEST_CASE("malformed answer: a generation is run at another engine",
           "[must-hold][processes]")
 {
--- a/components/httpclient/client.cpp
+++ b/components/httpclient/client.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/ssl.hpp>
 
+#include "components/httpclient/responsebody.hpp"
 #include "components/httpclient/responsehead.hpp"
 
 namespace samphiresail::httpclient {
@@ -273,6 +274,9 @@
     if (IsMalformed(ec)) {
       mReply.mOutcome = Outcome::Malformed;
       mReply.mFault = ec.message();
+    } else if (ec == ResponseError::Truncated) {
+      mReply.mOutcome = Outcome::Truncated;
+      mReply.mFault = ec.message();
     }
     const bool whole = !ec && !mCancelled;
     if (whole) {
@@ -294,8 +298,7 @@
       body.size = bytes.size();
       body.more = true;
       Expire(mTimeouts.mRead);
-      co_await http::async_read_some(
-        aStream, mConnection->mBuffer, aParser, RedirectError(ec));
+      co_await ReadResponseBody(aStream, mConnection->mBuffer, aParser, ec);
       if (ec == http::error::need_buffer) {
         ec = {};
       }
--- a/components/httpclient/client.hpp
+++ b/components/httpclient/client.hpp
@@ -50,6 +50,9 @@
   Broken,
   /// The request may have run: the response breaks the grammar of HTTP.
   Malformed,
+  /// The request may have run: the connection failed before the end of a response without
+  /// a length.
+  Truncated,
 };
 
 /// True if the server has received no byte of the request.
@@ -71,7 +74,7 @@
   Head mHead;
   /// Whole body of an answer that was not handed over in parts.
   std::string mBody;
-  /// What is wrong with a malformed response.
+  /// What is wrong with a malformed or truncated response.
   std::string mFault;
 };
 
