Take no answer for whole whose socket this side has closed meanwhile

An answer without a length may end while a timeout, a deadline or a stop request closes its socket. The check of the connection then had nothing to ask, and found no fault.

The check reports operation_aborted in that case, which all readers treat as an answer that broke off. The unit test fails without the change.

--- a/apps/tests/httpclient/clienttest.cpp
+++ b/apps/tests/httpclient/clienttest.cpp
@@ -9,6 +9,7 @@
 #include "apps/tests/frontend/frontendfixture.hpp"
 #include "apps/tests/support/responseheads.hpp"
 #include "components/httpclient/client.hpp"
+#include "components/httpclient/responsebody.hpp"
 
 using namespace samphiresail;
 using namespace std::chrono_literals;
@@ -223,6 +224,15 @@
   CHECK(Connections() == 2);
 }
 
+TEST_CASE("client: an answer whose socket was closed meanwhile is not whole",
+          "[httpclient]")
+{
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  CHECK(httpclient::CheckEndOfConnection(socket.native_handle()) ==
+        boost::asio::error::operation_aborted);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "client: a response with a known end precedes the end of the request",
                  "[httpclient]")
--- a/components/httpclient/responsebody.cpp
+++ b/components/httpclient/responsebody.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include <boost/asio/error.hpp>
 #include <linux/sockios.h>
 #include <poll.h>
 #include <sys/ioctl.h>
@@ -46,6 +47,9 @@
 
 ErrorCode CheckEndOfConnection(int aSocket)
 {
+  if (aSocket < 0) {
+    return boost::asio::error::operation_aborted;
+  }
   if (HasFailed(aSocket) || HasUnacknowledgedBytes(aSocket)) {
     return ResponseError::Truncated;
   }
--- a/components/httpclient/responsebody.hpp
+++ b/components/httpclient/responsebody.hpp
@@ -30,7 +30,8 @@
 /// after a reset that follows the end. Returns ResponseError::Truncated if the connection
 /// has failed, or if the peer's system has not acknowledged all of the request: the
 /// segment that ends its direction acknowledges all that it had received by then. What is
-/// acknowledged may still be unread. aSocket is the native handle.
+/// acknowledged may still be unread. aSocket is the native handle; if this side has
+/// closed the socket meanwhile, the error is boost::asio::error::operation_aborted.
 ErrorCode CheckEndOfConnection(int aSocket);
 
 /// Reads some of a response's body and returns the number of bytes read, framing
