Name the error of a truncated answer by functions

The linter refuses the name make_error_code, which Boost asks for; TruncatedError() and IsTruncated() stand beside IsMalformed(). A test used a call after it was moved, as a check may evaluate its expression again. No change of behaviour.

--- a/apps/samphiresail/gateway/gatewayprocess.cpp
+++ b/apps/samphiresail/gateway/gatewayprocess.cpp
@@ -143,7 +143,7 @@
   , mSignals(mIo, SIGTERM, SIGHUP, SIGINT)
 {
   mClient.SetFaultHandler([this](const auto& aAddress, const auto& aError) {
-    const bool truncated = aError == httpclient::ResponseError::Truncated;
+    const bool truncated = httpclient::IsTruncated(aError);
     (truncated ? mMetrics.mTruncatedAnswers : mMetrics.mMalformedAnswers).Increment();
     mLogger.Warn(truncated ? "truncated answer" : "malformed answer",
                  { { "address", aAddress.mHost + ":" + std::to_string(aAddress.mPort) },
--- a/apps/tests/platform/httpclienttest.cpp
+++ b/apps/tests/platform/httpclienttest.cpp
@@ -292,7 +292,7 @@
   int truncated = 0;
   mClient.SetFaultHandler([&](const settings::SocketAddress& aAddress, const auto& aEc) {
     CHECK(aAddress.mPort == mAddress.mPort);
-    CHECK(aEc == httpclient::ResponseError::Truncated);
+    CHECK(httpclient::IsTruncated(aEc));
     ++truncated;
   });
   ScriptedEndpoint::Script script{ "HTTP/1.1 200 OK\r\n\r\n{}" };
@@ -318,8 +318,8 @@
     call.mMethod = frontend::http::verb::put;
     call.mTarget = "/report";
     call.mBody = std::string(400'000, 'x');
-    CHECK(Await(mClient.Call(mAddress, std::move(call), 20s)).mOutcome ==
-          HttpReply::Outcome::Unknown);
+    const HttpReply reply = Await(mClient.Call(mAddress, std::move(call), 20s));
+    CHECK(reply.mOutcome == HttpReply::Outcome::Unknown);
   }
   SECTION("to an order")
   {
--- a/components/frontend/forwarderattempt.cpp
+++ b/components/frontend/forwarderattempt.cpp
@@ -111,7 +111,7 @@
   } else if (outcome == AttemptState::Head::Arrived && aAttempt.mSendFailed &&
              aAttempt.mHasNoLength) {
     // The end of such a response would not show that it is whole.
-    aAttempt.mError = httpclient::ResponseError::Truncated;
+    aAttempt.mError = httpclient::TruncatedError();
     outcome = AttemptState::Head::Failed;
   }
   aAttempt.mHead = outcome;
@@ -354,7 +354,7 @@
   if (malformed) {
     mContext.mMetrics.mMalformedAnswers.Increment();
   }
-  const bool truncated = aAttempt.mError == httpclient::ResponseError::Truncated;
+  const bool truncated = httpclient::IsTruncated(aAttempt.mError);
   if (truncated) {
     mContext.mMetrics.mTruncatedAnswers.Increment();
   }
--- a/components/httpclient/client.cpp
+++ b/components/httpclient/client.cpp
@@ -274,7 +274,7 @@
     if (IsMalformed(ec)) {
       mReply.mOutcome = Outcome::Malformed;
       mReply.mFault = ec.message();
-    } else if (ec == ResponseError::Truncated) {
+    } else if (IsTruncated(ec)) {
       mReply.mOutcome = Outcome::Truncated;
       mReply.mFault = ec.message();
     }
--- a/components/httpclient/responsebody.cpp
+++ b/components/httpclient/responsebody.cpp
@@ -11,13 +11,15 @@
 
 namespace {
 
+constexpr int kTruncated = 1;
+
 class ResponseCategory final : public boost::system::error_category
 {
 public:
   const char* name() const noexcept override { return "samphiresail.response"; }
   std::string message(int aError) const override
   {
-    return aError == static_cast<int>(ResponseError::Truncated)
+    return aError == kTruncated
              ? "connection failed before the end of a response without a length"
              : "unknown error of a response";
   }
@@ -39,10 +41,15 @@
 
 }
 
-ErrorCode make_error_code(ResponseError aError)
+ErrorCode TruncatedError()
 {
   static const ResponseCategory category;
-  return { static_cast<int>(aError), category };
+  return { kTruncated, category };
+}
+
+bool IsTruncated(const ErrorCode& aEc)
+{
+  return aEc == TruncatedError();
 }
 
 ErrorCode CheckEndOfConnection(int aSocket)
@@ -51,7 +58,7 @@
     return boost::asio::error::operation_aborted;
   }
   if (HasFailed(aSocket) || HasUnacknowledgedBytes(aSocket)) {
-    return ResponseError::Truncated;
+    return TruncatedError();
   }
   return {};
 }
--- a/components/httpclient/responsebody.hpp
+++ b/components/httpclient/responsebody.hpp
@@ -2,7 +2,6 @@
 #define SAMPHIRESAIL_COMPONENTS_HTTPCLIENT_RESPONSEBODY_HPP
 
 #include <cstddef>
-#include <type_traits>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -14,22 +13,19 @@
 
 using ErrorCode = boost::system::error_code;
 
-/// Errors of responses that neither the connection nor the parser reports.
-enum class ResponseError
-{
-  /// The response has neither a length nor chunks, and its connection failed or ended
-  /// before the peer had received the request, so that it may be only a part.
-  Truncated = 1,
-};
+/// Returns the error of a response that has neither a length nor chunks and may be only a
+/// part, as its connection failed or ended before the peer had received the request.
+ErrorCode TruncatedError();
 
-ErrorCode make_error_code(ResponseError aError);
+/// True for that error, which neither the connection nor the parser reports.
+bool IsTruncated(const ErrorCode& aEc);
 
 /// Checks the connection of a response without a length once its end was read. The end of
 /// the peer's sending direction alone does not show that the response is whole: the
 /// operating system reports the same after a reset whose error a write has consumed, and
-/// after a reset that follows the end. Returns ResponseError::Truncated if the connection
-/// has failed, or if the peer's system has not acknowledged all of the request: the
-/// segment that ends its direction acknowledges all that it had received by then. What is
+/// after a reset that follows the end. Returns TruncatedError() if the connection has
+/// failed, or if the peer's system has not acknowledged all of the request: the segment
+/// that ends its direction acknowledges all that it had received by then. What is
 /// acknowledged may still be unread. aSocket is the native handle; if this side has
 /// closed the socket meanwhile, the error is boost::asio::error::operation_aborted.
 ErrorCode CheckEndOfConnection(int aSocket);
@@ -57,10 +53,4 @@
 
 }
 
-template<>
-struct boost::system::is_error_code_enum<samphiresail::httpclient::ResponseError>
-  : std::true_type
-{
-};
-
 #endif
